--- /dev/null
+++ b/include/tamarackglade/runtime/tcp_stream.hpp
@@ -0,0 +1,50 @@
+// A plain TCP connection as a byte_stream.
+#pragma once
+
+#include <tamarackglade/runtime/byte_stream.hpp>
+
+#include <absl/status/statusor.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <string>
+
+namespace tamarack {
+
+/// @brief A byte_stream over beast::tcp_stream, which enforces the timeouts.
+class tcp_stream final : public byte_stream
+{
+public:
+    explicit tcp_stream(boost::beast::tcp_stream stream);
+
+    /// @brief Connects to "ip:port" within the timeout.
+    /// @return the connection, or Unavailable / InvalidArgument
+    static absl::StatusOr<std::unique_ptr<tcp_stream>> connect(boost::asio::io_context &io,
+                                                               const std::string &address,
+                                                               std::chrono::milliseconds timeout);
+
+    std::size_t readSome(boost::asio::mutable_buffer buffer,
+                         boost::system::error_code &error) override;
+    std::size_t writeSome(boost::asio::const_buffer buffer,
+                          boost::system::error_code &error) override;
+    void setTimeout(std::chrono::milliseconds timeout) override;
+    void close() override;
+    void shutdownSend() override;
+    bool peerClosed() override;
+    [[nodiscard]] std::string peerAddress() const override;
+
+    /// @return the underlying stream, for the TLS layer
+    boost::beast::tcp_stream &native() { return m_stream; }
+
+private:
+    void armTimeout();
+
+    boost::beast::tcp_stream m_stream;
+    std::chrono::milliseconds m_timeout{0};
+};
+
+/// @brief Splits "ip:port".
+/// @return the endpoint, or InvalidArgument
+absl::StatusOr<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &address);
+
+} // namespace tamarack
--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Regenerates the committed FlatBuffers code. Needs the package flatbuffers-compiler.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+flatc --cpp --gen-object-api --object-suffix _message --scoped-enums --cpp-std c++17 \
+    --filename-suffix _generated -o generated/tamarackglade/schema schema/log.fbs schema/wire.fbs
--- /dev/null
+++ b/src/core/partition.cpp
@@ -0,0 +1,17 @@
+// Partitions by a stable hash of the customer's id.
+#include <tamarackglade/core/hash.hpp>
+#include <tamarackglade/core/partition.hpp>
+
+namespace tamarack {
+
+partition_id partitionOf(const customer_id &customer, std::uint32_t count)
+{
+    return partition_id(static_cast<std::uint32_t>(stableHash(customer.value()) % count));
+}
+
+std::string jobStreamName(partition_id partition)
+{
+    return "jobs-" + std::to_string(partition.value());
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/runtime/tcp_stream.cpp
@@ -0,0 +1,109 @@
+// TCP operations through the fiber token.
+#include <tamarackglade/runtime/fiber_token.hpp>
+#include <tamarackglade/runtime/tcp_stream.hpp>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <sys/socket.h>
+
+namespace tamarack {
+
+namespace asio = boost::asio;
+
+absl::StatusOr<asio::ip::tcp::endpoint> parseEndpoint(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return absl::InvalidArgumentError(absl::StrCat("'", address, "' is not ip:port"));
+    boost::system::error_code error;
+    std::string host = address.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    const auto ip = asio::ip::make_address(host, error);
+    std::uint32_t port = 0;
+    if (error || !absl::SimpleAtoi(address.substr(colon + 1), &port) || port > 65535)
+        return absl::InvalidArgumentError(absl::StrCat("'", address, "' is not ip:port"));
+    return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+tcp_stream::tcp_stream(boost::beast::tcp_stream stream) : m_stream(std::move(stream))
+{
+    boost::system::error_code ignored;
+    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+absl::StatusOr<std::unique_ptr<tcp_stream>> tcp_stream::connect(asio::io_context &io,
+                                                                const std::string &address,
+                                                                std::chrono::milliseconds timeout)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint.ok())
+        return endpoint.status();
+    boost::beast::tcp_stream stream(io);
+    stream.expires_after(timeout);
+    const boost::system::error_code error = stream.async_connect(*endpoint, FiberToken);
+    stream.expires_never();
+    if (error)
+        return absl::UnavailableError(absl::StrCat("connect to ", address, ": ", error.message()));
+    return std::make_unique<tcp_stream>(std::move(stream));
+}
+
+std::size_t tcp_stream::readSome(asio::mutable_buffer buffer, boost::system::error_code &error)
+{
+    armTimeout();
+    const auto result = m_stream.async_read_some(buffer, FiberToken);
+    error = result.error;
+    return result.value;
+}
+
+std::size_t tcp_stream::writeSome(asio::const_buffer buffer, boost::system::error_code &error)
+{
+    armTimeout();
+    const auto result = m_stream.async_write_some(buffer, FiberToken);
+    error = result.error;
+    return result.value;
+}
+
+void tcp_stream::setTimeout(std::chrono::milliseconds timeout)
+{
+    m_timeout = timeout;
+}
+
+void tcp_stream::close()
+{
+    m_stream.close();
+}
+
+void tcp_stream::shutdownSend()
+{
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+bool tcp_stream::peerClosed()
+{
+    char byte = 0;
+    const auto size = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size == 0)
+        return true;
+    return size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
+std::string tcp_stream::peerAddress() const
+{
+    boost::system::error_code error;
+    const auto endpoint = m_stream.socket().remote_endpoint(error);
+    if (error)
+        return "unknown";
+    return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
+void tcp_stream::armTimeout()
+{
+    if (m_timeout.count() > 0)
+        m_stream.expires_after(m_timeout);
+    else
+        m_stream.expires_never();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/support/doctest_main.cpp
@@ -0,0 +1,3 @@
+// The main function of every test program.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
