--- /dev/null
+++ b/include/tamarackglade/http/detail/http_session.hpp
@@ -0,0 +1,61 @@
+// One server connection: reads requests in turn and lets the handler answer them.
+#pragma once
+
+#include <tamarackglade/http/http_exchange.hpp>
+#include <tamarackglade/http/http_server.hpp>
+#include <tamarackglade/runtime/byte_stream.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <atomic>
+
+namespace tamarack::detail {
+
+/// @brief The exchange of the current request over one byte_stream.
+class http_session final : public http_exchange
+{
+public:
+    http_session(byte_stream &stream, const http_server_options &options,
+                 const http_server::handler &handle, std::atomic<std::size_t> &active,
+                 const std::atomic<bool> &draining);
+
+    /// @brief Serves requests until either side closes.
+    void run();
+
+    [[nodiscard]] const http_request &request() const override { return m_request; }
+    void respond(const http_response &response) override;
+    void beginStream(const http_response &head) override;
+    bool writeChunk(std::string_view data) override;
+    void endStream() override;
+    void abortStream() override;
+    bool callerGone() override;
+    [[nodiscard]] bool started() const override { return m_started; }
+
+private:
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    bool readRequest();
+    bool readHeader(request_parser &parser);
+    bool readBody(request_parser &parser, std::size_t limit);
+    void refuse(unsigned status, const std::string &code, const std::string &message);
+    void refuseReadError(const boost::system::error_code &error);
+    void fillRequestHead(const request_parser::value_type &message);
+    bool writeAll(std::string_view data);
+    [[nodiscard]] std::string headText(const http_response &response) const;
+
+    byte_stream &m_stream;
+    const http_server_options &m_options;
+    const http_server::handler &m_handle;
+    std::atomic<std::size_t> &m_active;
+    const std::atomic<bool> &m_draining;
+    boost::beast::flat_buffer m_buffer;
+    http_request m_request;
+    bool m_keepAlive = true; // the connection may carry another request
+    bool m_started = false; // an answer to m_request was started
+    bool m_broken = false; // a write failed or the answer was aborted
+    bool m_chunked = true; // HTTP/1.1 callers get chunks, HTTP/1.0 ones an unframed body
+};
+
+} // namespace tamarack::detail
--- /dev/null
+++ b/include/tamarackglade/http/http_client.hpp
@@ -0,0 +1,76 @@
+// An HTTP/1.1 client connection that is reused for one request after another.
+#pragma once
+
+#include <tamarackglade/http/http_response.hpp>
+#include <tamarackglade/runtime/byte_stream.hpp>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief A request to send.
+struct http_client_request
+{
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string contentType;
+    std::string body;
+};
+
+/// @brief One connection to "ip:port". Used by one fiber at a time, on the io_context's thread.
+///
+/// Errors: Unavailable if the request surely never reached the server (no connection), Aborted if
+/// the connection failed after the request may have been sent, DeadlineExceeded on a timeout.
+class http_client
+{
+public:
+    http_client(boost::asio::io_context &io, std::string address);
+    ~http_client();
+
+    /// @brief Sets the timeout of connecting and of each read or write.
+    void setTimeout(std::chrono::milliseconds timeout);
+
+    /// @brief Sends a request and reads the head of its response; the body is empty.
+    absl::StatusOr<http_response> start(const http_client_request &request);
+
+    /// @brief Reads the next part of the body.
+    /// @return its bytes; empty at the proper end of the body
+    absl::StatusOr<std::string> readSome();
+
+    /// @brief Sends a request and reads the whole response.
+    absl::StatusOr<http_response> fetch(const http_client_request &request);
+
+    /// @brief Closes the connection; the next request opens another.
+    void close();
+
+    /// @brief Closes the socket while another fiber of this thread waits in it; that one gets
+    /// Aborted.
+    void abort();
+
+    /// @return whether a connection is open and idle
+    [[nodiscard]] bool idle() const;
+
+private:
+    struct response_state;
+
+    absl::Status connect();
+    absl::Status send(const http_client_request &request);
+    absl::Status readFailure(const boost::system::error_code &error);
+
+    boost::asio::io_context &m_io;
+    std::string m_address;
+    std::chrono::milliseconds m_timeout{30'000};
+    std::unique_ptr<byte_stream> m_stream;
+    std::unique_ptr<response_state> m_response;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/http/http_response.hpp
@@ -0,0 +1,19 @@
+// A whole HTTP response.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Status, headers and body of a response that isn't streamed.
+struct http_response
+{
+    unsigned status = 200;
+    std::string contentType = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/http/http_server.hpp
@@ -0,0 +1,43 @@
+// An HTTP/1.1 server on one thread: a fiber for each connection.
+#pragma once
+
+#include <tamarackglade/http/http_exchange.hpp>
+#include <tamarackglade/http/http_server_options.hpp>
+#include <tamarackglade/runtime/io_thread.hpp>
+#include <tamarackglade/runtime/tcp_listener.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace tamarack {
+
+/// @brief Parses requests with Beast, enforces the limits and calls the handler.
+/// A handler runs in the connection's fiber; if it returns without an answer, 500 is sent.
+class http_server
+{
+public:
+    using handler = std::function<void(http_exchange &exchange)>;
+
+    http_server(io_thread &thread, http_server_options options, handler handle);
+
+    /// @return the bound port, or why it can't listen
+    absl::StatusOr<std::uint16_t> listen(const std::string &address);
+
+    /// @brief Stops accepting; requests under way are finished, then their connections closed.
+    void drain();
+
+    /// @return requests under way
+    [[nodiscard]] std::size_t activeRequests() const;
+
+private:
+    struct shared_state;
+
+    std::shared_ptr<shared_state> m_state;
+    tcp_listener m_listener;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/runtime/io_thread.hpp
@@ -0,0 +1,44 @@
+// A thread with one io_context and one fiber scheduler.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/fiber/future.hpp>
+
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace tamarack {
+
+/// @brief Runs fibers and their I/O on one thread until stopped.
+class io_thread
+{
+public:
+    io_thread();
+    io_thread(const io_thread &) = delete;
+    io_thread &operator=(const io_thread &) = delete;
+    /// Stops and joins.
+    ~io_thread();
+
+    /// @return the thread's io_context; objects made on it must be used on this thread only
+    boost::asio::io_context &io() { return *m_io; }
+
+    /// @brief Starts a fiber on this thread; callable from any thread.
+    void spawn(std::function<void()> body);
+
+    /// @brief Runs a function on this thread in a fiber and waits for its end.
+    void run(std::function<void()> body);
+
+    /// @brief Ends the thread. Fibers that still wait are abandoned with the thread.
+    void stop();
+
+private:
+    void threadMain();
+
+    std::shared_ptr<boost::asio::io_context> m_io;
+    boost::fibers::promise<void> m_stopped;
+    bool m_stopRequested = false;
+    std::thread m_thread;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,166 @@
+// Requests written as text, responses parsed with Beast.
+#include <tamarackglade/http/http_client.hpp>
+#include <tamarackglade/runtime/tcp_stream.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+
+namespace tamarack {
+
+namespace http = boost::beast::http;
+
+struct http_client::response_state
+{
+    boost::beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::array<char, 16 * 1024> chunk{};
+};
+
+http_client::http_client(boost::asio::io_context &io, std::string address)
+    : m_io(io), m_address(std::move(address))
+{
+}
+
+http_client::~http_client() = default;
+
+void http_client::setTimeout(std::chrono::milliseconds timeout)
+{
+    m_timeout = timeout;
+    if (m_stream)
+        m_stream->setTimeout(timeout);
+}
+
+absl::StatusOr<http_response> http_client::start(const http_client_request &request)
+{
+    if (m_stream && m_stream->peerClosed())
+        close();
+    if (!m_stream) {
+        const absl::Status connected = connect();
+        if (!connected.ok())
+            return connected;
+    }
+    const absl::Status sent = send(request);
+    if (!sent.ok())
+        return sent;
+    auto &parser = m_response->parser.emplace();
+    parser.body_limit(boost::none);
+    parser.skip(request.method == "HEAD");
+    boost::system::error_code error;
+    http::read_header(*m_stream, m_response->buffer, parser, error);
+    if (error)
+        return readFailure(error);
+    http_response head;
+    head.status = parser.get().result_int();
+    head.contentType = std::string(parser.get()[http::field::content_type]);
+    for (const auto &field : parser.get())
+        head.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    return head;
+}
+
+absl::StatusOr<std::string> http_client::readSome()
+{
+    if (!m_stream || !m_response->parser)
+        return absl::FailedPreconditionError("no response is being read");
+    auto &parser = *m_response->parser;
+    while (!parser.is_done()) {
+        parser.get().body().data = m_response->chunk.data();
+        parser.get().body().size = m_response->chunk.size();
+        parser.get().body().more = true;
+        boost::system::error_code error;
+        http::read_some(*m_stream, m_response->buffer, parser, error);
+        if (error && error != http::error::need_buffer)
+            return readFailure(error);
+        const std::size_t size = m_response->chunk.size() - parser.get().body().size;
+        if (size > 0)
+            return std::string(m_response->chunk.data(), size);
+    }
+    const bool keepAlive = parser.get().keep_alive();
+    m_response->parser.reset();
+    if (!keepAlive)
+        close();
+    return std::string();
+}
+
+absl::StatusOr<http_response> http_client::fetch(const http_client_request &request)
+{
+    auto response = start(request);
+    if (!response.ok())
+        return response;
+    for (;;) {
+        auto part = readSome();
+        if (!part.ok())
+            return part.status();
+        if (part->empty())
+            return response;
+        response->body += *part;
+    }
+}
+
+void http_client::close()
+{
+    if (m_stream)
+        m_stream->close();
+    m_stream.reset();
+}
+
+void http_client::abort()
+{
+    if (m_stream)
+        m_stream->close();
+}
+
+bool http_client::idle() const
+{
+    return m_stream && !m_response->parser;
+}
+
+absl::Status http_client::connect()
+{
+    auto stream = tcp_stream::connect(m_io, m_address, m_timeout);
+    if (!stream.ok())
+        return stream.status();
+    m_stream = std::move(*stream);
+    m_stream->setTimeout(m_timeout);
+    m_response = std::make_unique<response_state>();
+    return absl::OkStatus();
+}
+
+absl::Status http_client::send(const http_client_request &request)
+{
+    std::string text =
+        absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\nHost: ", m_address, "\r\n");
+    for (const auto &[name, value] : request.headers)
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+    if (!request.contentType.empty())
+        absl::StrAppend(&text, "Content-Type: ", request.contentType, "\r\n");
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
+        absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n");
+    absl::StrAppend(&text, "\r\n", request.body);
+    std::string_view left = text;
+    while (!left.empty()) {
+        boost::system::error_code error;
+        left.remove_prefix(
+            m_stream->writeSome(boost::asio::buffer(left.data(), left.size()), error));
+        if (error)
+            return readFailure(error);
+    }
+    return absl::OkStatus();
+}
+
+absl::Status http_client::readFailure(const boost::system::error_code &error)
+{
+    const std::string message = absl::StrCat(m_address, ": ", error.message());
+    close();
+    if (error == boost::beast::error::timeout)
+        return absl::DeadlineExceededError(message);
+    return absl::AbortedError(message);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/http/http_session.cpp
@@ -0,0 +1,230 @@
+// Reading requests within limits, and writing answers.
+#include <tamarackglade/http/detail/http_session.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace tamarack::detail {
+
+namespace http = boost::beast::http;
+
+http_session::http_session(byte_stream &stream, const http_server_options &options,
+                           const http_server::handler &handle, std::atomic<std::size_t> &active,
+                           const std::atomic<bool> &draining)
+    : m_stream(stream), m_options(options), m_handle(handle), m_active(active), m_draining(draining)
+{
+}
+
+void http_session::run()
+{
+    while (m_keepAlive && !m_broken) {
+        m_started = false;
+        if (!readRequest())
+            break;
+        ++m_active;
+        m_stream.setTimeout(m_options.writeTimeout);
+        m_handle(*this);
+        if (!m_started)
+            refuse(500, "internal_error", "the request was not answered");
+        --m_active;
+        if (m_draining)
+            m_keepAlive = false;
+    }
+    m_stream.shutdownSend();
+    m_stream.close();
+}
+
+bool http_session::readRequest()
+{
+    request_parser parser;
+    parser.header_limit(m_options.headerLimit);
+    parser.body_limit(boost::none);
+    if (!readHeader(parser))
+        return false;
+    fillRequestHead(parser.get());
+    header_verdict verdict{m_options.bodyLimit, std::nullopt};
+    if (m_options.onHeader)
+        verdict = m_options.onHeader(m_request);
+    if (verdict.refusal) {
+        m_keepAlive = false;
+        respond(*verdict.refusal);
+        return false;
+    }
+    return readBody(parser, verdict.bodyLimit);
+}
+
+bool http_session::readHeader(request_parser &parser)
+{
+    boost::system::error_code error;
+    m_stream.setTimeout(m_buffer.size() > 0 ? m_options.headerTimeout : m_options.idleTimeout);
+    // The first byte may take the idle timeout, the rest of the header the header timeout.
+    while (!parser.is_header_done()) {
+        http::read_some(m_stream, m_buffer, parser, error);
+        if (error) {
+            const bool nothingSent = !parser.got_some() && m_buffer.size() == 0;
+            if (!nothingSent && error != http::error::end_of_stream)
+                refuseReadError(error);
+            return false;
+        }
+        m_stream.setTimeout(m_options.headerTimeout);
+    }
+    m_keepAlive = parser.get().keep_alive();
+    m_chunked = parser.get().version() >= 11;
+    return true;
+}
+
+bool http_session::readBody(request_parser &parser, std::size_t limit)
+{
+    const auto declared = parser.content_length();
+    if (declared && *declared > limit) {
+        refuse(413, "body_too_large", absl::StrCat("the body may have at most ", limit, " bytes"));
+        return false;
+    }
+    parser.body_limit(limit);
+    if (m_request.header("expect") == "100-continue" && !parser.is_done())
+        writeAll("HTTP/1.1 100 Continue\r\n\r\n");
+    const auto deadline = std::chrono::steady_clock::now() + m_options.bodyTimeout;
+    boost::system::error_code error;
+    while (!parser.is_done()) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            deadline - std::chrono::steady_clock::now());
+        if (left.count() <= 0) {
+            refuse(408, "request_timeout", "the body was sent too slowly");
+            return false;
+        }
+        m_stream.setTimeout(left);
+        http::read_some(m_stream, m_buffer, parser, error);
+        if (error) {
+            refuseReadError(error);
+            return false;
+        }
+    }
+    m_request.body = std::move(parser.get().body());
+    return true;
+}
+
+void http_session::refuse(unsigned status, const std::string &code, const std::string &message)
+{
+    m_keepAlive = false;
+    http_response response;
+    if (m_options.makeError) {
+        response = m_options.makeError(status, code, message);
+    } else {
+        response.status = status;
+        response.contentType = "text/plain";
+        response.body = absl::StrCat(code, ": ", message, "\n");
+    }
+    respond(response);
+}
+
+void http_session::refuseReadError(const boost::system::error_code &error)
+{
+    if (error == boost::beast::error::timeout)
+        refuse(408, "request_timeout", "the request was sent too slowly");
+    else if (error == http::error::body_limit)
+        refuse(413, "body_too_large", "the body is too large");
+    else if (error == http::error::header_limit)
+        refuse(431, "headers_too_large",
+               absl::StrCat("the header may have at most ", m_options.headerLimit, " bytes"));
+    else if (error.category() == http::make_error_code(http::error::bad_method).category())
+        refuse(400, "malformed_http", absl::StrCat("malformed request: ", error.message()));
+}
+
+void http_session::fillRequestHead(const request_parser::value_type &message)
+{
+    m_request = http_request{};
+    m_request.method = std::string(message.method_string());
+    m_request.target = std::string(message.target());
+    const auto mark = m_request.target.find('?');
+    m_request.path = m_request.target.substr(0, mark);
+    if (mark != std::string::npos)
+        m_request.query = m_request.target.substr(mark + 1);
+    m_request.headers = message.base();
+    m_request.peer = m_stream.peerAddress();
+}
+
+std::string http_session::headText(const http_response &response) const
+{
+    std::string text =
+        absl::StrCat("HTTP/1.1 ", response.status, " ",
+                     std::string(http::obsolete_reason(http::int_to_status(response.status))),
+                     "\r\nContent-Type: ", response.contentType, "\r\n");
+    for (const auto &[name, value] : response.headers)
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+    if (!m_keepAlive || m_draining)
+        absl::StrAppend(&text, "Connection: close\r\n");
+    return text;
+}
+
+void http_session::respond(const http_response &response)
+{
+    if (m_started)
+        return;
+    m_started = true;
+    m_stream.setTimeout(m_options.writeTimeout);
+    std::string text = headText(response);
+    absl::StrAppend(&text, "Content-Length: ", response.body.size(), "\r\n\r\n");
+    if (m_request.method != "HEAD")
+        text += response.body;
+    writeAll(text);
+}
+
+void http_session::beginStream(const http_response &head)
+{
+    if (m_started)
+        return;
+    m_started = true;
+    std::string text = headText(head);
+    if (m_chunked)
+        absl::StrAppend(&text, "Transfer-Encoding: chunked\r\n\r\n");
+    else
+        absl::StrAppend(&text, "\r\n");
+    if (!m_chunked)
+        m_keepAlive = false;
+    writeAll(text);
+}
+
+bool http_session::writeChunk(std::string_view data)
+{
+    if (data.empty() || m_broken)
+        return !m_broken;
+    if (!m_chunked)
+        return writeAll(data);
+    const absl::string_view body(data.data(), data.size());
+    return writeAll(absl::StrCat(absl::Hex(data.size()), "\r\n", body, "\r\n"));
+}
+
+void http_session::endStream()
+{
+    if (m_chunked)
+        writeAll("0\r\n\r\n");
+}
+
+void http_session::abortStream()
+{
+    m_broken = true;
+    m_stream.close();
+}
+
+bool http_session::callerGone()
+{
+    return m_broken || m_stream.peerClosed();
+}
+
+bool http_session::writeAll(std::string_view data)
+{
+    while (!data.empty() && !m_broken) {
+        boost::system::error_code error;
+        const std::size_t written =
+            m_stream.writeSome(boost::asio::buffer(data.data(), data.size()), error);
+        data.remove_prefix(written);
+        if (error)
+            m_broken = true;
+    }
+    return !m_broken;
+}
+
+} // namespace tamarack::detail
