--- /dev/null
+++ b/include/tamarackglade/load/engine_model.hpp
@@ -0,0 +1,118 @@
+// Continuous batching of a modelled engine, in virtual time.
+#pragma once
+
+#include <tamarackglade/core/strong_id.hpp>
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/load/engine_profile.hpp>
+#include <tamarackglade/load/prefix_cache.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+/// Names a sequence in an engine; never used again.
+using sequence_id = strong_id<struct sequence_tag, std::uint64_t>;
+
+/// @brief A sequence has one more token.
+struct token_event
+{
+    sequence_id sequence;
+    instant when; // end of the iteration that made the token
+    std::uint32_t index; // of the token in the whole answer
+    bool last; // the sequence is finished
+};
+
+/// @brief What an engine does now.
+struct engine_load
+{
+    std::size_t active = 0; // sequences in the batch
+    std::size_t waiting = 0; // sequences not yet admitted
+    std::uint64_t kvUsed = 0; // tokens reserved by the batch
+};
+
+/// @brief Admits sequences in order of arrival while slots and KV tokens last, and runs iterations
+/// back to back while any sequence is in the batch. There are no priorities. An iteration processes
+/// up to a chunk of prompt tokens, in order of admission; the iteration that completes a prompt
+/// makes the sequence's first token, and each later one a token more.
+class engine_model
+{
+public:
+    explicit engine_model(const engine_profile &profile);
+
+    /// @brief Adds a sequence; it joins the batch at the next start of an iteration.
+    /// Precondition: advance(now) was called.
+    /// @param firstToken the answer's first token to make: 0, or where an answer is resumed
+    /// @param endToken one past the answer's last token, above firstToken
+    sequence_id submit(instant now, std::string_view prompt, std::uint32_t firstToken,
+                       std::uint32_t endToken);
+
+    /// @brief Removes a sequence; unknown or finished ones are ignored. An iteration under way
+    /// keeps its length.
+    void cancel(sequence_id id);
+
+    /// @brief Ends the iterations that are due at now.
+    /// @return their tokens, in order of time, then of admission
+    std::vector<token_event> advance(instant now);
+
+    /// @return the end of the iteration under way, if there is one
+    [[nodiscard]] std::optional<instant> nextDeadline() const { return m_iterationEnd; }
+
+    /// @brief Shifts the iteration under way by a pause of the whole engine.
+    void postpone(duration pause);
+
+    /// @brief Multiplies the time of later iterations; 1 is the profile's own speed.
+    void setSlowness(double factor) { m_slowness = factor; }
+
+    /// @return the cache's changes since the last call
+    std::vector<cache_event> takeCacheEvents();
+
+    [[nodiscard]] engine_load load() const;
+    [[nodiscard]] std::size_t cachedBlocks() const { return m_cache.size(); }
+    /// @return prompt tokens that were found in the cache, over all sequences
+    [[nodiscard]] std::uint64_t cachedPromptTokens() const { return m_cachedPromptTokens; }
+    /// @return prompt tokens submitted, over all sequences that were admitted
+    [[nodiscard]] std::uint64_t promptTokensAdmitted() const { return m_promptTokensAdmitted; }
+    /// @return iterations that have ended
+    [[nodiscard]] std::uint64_t iterations() const { return m_iterations; }
+
+private:
+    struct sequence
+    {
+        std::vector<std::uint64_t> blocks; // of the prompt
+        std::uint32_t promptLeft = 0; // tokens still to process
+        std::uint32_t promptTokens = 0;
+        std::uint32_t nextToken = 0;
+        std::uint32_t endToken = 0;
+        std::uint64_t kvTokens = 0; // reserved while in the batch
+    };
+
+    void admitWaiting();
+    void admit(sequence &entry);
+    void startIteration(instant start);
+    void endIteration(std::vector<token_event> &events);
+    bool processPrompt(sequence &entry, std::uint32_t &budget);
+    void removeFromBatch(sequence_id id);
+
+    engine_profile m_profile;
+    prefix_cache m_cache;
+    double m_slowness = 1;
+    std::uint64_t m_lastId = 0;
+    // Invariant: each sequence of m_sequences is in m_waiting or in m_batch, never in both.
+    std::unordered_map<sequence_id, sequence> m_sequences;
+    std::deque<sequence_id> m_waiting; // in order of arrival
+    std::vector<sequence_id> m_batch; // in order of admission; grows at starts of iterations only
+    std::uint64_t m_kvUsed = 0; // sum of kvTokens over m_batch
+    // Invariant: set if and only if an iteration is under way.
+    std::optional<instant> m_iterationEnd;
+    std::vector<cache_event> m_cacheEvents;
+    std::uint64_t m_cachedPromptTokens = 0;
+    std::uint64_t m_promptTokensAdmitted = 0;
+    std::uint64_t m_iterations = 0;
+};
+
+} // namespace tamarack
