--- /dev/null
+++ b/include/tamarackglade/logging/init_logging.hpp
@@ -0,0 +1,16 @@
+// Sets glog up to write JSON lines to the standard error stream.
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <string>
+
+namespace tamarack {
+
+/// @brief Installs the JSON sink; call once, before the first log line.
+/// @param program the program's name, written in each line
+/// @param level debug, info, warning or error
+/// @return InvalidArgument for an unknown level
+absl::Status initLogging(const std::string &program, const std::string &level);
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/settings/setting_option.hpp
@@ -0,0 +1,32 @@
+// One process setting as the option tables describe it.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace tamarack {
+
+/// How a setting's text is read.
+enum class setting_type {
+    Text,
+    Integer,
+    Milliseconds,
+    Flag, // yes or no
+    Address, // ip:port
+    AddressList, // ip:port, separated by commas
+};
+
+/// @brief A row of an option table; the reference page is made from these rows.
+struct setting_option
+{
+    std::string_view name; // as in the INI file; as a flag, with '_' for '-'
+    setting_type type;
+    std::string_view unit; // "" if none
+    std::int64_t minimum; // of Integer and Milliseconds
+    std::int64_t maximum;
+    std::string_view defaultValue;
+    bool required;
+    std::string_view help;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/logging/logging.cpp
@@ -0,0 +1,121 @@
+// A glog sink that prints each line as a JSON object. Lines of log_event are objects already;
+// others become the object's message.
+#include <tamarackglade/logging/init_logging.hpp>
+#include <tamarackglade/logging/log_event.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <absl/time/time.h>
+#include <glog/logging.h>
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <cstring>
+
+namespace tamarack {
+
+namespace {
+
+std::atomic<int> leastLevel{static_cast<int>(log_level::Info)};
+
+constexpr std::array<const char *, 4> LevelNames{"debug", "info", "warning", "error"};
+
+// Marks a glog message that is the inside of a JSON object already.
+constexpr char ObjectMark = '\x01';
+
+const char *levelOfSeverity(google::LogSeverity severity)
+{
+    switch (severity) {
+    case google::GLOG_INFO:
+        return "info";
+    case google::GLOG_WARNING:
+        return "warning";
+    default:
+        return "error";
+    }
+}
+
+class json_line_sink final : public google::LogSink
+{
+public:
+    explicit json_line_sink(std::string program) : m_program(std::move(program)) { }
+
+    void send(google::LogSeverity severity, const char * /*fullFile*/, const char *baseFile,
+              int line, const google::LogMessageTime & /*time*/, const char *message,
+              std::size_t length) override
+    {
+        nlohmann::ordered_json object;
+        object["time"] = absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", absl::Now(), absl::UTCTimeZone());
+        object["level"] = levelOfSeverity(severity);
+        object["program"] = m_program;
+        if (length > 0 && message[0] == ObjectMark) {
+            const auto fields =
+                nlohmann::ordered_json::parse(message + 1, message + length, nullptr, false);
+            object.update(fields);
+        } else {
+            object["message"] = std::string(message, length);
+            object["source"] = absl::StrCat(baseFile, ":", line);
+        }
+        const std::string text =
+            object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+        std::fwrite(text.data(), 1, text.size(), stderr);
+    }
+
+private:
+    std::string m_program;
+};
+
+} // namespace
+
+log_event::log_event(log_level level, std::string_view message) : m_level(level)
+{
+    m_fields["level"] = LevelNames[static_cast<std::size_t>(level)];
+    m_fields["message"] = message;
+}
+
+log_event::~log_event()
+{
+    if (static_cast<int>(m_level) < leastLevel)
+        return;
+    const std::string text =
+        ObjectMark + m_fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    switch (m_level) {
+    case log_level::Debug:
+    case log_level::Info:
+        LOG(INFO) << text;
+        break;
+    case log_level::Warning:
+        LOG(WARNING) << text;
+        break;
+    case log_level::Error:
+        LOG(ERROR) << text;
+        break;
+    }
+}
+
+absl::Status initLogging(const std::string &program, const std::string &level)
+{
+    int chosen = -1;
+    for (std::size_t i = 0; i < LevelNames.size(); ++i) {
+        if (level == LevelNames[i])
+            chosen = static_cast<int>(i);
+    }
+    if (chosen < 0)
+        return absl::InvalidArgumentError(
+            absl::StrCat("log-level: expected debug, info, warning or error, found '", level, "'"));
+    leastLevel = chosen;
+    // glog's own outputs are off; the sink is the only one. It lives as long as the process.
+    static auto *sink = new json_line_sink(program);
+    FLAGS_logtostderr = false;
+    FLAGS_alsologtostderr = false;
+    FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+    for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
+        google::SetLogDestination(severity, "");
+    static const std::string ProgramName = program;
+    google::InitGoogleLogging(ProgramName.c_str());
+    google::AddLogSink(sink);
+    return absl::OkStatus();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/settings/load_settings.cpp
@@ -0,0 +1,134 @@
+// inih for the file, gflags for the command line, both checked against the same table.
+#include <tamarackglade/core/ini_text.hpp>
+#include <tamarackglade/settings/load_settings.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <gflags/gflags.h>
+
+#include <deque>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+DEFINE_string(settings, "", "INI file with the process's settings");
+DEFINE_bool(check_settings, false, "check the settings, list every fault, and exit");
+
+namespace tamarack {
+
+namespace {
+
+// Applies one entry of the file; seen holds the names that came before.
+void applyEntry(const option_table &table, const std::string &source, const ini_entry &entry,
+                std::set<std::string> &seen, setting_values &values,
+                std::vector<setting_fault> &faults)
+{
+    const std::string program(table.program);
+    if (entry.section != program)
+        faults.push_back({source, entry.line, entry.name, absl::StrCat("[", entry.section, "]"),
+                          absl::StrCat("section [", program, "]")});
+    else if (!seen.insert(entry.name).second)
+        faults.push_back({source, entry.line, entry.name, entry.value, "each setting once"});
+    else
+        values.set(entry.name, entry.value, source, entry.line, faults);
+}
+
+// A gflags string flag for one option; registered once per process.
+struct option_flag
+{
+    std::string name;
+    std::string help;
+    std::string current;
+    std::string initial;
+};
+
+std::string flagName(std::string_view optionName)
+{
+    std::string name(optionName);
+    std::replace(name.begin(), name.end(), '-', '_');
+    return name;
+}
+
+// gflags keeps pointers into the flags, so they live as long as the process.
+std::deque<option_flag> &optionFlags()
+{
+    static auto *flags = new std::deque<option_flag>;
+    return *flags;
+}
+
+void registerFlags(const option_table &table)
+{
+    for (const setting_option &option : table.options) {
+        option_flag &flag = optionFlags().emplace_back();
+        flag.name = flagName(option.name);
+        flag.help = std::string(option.help);
+        const gflags::FlagRegisterer registered(flag.name.c_str(), flag.help.c_str(), "settings",
+                                                &flag.current, &flag.initial);
+    }
+}
+
+void applyFlags(const option_table &table, setting_values &values,
+                std::vector<setting_fault> &faults)
+{
+    for (const setting_option &option : table.options) {
+        gflags::CommandLineFlagInfo info;
+        gflags::GetCommandLineFlagInfo(flagName(option.name).c_str(), &info);
+        if (!info.is_default)
+            values.set(option.name, info.current_value, "command line", 0, faults);
+    }
+}
+
+void readSettingsFile(const option_table &table, const std::string &path, setting_values &values,
+                      std::vector<setting_fault> &faults)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        faults.push_back({path, 0, "settings", path, "a readable file"});
+        return;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    readSettingsText(table, text.str(), path, values, faults);
+}
+
+absl::Status faultStatus(const std::vector<setting_fault> &faults)
+{
+    return absl::InvalidArgumentError(
+        absl::StrJoin(faults, "\n", [](std::string *out, const setting_fault &fault) {
+            out->append(fault.text());
+        }));
+}
+
+} // namespace
+
+void readSettingsText(const option_table &table, const std::string &text, const std::string &source,
+                      setting_values &values, std::vector<setting_fault> &faults)
+{
+    std::set<std::string> seen;
+    const int badLine = readIniText(text, [&](const ini_entry &entry) {
+        applyEntry(table, source, entry, seen, values, faults);
+    });
+    if (badLine > 0)
+        faults.push_back({source, badLine, "syntax", "", "[section] or name = value"});
+}
+
+absl::StatusOr<loaded_settings> loadSettings(const option_table &table, int argc, char **argv)
+{
+    registerFlags(table);
+    gflags::SetUsageMessage(std::string(table.summary));
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    loaded_settings loaded{setting_values(table), FLAGS_check_settings};
+    std::vector<setting_fault> faults;
+    if (argc > 1)
+        faults.push_back({"command line", 0, argv[1], argv[1], "no arguments but flags"});
+    if (!FLAGS_settings.empty())
+        readSettingsFile(table, FLAGS_settings, loaded.values, faults);
+    applyFlags(table, loaded.values, faults);
+    const std::string place = FLAGS_settings.empty() ? "command line" : FLAGS_settings;
+    loaded.values.checkRequired(place, faults);
+    if (!faults.empty())
+        return faultStatus(faults);
+    return loaded;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/settings/option_table.cpp
@@ -0,0 +1,158 @@
+// The option tables, and the reference page made from them.
+#include <tamarackglade/settings/option_table.hpp>
+
+#include <absl/strings/str_cat.h>
+
+namespace tamarack {
+
+namespace {
+
+using enum setting_type;
+
+constexpr std::int64_t AnyMinimum = 0;
+constexpr std::int64_t AnyMaximum = 0;
+
+std::vector<setting_option> commonOptions()
+{
+    return {
+        {"vm", Text, "", AnyMinimum, AnyMaximum, "", true, "Name of this VM, unique in the fleet"},
+        {"zone", Text, "", AnyMinimum, AnyMaximum, "", true, "Availability zone of this VM"},
+        {"region", Text, "", AnyMinimum, AnyMaximum, "", true, "Region of this VM"},
+        {"platform", AddressList, "", AnyMinimum, AnyMaximum, "", true,
+         "Addresses of the platform's service (log, VM list, weight store)"},
+        {"fleet-secret-file", Text, "", AnyMinimum, AnyMaximum, "", true,
+         "File whose content proves membership of the fleet to other processes"},
+        {"wire-listen", Address, "", AnyMinimum, AnyMaximum, "127.0.0.1:0", false,
+         "Address on which other processes of the fleet connect"},
+        {"admin-listen", Address, "", AnyMinimum, AnyMaximum, "127.0.0.1:0", false,
+         "Address of /metrics, /healthz, /readyz and /status"},
+        {"log-level", Text, "", AnyMinimum, AnyMaximum, "info", false,
+         "Least severe level that is logged: debug, info, warning or error"},
+        {"drain-limit", Milliseconds, "ms", 0, 3'600'000, "120000", false,
+         "Longest time that a planned stop waits for requests under way"},
+        {"drain-notice", Milliseconds, "ms", 0, 60'000, "1000", false,
+         "Time between failing readiness and refusing new connections in a planned stop"},
+    };
+}
+
+std::vector<setting_option> withCommon(std::vector<setting_option> own)
+{
+    std::vector<setting_option> all = commonOptions();
+    all.insert(all.end(), own.begin(), own.end());
+    return all;
+}
+
+std::string typeName(setting_type type)
+{
+    switch (type) {
+    case Text:
+        return "text";
+    case Integer:
+        return "integer";
+    case Milliseconds:
+        return "integer";
+    case Flag:
+        return "yes/no";
+    case Address:
+        return "ip:port";
+    case AddressList:
+        return "list of ip:port";
+    }
+    return {};
+}
+
+std::string rangeText(const setting_option &option)
+{
+    if (option.type != Integer && option.type != Milliseconds)
+        return "";
+    return absl::StrCat(option.minimum, " to ", option.maximum);
+}
+
+std::string defaultText(const setting_option &option)
+{
+    if (option.required)
+        return "required";
+    return option.defaultValue.empty() ? "none" : std::string(option.defaultValue);
+}
+
+void appendTable(const option_table &table, std::string &page)
+{
+    absl::StrAppend(
+        &page, "\n## [", std::string(table.program), "]\n\n", std::string(table.summary), "\n\n",
+        "| setting | type | unit | range | default | meaning |\n", "|---|---|---|---|---|---|\n");
+    for (const setting_option &option : table.options)
+        absl::StrAppend(&page, "| `", std::string(option.name), "` | ", typeName(option.type),
+                        " | ", std::string(option.unit), " | ", rangeText(option), " | ",
+                        defaultText(option), " | ", std::string(option.help), " |\n");
+}
+
+} // namespace
+
+const setting_option *option_table::find(std::string_view name) const
+{
+    for (const setting_option &option : options) {
+        if (option.name == name)
+            return &option;
+    }
+    return nullptr;
+}
+
+const option_table &entryOptions()
+{
+    static const option_table Table{
+        "tamarack-entry", "Serves callers on an entry VM.",
+        withCommon({
+            {"listen", Address, "", AnyMinimum, AnyMaximum, "127.0.0.1:8080", false,
+             "Address on which callers connect"},
+            {"threads", Integer, "threads", 1, 64, "1", false, "Threads that serve callers"},
+            {"tls-certificate", Text, "", AnyMinimum, AnyMaximum, "", false,
+             "PEM file of the callers' listener; empty for plain HTTP"},
+            {"tls-key", Text, "", AnyMinimum, AnyMaximum, "", false,
+             "PEM file of the certificate's private key"},
+            {"header-limit", Integer, "bytes", 1'024, 1'048'576, "16384", false,
+             "Largest request header"},
+            {"body-limit", Integer, "bytes", 1'024, 1'073'741'824, "4194304", false,
+             "Largest body of a request other than a file upload"},
+            {"file-limit", Integer, "bytes", 1'024, 1'073'741'824, "209715200", false,
+             "Largest body of a file upload"},
+            {"header-timeout", Milliseconds, "ms", 100, 600'000, "10000", false,
+             "Longest time for a caller to send a header"},
+            {"body-timeout", Milliseconds, "ms", 100, 3'600'000, "60000", false,
+             "Longest time for a caller to send a body"},
+            {"request-timeout", Milliseconds, "ms", 100, 3'600'000, "120000", false,
+             "Longest time until an answer is complete"},
+        })};
+    return Table;
+}
+
+const option_table &sideOptions()
+{
+    static const option_table Table{
+        "tamarack-side", "Runs beside one upstream and is the only way to it.",
+        withCommon({
+            {"upstream", Address, "", AnyMinimum, AnyMaximum, "", true, "Address of the upstream"},
+            {"group", Text, "", AnyMinimum, AnyMaximum, "", true,
+             "Upstream group of the manifest that this upstream belongs to"},
+            {"kind", Text, "", AnyMinimum, AnyMaximum, "engine", false,
+             "engine for a model engine, service for a plain service"},
+            {"online-slots", Integer, "requests", 1, 4'096, "64", false,
+             "Online requests that the upstream runs at once"},
+            {"batch-slots", Integer, "requests", 0, 4'096, "16", false,
+             "Batch items that the upstream runs at once when no online request waits"},
+        })};
+    return Table;
+}
+
+std::string settingsReference()
+{
+    std::string page =
+        "# Process settings\n\n"
+        "Each program reads its section of the INI file that `--settings` names. A flag of the\n"
+        "same name, with `_` or `-`, goes before the file. `--check-settings` lists every fault\n"
+        "and exits with 0 or 2.\n";
+    appendTable(entryOptions(), page);
+    appendTable(sideOptions(), page);
+    return page;
+}
+
+} // namespace tamarack
