--- /dev/null
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -0,0 +1,21 @@
+// What the request handlers of an entry share.
+#pragma once
+
+#include <tamarackglade/entry/call_board.hpp>
+#include <tamarackglade/entry/config_store.hpp>
+#include <tamarackglade/metrics/metric_registry.hpp>
+
+#include <chrono>
+
+namespace tamarack {
+
+/// @brief References to an entry's services; they outlive all handlers.
+struct entry_context
+{
+    config_store &config;
+    call_board &calls;
+    metric_registry &metrics;
+    std::chrono::milliseconds requestTimeout {120'000};
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/runtime/io_thread.hpp
+++ b/include/tamarackglade/runtime/io_thread.hpp
@@ -17,7 +17,7 @@
     io_thread();
     io_thread(const io_thread &) = delete;
     io_thread &operator=(const io_thread &) = delete;
-    /// Stops and joins.
+    /// Stops and joins; see stop.
     ~io_thread();
 
     /// @return the thread's io_context; objects made on it must be used on this thread only
@@ -29,7 +29,8 @@
     /// @brief Runs a function on this thread in a fiber and waits for its end.
     void run(std::function<void()> body);
 
-    /// @brief Ends the thread. Fibers that still wait are abandoned with the thread.
+    /// @brief Ends the thread once all its fibers have ended. A process whose fibers serve for ever
+    /// leaves by exitProcess instead.
     void stop();
 
 private:
--- /dev/null
+++ b/include/tamarackglade/side/upstream_call.hpp
@@ -0,0 +1,49 @@
+// One HTTP call to the upstream.
+#pragma once
+
+#include <tamarackglade/http/http_client.hpp>
+#include <tamarackglade/runtime/io_thread.hpp>
+#include <tamarackglade/side/upstream_events.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace tamarack {
+
+/// @brief What to send. No header of a caller is ever copied here.
+struct upstream_request
+{
+    std::string method;
+    std::string target;
+    std::string contentType;
+    std::string body;
+    std::string requestId;
+    std::chrono::milliseconds timeout{0}; // of the connection and of each read
+};
+
+/// @brief Runs one call on a connection of its own, so that a failure to connect proves that the
+/// upstream never saw the call. Use on one thread.
+class upstream_call : public std::enable_shared_from_this<upstream_call>
+{
+public:
+    upstream_call(io_thread &thread, const std::string &address, upstream_request request,
+                  std::shared_ptr<upstream_events> events);
+
+    /// @brief Starts the call in a fiber of its own.
+    void start();
+    /// @brief Closes the connection; the call ends as Aborted.
+    void abort();
+
+private:
+    void run();
+    void end(const absl::Status &failure, bool sent);
+
+    io_thread &m_thread;
+    http_client m_client;
+    upstream_request m_request;
+    std::shared_ptr<upstream_events> m_events;
+    bool m_aborted = false;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/side/upstream_events.hpp
@@ -0,0 +1,31 @@
+// Receives the answer of one upstream call.
+#pragma once
+
+#include <string>
+
+namespace tamarack {
+
+/// How an upstream call ended.
+enum class upstream_end {
+    Complete, // the whole answer came
+    NotSent, // no connection was made, so the upstream never saw the call
+    Broken, // the connection failed after the call may have been sent
+    TimedOut,
+    Aborted, // ended by us
+};
+
+/// @brief Called in the call's fiber, in this order: head, data any number of times, end once.
+class upstream_events
+{
+public:
+    upstream_events() = default;
+    upstream_events(const upstream_events &) = delete;
+    upstream_events &operator=(const upstream_events &) = delete;
+    virtual ~upstream_events() = default;
+
+    virtual void onHead(unsigned status, const std::string &contentType) = 0;
+    virtual void onData(std::string data) = 0;
+    virtual void onEnd(upstream_end end, const std::string &message) = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/entry/answer_relay.cpp
@@ -0,0 +1,225 @@
+// One loop over the answer's events; between them the caller, its key and the deadline are checked.
+#include <tamarackglade/entry/answer_relay.hpp>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds CheckPeriod {250};
+constexpr std::chrono::milliseconds RetryPause {1'000};
+constexpr std::string_view StreamEnd = "data: [DONE]";
+constexpr std::size_t TailBytes = 64;
+constexpr unsigned ServerErrorStatus = 500;
+
+api_error withdrawnKeyError()
+{
+    return {401, "authentication_error", "key_withdrawn", "the key was withdrawn",
+            executed::Unknown, std::nullopt};
+}
+
+api_error timeoutError()
+{
+    return {504, "timeout_error", "deadline_exceeded", "the answer took too long",
+            executed::Unknown, std::nullopt};
+}
+
+api_error brokenAnswerError(const answer_end &end, bool begun)
+{
+    api_error error;
+    error.type = "upstream_error";
+    error.code = end.code.empty() ? "upstream_failed" : end.code;
+    error.message = end.message;
+    if (end.outcome == schema::call_outcome::NotStarted && !begun) {
+        error.status = 503;
+        error.ran = executed::No;
+        error.retryAfter = end.retryAfterMs > 0 ? std::chrono::milliseconds(end.retryAfterMs)
+                                                : RetryPause;
+    } else {
+        error.status = 502;
+        error.ran = executed::Unknown;
+    }
+    return error;
+}
+
+// The upstream's own message, if its body has one in the usual shape.
+std::string upstreamMessage(const std::string &body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (json.is_object() && json.contains("error") && json["error"].is_object())
+        return json["error"].value("message", "the upstream refused the request");
+    return "the upstream refused the request";
+}
+
+} // namespace
+
+answer_relay::answer_relay(entry_context &context, const caller_request &request)
+    : m_context(context), m_request(request), m_channel(std::make_shared<answer_channel>()),
+      m_started(clock::now()), m_deadline(m_started), m_configVersion(context.config.version())
+{
+}
+
+void answer_relay::run(const call_request &call)
+{
+    m_deadline = m_started + call.timeout;
+    const attempt_id attempt = m_context.calls.start(call, m_channel);
+    while (!m_finished) {
+        answer_event event;
+        const wait_result waited = waitForEvent(event);
+        if (waited == wait_result::Event) {
+            if (const auto *head = std::get_if<answer_head>(&event))
+                relayHead(*head, call);
+            else if (auto *data = std::get_if<answer_data>(&event))
+                relayData(std::move(*data));
+            else
+                relayEnd(std::get<answer_end>(event));
+            continue;
+        }
+        m_context.calls.cancel(attempt);
+        if (waited == wait_result::KeyWithdrawn)
+            fail(withdrawnKeyError());
+        else if (waited == wait_result::TimedOut)
+            fail(timeoutError());
+        else
+            m_request.exchange.abortStream();
+        m_finished = true;
+    }
+}
+
+answer_relay::wait_result answer_relay::waitForEvent(answer_event &event)
+{
+    for (;;) {
+        auto next = m_channel->pop(CheckPeriod);
+        if (!keyStillValid())
+            return wait_result::KeyWithdrawn;
+        if (next) {
+            event = std::move(*next);
+            return wait_result::Event;
+        }
+        if (m_request.exchange.callerGone())
+            return wait_result::CallerGone;
+        if (clock::now() >= m_deadline)
+            return wait_result::TimedOut;
+    }
+}
+
+bool answer_relay::keyStillValid()
+{
+    const std::uint64_t version = m_context.config.version();
+    if (version == m_configVersion || m_request.from.key.value().empty())
+        return true;
+    m_configVersion = version;
+    return !m_context.config.current()->keys.isWithdrawn(m_request.from.key);
+}
+
+void answer_relay::relayHead(const answer_head &head, const call_request &call)
+{
+    m_head = head;
+    observeFirstByte();
+    if (!call.streamed || head.status >= 400)
+        return;
+    http_response response;
+    response.status = head.status;
+    response.contentType = head.contentType;
+    response.headers.emplace_back("X-Request-Id", m_request.id.value());
+    response.headers.emplace_back("Cache-Control", "no-cache");
+    m_request.exchange.beginStream(response);
+    m_streaming = true;
+    m_eventStream = absl::StartsWith(head.contentType, "text/event-stream");
+}
+
+void answer_relay::relayData(answer_data data)
+{
+    std::string bytes = std::move(data.bytes);
+    std::optional<answer_event> next;
+    drainReadyData(bytes, next);
+    if (!m_streaming) {
+        m_body += bytes;
+    } else {
+        m_tail = (m_tail + bytes);
+        if (m_tail.size() > TailBytes)
+            m_tail.erase(0, m_tail.size() - TailBytes);
+        m_request.exchange.writeChunk(bytes);
+    }
+    if (next)
+        relayEnd(std::get<answer_end>(*next));
+}
+
+void answer_relay::drainReadyData(std::string &bytes, std::optional<answer_event> &next)
+{
+    while (auto event = m_channel->tryPop()) {
+        if (const auto *more = std::get_if<answer_data>(&*event)) {
+            bytes += more->bytes;
+        } else if (std::holds_alternative<answer_end>(*event)) {
+            next = std::move(event);
+            return;
+        }
+    }
+}
+
+void answer_relay::relayEnd(const answer_end &end)
+{
+    m_finished = true;
+    if (end.outcome != schema::call_outcome::Complete) {
+        fail(brokenAnswerError(end, m_firstByteSeen));
+        return;
+    }
+    if (m_streaming) {
+        finishStream();
+        return;
+    }
+    if (m_head.status >= ServerErrorStatus) {
+        fail({502, "upstream_error", "upstream_failed", upstreamMessage(m_body),
+              executed::Unknown, std::nullopt});
+        return;
+    }
+    if (m_head.status >= 400) {
+        fail({m_head.status, "invalid_request_error", "upstream_refused",
+              upstreamMessage(m_body), executed::Unknown, std::nullopt});
+        return;
+    }
+    http_response response;
+    response.status = m_head.status;
+    response.contentType = m_head.contentType;
+    response.headers.emplace_back("X-Request-Id", m_request.id.value());
+    response.body = std::move(m_body);
+    m_request.exchange.respond(response);
+}
+
+void answer_relay::finishStream()
+{
+    const bool ended = !m_eventStream || absl::StrContains(m_tail, StreamEnd);
+    if (ended)
+        m_request.exchange.endStream();
+    else
+        fail({502, "upstream_error", "stream_broken", "the upstream's stream ended early",
+              executed::Unknown, std::nullopt});
+}
+
+void answer_relay::fail(const api_error &error)
+{
+    m_context.metrics.add(absl::StrCat("tamarack_errors_total{code=\"", error.code, "\"}"));
+    if (!m_streaming) {
+        m_request.refuse(error);
+        return;
+    }
+    if (!m_eventStream) {
+        m_request.exchange.abortStream();
+        return;
+    }
+    const std::string json = errorJson(error, m_request.id.value());
+    m_request.exchange.writeChunk(absl::StrCat("data: ", json, "\n\n"));
+    m_request.exchange.endStream();
+}
+
+void answer_relay::observeFirstByte()
+{
+    m_firstByteSeen = true;
+    const std::chrono::duration<double> waited = clock::now() - m_started;
+    m_context.metrics.observeSeconds("tamarack_first_byte_seconds", "", waited.count());
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/runtime/stop_signal.cpp
@@ -0,0 +1,38 @@
+// Signals through Asio.
+#include <tamarackglade/runtime/fiber_token.hpp>
+#include <tamarackglade/runtime/stop_signal.hpp>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/fiber.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+namespace tamarack {
+
+void runUntilStopped(io_thread &thread, const std::function<void()> &drain,
+                     const std::function<void()> &onSecondSignal)
+{
+    thread.run([&] {
+        boost::asio::signal_set signals(thread.io(), SIGTERM, SIGINT);
+        signals.async_wait(FiberToken);
+        boost::fibers::fiber second([&] {
+            const auto again = signals.async_wait(FiberToken);
+            if (!again.error)
+                onSecondSignal();
+        });
+        drain();
+        boost::system::error_code ignored;
+        signals.cancel(ignored);
+        second.join();
+    });
+}
+
+void exitProcess(int code)
+{
+    std::fflush(nullptr);
+    std::_Exit(code);
+}
+
+} // namespace tamarack
