Manifest and keys: one option table for parsing, faults and reference page

Operators' text must be checked alike everywhere, with all faults at once. inih drives the syntax; it is fed one line at a time, since Debian's build passes no line numbers, and lines that it drops are faults.

--- /dev/null
+++ b/include/tamarackglade/config/fleet_options.hpp
@@ -0,0 +1,18 @@
+// Section [fleet] of the manifest.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace tamarack {
+
+struct fleet_options
+{
+    std::string name;
+    std::uint32_t partitions = 0; // at least 1
+    duration logRetention{}; // what the log service keeps
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/keys/key_format.hpp
@@ -0,0 +1,24 @@
+// The text form of a caller's key: tg_<key id>_<secret>, both parts base62.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+/// Characters of a key id: 71 bits, so that ids drawn apart never meet.
+constexpr std::size_t KeyIdLength = 12;
+/// Characters of a secret: at least 256 bits.
+constexpr std::size_t KeySecretLength = 43;
+
+/// @return the key id of a well-formed key; none for any other text
+std::optional<key_id> keyIdOf(std::string_view presented);
+
+/// @brief Replaces the secret of every key in a text, whole or cut short, for logs.
+/// @return the text with `tg_<id>_[redacted]` in place of keys; complexity O(size)
+std::string redactKeys(std::string_view text);
+
+} // namespace tamarack
--- /dev/null
+++ b/src/config/customer_options.cpp
@@ -0,0 +1,13 @@
+// Which models a customer may call.
+#include <tamarackglade/config/customer_options.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+bool customer_options::mayUse(const model_id &model) const
+{
+    return models.empty() || std::find(models.begin(), models.end(), model) != models.end();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/config/ini_document.cpp
@@ -0,0 +1,135 @@
+// Reads INI through inih, one line at a time, so that line numbers are known.
+#include <tamarackglade/config/ini_document.hpp>
+#include <tamarackglade/config/text.hpp>
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace tamarack {
+
+namespace {
+
+// inih holds a line, its end and a terminator in 200 bytes.
+constexpr std::size_t MaxLineSize = 190;
+// inih cuts longer names.
+constexpr std::size_t MaxHeaderSize = 49;
+
+bool isControl(char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    return (byte < ' ' && byte != '\t') || byte == 0x7f;
+}
+
+class ini_line_reader
+{
+public:
+    explicit ini_line_reader(std::string_view text) : m_rest(text) { }
+
+    ini_document read()
+    {
+        ini_parse_stream(&ini_line_reader::nextLine, this, &ini_line_reader::onEntry, this);
+        closeLine();
+        return std::move(m_document);
+    }
+
+private:
+    // Called by inih like fgets.
+    static char *nextLine(char *buffer, int size, void *self)
+    {
+        return static_cast<ini_line_reader *>(self)->fill(buffer, static_cast<std::size_t>(size));
+    }
+
+    static int onEntry(void *self, const char * /*section*/, const char *key, const char *value)
+    {
+        static_cast<ini_line_reader *>(self)->addEntry(key, value);
+        return 1;
+    }
+
+    char *fill(char *buffer, std::size_t size)
+    {
+        closeLine();
+        if (m_rest.empty())
+            return nullptr;
+        takeLine();
+        std::string_view line = m_line;
+        const bool unreadable = line.size() > std::min(MaxLineSize, size - 2)
+                                || std::any_of(line.begin(), line.end(), isControl);
+        if (unreadable) {
+            addFault("a line of at most 190 bytes without control characters");
+            m_open = false;
+            line = {};
+        }
+        std::memcpy(buffer, line.data(), line.size());
+        buffer[line.size()] = '\n';
+        buffer[line.size() + 1] = '\0';
+        return buffer;
+    }
+
+    void takeLine()
+    {
+        const std::size_t end = std::min(m_rest.find('\n'), m_rest.size());
+        m_line = trimmed(m_rest.substr(0, end));
+        m_rest.remove_prefix(std::min(end + 1, m_rest.size()));
+        ++m_number;
+        m_open = !m_line.empty() && m_line.front() != ';' && m_line.front() != '#';
+        if (m_open && m_line.front() == '[')
+            openSection();
+    }
+
+    void openSection()
+    {
+        m_open = false;
+        const std::size_t end = m_line.find(']');
+        if (end == std::string_view::npos || end == 1 || end > MaxHeaderSize) {
+            addFault("a section such as [fleet] of at most 49 characters");
+            return;
+        }
+        const std::string_view after = trimmed(m_line.substr(end + 1));
+        if (!after.empty() && after.front() != ';')
+            addFault("nothing after the section's ]");
+        m_document.sections.push_back({m_number, std::string(m_line.substr(1, end - 1)), {}});
+    }
+
+    void addEntry(const char *key, const char *value)
+    {
+        m_open = false;
+        if (m_document.sections.empty()) {
+            addFault("a section before the first key");
+            return;
+        }
+        m_document.sections.back().entries.push_back({m_number, key, value});
+    }
+
+    // A line that inih took for nothing is malformed.
+    void closeLine()
+    {
+        if (m_open)
+            addFault("key = value");
+        m_open = false;
+    }
+
+    void addFault(std::string_view expected)
+    {
+        const std::string section =
+            m_document.sections.empty() ? "" : m_document.sections.back().header;
+        m_document.faults.push_back(
+            {m_number, section, "", std::string(m_line.substr(0, 40)), std::string(expected)});
+    }
+
+    std::string_view m_rest;
+    std::string_view m_line;
+    unsigned m_number = 0;
+    bool m_open = false; // whether m_line still waits for its entry
+    ini_document m_document;
+};
+
+} // namespace
+
+ini_document readIni(std::string_view text)
+{
+    return ini_line_reader(text).read();
+}
+
+} // namespace tamarack
