Thin whole path: entry, side and tamarackctl as separate processes

An entry authenticates by the folded configuration, chooses the least busy side of the model's group and relays the answer whole or streamed; a stream that breaks ends in an explicit error event. The end-to-end tests found that a planned stop hung when its drain never waited (the second-signal fiber began to wait after the cancel): it now checks.

--- /dev/null
+++ b/include/tamarackglade/ctl/exit_code.hpp
@@ -0,0 +1,14 @@
+// The exit codes of tamarackctl.
+#pragma once
+
+namespace tamarack {
+
+enum exit_code : int {
+    ExitDone = 0,
+    ExitFailed = 1, // the platform or a process could not be reached
+    ExitUsage = 2, // wrong arguments, or faults in a file
+    ExitLost = 3, // another publish won
+    ExitUnknown = 4, // whether it took effect is not known
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/entry/completion_request.hpp
+++ b/include/tamarackglade/entry/completion_request.hpp
@@ -22,8 +22,9 @@
 /// @brief Parses and checks the JSON body of a chat or text completion.
 /// @param path /v1/chat/completions or /v1/completions
 /// @return the request, or the 4xx that the caller gets
-std::variant<completion_request, api_error>
-parseCompletionRequest(std::string_view path, const std::string &body, const manifest &manifest,
-                       const customer_id &customer);
+std::variant<completion_request, api_error> parseCompletionRequest(std::string_view path,
+                                                                   const std::string &body,
+                                                                   const manifest &manifest,
+                                                                   const customer_id &customer);
 
 } // namespace tamarack
--- a/include/tamarackglade/entry/completions_api.hpp
+++ b/include/tamarackglade/entry/completions_api.hpp
@@ -10,7 +10,7 @@
 class completions_api
 {
 public:
-    explicit completions_api(entry_context &context) : m_context(context) {}
+    explicit completions_api(entry_context &context) : m_context(context) { }
 
     /// @brief Answers the request, whole or streamed.
     void serve(const caller_request &request);
--- a/include/tamarackglade/entry/entry_context.hpp
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <tamarackglade/entry/call_board.hpp>
-#include <tamarackglade/entry/config_store.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
+#include <tamarackglade/node/config_store.hpp>
 
 #include <chrono>
 
@@ -15,7 +15,7 @@
     config_store &config;
     call_board &calls;
     metric_registry &metrics;
-    std::chrono::milliseconds requestTimeout {120'000};
+    std::chrono::milliseconds requestTimeout{120'000};
 };
 
 } // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -0,0 +1,71 @@
+// The entry VM's process: puts its parts together.
+#pragma once
+
+#include <tamarackglade/entry/call_board.hpp>
+#include <tamarackglade/entry/request_front.hpp>
+#include <tamarackglade/http/admin_server.hpp>
+#include <tamarackglade/http/http_server.hpp>
+#include <tamarackglade/http/tls_context.hpp>
+#include <tamarackglade/node/config_service.hpp>
+#include <tamarackglade/node/vm_watch.hpp>
+#include <tamarackglade/settings/setting_values.hpp>
+#include <tamarackglade/wire/wire_server.hpp>
+
+#include <absl/status/status.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Serves callers until told to stop. The control thread runs the wire, the log and the
+/// admin listener; each serving thread has a listener of its own on the callers' address.
+class entry_process final : public wire_handler
+{
+public:
+    entry_process(const setting_values &settings, const wire_settings &wire);
+
+    /// @brief Starts all parts.
+    /// @return why a part can't start
+    absl::Status start();
+
+    /// @brief Serves until SIGTERM or SIGINT, then drains; ends the process.
+    [[noreturn]] void runUntilStopped();
+
+    void onConnected(const std::shared_ptr<wire_peer> &peer) override;
+    void onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame) override;
+    void onClosed(const std::shared_ptr<wire_peer> &peer) override;
+
+private:
+    absl::Status startTls();
+    absl::Status startServing();
+    http_server_options serverOptions();
+    void onConfig(bool serving);
+    void onVmList(const std::vector<vm_record> &list);
+    void reloadTlsLoop();
+    void drain();
+    std::size_t activeRequests() const;
+
+    const setting_values &m_settings;
+    const wire_settings &m_wire;
+    metric_registry m_metrics;
+    config_store m_config;
+    peer_directory m_peers;
+    call_board m_calls;
+    entry_context m_context;
+    request_front m_front;
+    std::optional<tls_context> m_tls;
+    std::atomic<bool> m_endNow{false}; // a second signal came
+
+    io_thread m_control;
+    platform_client m_platform;
+    config_service m_configService;
+    vm_watch m_vmWatch;
+    wire_server m_wireServer;
+    admin_server m_admin;
+    std::vector<std::unique_ptr<io_thread>> m_threads;
+    std::vector<std::unique_ptr<http_server>> m_servers;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/entry/request_front.hpp
@@ -0,0 +1,59 @@
+// The first handler of every caller's request: key, route, request id, log line.
+#pragma once
+
+#include <tamarackglade/entry/completions_api.hpp>
+#include <tamarackglade/entry/entry_context.hpp>
+#include <tamarackglade/entry/service_api.hpp>
+#include <tamarackglade/http/http_server_options.hpp>
+
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace tamarack {
+
+/// @brief Authenticates requests and hands them to the API that their path names.
+/// Thread-safe; runs in the fibers of all server threads.
+class request_front
+{
+public:
+    explicit request_front(entry_context &context);
+
+    /// @brief Answers one request.
+    void serve(http_exchange &exchange);
+
+    /// @brief Refuses by header what needs no body: unknown keys, paths and methods.
+    header_verdict checkHeader(const http_request &request, std::size_t bodyLimit,
+                               std::size_t fileLimit);
+
+private:
+    using handler = void (request_front::*)(const caller_request &);
+
+    /// @brief A row of the route table.
+    struct api_route
+    {
+        std::string_view method;
+        std::string_view path; // ends with '/' if the rest names an object
+        handler handle;
+    };
+    static const api_route Routes[];
+
+    /// What a header's check gives: who called, or the error that it gets.
+    using identity = std::variant<caller, api_error>;
+
+    void serveCompletion(const caller_request &request);
+    void listModels(const caller_request &request);
+    void showModel(const caller_request &request);
+
+    static const api_route *findRoute(const http_request &request, bool &pathKnown);
+    static identity identify(const http_request &request, const config_state &config);
+    std::optional<api_error> checkRoute(const http_request &request,
+                                        const std::shared_ptr<const config_state> &config,
+                                        caller &from);
+
+    entry_context &m_context;
+    completions_api m_completions;
+    service_api m_services;
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/http/detail/http_session.hpp
+++ b/include/tamarackglade/http/detail/http_session.hpp
@@ -43,6 +43,7 @@
     void refuseReadError(const boost::system::error_code &error);
     void fillRequestHead(const request_parser::value_type &message);
     bool writeAll(std::string_view data);
+    void discardRest();
     [[nodiscard]] std::string headText(const http_response &response) const;
 
     byte_stream &m_stream;
@@ -55,6 +56,7 @@
     bool m_keepAlive = true; // the connection may carry another request
     bool m_started = false; // an answer to m_request was started
     bool m_broken = false; // a write failed or the answer was aborted
+    bool m_unreadBody = false; // the caller may still be sending what won't be read
     bool m_chunked = true; // HTTP/1.1 callers get chunks, HTTP/1.0 ones an unframed body
 };
 
--- a/include/tamarackglade/entry/config_store.hpp
+++ b/include/tamarackglade/node/config_store.hpp
@@ -25,7 +25,7 @@
 private:
     mutable std::mutex m_mutex; // guards m_current
     std::shared_ptr<const config_state> m_current;
-    std::atomic<std::uint64_t> m_version {0};
+    std::atomic<std::uint64_t> m_version{0};
 };
 
 } // namespace tamarack
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,233 @@
+"""Starts a small fleet on loopback: the stand-ins, the side processes and the entries.
+
+Used by the demo and by the end-to-end tests. Every process is a child of this script and is ended
+by it; nothing else is touched.
+"""
+
+import http.client
+import json
+import os
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import time
+
+READY_TIMEOUT_S = 60
+STOP_TIMEOUT_S = 30
+
+
+def free_port():
+    """Returns a loopback port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def http_call(address, method, path, body=None, headers=None, timeout=30):
+    """Sends one request; returns (status, headers, body bytes)."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        return response.status, dict(response.getheaders()), response.read()
+    finally:
+        connection.close()
+
+
+def wait_until(condition, what, timeout=READY_TIMEOUT_S):
+    """Polls a condition; raises with the given words if it does not hold in time."""
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        try:
+            value = condition()
+            if value:
+                return value
+        except OSError:
+            pass
+        time.sleep(0.02)
+    raise TimeoutError(f"{what} did not happen within {timeout} s")
+
+
+class Process:
+    """One child process with its log file."""
+
+    def __init__(self, name, command, work_dir):
+        self.name = name
+        self.command = command
+        self.log_path = work_dir / f"{name}.log"
+        self.child = None
+        self.start()
+
+    def start(self):
+        log = open(self.log_path, "ab")
+        self.child = subprocess.Popen(self.command, stdout=log, stderr=subprocess.STDOUT,
+                                      stdin=subprocess.DEVNULL)
+        log.close()
+
+    def signal(self, number):
+        self.child.send_signal(number)
+
+    def kill(self):
+        self.child.kill()
+        self.child.wait()
+
+    def stop(self):
+        """Ends the process with SIGTERM; returns its exit code."""
+        if self.child.poll() is None:
+            self.child.send_signal(signal.SIGCONT)
+            self.child.terminate()
+        try:
+            return self.child.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            self.child.wait()
+            raise
+
+    def log(self):
+        return self.log_path.read_text(errors="replace")
+
+
+class Vm:
+    """A VM of the fleet: its process and its addresses."""
+
+    def __init__(self, name, process, wire, admin, http=None, upstream=None):
+        self.name = name
+        self.process = process
+        self.wire = wire
+        self.admin = admin
+        self.http = http
+        self.upstream = upstream  # address of the side's upstream
+
+
+class Fleet:
+    """A fleet of real processes in a folder of its own."""
+
+    def __init__(self, bin_dir, work_dir, zones=("zone-1", "zone-2", "zone-3"), region="region-1",
+                 platform_flags=()):
+        self.bin = pathlib.Path(bin_dir)
+        self.dir = pathlib.Path(work_dir)
+        self.dir.mkdir(parents=True, exist_ok=True)
+        self.zones = zones
+        self.region = region
+        self.processes = []
+        self.entries = []
+        self.sides = []
+        self.upstreams = {}
+        self.secret = self.dir / "fleet-secret"
+        self.secret.write_text(secrets.token_hex(32))
+        os.chmod(self.secret, 0o600)
+        self.platform = f"127.0.0.1:{free_port()}"
+        self.platform_process = self._spawn(
+            "platform", ["standin-platform", f"--listen={self.platform}", *platform_flags])
+        wait_until(lambda: http_call(self.platform, "GET", "/v1/vms")[0] == 200, "the platform")
+
+    def _spawn(self, name, command):
+        process = Process(name, [str(self.bin / command[0]), *command[1:]], self.dir)
+        self.processes.append(process)
+        return process
+
+    def _zone(self, index):
+        return self.zones[index % len(self.zones)]
+
+    def _register(self, vm, role, zone, address, group=""):
+        body = {"vm": vm, "incarnation": 1, "role": role, "group": group, "zone": zone,
+                "region": self.region, "address": address, "state": "live"}
+        status, _, text = http_call(self.platform, "PUT", f"/v1/vms/{vm}", json.dumps(body))
+        assert status in (200, 201, 204), text
+
+    def unregister(self, vm):
+        http_call(self.platform, "DELETE", f"/v1/vms/{vm}")
+
+    def _settings(self, program, vm, zone, wire, admin, extra):
+        lines = [f"[{program}]", f"vm = {vm}", f"zone = {zone}", f"region = {self.region}",
+                 f"platform = {self.platform}", f"fleet-secret-file = {self.secret}",
+                 f"wire-listen = {wire}", f"admin-listen = {admin}",
+                 *[f"{key} = {value}" for key, value in extra.items()]]
+        path = self.dir / f"{vm}.ini"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def add_upstream(self, group, kind="engine", flags=(), side_extra=None):
+        """Starts an upstream and the side beside it."""
+        index = len(self.sides)
+        zone = self._zone(index)
+        name = f"{group}-{index + 1}"
+        upstream = f"127.0.0.1:{free_port()}"
+        program = "standin-engine" if kind == "engine" else "standin-plain"
+        upstream_process = self._spawn(f"upstream-{name}",
+                                       [program, f"--listen={upstream}", *flags])
+        self.upstreams[name] = upstream_process
+        wire, admin = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+        extra = {"upstream": upstream, "group": group, "kind": kind, "drain-notice": 100,
+                 **(side_extra or {})}
+        path = self._settings("tamarack-side", name, zone, wire, admin, extra)
+        process = self._spawn(name, ["tamarack-side", f"--settings={path}"])
+        vm = Vm(name, process, wire, admin, upstream=upstream)
+        self.sides.append(vm)
+        self._register(name, "side", zone, wire, group)
+        return vm
+
+    def add_entry(self, extra=None, register=True):
+        """Starts an entry; returns before it is ready."""
+        index = len(self.entries)
+        zone = self._zone(index)
+        name = f"entry-{index + 1}"
+        wire, admin, listen = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        path = self._settings("tamarack-entry", name, zone, wire, admin,
+                              {"listen": listen, "drain-notice": 100, **(extra or {})})
+        process = self._spawn(name, ["tamarack-entry", f"--settings={path}"])
+        vm = Vm(name, process, wire, admin, http=listen)
+        self.entries.append(vm)
+        if register:
+            self._register(name, "entry", zone, wire)
+        return vm
+
+    def wait_ready(self):
+        """Waits until every entry and side says that it is ready."""
+        for vm in self.entries + self.sides:
+            self.wait_vm_ready(vm)
+
+    def wait_vm_ready(self, vm):
+        def ready():
+            if vm.process.child.poll() is not None:
+                raise RuntimeError(f"{vm.name} ended:\n{vm.process.log()}")
+            return http_call(vm.admin, "GET", "/readyz")[0] == 200
+        wait_until(ready, f"{vm.name} ready")
+
+    def ctl(self, *arguments, check=True):
+        """Runs tamarackctl; returns the finished process."""
+        command = [str(self.bin / "tamarackctl"), f"--platform={self.platform}",
+                   f"--fleet_secret_file={self.secret}", *arguments]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=120)
+        if check and done.returncode != 0:
+            raise RuntimeError(f"{' '.join(arguments)}: {done.returncode}\n{done.stdout}"
+                               f"{done.stderr}")
+        return done
+
+    def publish(self, manifest_path):
+        return self.ctl("publish", str(manifest_path))
+
+    def issue_key(self, customer):
+        """Returns a new key of the customer."""
+        done = self.ctl("--output=json", "key", "issue", customer)
+        return json.loads(done.stdout)["key"]
+
+    def fault(self, address, **switches):
+        status, _, text = http_call(address, "POST", "/fault", json.dumps(switches))
+        assert status == 200, text
+
+    def executions(self, side):
+        """What the side's upstream says that it ran."""
+        return json.loads(http_call(side.upstream, "GET", "/executions")[2])
+
+    def stop(self):
+        """Ends every process that this fleet started."""
+        for process in reversed(self.processes):
+            if process.child.poll() is None:
+                process.child.send_signal(signal.SIGCONT)
+                process.child.kill()
+        for process in self.processes:
+            process.child.wait()
--- /dev/null
+++ b/src/ctl/config_commands.cpp
@@ -0,0 +1,248 @@
+// Commands on the configuration.
+#include <tamarackglade/config/parse_manifest.hpp>
+#include <tamarackglade/ctl/config_commands.hpp>
+#include <tamarackglade/ctl/config_reader.hpp>
+#include <tamarackglade/ctl/exit_code.hpp>
+#include <tamarackglade/keys/issued_key.hpp>
+#include <tamarackglade/runtime/random_bytes.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <gflags/gflags.h>
+
+#include <fstream>
+#include <sstream>
+
+DEFINE_int64(base, -1,
+             "publish: offset of the manifest that the file was built on; -1 takes the "
+             "one in force");
+DEFINE_string(operator_name, "operator", "publish: who publishes, shown to those who lose a race");
+
+namespace tamarack {
+
+namespace {
+
+absl::StatusOr<std::string> readFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file)
+        return absl::NotFoundError(absl::StrCat(path, ": can't be read"));
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+int wrongArguments(ctl_context &context, const std::string &usage)
+{
+    context.output.error(absl::StrCat("usage: tamarackctl ", usage));
+    return ExitUsage;
+}
+
+int failed(ctl_context &context, const absl::Status &status)
+{
+    context.output.error(std::string(status.message()));
+    if (!absl::IsUnknown(status))
+        return ExitFailed;
+    context.output.error("whether it took effect is not known: look with 'status' and try again");
+    return ExitUnknown;
+}
+
+// Prints every fault; returns whether there was none.
+bool reportFaults(ctl_context &context, const std::string &path, const manifest_result &result)
+{
+    for (const manifest_fault &fault : result.faults)
+        context.output.error(absl::StrCat(path, ": ", fault.toString()));
+    return result.ok();
+}
+
+schema::log_batch_message newBatch()
+{
+    schema::log_batch_message batch;
+    batch.record_id = randomId("ctl_");
+    return batch;
+}
+
+std::string verdictText(const publish_verdict &verdict)
+{
+    switch (verdict.outcome) {
+    case publish_outcome::Accepted:
+        return absl::StrCat("accepted at offset ", verdict.offset.value());
+    case publish_outcome::Lost:
+        return absl::StrCat("not accepted: the publish of '", verdict.inForceOperator,
+                            "' at offset ", verdict.inForce.value(), " won");
+    case publish_outcome::Invalid:
+        return "not accepted: the manifest has faults";
+    }
+    return {};
+}
+
+const char *verdictName(publish_outcome outcome)
+{
+    switch (outcome) {
+    case publish_outcome::Accepted:
+        return "accepted";
+    case publish_outcome::Lost:
+        return "lost";
+    case publish_outcome::Invalid:
+        return "invalid";
+    }
+    return "";
+}
+
+int reportVerdict(ctl_context &context, const publish_verdict *verdict)
+{
+    if (verdict == nullptr) {
+        context.output.error("the log no longer tells what became of the publish");
+        return ExitUnknown;
+    }
+    nlohmann::ordered_json object;
+    object["outcome"] = verdictName(verdict->outcome);
+    object["offset"] = verdict->offset.value();
+    object["in_force"] = verdict->inForce.value();
+    object["in_force_operator"] = verdict->inForceOperator;
+    context.output.result(object, verdictText(*verdict));
+    return verdict->outcome == publish_outcome::Accepted ? ExitDone : ExitLost;
+}
+
+int issueKeyFor(ctl_context &context, const std::string &customer)
+{
+    const auto fold = readConfig(context.platform);
+    if (!fold.ok())
+        return failed(context, fold.status());
+    const auto state = fold->state();
+    if (!state->inForce || state->inForce->customer(customer_id(customer)) == nullptr) {
+        context.output.error(absl::StrCat("no customer '", customer, "' in the manifest in force"));
+        return ExitUsage;
+    }
+    const auto key = issueKey();
+    if (!key.ok())
+        return failed(context, key.status());
+    schema::key_issued_message record;
+    record.key_id = key->id.value();
+    record.customer = customer;
+    record.hash.assign(key->hash.begin(), key->hash.end());
+    schema::log_batch_message batch = newBatch();
+    addRecord(batch, record);
+    const auto stored = appendConfig(context.platform, batch);
+    if (!stored.ok())
+        return failed(context, stored.status());
+    nlohmann::ordered_json object;
+    object["key_id"] = key->id.value();
+    object["key"] = key->secretText;
+    object["offset"] = stored->value();
+    context.output.result(object, absl::StrCat("key ", key->id.value(), " of ", customer,
+                                               ", shown only now:\n", key->secretText));
+    return ExitDone;
+}
+
+int withdrawKey(ctl_context &context, const std::string &id)
+{
+    schema::key_withdrawn_message record;
+    record.key_id = id;
+    schema::log_batch_message batch = newBatch();
+    addRecord(batch, record);
+    const auto stored = appendConfig(context.platform, batch);
+    if (!stored.ok())
+        return failed(context, stored.status());
+    nlohmann::ordered_json object;
+    object["key_id"] = id;
+    object["offset"] = stored->value();
+    context.output.result(object,
+                          absl::StrCat("key ", id, " withdrawn at offset ", stored->value()));
+    return ExitDone;
+}
+
+int listKeys(ctl_context &context)
+{
+    const auto fold = readConfig(context.platform);
+    if (!fold.ok())
+        return failed(context, fold.status());
+    std::vector<std::vector<std::string>> rows;
+    for (const auto &[id, entry] : fold->state()->keys.entries())
+        rows.push_back({id.value(), entry.customer.value()});
+    context.output.table({"key_id", "customer"}, rows);
+    return ExitDone;
+}
+
+} // namespace
+
+int runCheck(ctl_context &context)
+{
+    if (context.arguments.size() != 1)
+        return wrongArguments(context, "check FILE");
+    const auto text = readFile(context.arguments[0]);
+    if (!text.ok()) {
+        context.output.error(std::string(text.status().message()));
+        return ExitUsage;
+    }
+    const manifest_result result = parseManifest(*text);
+    if (!reportFaults(context, context.arguments[0], result))
+        return ExitUsage;
+    nlohmann::ordered_json object;
+    object["models"] = result.parsed->models.size();
+    object["customers"] = result.parsed->customers.size();
+    context.output.result(object, "no faults");
+    return ExitDone;
+}
+
+int runPublish(ctl_context &context)
+{
+    if (context.arguments.size() != 1)
+        return wrongArguments(context, "publish FILE [--base=OFFSET]");
+    const auto text = readFile(context.arguments[0]);
+    if (!text.ok()) {
+        context.output.error(std::string(text.status().message()));
+        return ExitUsage;
+    }
+    if (!reportFaults(context, context.arguments[0], parseManifest(*text)))
+        return ExitUsage;
+    const auto before = readConfig(context.platform);
+    if (!before.ok())
+        return failed(context, before.status());
+    schema::manifest_published_message record;
+    record.base_offset =
+        FLAGS_base >= 0 ? static_cast<std::uint64_t>(FLAGS_base) : before->manifestOffset().value();
+    record.text = *text;
+    record.operator_name = FLAGS_operator_name;
+    schema::log_batch_message batch = newBatch();
+    addRecord(batch, record);
+    const auto stored = appendConfig(context.platform, batch);
+    if (!stored.ok())
+        return failed(context, stored.status());
+    const auto after = readConfig(context.platform);
+    if (!after.ok())
+        return failed(context, absl::UnknownError(after.status().message()));
+    return reportVerdict(context, after->verdictOf(batch.record_id));
+}
+
+int runKey(ctl_context &context)
+{
+    const auto &arguments = context.arguments;
+    if (arguments.size() == 2 && arguments[0] == "issue")
+        return issueKeyFor(context, arguments[1]);
+    if (arguments.size() == 2 && arguments[0] == "withdraw")
+        return withdrawKey(context, arguments[1]);
+    if (arguments.size() == 1 && arguments[0] == "list")
+        return listKeys(context);
+    return wrongArguments(context, "key issue CUSTOMER | key withdraw ID | key list");
+}
+
+int runDrain(ctl_context &context)
+{
+    if (context.arguments.size() != 1)
+        return wrongArguments(context, "drain VM");
+    schema::vm_drained_message record;
+    record.vm = context.arguments[0];
+    schema::log_batch_message batch = newBatch();
+    addRecord(batch, record);
+    const auto stored = appendConfig(context.platform, batch);
+    if (!stored.ok())
+        return failed(context, stored.status());
+    nlohmann::ordered_json object;
+    object["vm"] = record.vm;
+    object["offset"] = stored->value();
+    context.output.result(object,
+                          absl::StrCat(record.vm, " is draining since offset ", stored->value()));
+    return ExitDone;
+}
+
+} // namespace tamarack
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -9,22 +9,30 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds CheckPeriod {250};
-constexpr std::chrono::milliseconds RetryPause {1'000};
+constexpr std::chrono::milliseconds CheckPeriod{250};
+constexpr std::chrono::milliseconds RetryPause{1'000};
 constexpr std::string_view StreamEnd = "data: [DONE]";
 constexpr std::size_t TailBytes = 64;
 constexpr unsigned ServerErrorStatus = 500;
 
 api_error withdrawnKeyError()
 {
-    return {401, "authentication_error", "key_withdrawn", "the key was withdrawn",
-            executed::Unknown, std::nullopt};
+    return {401,
+            "authentication_error",
+            "key_withdrawn",
+            "the key was withdrawn",
+            executed::Unknown,
+            std::nullopt};
 }
 
 api_error timeoutError()
 {
-    return {504, "timeout_error", "deadline_exceeded", "the answer took too long",
-            executed::Unknown, std::nullopt};
+    return {504,
+            "timeout_error",
+            "deadline_exceeded",
+            "the answer took too long",
+            executed::Unknown,
+            std::nullopt};
 }
 
 api_error brokenAnswerError(const answer_end &end, bool begun)
@@ -36,8 +44,8 @@
     if (end.outcome == schema::call_outcome::NotStarted && !begun) {
         error.status = 503;
         error.ran = executed::No;
-        error.retryAfter = end.retryAfterMs > 0 ? std::chrono::milliseconds(end.retryAfterMs)
-                                                : RetryPause;
+        error.retryAfter =
+            end.retryAfterMs > 0 ? std::chrono::milliseconds(end.retryAfterMs) : RetryPause;
     } else {
         error.status = 502;
         error.ran = executed::Unknown;
@@ -172,13 +180,13 @@
         return;
     }
     if (m_head.status >= ServerErrorStatus) {
-        fail({502, "upstream_error", "upstream_failed", upstreamMessage(m_body),
-              executed::Unknown, std::nullopt});
+        fail({502, "upstream_error", "upstream_failed", upstreamMessage(m_body), executed::Unknown,
+              std::nullopt});
         return;
     }
     if (m_head.status >= 400) {
-        fail({m_head.status, "invalid_request_error", "upstream_refused",
-              upstreamMessage(m_body), executed::Unknown, std::nullopt});
+        fail({m_head.status, "invalid_request_error", "upstream_refused", upstreamMessage(m_body),
+              executed::Unknown, std::nullopt});
         return;
     }
     http_response response;
@@ -191,7 +199,7 @@
 
 void answer_relay::finishStream()
 {
-    const bool ended = !m_eventStream || absl::StrContains(m_tail, StreamEnd);
+    const bool ended = !m_eventStream || m_tail.find(StreamEnd) != std::string::npos;
     if (ended)
         m_request.exchange.endStream();
     else
--- a/src/entry/completion_request.cpp
+++ b/src/entry/completion_request.cpp
@@ -63,17 +63,18 @@
 
 api_error unknownModel(const std::string &name)
 {
-    api_error error = invalidRequest("model_not_found",
-                                     absl::StrCat("the model '", name, "' does not exist"));
+    api_error error =
+        invalidRequest("model_not_found", absl::StrCat("the model '", name, "' does not exist"));
     error.status = 404;
     return error;
 }
 
 } // namespace
 
-std::variant<completion_request, api_error>
-parseCompletionRequest(std::string_view path, const std::string &text, const manifest &manifest,
-                       const customer_id &customer)
+std::variant<completion_request, api_error> parseCompletionRequest(std::string_view path,
+                                                                   const std::string &text,
+                                                                   const manifest &manifest,
+                                                                   const customer_id &customer)
 {
     json body = json::parse(text, nullptr, false);
     if (body.is_discarded())
@@ -99,8 +100,8 @@
     request.streamed = stream != body.end() && stream->is_boolean() && stream->get<bool>();
     const std::string prompt = (chat ? body["messages"] : body["prompt"])
                                    .dump(-1, ' ', false, json::error_handler_t::replace);
-    request.prefixHash
-        = stableHash(absl::StrCat(request.model.value(), "|", prompt.substr(0, PrefixBytes)));
+    request.prefixHash =
+        stableHash(absl::StrCat(request.model.value(), "|", prompt.substr(0, PrefixBytes)));
     request.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
     return request;
 }
--- a/src/entry/completions_api.cpp
+++ b/src/entry/completions_api.cpp
@@ -8,9 +8,8 @@
 void completions_api::serve(const caller_request &request)
 {
     const http_request &http = request.exchange.request();
-    const manifest &manifest = *request.config->manifest;
-    auto parsed
-        = parseCompletionRequest(http.path, http.body, manifest, request.from.customer);
+    const manifest &manifest = *request.config->inForce;
+    auto parsed = parseCompletionRequest(http.path, http.body, manifest, request.from.customer);
     if (const auto *fault = std::get_if<api_error>(&parsed)) {
         request.refuse(*fault);
         return;
--- /dev/null
+++ b/src/entry/entry_process.cpp
@@ -0,0 +1,176 @@
+// Start, configuration changes and the planned stop of an entry.
+#include <tamarackglade/entry/entry_process.hpp>
+#include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/runtime/random_bytes.hpp>
+#include <tamarackglade/runtime/stop_signal.hpp>
+
+#include <boost/fiber/operations.hpp>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr std::chrono::seconds TlsReloadPeriod{1};
+
+http_response serverError(unsigned status, const std::string &code, const std::string &message)
+{
+    api_error error = invalidRequest(code, message);
+    error.status = status;
+    if (status >= 500) {
+        error.type = "server_error";
+        error.ran = executed::Unknown;
+    }
+    return errorResponse(error, randomId("req_"));
+}
+
+} // namespace
+
+entry_process::entry_process(const setting_values &settings, const wire_settings &wire)
+    : m_settings(settings), m_wire(wire), m_context{m_config, m_calls, m_metrics,
+                                                    settings.milliseconds("request-timeout")},
+      m_front(m_context), m_platform(m_control, settings.list("platform")),
+      m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
+      m_vmWatch(m_control, m_platform, wire, *this,
+                [this](const std::vector<vm_record> &list) { onVmList(list); }),
+      m_wireServer(m_control, wire, *this), m_admin(m_control, m_metrics)
+{
+}
+
+absl::Status entry_process::start()
+{
+    absl::Status status = startTls();
+    if (!status.ok())
+        return status;
+    const auto wirePort = m_wireServer.listen(m_settings.text("wire-listen"));
+    if (!wirePort.ok())
+        return wirePort.status();
+    const auto adminPort = m_admin.listen(m_settings.text("admin-listen"));
+    if (!adminPort.ok())
+        return adminPort.status();
+    m_configService.addListener(
+        [this](const std::shared_ptr<const config_state> &, bool serving) { onConfig(serving); });
+    m_configService.start();
+    m_vmWatch.start();
+    return startServing();
+}
+
+absl::Status entry_process::startTls()
+{
+    const std::string &certificate = m_settings.text("tls-certificate");
+    if (certificate.empty())
+        return absl::OkStatus();
+    m_tls.emplace(certificate, m_settings.text("tls-key"));
+    const absl::Status loaded = m_tls->reload();
+    if (loaded.ok())
+        m_control.spawn([this] { reloadTlsLoop(); });
+    return loaded;
+}
+
+absl::Status entry_process::startServing()
+{
+    for (std::int64_t i = 0; i < m_settings.integer("threads"); ++i) {
+        auto &thread = m_threads.emplace_back(std::make_unique<io_thread>());
+        auto &server = m_servers.emplace_back(std::make_unique<http_server>(
+            *thread, serverOptions(),
+            [this](http_exchange &exchange) { m_front.serve(exchange); }));
+        const auto port = server->listen(m_settings.text("listen"));
+        if (!port.ok())
+            return port.status();
+    }
+    return absl::OkStatus();
+}
+
+http_server_options entry_process::serverOptions()
+{
+    http_server_options options;
+    options.headerLimit = static_cast<std::uint32_t>(m_settings.integer("header-limit"));
+    options.bodyLimit = static_cast<std::size_t>(m_settings.integer("body-limit"));
+    options.headerTimeout = m_settings.milliseconds("header-timeout");
+    options.bodyTimeout = m_settings.milliseconds("body-timeout");
+    const auto fileLimit = static_cast<std::size_t>(m_settings.integer("file-limit"));
+    options.onHeader = [this, bodyLimit = options.bodyLimit, fileLimit](const http_request &head) {
+        return m_front.checkHeader(head, bodyLimit, fileLimit);
+    };
+    options.makeError = serverError;
+    options.tls = m_tls ? &*m_tls : nullptr;
+    return options;
+}
+
+void entry_process::runUntilStopped()
+{
+    log_event(log_level::Info, "serving").with("listen", m_settings.text("listen"));
+    tamarack::runUntilStopped(
+        m_control, [this] { drain(); }, [this] { m_endNow = true; });
+    exitProcess(0);
+}
+
+void entry_process::onConnected(const std::shared_ptr<wire_peer> &peer)
+{
+    m_peers.add(peer);
+    if (peer->identity().role == schema::vm_role::Side)
+        m_calls.onConnected(peer);
+}
+
+void entry_process::onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame)
+{
+    if (m_configService.onFrame(peer->identity().vm, frame))
+        return;
+    if (peer->identity().role == schema::vm_role::Side)
+        m_calls.onFrame(peer, std::move(frame));
+}
+
+void entry_process::onClosed(const std::shared_ptr<wire_peer> &peer)
+{
+    m_peers.remove(peer);
+    if (peer->identity().role == schema::vm_role::Side)
+        m_calls.onClosed(peer);
+}
+
+void entry_process::onConfig(bool serving)
+{
+    m_admin.setReady(serving, serving ? "" : "no configuration is confirmed");
+}
+
+void entry_process::onVmList(const std::vector<vm_record> &list)
+{
+    std::vector<vm_id> peers;
+    for (const vm_record &record : list)
+        peers.push_back(record.vm);
+    m_configService.setPeers(peers);
+}
+
+void entry_process::reloadTlsLoop()
+{
+    for (;;) {
+        boost::this_fiber::sleep_for(TlsReloadPeriod);
+        const auto reloaded = m_tls->reloadIfChanged();
+        if (!reloaded.ok())
+            log_event(log_level::Error, "certificate not reloaded")
+                .with("reason", std::string(reloaded.status().message()));
+        else if (*reloaded)
+            log_event(log_level::Info, "certificate reloaded");
+    }
+}
+
+void entry_process::drain()
+{
+    m_admin.setReady(false, "draining");
+    boost::this_fiber::sleep_for(m_settings.milliseconds("drain-notice"));
+    for (const auto &server : m_servers)
+        server->drain();
+    const auto deadline = std::chrono::steady_clock::now() + m_settings.milliseconds("drain-limit");
+    while (activeRequests() > 0 && !m_endNow && std::chrono::steady_clock::now() < deadline)
+        boost::this_fiber::sleep_for(DrainPoll);
+    log_event(log_level::Info, "stopped").with("requests_cut", activeRequests());
+}
+
+std::size_t entry_process::activeRequests() const
+{
+    std::size_t active = 0;
+    for (const auto &server : m_servers)
+        active += server->activeRequests();
+    return active;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/entry/request_front.cpp
@@ -0,0 +1,156 @@
+// The route table, and the checks that come before any handler.
+#include <tamarackglade/entry/models_api.hpp>
+#include <tamarackglade/entry/request_front.hpp>
+#include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/runtime/random_bytes.hpp>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds NotReadyPause{1'000};
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+api_error notReady()
+{
+    return {503,          "service_unavailable", "not_ready", "this entry has no configuration yet",
+            executed::No, NotReadyPause};
+}
+
+api_error unauthorized(const std::string &message)
+{
+    return {401, "authentication_error", "invalid_api_key", message, executed::No, std::nullopt};
+}
+
+api_error notFound(const std::string &path)
+{
+    return {404,          "invalid_request_error",
+            "not_found",  absl::StrCat("there is nothing at ", path),
+            executed::No, std::nullopt};
+}
+
+} // namespace
+
+const request_front::api_route request_front::Routes[] = {
+    {"POST", "/v1/chat/completions", &request_front::serveCompletion},
+    {"POST", "/v1/completions", &request_front::serveCompletion},
+    {"GET", "/v1/models", &request_front::listModels},
+    {"GET", "/v1/models/", &request_front::showModel},
+};
+
+request_front::request_front(entry_context &context)
+    : m_context(context), m_completions(context), m_services(context)
+{
+}
+
+void request_front::serve(http_exchange &exchange)
+{
+    const http_request &http = exchange.request();
+    caller_request request{exchange, request_id(randomId("req_")), m_context.config.current(), {}};
+    m_context.metrics.add("tamarack_requests_total");
+    if (auto fault = checkRoute(http, request.config, request.from)) {
+        request.refuse(*fault);
+        return;
+    }
+    bool pathKnown = false;
+    if (const api_route *route = findRoute(http, pathKnown))
+        (this->*route->handle)(request);
+    else
+        m_services.serve(request, *request.config->inForce->routeOf(http.path));
+    log_event(log_level::Debug, "request")
+        .request(request.id.value())
+        .customer(request.from.customer.value())
+        .with("method", http.method)
+        .with("path", http.path);
+}
+
+header_verdict request_front::checkHeader(const http_request &request, std::size_t bodyLimit,
+                                          std::size_t fileLimit)
+{
+    const bool upload = request.method == "POST" && request.path == "/v1/files";
+    header_verdict verdict{upload ? fileLimit : bodyLimit, std::nullopt};
+    caller from;
+    if (auto fault = checkRoute(request, m_context.config.current(), from))
+        verdict.refusal = errorResponse(*fault, randomId("req_"));
+    return verdict;
+}
+
+void request_front::serveCompletion(const caller_request &request)
+{
+    m_completions.serve(request);
+}
+
+void request_front::listModels(const caller_request &request)
+{
+    models_api::list(request);
+}
+
+void request_front::showModel(const caller_request &request)
+{
+    models_api::show(request);
+}
+
+const request_front::api_route *request_front::findRoute(const http_request &request,
+                                                         bool &pathKnown)
+{
+    for (const api_route &route : Routes) {
+        const bool prefix = route.path.back() == '/';
+        const bool matches =
+            prefix ? request.path.size() > route.path.size()
+                         && request.path.compare(0, route.path.size(), route.path) == 0
+                   : request.path == route.path;
+        if (!matches)
+            continue;
+        pathKnown = true;
+        if (route.method == request.method)
+            return &route;
+    }
+    return nullptr;
+}
+
+request_front::identity request_front::identify(const http_request &request,
+                                                const config_state &config)
+{
+    const std::string_view header = request.header("authorization");
+    if (header.empty())
+        return unauthorized("an Authorization header with a key is needed");
+    if (header.substr(0, BearerPrefix.size()) != BearerPrefix)
+        return unauthorized("the Authorization header must be 'Bearer KEY'");
+    const key_check check = config.keys.check(header.substr(BearerPrefix.size()));
+    const auto *accepted = std::get_if<accepted_key>(&check);
+    if (accepted == nullptr || config.inForce->customer(accepted->customer) == nullptr)
+        return unauthorized("the key is not valid");
+    return caller{accepted->customer, accepted->id};
+}
+
+std::optional<api_error>
+request_front::checkRoute(const http_request &request,
+                          const std::shared_ptr<const config_state> &config, caller &from)
+{
+    if (!config || !config->inForce)
+        return notReady();
+    bool pathKnown = false;
+    const api_route *route = findRoute(request, pathKnown);
+    const route_options *service =
+        route == nullptr && !pathKnown ? config->inForce->routeOf(request.path) : nullptr;
+    if (service != nullptr && service->open)
+        return std::nullopt;
+    const identity who = identify(request, *config);
+    if (const auto *fault = std::get_if<api_error>(&who))
+        return *fault;
+    from = std::get<caller>(who);
+    if (route != nullptr || service != nullptr)
+        return std::nullopt;
+    if (!pathKnown)
+        return notFound(request.path);
+    api_error error = notFound(request.path);
+    error.status = 405;
+    error.code = "method_not_allowed";
+    error.message = absl::StrCat(request.method, " is not possible at ", request.path);
+    return error;
+}
+
+} // namespace tamarack
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -34,9 +34,24 @@
             m_keepAlive = false;
     }
     m_stream.shutdownSend();
+    if (m_unreadBody)
+        discardRest();
     m_stream.close();
 }
 
+// Closing with unread data would reset the connection, and the caller might not see the answer.
+void http_session::discardRest()
+{
+    constexpr std::size_t DiscardBytes = 64 * 1024;
+    constexpr std::chrono::seconds LingerTime {3};
+    std::string discarded(DiscardBytes, '\0');
+    const auto deadline = std::chrono::steady_clock::now() + LingerTime;
+    boost::system::error_code error;
+    m_stream.setTimeout(LingerTime);
+    while (!error && std::chrono::steady_clock::now() < deadline)
+        m_stream.readSome(boost::asio::buffer(discarded), error);
+}
+
 bool http_session::readRequest()
 {
     request_parser parser;
@@ -50,6 +65,7 @@
         verdict = m_options.onHeader(m_request);
     if (verdict.refusal) {
         m_keepAlive = false;
+        m_unreadBody = true;
         respond(*verdict.refusal);
         return false;
     }
@@ -109,6 +125,7 @@
 void http_session::refuse(unsigned status, const std::string &code, const std::string &message)
 {
     m_keepAlive = false;
+    m_unreadBody = true;
     http_response response;
     if (m_options.makeError) {
         response = m_options.makeError(status, code, message);
--- a/src/entry/config_store.cpp
+++ b/src/node/config_store.cpp
@@ -1,5 +1,5 @@
 // A shared pointer under a lock.
-#include <tamarackglade/entry/config_store.hpp>
+#include <tamarackglade/node/config_store.hpp>
 
 namespace tamarack {
 
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -1,5 +1,6 @@
 // The platform's HTTP protocol.
 #include <tamarackglade/platform/platform_client.hpp>
+#include <tamarackglade/runtime/steady_now.hpp>
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -80,10 +81,11 @@
     http_client_request request;
     request.target = absl::StrCat("/v1/streams/", stream, "/records?from=", from.value(),
                                   "&limit=", limit, "&wait_ms=", wait.count());
+    log_read result;
+    result.askedAt = steadyNow();
     const auto response = call(request, CallTimeout + wait);
     if (!response.ok())
         return absl::UnavailableError(response.status().message());
-    log_read result;
     result.firstRetained = log_offset(headerNumber(*response, "x-first-offset"));
     result.next = log_offset(headerNumber(*response, "x-next-offset"));
     if (response->status == 410)
--- a/src/runtime/stop_signal.cpp
+++ b/src/runtime/stop_signal.cpp
@@ -17,12 +17,17 @@
     thread.run([&] {
         boost::asio::signal_set signals(thread.io(), SIGTERM, SIGINT);
         signals.async_wait(FiberToken);
+        bool drained = false;
         boost::fibers::fiber second([&] {
+            // A drain that never waits is over before this fiber begins.
+            if (drained)
+                return;
             const auto again = signals.async_wait(FiberToken);
             if (!again.error)
                 onSecondSignal();
         });
         drain();
+        drained = true;
         boost::system::error_code ignored;
         signals.cancel(ignored);
         second.join();
