Configuration fold and spread, fuzzed in virtual time

Cause: configuration must be in force everywhere within seconds, also on processes cut off from the log, and must never go back. The spread gossips (offset, serving) and fetches deltas.

--- /dev/null
+++ b/include/tamarackglade/config/drained_vm.hpp
@@ -0,0 +1,20 @@
+// A VM that an operator drained.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+
+namespace tamarack {
+
+struct drained_vm
+{
+    vm_id vm;
+    incarnation upTo; // the last drained incarnation; 0 stands for all
+
+    /// @return whether this drains a process of the VM
+    [[nodiscard]] bool covers(const vm_id &other, incarnation process) const
+    {
+        return other == vm && (upTo == incarnation(0) || process <= upTo);
+    }
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/report/virtual_config_fleet.hpp
@@ -0,0 +1,107 @@
+// Processes that spread the configuration, a log and links between them, in virtual time.
+#pragma once
+
+#include <tamarackglade/config/config_spread.hpp>
+#include <tamarackglade/report/config_fleet_options.hpp>
+#include <tamarackglade/report/config_node_traffic.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief One thread's fleet: deterministic for a seed. Faults are switched by name.
+class virtual_config_fleet
+{
+public:
+    using node_index = std::size_t;
+    /// Called after each event at a node.
+    using observer = std::function<void(node_index node)>;
+
+    explicit virtual_config_fleet(config_fleet_options options);
+
+    void setObserver(observer observe) { m_observe = std::move(observe); }
+
+    /// @brief Starts a node as a new process that holds nothing.
+    void start(node_index node);
+    void stop(node_index node);
+    /// @brief Holds a node's events back until resume.
+    void pause(node_index node);
+    void resume(node_index node);
+
+    void setLogUp(bool up) { m_logUp = up; }
+    void cutLog(node_index node, bool cut);
+    /// @brief Cuts or heals the link in one direction.
+    void cutLink(node_index from, node_index to, bool cut);
+    void healLinks() { m_cutLinks.clear(); }
+    /// @brief Delays messages by this much on average, from now on; they may overtake each other.
+    void setLinkDelay(duration mean) { m_options.linkDelay = mean; }
+    /// @brief Delivers each message once more, up to some seconds later.
+    void setDuplicates(bool duplicate) { m_duplicate = duplicate; }
+
+    /// @brief Appends a payload to the log.
+    /// @return its offset
+    log_offset append(std::string payload);
+
+    void advance(duration time);
+
+    [[nodiscard]] instant now() const { return m_now; }
+    [[nodiscard]] std::size_t size() const { return m_nodes.size(); }
+    [[nodiscard]] bool isRunning(node_index node) const;
+    [[nodiscard]] bool isPaused(node_index node) const { return m_nodes[node].paused; }
+    /// @return how often the node was started
+    [[nodiscard]] std::uint64_t generation(node_index node) const;
+    /// @return the node's spread; the node must be running
+    [[nodiscard]] const config_spread &spread(node_index node) const;
+    [[nodiscard]] const config_node_traffic &traffic(node_index node) const;
+    [[nodiscard]] const std::vector<std::string> &log() const { return m_log; }
+    void resetTraffic();
+
+    /// @return the index in log() of the first record that the log still holds after some time
+    [[nodiscard]] std::size_t firstRetainedAfter(duration time) const;
+
+private:
+    struct virtual_node
+    {
+        std::unique_ptr<config_spread> spread; // null if stopped
+        std::uint64_t generation = 0;
+        bool paused = false;
+        bool logCut = false;
+        std::vector<std::function<void()>> held; // events that came during the pause
+        config_node_traffic traffic;
+    };
+
+    void schedule(duration delay, std::function<void()> event);
+    void deliver(node_index node, std::uint64_t generation,
+                 std::function<config_actions(config_spread &)> event);
+    void perform(node_index node, config_actions actions);
+    void send(node_index from, const vm_id &peer, std::size_t bytes,
+              std::function<config_actions(config_spread &, const vm_id &)> receive);
+    void tick(node_index node, std::uint64_t generation);
+    void readLog(node_index node, std::uint64_t generation);
+    void finishRead(node_index node, std::uint64_t generation, instant askedAt);
+    [[nodiscard]] std::uint64_t wallSeconds() const;
+    [[nodiscard]] duration upToTwice(duration mean);
+
+    config_fleet_options m_options;
+    std::mt19937_64 m_random;
+    instant m_now;
+    std::multimap<instant, std::function<void()>> m_events;
+    std::vector<virtual_node> m_nodes;
+    std::vector<vm_id> m_names;
+    std::map<vm_id, node_index> m_indexes;
+    std::set<std::pair<node_index, node_index>> m_cutLinks;
+    bool m_logUp = true;
+    bool m_duplicate = false;
+    std::vector<std::string> m_log; // the append of offset i + 1 at index i
+    std::vector<instant> m_logTimes; // when each was appended
+    observer m_observe;
+};
+
+} // namespace tamarack
