--- /dev/null
+++ b/include/tamarackglade/limits/customer_limit.hpp
@@ -0,0 +1,38 @@
+// One customer's state at one entry: waiting requests, borrowed tokens and, at the home, the
+// bucket.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/core/timer_service.hpp>
+#include <tamarackglade/limits/customer_rate.hpp>
+#include <tamarackglade/limits/lending_bucket.hpp>
+#include <tamarackglade/limits/loan_wallet.hpp>
+#include <tamarackglade/limits/waiting_ticket.hpp>
+
+#include <deque>
+#include <optional>
+
+namespace tamarack {
+
+/// @brief The state that fleet_limiter keeps for a customer.
+struct customer_limit
+{
+    customer_rate rate;
+    partition_id partition;
+    std::deque<waiting_ticket> waiting; // in order of arrival, so of deadline
+    loan_wallet wallet;
+    std::optional<lending_bucket> bucket; // at the home only
+
+    std::uint64_t askSequence = 0; // of the last loan request
+    std::uint64_t receivedSequence = 0; // of the last grant that arrived
+    bool askInFlight = false; // the request askSequence waits for its grant
+    instant askedAt;
+    instant nextAsk; // no request is sent before
+    std::optional<instant> settleAt; // when to report, if nothing is asked before
+
+    double recentUse = 0; // admissions, decaying over the prefetch horizon
+    instant recentUseAt;
+    timer_service::timer_handle timer = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/limits/entry_view.hpp
@@ -0,0 +1,48 @@
+// What one entry knows of the others: the VM list, and which VMs were silent lately.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/limits/live_entry.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Answers whether a process has certainly ended, and who is a good successor.
+class entry_view
+{
+public:
+    entry_view(live_entry self, duration vmListLag);
+
+    /// @brief Takes a fresh answer of the VM list.
+    void update(const std::vector<live_entry> &entries, instant now);
+
+    /// @brief Leaves a VM out of the choice of successors until an instant.
+    void suspect(const vm_id &vm, instant until);
+
+    /// @return whether the process has certainly ended: a newer generation runs on its VM, or the
+    /// list has dropped the VM, or has not shown it for the list's lag since knownSince
+    [[nodiscard]] bool isGone(const live_entry &entry, instant knownSince) const;
+
+    /// @return the best successor for a partition, by rendezvous hash; never self nor excluded
+    [[nodiscard]] std::optional<live_entry>
+    chooseSuccessor(partition_id partition, const vm_id &excluded, instant now) const;
+
+    /// @return this entry's place in the partition's rendezvous order; none without a list
+    [[nodiscard]] std::optional<std::size_t> rank(partition_id partition) const;
+
+    [[nodiscard]] const live_entry &self() const { return m_self; }
+
+private:
+    live_entry m_self;
+    duration m_vmListLag;
+    std::vector<live_entry> m_entries;
+    std::optional<instant> m_lastUpdate;
+    std::set<vm_id> m_everSeen; // VMs that a list has shown
+    std::map<vm_id, instant> m_suspects; // end of each suspicion
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/limits/fleet_limiter.hpp
@@ -0,0 +1,106 @@
+// The rate limits of one entry process: one object, driven by events and time.
+#pragma once
+
+#include <tamarackglade/core/timer_service.hpp>
+#include <tamarackglade/limits/customer_limit.hpp>
+#include <tamarackglade/limits/entry_view.hpp>
+#include <tamarackglade/limits/limit_action.hpp>
+#include <tamarackglade/limits/limit_options.hpp>
+#include <tamarackglade/limits/partition_home.hpp>
+
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Admits requests so that the fleet keeps to each customer's rate and burst.
+/// Not thread-safe; the process keeps it under a shard's lock. After any call, the caller carries
+/// out takeActions() and calls tick() at nextDeadline(). Design: docs/design/limits.md.
+class fleet_limiter
+{
+public:
+    /// @param generation must be larger than that of any earlier process on this VM
+    fleet_limiter(const limit_options &options, vm_id self, incarnation generation,
+                  std::mt19937_64 seed, instant now);
+    fleet_limiter(const fleet_limiter &) = delete;
+    fleet_limiter &operator=(const fleet_limiter &) = delete;
+
+    /// @brief Adds a customer or changes its rate.
+    void setRate(const customer_id &customer, customer_rate rate, instant now);
+
+    /// @brief Removes a customer; its waiting requests are refused.
+    void removeCustomer(const customer_id &customer);
+
+    /// @brief Asks for a token. The answer is an admit_ticket or refuse_ticket action, now or
+    /// within maxHold; a customer without a rate is refused at once.
+    void admit(const customer_id &customer, std::uint64_t ticket, instant now);
+
+    /// @brief Forgets a request that waits; no action follows for it.
+    void cancelTicket(const customer_id &customer, std::uint64_t ticket);
+
+    void onLoanRequest(const vm_id &from, const schema::loan_request_message &request, instant now);
+    void onLoanGrant(const vm_id &from, const schema::loan_grant_message &grant, instant now);
+    void onLeasePing(const vm_id &from, const schema::lease_ping_message &ping, instant now);
+    void onLeaseAck(const vm_id &from, const schema::lease_ack_message &ack, instant now);
+
+    /// @brief Folds the next record of the stream "homes". Repeats are ignored by their offset.
+    void onHomeRecord(log_offset offset, const schema::home_claimed_message &claim, instant now);
+
+    /// @brief A claim was certainly not appended. An unknown outcome is not reported here.
+    void onAppendFailed(const schema::home_claimed_message &claim, instant now);
+
+    /// @brief Takes a fresh answer of the VM list: the entry VMs, live or leaving.
+    void onEntries(const std::vector<live_entry> &entries, instant now);
+
+    /// @brief While the log can't be reached, nothing is claimed.
+    void onLogReachable(bool reachable) { m_logReachable = reachable; }
+
+    void tick(instant now) { m_timers.advance(now); }
+    [[nodiscard]] std::optional<instant> nextDeadline() const { return m_timers.nextExpiry(); }
+
+    /// @brief For a planned stop: gives every home of this entry to its successor.
+    void handOver(instant now);
+
+    /// @return the actions since the last call, in order
+    std::vector<limit_action> takeActions();
+
+    /// @return whether this entry may lend for the customer's partition now
+    [[nodiscard]] bool isLending(const customer_id &customer, instant now) const;
+
+    /// @return an estimate of the memory that the customers' state takes, in bytes
+    [[nodiscard]] std::size_t stateBytes() const;
+
+private:
+    void poll(instant now);
+    void serve(const customer_id &customer, customer_limit &state, instant now);
+    void serveFromBucket(const customer_id &customer, customer_limit &state, instant now);
+    void serveFromWallet(const customer_id &customer, customer_limit &state, instant now);
+    void admitFront(const customer_id &customer, customer_limit &state, instant now);
+    void refuseFront(const customer_id &customer, customer_limit &state, duration retryAfter);
+    void refuseHopeless(const customer_id &customer, customer_limit &state, duration wait,
+                        std::size_t available, instant now);
+    void ask(const customer_id &customer, customer_limit &state, instant now);
+    void settle(const customer_id &customer, customer_limit &state, instant now);
+    void sendRequest(const customer_id &customer, customer_limit &state, std::uint32_t tokens,
+                     std::uint32_t returned, instant now);
+    void onTimer(const customer_id &customer, instant now);
+    void schedule(const customer_id &customer, customer_limit &state);
+    [[nodiscard]] std::uint32_t prefetch(customer_limit &state, instant now) const;
+    [[nodiscard]] const partition_home &homeOf(const customer_limit &state) const;
+    template <class Message>
+    void send(const vm_id &to, Message message);
+
+    limit_options m_options;
+    entry_view m_view;
+    std::mt19937_64 m_random;
+    bool m_logReachable = true;
+    log_offset m_lastOffset;
+    std::vector<partition_home> m_partitions; // by partition id
+    std::unordered_map<customer_id, customer_limit> m_customers;
+    timer_service m_timers;
+    std::vector<limit_action> m_actions;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/limits/home_lease.hpp
@@ -0,0 +1,46 @@
+// The lease by which a home may lend only while its successor agrees.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/limits/limit_options.hpp>
+#include <tamarackglade/schema/wire_generated.h>
+
+#include <map>
+#include <optional>
+
+namespace tamarack {
+
+/// @brief The home's side of the lease, for one epoch.
+class home_lease
+{
+public:
+    explicit home_lease(const limit_options &options) : m_options(&options) { }
+
+    /// @brief Forgets all acknowledgements; the lease begins again.
+    void restart(instant now);
+
+    /// @return the number of a ping sent now
+    std::uint64_t sendPing(instant now);
+
+    /// @brief Takes in the acknowledgement of a ping of this epoch.
+    void acknowledge(std::uint64_t sequence);
+
+    [[nodiscard]] bool isHeld(instant now) const { return m_until && now < *m_until; }
+    [[nodiscard]] bool pingDue(instant now) const { return now >= m_nextPing; }
+
+    /// @return whether the successor has been silent for too long
+    [[nodiscard]] bool successorSilent(instant now) const
+    {
+        return now >= m_lastSign + m_options->suspectAfter;
+    }
+
+private:
+    const limit_options *m_options;
+    std::map<std::uint64_t, instant> m_sent; // unanswered pings that could still extend the lease
+    std::uint64_t m_sequence = 0;
+    std::optional<instant> m_until;
+    instant m_lastSign; // sending of the last acknowledged ping, else the restart
+    instant m_nextPing;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/limits/lending_bucket.hpp
@@ -0,0 +1,67 @@
+// A home's token bucket for one customer, from which other entries borrow.
+#pragma once
+
+#include <tamarackglade/limits/borrower_account.hpp>
+#include <tamarackglade/limits/customer_rate.hpp>
+#include <tamarackglade/limits/limit_options.hpp>
+#include <tamarackglade/schema/wire_generated.h>
+
+#include <map>
+
+namespace tamarack {
+
+/// @brief A token bucket whose loans count against the burst until spent, returned or expired.
+/// Invariant: level + loans + the earlier home's possible loans <= burst (when the burst is
+/// lowered, level is 0 until this holds). Loans never exceed half the burst, rounded up.
+class lending_bucket
+{
+public:
+    /// @brief Starts an empty bucket.
+    /// @param start when it begins to fill
+    /// @param settledAt when the earlier home's loans have expired; until then half the burst
+    /// counts as lent
+    lending_bucket(const limit_options &options, customer_rate rate, instant start,
+                   instant settledAt);
+
+    /// @brief Changes rate and burst from now on.
+    void setRate(customer_rate rate, instant now);
+
+    /// @brief Takes a token for a request at the home itself.
+    bool take(instant now);
+
+    /// @brief Takes in a borrower's report.
+    /// @return false if the request is a repeat or was overtaken, and must be ignored
+    bool report(const vm_id &borrower, const schema::loan_request_message &request, instant now);
+
+    /// @brief Lends up to wanted tokens to a borrower whose report was just taken in.
+    /// @return the tokens lent
+    std::uint32_t lend(const vm_id &borrower, std::uint32_t wanted, instant now);
+
+    /// @return how long until a token can be had, if nobody else takes one
+    duration timeToToken(instant now);
+
+    /// @return the tokens that can be taken now
+    double level(instant now);
+
+    /// @return the number of borrowers on record
+    [[nodiscard]] std::size_t borrowers() const { return m_accounts.size(); }
+
+private:
+    void refill(instant now);
+    void accrue(instant until);
+    void releaseExpired(instant now);
+    [[nodiscard]] instant nextRelease(instant now) const;
+    [[nodiscard]] std::uint32_t loanCap() const { return (m_rate.burst + 1) / 2; }
+    [[nodiscard]] double capacity() const;
+
+    const limit_options *m_options;
+    customer_rate m_rate;
+    double m_level = 0;
+    instant m_updated; // m_level is right at this instant
+    instant m_settledAt;
+    bool m_settled = false;
+    std::uint32_t m_outstanding = 0; // the sum over m_accounts
+    std::map<vm_id, borrower_account> m_accounts;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/limits/loan_wallet.hpp
@@ -0,0 +1,40 @@
+// The borrowed tokens that an entry holds for one customer.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Tokens with expiries; those that expire first are spent first.
+class loan_wallet
+{
+public:
+    /// @brief Adds tokens that may be spent before expiry.
+    void add(std::uint32_t tokens, instant expiry);
+
+    /// @brief Spends a token.
+    /// @return whether there was an unexpired one
+    bool spend(instant now);
+
+    /// @return the unexpired tokens
+    std::uint32_t held(instant now);
+
+    /// @brief Gives up all tokens.
+    void clear() { m_loans.clear(); }
+
+private:
+    struct loan
+    {
+        std::uint32_t tokens;
+        instant expiry;
+    };
+
+    void dropExpired(instant now);
+
+    std::vector<loan> m_loans; // in order of expiry; no loan has 0 tokens
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/limits/partition_home.hpp
@@ -0,0 +1,91 @@
+// One limit partition as this entry sees it: who is home, and this entry's part in it.
+#pragma once
+
+#include <tamarackglade/limits/entry_view.hpp>
+#include <tamarackglade/limits/home_lease.hpp>
+#include <tamarackglade/limits/home_record.hpp>
+#include <tamarackglade/limits/limit_action.hpp>
+#include <tamarackglade/limits/limit_options.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Folds claims, keeps the lease as home or successor, and claims when it should.
+/// Design and proof: docs/design/limits.md.
+class partition_home
+{
+public:
+    partition_home(const limit_options &options, partition_id partition, instant now);
+
+    /// @brief Folds a claim read from the log.
+    /// @return whether the claim counts
+    bool onClaim(const schema::home_claimed_message &claim, const entry_view &view, instant now);
+
+    /// @return the acknowledgement, if this entry is the successor that the ping needs
+    std::optional<schema::lease_ack_message> onPing(const vm_id &from,
+                                                    const schema::lease_ping_message &ping,
+                                                    const entry_view &view, instant now);
+
+    void onAck(const vm_id &from, const schema::lease_ack_message &ack);
+
+    /// @brief Ends the wait for a claim that certainly failed.
+    void onAppendFailed(epoch generation, instant now);
+
+    /// @brief Sends pings and claims that are due.
+    void poll(entry_view &view, bool logReachable, instant now, std::vector<limit_action> &out);
+
+    /// @brief Stops lending for good and names the successor as home.
+    void handOver(const entry_view &view, instant now, std::vector<limit_action> &out);
+
+    /// @return whether this entry may admit and lend from its buckets at this instant
+    [[nodiscard]] bool mayLend(instant now) const;
+
+    /// @return whether the folded claim makes this entry home
+    [[nodiscard]] bool isHome() const { return m_isHome; }
+
+    /// @return the folded claim
+    [[nodiscard]] const std::optional<home_record> &record() const { return m_record; }
+
+    /// @return when new buckets begin to fill; meaningful while isHome()
+    [[nodiscard]] instant lendingStart() const { return m_lendingStart; }
+
+    /// @return when the earlier home's loans have expired; meaningful while isHome()
+    [[nodiscard]] instant settledAt() const { return m_settledAt; }
+
+    /// @return whether buckets must be new: this entry wasn't home in the epoch before
+    [[nodiscard]] bool startedAnew() const { return m_startedAnew; }
+
+private:
+    void startAsHome(instant now);
+    void pingIfDue(instant now, std::vector<limit_action> &out);
+    void pollAsHome(entry_view &view, instant now, std::vector<limit_action> &out);
+    void pollAsSuccessor(entry_view &view, instant now, std::vector<limit_action> &out);
+    void pollAsOther(const entry_view &view, instant now, std::vector<limit_action> &out);
+    void claim(const live_entry &home, const std::optional<live_entry> &successor, instant now,
+               std::vector<limit_action> &out);
+    [[nodiscard]] schema::home_claimed_message
+    makeClaim(const live_entry &home, const std::optional<live_entry> &successor) const;
+    [[nodiscard]] bool isSuccessor(const entry_view &view) const;
+
+    const limit_options *m_options;
+    partition_id m_partition;
+    std::optional<home_record> m_record;
+    instant m_recordRead; // when m_record was folded; before that, when this object began
+    bool m_isHome = false;
+    bool m_startedAnew = false;
+    bool m_handedOver = false;
+    instant m_lendingStart;
+    instant m_settledAt;
+    home_lease m_lease;
+    // As successor, in the epoch of m_record:
+    std::optional<instant> m_lastAck;
+    bool m_ackedSettled = false; // acknowledged a ping that said settled
+    // Claims:
+    instant m_nextClaim;
+    duration m_claimBackoff;
+    std::optional<instant> m_vacantSince; // since when others than the successor may claim
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/limits/send_limit_message.hpp
@@ -0,0 +1,22 @@
+// An action: a message to another entry.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/schema/wire_generated.h>
+
+#include <variant>
+
+namespace tamarack {
+
+/// The messages between the limiters of two entries.
+using limit_message = std::variant<schema::loan_request_message, schema::loan_grant_message,
+                                   schema::lease_ping_message, schema::lease_ack_message>;
+
+/// @brief Send body as one frame; it may be lost, doubled, delayed or overtaken.
+struct send_limit_message
+{
+    vm_id to;
+    limit_message body;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/limits/entry_view.cpp
@@ -0,0 +1,77 @@
+// What one entry knows of the others.
+#include <tamarackglade/core/hash.hpp>
+#include <tamarackglade/limits/entry_view.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+std::uint64_t score(const vm_id &vm, partition_id partition)
+{
+    return stableHash(vm.value(), partition.value());
+}
+
+} // namespace
+
+entry_view::entry_view(live_entry self, duration vmListLag)
+    : m_self(std::move(self)), m_vmListLag(vmListLag)
+{
+}
+
+void entry_view::update(const std::vector<live_entry> &entries, instant now)
+{
+    m_entries = entries;
+    m_lastUpdate = now;
+    for (const auto &entry : entries)
+        m_everSeen.insert(entry.vm);
+}
+
+void entry_view::suspect(const vm_id &vm, instant until)
+{
+    m_suspects[vm] = until;
+}
+
+bool entry_view::isGone(const live_entry &entry, instant knownSince) const
+{
+    if (entry.vm == m_self.vm)
+        return entry.generation < m_self.generation;
+    if (!m_lastUpdate)
+        return false;
+    const auto found = std::find_if(m_entries.begin(), m_entries.end(),
+                                    [&](const live_entry &other) { return other.vm == entry.vm; });
+    if (found != m_entries.end())
+        return found->generation > entry.generation;
+    if (m_everSeen.contains(entry.vm))
+        return true;
+    return *m_lastUpdate >= knownSince + m_vmListLag;
+}
+
+std::optional<live_entry> entry_view::chooseSuccessor(partition_id partition, const vm_id &excluded,
+                                                      instant now) const
+{
+    std::optional<live_entry> best;
+    for (const auto &entry : m_entries) {
+        if (entry.vm == m_self.vm || entry.vm == excluded)
+            continue;
+        const auto suspicion = m_suspects.find(entry.vm);
+        if (suspicion != m_suspects.end() && now < suspicion->second)
+            continue;
+        if (!best || score(entry.vm, partition) > score(best->vm, partition))
+            best = entry;
+    }
+    return best;
+}
+
+std::optional<std::size_t> entry_view::rank(partition_id partition) const
+{
+    if (m_entries.empty())
+        return std::nullopt;
+    const auto own = score(m_self.vm, partition);
+    const auto better = [&](const live_entry &entry) { return score(entry.vm, partition) > own; };
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), better));
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/limits/fleet_limiter.cpp
@@ -0,0 +1,400 @@
+// The rate limits of one entry process.
+#include <tamarackglade/core/partition.hpp>
+#include <tamarackglade/limits/fleet_limiter.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+/// Pause before asking again a home that isn't known or doesn't lend.
+constexpr duration NoHomeRetry = std::chrono::milliseconds(20);
+constexpr duration MinRetry = std::chrono::milliseconds(1);
+/// Share of the burst that may be borrowed ahead of need.
+constexpr std::uint32_t PrefetchShare = 8;
+
+std::uint32_t toMilliseconds(duration d)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(std::max(d, duration::zero())).count());
+}
+
+} // namespace
+
+fleet_limiter::fleet_limiter(const limit_options &options, vm_id self, incarnation generation,
+                             std::mt19937_64 seed, instant now)
+    : m_options(options), m_view({std::move(self), generation}, options.vmListLag), m_random(seed)
+{
+    for (std::uint32_t i = 0; i < m_options.partitions; ++i)
+        m_partitions.emplace_back(m_options, partition_id(i), now);
+    // Entries that start together don't poll together.
+    const duration shift(m_random() % static_cast<std::uint64_t>(m_options.pollInterval.count()));
+    m_timers.subscribeEvery(now + shift, m_options.pollInterval, [this](instant t) { poll(t); });
+}
+
+void fleet_limiter::setRate(const customer_id &customer, customer_rate rate, instant now)
+{
+    const auto [place, isNew] = m_customers.try_emplace(customer);
+    auto &state = place->second;
+    state.rate = rate;
+    if (isNew) {
+        state.partition = partitionOf(customer, m_options.partitions);
+        state.nextAsk = now;
+        if (homeOf(state).isHome()) {
+            // The customer may have been here before: wait for whatever was lent then.
+            const instant settled = std::max(now, homeOf(state).lendingStart())
+                                    + m_options.stretched(m_options.loanLifetime);
+            state.bucket.emplace(m_options, rate, settled, settled);
+        }
+    } else if (state.bucket) {
+        state.bucket->setRate(rate, now);
+    }
+}
+
+void fleet_limiter::removeCustomer(const customer_id &customer)
+{
+    const auto place = m_customers.find(customer);
+    if (place == m_customers.end())
+        return;
+    while (!place->second.waiting.empty())
+        refuseFront(customer, place->second, m_options.maxHold);
+    m_timers.cancel(place->second.timer);
+    m_customers.erase(place);
+}
+
+void fleet_limiter::admit(const customer_id &customer, std::uint64_t ticket, instant now)
+{
+    const auto place = m_customers.find(customer);
+    if (place == m_customers.end()) {
+        m_actions.emplace_back(refuse_ticket{customer, ticket, m_options.maxHold});
+        return;
+    }
+    auto &state = place->second;
+    state.waiting.push_back({ticket, now + m_options.maxHold});
+    // More than this can't have a token in time, wherever the home is.
+    const double most = state.rate.burst + state.rate.perSecond * toSeconds(m_options.maxHold);
+    if (static_cast<double>(state.waiting.size()) > most + 1) {
+        state.waiting.pop_back();
+        m_actions.emplace_back(refuse_ticket{customer, ticket, m_options.maxHold});
+        return;
+    }
+    serve(customer, state, now);
+}
+
+void fleet_limiter::cancelTicket(const customer_id &customer, std::uint64_t ticket)
+{
+    const auto place = m_customers.find(customer);
+    if (place == m_customers.end())
+        return;
+    std::erase_if(place->second.waiting,
+                  [&](const waiting_ticket &waiting) { return waiting.ticket == ticket; });
+}
+
+void fleet_limiter::onLoanRequest(const vm_id &from, const schema::loan_request_message &request,
+                                  instant now)
+{
+    schema::loan_grant_message grant;
+    grant.customer = request.customer;
+    grant.sequence = request.sequence;
+    grant.incarnation = request.incarnation;
+    grant.retry_after_ms = toMilliseconds(NoHomeRetry);
+    const auto place = m_customers.find(customer_id(request.customer));
+    if (place != m_customers.end() && place->second.bucket && homeOf(place->second).mayLend(now)) {
+        auto &bucket = *place->second.bucket;
+        if (!bucket.report(from, request, now))
+            return;
+        grant.epoch = homeOf(place->second).record()->generation.value();
+        grant.tokens = bucket.lend(from, request.tokens, now);
+        grant.available = static_cast<std::uint32_t>(bucket.level(now));
+        const bool all = grant.tokens == request.tokens;
+        grant.retry_after_ms =
+            all ? 0 : toMilliseconds(std::max(bucket.timeToToken(now), MinRetry));
+    }
+    if (request.tokens > 0)
+        send(from, std::move(grant));
+}
+
+void fleet_limiter::onLoanGrant(const vm_id & /*from*/, const schema::loan_grant_message &grant,
+                                instant now)
+{
+    const customer_id customer(grant.customer);
+    const auto place = m_customers.find(customer);
+    if (place == m_customers.end())
+        return;
+    auto &state = place->second;
+    if (!state.askInFlight || grant.sequence != state.askSequence
+        || incarnation(grant.incarnation) != m_view.self().generation)
+        return;
+    state.askInFlight = false;
+    state.receivedSequence = grant.sequence;
+    const bool fromReceipt = m_options.mutation == limit_mutation::ExpiryFromReceipt;
+    const instant base = fromReceipt ? now : state.askedAt;
+    state.wallet.add(grant.tokens, base + m_options.loanLifetime);
+    if (grant.tokens > 0)
+        state.settleAt = now + m_options.settleDelay;
+    const duration retry = std::chrono::milliseconds(grant.retry_after_ms);
+    state.nextAsk = now + retry;
+    serve(customer, state, now);
+    if (retry > duration::zero() && grant.epoch != 0) {
+        refuseHopeless(customer, state, retry, grant.available, now);
+        schedule(customer, state);
+    }
+}
+
+void fleet_limiter::onLeasePing(const vm_id &from, const schema::lease_ping_message &ping,
+                                instant now)
+{
+    if (ping.partition >= m_partitions.size())
+        return;
+    auto ack = m_partitions[ping.partition].onPing(from, ping, m_view, now);
+    if (ack)
+        send(from, *std::move(ack));
+}
+
+void fleet_limiter::onLeaseAck(const vm_id &from, const schema::lease_ack_message &ack,
+                               instant /*now*/)
+{
+    if (ack.partition < m_partitions.size())
+        m_partitions[ack.partition].onAck(from, ack);
+}
+
+void fleet_limiter::onHomeRecord(log_offset offset, const schema::home_claimed_message &claim,
+                                 instant now)
+{
+    if (offset <= m_lastOffset)
+        return;
+    m_lastOffset = offset;
+    if (claim.partition >= m_partitions.size())
+        return;
+    auto &partition = m_partitions[claim.partition];
+    if (!partition.onClaim(claim, m_view, now))
+        return;
+    for (auto &[customer, state] : m_customers) {
+        if (state.partition != partition_id(claim.partition))
+            continue;
+        if (!partition.isHome())
+            state.bucket.reset();
+        else if (partition.startedAnew())
+            state.bucket.emplace(m_options, state.rate, partition.lendingStart(),
+                                 partition.settledAt());
+        // What the earlier home still grants is not accepted.
+        state.askInFlight = false;
+        state.nextAsk = now;
+        serve(customer, state, now);
+    }
+    partition.poll(m_view, m_logReachable, now, m_actions);
+}
+
+void fleet_limiter::onAppendFailed(const schema::home_claimed_message &claim, instant now)
+{
+    if (claim.partition < m_partitions.size())
+        m_partitions[claim.partition].onAppendFailed(epoch(claim.epoch), now);
+}
+
+void fleet_limiter::onEntries(const std::vector<live_entry> &entries, instant now)
+{
+    m_view.update(entries, now);
+}
+
+void fleet_limiter::handOver(instant now)
+{
+    for (auto &partition : m_partitions)
+        partition.handOver(m_view, now, m_actions);
+}
+
+std::vector<limit_action> fleet_limiter::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+bool fleet_limiter::isLending(const customer_id &customer, instant now) const
+{
+    return m_partitions[partitionOf(customer, m_options.partitions).value()].mayLend(now);
+}
+
+std::size_t fleet_limiter::stateBytes() const
+{
+    // A map's node adds about four pointers to its value.
+    constexpr std::size_t NodeOverhead = 4 * sizeof(void *);
+    std::size_t bytes = m_partitions.size() * sizeof(partition_home);
+    for (const auto &[customer, state] : m_customers) {
+        bytes += sizeof(customer_id) + sizeof(customer_limit) + NodeOverhead;
+        bytes += state.waiting.size() * sizeof(waiting_ticket);
+        const std::size_t borrowers = state.bucket ? state.bucket->borrowers() : 0;
+        bytes += borrowers * (sizeof(vm_id) + sizeof(borrower_account) + NodeOverhead);
+    }
+    return bytes;
+}
+
+void fleet_limiter::poll(instant now)
+{
+    for (auto &partition : m_partitions)
+        partition.poll(m_view, m_logReachable, now, m_actions);
+}
+
+void fleet_limiter::serve(const customer_id &customer, customer_limit &state, instant now)
+{
+    while (!state.waiting.empty() && state.waiting.front().deadline <= now)
+        refuseFront(customer, state, std::max(state.nextAsk - now, m_options.maxHold));
+    if (homeOf(state).isHome())
+        serveFromBucket(customer, state, now);
+    else
+        serveFromWallet(customer, state, now);
+    schedule(customer, state);
+}
+
+void fleet_limiter::serveFromBucket(const customer_id &customer, customer_limit &state, instant now)
+{
+    state.settleAt.reset();
+    if (state.waiting.empty())
+        return;
+    if (!homeOf(state).mayLend(now)) {
+        state.nextAsk = now + NoHomeRetry;
+        return;
+    }
+    while (!state.waiting.empty() && state.bucket->take(now))
+        admitFront(customer, state, now);
+    if (state.waiting.empty())
+        return;
+    const duration wait = std::max(state.bucket->timeToToken(now), MinRetry);
+    state.nextAsk = now + wait;
+    refuseHopeless(customer, state, wait, 0, now);
+}
+
+void fleet_limiter::serveFromWallet(const customer_id &customer, customer_limit &state, instant now)
+{
+    while (!state.waiting.empty() && state.wallet.spend(now)) {
+        admitFront(customer, state, now);
+        state.settleAt = now + m_options.settleDelay;
+    }
+    if (state.askInFlight && now >= state.askedAt + m_options.askTimeout) {
+        state.askInFlight = false;
+        state.settleAt = now + m_options.settleDelay;
+    }
+    if (state.askInFlight)
+        return;
+    if (!state.waiting.empty() && now >= state.nextAsk)
+        ask(customer, state, now);
+    else if (state.settleAt && now >= *state.settleAt)
+        settle(customer, state, now);
+}
+
+void fleet_limiter::admitFront(const customer_id &customer, customer_limit &state, instant now)
+{
+    m_actions.emplace_back(admit_ticket{customer, state.waiting.front().ticket});
+    state.waiting.pop_front();
+    const double elapsed = toSeconds(now - state.recentUseAt);
+    state.recentUse *= std::exp(-elapsed / toSeconds(m_options.prefetchHorizon));
+    state.recentUse += 1;
+    state.recentUseAt = now;
+}
+
+void fleet_limiter::refuseFront(const customer_id &customer, customer_limit &state,
+                                duration retryAfter)
+{
+    m_actions.emplace_back(refuse_ticket{customer, state.waiting.front().ticket, retryAfter});
+    state.waiting.pop_front();
+}
+
+void fleet_limiter::refuseHopeless(const customer_id &customer, customer_limit &state,
+                                   duration wait, std::size_t available, instant now)
+{
+    while (state.waiting.size() > available) {
+        const auto ahead = static_cast<double>(state.waiting.size() - available - 1);
+        const double perSecond = std::max(state.rate.perSecond, 1e-6);
+        const duration expected = wait + fromSeconds(ahead / perSecond);
+        const auto &last = state.waiting.back();
+        if (now + expected <= last.deadline)
+            return;
+        m_actions.emplace_back(refuse_ticket{customer, last.ticket, expected});
+        state.waiting.pop_back();
+    }
+}
+
+void fleet_limiter::ask(const customer_id &customer, customer_limit &state, instant now)
+{
+    if (!homeOf(state).record()) {
+        state.nextAsk = now + NoHomeRetry;
+        return;
+    }
+    const auto wanted = static_cast<std::uint32_t>(state.waiting.size()) + prefetch(state, now);
+    sendRequest(customer, state, wanted, 0, now);
+    state.askInFlight = true;
+    state.askedAt = now;
+}
+
+void fleet_limiter::settle(const customer_id &customer, customer_limit &state, instant now)
+{
+    if (!homeOf(state).record()) {
+        state.settleAt.reset();
+        return;
+    }
+    const std::uint32_t returned = state.wallet.held(now);
+    state.wallet.clear();
+    sendRequest(customer, state, 0, returned, now);
+}
+
+void fleet_limiter::sendRequest(const customer_id &customer, customer_limit &state,
+                                std::uint32_t tokens, std::uint32_t returned, instant now)
+{
+    schema::loan_request_message request;
+    request.customer = customer.value();
+    request.sequence = ++state.askSequence;
+    request.tokens = tokens;
+    request.incarnation = m_view.self().generation.value();
+    request.held = state.wallet.held(now);
+    request.returned = returned;
+    request.received_sequence = state.receivedSequence;
+    state.settleAt.reset();
+    send(homeOf(state).record()->home.vm, std::move(request));
+}
+
+void fleet_limiter::onTimer(const customer_id &customer, instant now)
+{
+    const auto place = m_customers.find(customer);
+    if (place == m_customers.end())
+        return;
+    place->second.timer = 0;
+    serve(customer, place->second, now);
+}
+
+void fleet_limiter::schedule(const customer_id &customer, customer_limit &state)
+{
+    m_timers.cancel(std::exchange(state.timer, 0));
+    std::optional<instant> due = state.settleAt;
+    const auto atLatest = [&due](instant when) { due = std::min(due.value_or(when), when); };
+    if (state.askInFlight)
+        due = state.askedAt + m_options.askTimeout;
+    else if (!state.waiting.empty())
+        atLatest(state.nextAsk);
+    if (!state.waiting.empty())
+        atLatest(state.waiting.front().deadline);
+    if (due)
+        state.timer =
+            m_timers.subscribe(*due, [this, customer](instant t) { onTimer(customer, t); });
+}
+
+std::uint32_t fleet_limiter::prefetch(customer_limit &state, instant now) const
+{
+    const double elapsed = toSeconds(now - state.recentUseAt);
+    const double expected =
+        state.recentUse * std::exp(-elapsed / toSeconds(m_options.prefetchHorizon));
+    return std::min(static_cast<std::uint32_t>(expected), state.rate.burst / PrefetchShare);
+}
+
+const partition_home &fleet_limiter::homeOf(const customer_limit &state) const
+{
+    return m_partitions[state.partition.value()];
+}
+
+template <class Message>
+void fleet_limiter::send(const vm_id &to, Message message)
+{
+    m_actions.emplace_back(send_limit_message{to, std::move(message)});
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/limits/lending_bucket.cpp
@@ -0,0 +1,170 @@
+// A home's token bucket for one customer.
+#include <tamarackglade/limits/lending_bucket.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack {
+
+namespace {
+
+/// Keeps rounding from ever adding a token's fraction too much.
+constexpr double RoundingGuard = 1 - 1e-9;
+/// Wait given for a customer whose rate is 0.
+constexpr duration NoRateWait = std::chrono::hours(1);
+/// Borrowers without loans are forgotten after this long.
+constexpr duration IdleAccount = std::chrono::minutes(1);
+
+} // namespace
+
+lending_bucket::lending_bucket(const limit_options &options, customer_rate rate, instant start,
+                               instant settledAt)
+    : m_options(&options), m_rate(rate), m_updated(start), m_settledAt(settledAt),
+      m_settled(settledAt <= start)
+{
+    if (options.mutation == limit_mutation::NewHomeStartsFull)
+        m_level = rate.burst;
+}
+
+void lending_bucket::setRate(customer_rate rate, instant now)
+{
+    refill(now);
+    m_rate = rate;
+    m_level = std::min(m_level, capacity());
+}
+
+bool lending_bucket::take(instant now)
+{
+    refill(now);
+    if (m_level < 1)
+        return false;
+    m_level -= 1;
+    return true;
+}
+
+bool lending_bucket::report(const vm_id &borrower, const schema::loan_request_message &request,
+                            instant now)
+{
+    refill(now);
+    if (!m_accounts.contains(borrower)) {
+        std::erase_if(m_accounts, [&](const auto &entry) {
+            return entry.second.outstanding == 0 && entry.second.expiry + IdleAccount < now;
+        });
+    }
+    auto &account = m_accounts[borrower];
+    const incarnation generation(request.incarnation);
+    if (generation < account.generation)
+        return false;
+    if (generation > account.generation) {
+        // The earlier process has ended, and its tokens with it.
+        m_outstanding -= account.outstanding;
+        account = {};
+        account.generation = generation;
+    }
+    if (request.sequence <= account.lastRequest)
+        return false;
+    account.lastRequest = request.sequence;
+    // A grant that had not arrived will not be accepted any more.
+    std::uint32_t refund = account.lastGrant > request.received_sequence ? account.lastTokens : 0;
+    account.lastTokens = 0;
+    refund = std::min(refund + request.returned, account.outstanding);
+    const std::uint32_t left = std::min(account.outstanding - refund, request.held);
+    m_outstanding -= account.outstanding - left;
+    account.outstanding = left;
+    m_level = std::min(m_level + refund, capacity());
+    return true;
+}
+
+std::uint32_t lending_bucket::lend(const vm_id &borrower, std::uint32_t wanted, instant now)
+{
+    refill(now);
+    auto &account = m_accounts[borrower];
+    const auto whole = static_cast<std::uint32_t>(std::floor(std::max(m_level, 0.0)));
+    const auto room = loanCap() - std::min(loanCap(), m_outstanding);
+    const auto tokens = std::min({wanted, whole, room});
+    if (tokens == 0)
+        return 0;
+    m_level -= tokens;
+    m_outstanding += tokens;
+    account.outstanding += tokens;
+    account.expiry = now + m_options->stretched(m_options->loanLifetime);
+    account.lastGrant = account.lastRequest;
+    account.lastTokens = tokens;
+    return tokens;
+}
+
+duration lending_bucket::timeToToken(instant now)
+{
+    refill(now);
+    if (m_level >= 1)
+        return duration::zero();
+    if (m_rate.perSecond <= 0 || m_rate.burst == 0)
+        return NoRateWait;
+    const duration untilStart = std::max(m_updated - now, duration::zero());
+    if (capacity() < 1)
+        return std::max(nextRelease(now) - now, untilStart);
+    const double missing = (1 - m_level) / m_rate.perSecond * (1 + m_options->clockError);
+    return untilStart + fromSeconds(missing) + std::chrono::microseconds(1);
+}
+
+double lending_bucket::level(instant now)
+{
+    refill(now);
+    return m_level;
+}
+
+void lending_bucket::refill(instant now)
+{
+    // The capacity grows when loans expire: fill up to each such instant in turn.
+    for (auto release = nextRelease(now); release <= now; release = nextRelease(now)) {
+        accrue(release);
+        releaseExpired(release);
+    }
+    accrue(now);
+}
+
+void lending_bucket::accrue(instant until)
+{
+    if (until <= m_updated)
+        return;
+    const double seconds = toSeconds(until - m_updated);
+    // This clock may be too fast: fill as if it were.
+    const double gained = seconds * m_rate.perSecond / (1 + m_options->clockError);
+    m_level = std::max(0.0, std::min(m_level + gained * RoundingGuard, capacity()));
+    m_updated = until;
+}
+
+void lending_bucket::releaseExpired(instant now)
+{
+    m_settled = m_settled || m_settledAt <= now;
+    for (auto &[vm, account] : m_accounts) {
+        if (account.outstanding == 0 || account.expiry > now)
+            continue;
+        m_outstanding -= account.outstanding;
+        account.outstanding = 0;
+    }
+}
+
+instant lending_bucket::nextRelease(instant now) const
+{
+    instant next = now + NoRateWait;
+    if (!m_settled)
+        next = std::min(next, m_settledAt);
+    if (m_outstanding == 0)
+        return next;
+    for (const auto &[vm, account] : m_accounts) {
+        if (account.outstanding > 0)
+            next = std::min(next, account.expiry);
+    }
+    return next;
+}
+
+double lending_bucket::capacity() const
+{
+    if (m_options->mutation == limit_mutation::LenderIgnoresLoans)
+        return m_rate.burst;
+    const double lent = m_outstanding + (m_settled ? 0.0 : loanCap());
+    return std::max(0.0, m_rate.burst - lent);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/limits/loan_wallet.cpp
@@ -0,0 +1,41 @@
+// The borrowed tokens that an entry holds for one customer.
+#include <tamarackglade/limits/loan_wallet.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+void loan_wallet::add(std::uint32_t tokens, instant expiry)
+{
+    if (tokens == 0)
+        return;
+    const auto later = [&](const loan &other) { return other.expiry > expiry; };
+    const auto place = std::find_if(m_loans.begin(), m_loans.end(), later);
+    m_loans.insert(place, {tokens, expiry});
+}
+
+bool loan_wallet::spend(instant now)
+{
+    dropExpired(now);
+    if (m_loans.empty())
+        return false;
+    if (--m_loans.front().tokens == 0)
+        m_loans.erase(m_loans.begin());
+    return true;
+}
+
+std::uint32_t loan_wallet::held(instant now)
+{
+    dropExpired(now);
+    std::uint32_t sum = 0;
+    for (const auto &part : m_loans)
+        sum += part.tokens;
+    return sum;
+}
+
+void loan_wallet::dropExpired(instant now)
+{
+    std::erase_if(m_loans, [&](const loan &held) { return held.expiry <= now; });
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/limits/partition_home.cpp
@@ -0,0 +1,211 @@
+// One limit partition as this entry sees it.
+#include <tamarackglade/limits/partition_home.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+partition_home::partition_home(const limit_options &options, partition_id partition, instant now)
+    : m_options(&options), m_partition(partition), m_recordRead(now), m_lease(options),
+      m_nextClaim(now), m_claimBackoff(options.claimBackoff)
+{
+}
+
+bool partition_home::onClaim(const schema::home_claimed_message &claim, const entry_view &view,
+                             instant now)
+{
+    if (m_record && claim.epoch != m_record->generation.value() + 1)
+        return false;
+    const bool chained = m_record || claim.epoch == 1;
+    const auto before = std::exchange(m_record, home_record::fromClaim(claim, chained));
+    const bool wasHome = std::exchange(m_isHome, chained && m_record->home == view.self());
+    m_startedAnew = m_isHome && !wasHome;
+    if (m_startedAnew)
+        startAsHome(now);
+    if (m_isHome)
+        m_lease.restart(now);
+    if (!before || before->home != m_record->home)
+        m_claimBackoff = m_options->claimBackoff;
+    m_recordRead = now;
+    m_lastAck.reset();
+    m_ackedSettled = false;
+    m_vacantSince.reset();
+    return true;
+}
+
+void partition_home::startAsHome(instant now)
+{
+    const duration lapse = m_options->stretched(m_options->leaseDuration);
+    const duration loans = m_options->stretched(m_options->loanLifetime);
+    const bool first = m_record->generation == epoch(1);
+    // From stopped on, no earlier home lends.
+    const bool clean = first || m_record->handedOver;
+    const instant stopped = clean ? now : std::max(now, m_lastAck.value_or(now) + lapse);
+    m_settledAt = first ? now : stopped + loans;
+    // Only a settled home's loans are known to be at most half the burst.
+    m_lendingStart = m_ackedSettled ? stopped : m_settledAt;
+    if (m_options->mutation == limit_mutation::NewHomeStartsFull)
+        m_lendingStart = m_settledAt = now;
+}
+
+std::optional<schema::lease_ack_message>
+partition_home::onPing(const vm_id &from, const schema::lease_ping_message &ping,
+                       const entry_view &view, instant now)
+{
+    if (!m_record || m_record->generation != epoch(ping.epoch) || m_record->home.vm != from
+        || !isSuccessor(view))
+        return std::nullopt;
+    m_lastAck = now;
+    m_ackedSettled = m_ackedSettled || ping.settled;
+    m_claimBackoff = m_options->claimBackoff;
+    schema::lease_ack_message ack;
+    ack.partition = ping.partition;
+    ack.epoch = ping.epoch;
+    ack.sequence = ping.sequence;
+    return ack;
+}
+
+void partition_home::onAck(const vm_id &from, const schema::lease_ack_message &ack)
+{
+    if (!m_isHome || m_record->generation != epoch(ack.epoch) || m_record->successor.vm != from)
+        return;
+    m_lease.acknowledge(ack.sequence);
+    m_claimBackoff = m_options->claimBackoff;
+}
+
+void partition_home::onAppendFailed(epoch generation, instant now)
+{
+    const epoch next(m_record ? m_record->generation.value() + 1 : 1);
+    if (generation == next)
+        m_nextClaim = std::min(m_nextClaim, now + m_options->claimBackoff);
+}
+
+void partition_home::poll(entry_view &view, bool logReachable, instant now,
+                          std::vector<limit_action> &out)
+{
+    if (m_handedOver)
+        return;
+    if (m_isHome)
+        pingIfDue(now, out);
+    if (!logReachable)
+        return;
+    if (m_isHome)
+        pollAsHome(view, now, out);
+    else if (isSuccessor(view))
+        pollAsSuccessor(view, now, out);
+    else
+        pollAsOther(view, now, out);
+}
+
+void partition_home::pingIfDue(instant now, std::vector<limit_action> &out)
+{
+    if (!m_record->hasSuccessor() || !m_lease.pingDue(now))
+        return;
+    schema::lease_ping_message ping;
+    ping.partition = m_partition.value();
+    ping.epoch = m_record->generation.value();
+    ping.sequence = m_lease.sendPing(now);
+    ping.settled = now >= m_settledAt;
+    out.emplace_back(send_limit_message{m_record->successor.vm, ping});
+}
+
+void partition_home::pollAsHome(entry_view &view, instant now, std::vector<limit_action> &out)
+{
+    const vm_id successor = m_record->successor.vm;
+    if (!m_record->hasSuccessor()) {
+        const auto candidate = view.chooseSuccessor(m_partition, successor, now);
+        if (candidate)
+            claim(view.self(), candidate, now, out);
+    } else if (m_lease.successorSilent(now) || view.isGone(m_record->successor, m_recordRead)) {
+        view.suspect(successor, now + m_options->suspectFor);
+        claim(view.self(), view.chooseSuccessor(m_partition, successor, now), now, out);
+    }
+    if (now >= m_recordRead + m_options->renewInterval)
+        claim(view.self(), m_record->successor, now, out);
+}
+
+void partition_home::pollAsSuccessor(entry_view &view, instant now, std::vector<limit_action> &out)
+{
+    const duration lapse = m_options->stretched(m_options->leaseDuration);
+    const bool lapsed = m_lastAck && now >= *m_lastAck + lapse;
+    if (!lapsed && !view.isGone(m_record->home, m_recordRead))
+        return;
+    const vm_id former = m_record->home.vm;
+    view.suspect(former, now + m_options->suspectFor);
+    claim(view.self(), view.chooseSuccessor(m_partition, former, now), now, out);
+}
+
+void partition_home::pollAsOther(const entry_view &view, instant now,
+                                 std::vector<limit_action> &out)
+{
+    const bool vacant =
+        !m_record
+        || (view.isGone(m_record->home, m_recordRead)
+            && (!m_record->hasSuccessor() || view.isGone(m_record->successor, m_recordRead)));
+    const auto rank = view.rank(m_partition);
+    if (!vacant || !rank) {
+        m_vacantSince.reset();
+        return;
+    }
+    if (!m_vacantSince)
+        m_vacantSince = now;
+    if (now >= *m_vacantSince + m_options->claimStagger * (*rank + 1))
+        claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, now), now, out);
+}
+
+void partition_home::handOver(const entry_view &view, instant now, std::vector<limit_action> &out)
+{
+    if (!m_isHome || m_handedOver) {
+        m_handedOver = true;
+        return;
+    }
+    const bool lending = mayLend(now);
+    m_handedOver = true;
+    if (!m_record->hasSuccessor())
+        return;
+    const auto &heir = m_record->successor;
+    auto message = makeClaim(heir, view.chooseSuccessor(m_partition, heir.vm, now));
+    message.handed_over = lending;
+    out.emplace_back(append_claim{std::move(message)});
+}
+
+bool partition_home::mayLend(instant now) const
+{
+    if (!m_isHome || m_handedOver || now < m_lendingStart)
+        return false;
+    return !m_record->hasSuccessor() || m_lease.isHeld(now)
+           || m_options->mutation == limit_mutation::HomeIgnoresLease;
+}
+
+void partition_home::claim(const live_entry &home, const std::optional<live_entry> &successor,
+                           instant now, std::vector<limit_action> &out)
+{
+    if (now < m_nextClaim)
+        return;
+    m_nextClaim = now + m_claimBackoff;
+    m_claimBackoff = std::min(m_claimBackoff * 2, m_options->maxClaimBackoff);
+    out.emplace_back(append_claim{makeClaim(home, successor)});
+}
+
+schema::home_claimed_message
+partition_home::makeClaim(const live_entry &home, const std::optional<live_entry> &successor) const
+{
+    schema::home_claimed_message message;
+    message.partition = m_partition.value();
+    message.epoch = m_record ? m_record->generation.value() + 1 : 1;
+    message.vm = home.vm.value();
+    message.incarnation = home.generation.value();
+    if (successor) {
+        message.successor = successor->vm.value();
+        message.successor_incarnation = successor->generation.value();
+    }
+    return message;
+}
+
+bool partition_home::isSuccessor(const entry_view &view) const
+{
+    return m_record && m_record->chained && m_record->successor == view.self();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/support/limits_fleet.cpp
@@ -0,0 +1,420 @@
+// A fleet of limiters in virtual time, with faults.
+#include "support/limits_fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack::test {
+
+namespace {
+
+vm_id vmName(std::size_t index)
+{
+    return vm_id("entry-" + std::to_string(index));
+}
+
+std::size_t vmIndex(const vm_id &vm)
+{
+    return std::stoul(vm.value().substr(6));
+}
+
+/// How long a lowered burst may still show in loans.
+constexpr true_time BurstMemory = 500ms;
+
+} // namespace
+
+limits_fleet::limits_fleet(std::size_t entries, const limit_options &options, std::uint64_t seed,
+                           fleet_network network)
+    : m_options(options), m_network(network), m_random(seed), m_nodes(entries)
+{
+    std::uniform_real_distribution<double> error(-options.clockError, options.clockError);
+    for (std::size_t i = 0; i < entries; ++i) {
+        // The two ends of the range are always among the clocks.
+        const double ends = i == 0 ? options.clockError : -options.clockError;
+        m_nodes[i].clockError = i < 2 ? ends : error(m_random);
+        m_nodes[i].clockOffset = random(1s, 1000s);
+        restart(i);
+    }
+    listTick();
+}
+
+void limits_fleet::setRate(const customer_id &customer, customer_rate rate, true_time spread)
+{
+    m_rates[customer] = rate;
+    m_bounds[customer].ideal.setBound(static_cast<std::int64_t>(rate.perSecond), rate.burst,
+                                      m_now.count());
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (!alive(i))
+            continue;
+        const auto life = m_nodes[i].life;
+        const auto apply = [=, this] {
+            if (alive(i) && m_nodes[i].life == life && m_rates[customer] == rate)
+                applyRate(i, customer, rate);
+        };
+        if (spread == 0ns)
+            apply();
+        else
+            at(m_now + random(0ns, spread), apply);
+    }
+}
+
+void limits_fleet::applyRate(std::size_t index, const customer_id &customer, customer_rate rate)
+{
+    const bool paused = std::exchange(m_nodes[index].paused, false);
+    m_nodes[index].rates[customer] = rate;
+    updateBound(customer);
+    call(index, [&](fleet_limiter &limiter, instant now) { limiter.setRate(customer, rate, now); });
+    m_nodes[index].paused = paused;
+}
+
+void limits_fleet::updateBound(const customer_id &customer)
+{
+    customer_rate largest;
+    for (const auto &node : m_nodes) {
+        const auto held = node.rates.find(customer);
+        if (held == node.rates.end())
+            continue;
+        largest.perSecond = std::max(largest.perSecond, held->second.perSecond);
+        largest.burst = std::max(largest.burst, held->second.burst);
+    }
+    auto &bound = m_bounds[customer];
+    if (largest.burst < bound.heldBurst) {
+        bound.formerBursts[bound.heldBurst] = m_now + BurstMemory;
+        at(m_now + BurstMemory, [=, this] { updateBound(customer); });
+    }
+    bound.heldBurst = largest.burst;
+    std::erase_if(bound.formerBursts, [&](const auto &former) { return former.second <= m_now; });
+    for (const auto &[burst, until] : bound.formerBursts)
+        largest.burst = std::max(largest.burst, burst);
+    bound.oracle.setBound(static_cast<std::int64_t>(largest.perSecond), largest.burst,
+                          m_now.count());
+}
+
+void limits_fleet::offer(const customer_id &customer, std::size_t entry)
+{
+    auto &counts = m_counts[customer];
+    ++counts.offered;
+    counts.within += m_bounds[customer].ideal.admit(m_now.count()) ? 1 : 0;
+    if (!alive(entry)) {
+        ++counts.lost;
+        return;
+    }
+    const auto ticket = ++m_ticket;
+    m_open[{entry, ticket}] = customer;
+    atNode(m_now, entry,
+           [=](fleet_limiter &limiter, instant now) { limiter.admit(customer, ticket, now); });
+}
+
+void limits_fleet::load(const customer_id &customer, double perSecond, std::vector<double> weights,
+                        true_time end)
+{
+    arrive(customer, perSecond, std::move(weights), end);
+}
+
+void limits_fleet::arrive(customer_id customer, double perSecond, std::vector<double> weights,
+                          true_time end)
+{
+    std::exponential_distribution<double> gap(perSecond);
+    const auto next = m_now + std::chrono::duration_cast<true_time>(
+                          std::chrono::duration<double>(gap(m_random)));
+    if (next >= end)
+        return;
+    at(next, [=, this] {
+        auto open = weights; // the balancer sends nothing to an entry that is down
+        for (std::size_t i = 0; i < open.size(); ++i)
+            open[i] = alive(i) ? open[i] : 0;
+        if (std::any_of(open.begin(), open.end(), [](double w) { return w > 0; }))
+            offer(customer, std::discrete_distribution<std::size_t>(open.begin(),
+                                                                    open.end())(m_random));
+        arrive(customer, perSecond, weights, end);
+    });
+}
+
+void limits_fleet::advance(true_time time)
+{
+    const auto end = m_now + time;
+    while (!m_events.empty() && m_events.top().when <= end) {
+        const auto next = m_events.top();
+        m_events.pop();
+        m_now = next.when;
+        next.run();
+    }
+    m_now = end;
+}
+
+void limits_fleet::kill(std::size_t entry)
+{
+    auto &node = m_nodes[entry];
+    if (!node.limiter)
+        return;
+    node.limiter.reset();
+    node.backlog.clear();
+    ++node.life;
+    node.paused = false;
+    const auto rates = std::exchange(node.rates, {});
+    for (const auto &[customer, rate] : rates)
+        updateBound(customer);
+    for (auto open = m_open.begin(); open != m_open.end();) {
+        if (open->first.first != entry) {
+            ++open;
+            continue;
+        }
+        ++m_counts[open->second].lost;
+        open = m_open.erase(open);
+    }
+    listTick();
+}
+
+void limits_fleet::restart(std::size_t entry)
+{
+    kill(entry);
+    auto &node = m_nodes[entry];
+    ++node.generation;
+    ++node.life;
+    node.logRead = 0;
+    node.logCut = false;
+    node.tickAt = true_time::max();
+    node.clockOffset += random(1s, 10s);
+    node.limiter = std::make_unique<fleet_limiter>(m_options, vmName(entry),
+                                                   incarnation(node.generation),
+                                                   std::mt19937_64(m_random()), local(node));
+    for (const auto &[customer, rate] : m_rates)
+        applyRate(entry, customer, rate);
+    scheduleTick(entry);
+    at(m_now + m_network.logDelay, [=, this] { readLog(entry); });
+}
+
+void limits_fleet::pause(std::size_t entry, true_time time)
+{
+    auto &node = m_nodes[entry];
+    if (!node.limiter || node.paused)
+        return;
+    node.paused = true;
+    const auto life = node.life;
+    at(m_now + time, [=, this] {
+        auto &woken = m_nodes[entry];
+        if (woken.life != life)
+            return;
+        woken.paused = false;
+        for (const auto &run : std::exchange(woken.backlog, {}))
+            run();
+        scheduleTick(entry);
+    });
+}
+
+void limits_fleet::handOver(std::size_t entry)
+{
+    if (alive(entry))
+        atNode(m_now, entry, [](fleet_limiter &limiter, instant now) { limiter.handOver(now); });
+}
+
+void limits_fleet::healAll()
+{
+    m_cuts.clear();
+    for (auto &node : m_nodes)
+        node.logCut = false;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        readLog(i);
+}
+
+void limits_fleet::setLog(bool up)
+{
+    m_logUp = up;
+    if (!up)
+        return;
+    for (const auto &append : std::exchange(m_hungAppends, {}))
+        append();
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        readLog(i);
+}
+
+std::size_t limits_fleet::homeOf(const customer_id &customer)
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (alive(i) && m_nodes[i].limiter->isLending(customer, local(m_nodes[i])))
+            return i;
+    }
+    return m_nodes.size();
+}
+
+std::uint64_t limits_fleet::overAdmitted() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[customer, counts] : m_counts)
+        sum += counts.overAdmitted;
+    return sum;
+}
+
+void limits_fleet::at(true_time when, std::function<void()> run)
+{
+    m_events.push({when, ++m_order, std::move(run)});
+}
+
+void limits_fleet::atNode(true_time when, std::size_t index,
+                          std::function<void(fleet_limiter &, instant)> run)
+{
+    const auto life = m_nodes[index].life;
+    at(when, [=, this] {
+        auto &node = m_nodes[index];
+        if (node.life != life || !node.limiter)
+            return;
+        if (node.paused)
+            node.backlog.push_back([=, this] { call(index, run); });
+        else
+            call(index, run);
+    });
+}
+
+void limits_fleet::call(std::size_t index,
+                        const std::function<void(fleet_limiter &, instant)> &run)
+{
+    run(*m_nodes[index].limiter, local(m_nodes[index]));
+    carryOut(index);
+    scheduleTick(index);
+}
+
+void limits_fleet::carryOut(std::size_t index)
+{
+    for (const auto &action : m_nodes[index].limiter->takeActions())
+        std::visit([&](const auto &body) { carryOut(index, body); }, action);
+}
+
+void limits_fleet::carryOut(std::size_t index, const admit_ticket &action)
+{
+    auto &counts = m_counts[action.customer];
+    ++counts.admitted;
+    m_open.erase({index, action.ticket});
+    if (!m_bounds[action.customer].oracle.admit(m_now.count()))
+        ++counts.overAdmitted;
+}
+
+void limits_fleet::carryOut(std::size_t index, const refuse_ticket &action)
+{
+    ++m_counts[action.customer].refused;
+    m_open.erase({index, action.ticket});
+}
+
+void limits_fleet::carryOut(std::size_t index, const send_limit_message &action)
+{
+    ++m_messages;
+    const auto to = vmIndex(action.to);
+    if (m_cuts.contains({index, to}) || !alive(to))
+        return;
+    const auto from = vmName(index);
+    const auto deliver = [from, body = action.body](fleet_limiter &limiter, instant now) {
+        if (const auto *request = std::get_if<schema::loan_request_message>(&body))
+            limiter.onLoanRequest(from, *request, now);
+        else if (const auto *grant = std::get_if<schema::loan_grant_message>(&body))
+            limiter.onLoanGrant(from, *grant, now);
+        else if (const auto *ping = std::get_if<schema::lease_ping_message>(&body))
+            limiter.onLeasePing(from, *ping, now);
+        else
+            limiter.onLeaseAck(from, std::get<schema::lease_ack_message>(body), now);
+    };
+    const auto extra = extraDelay ? extraDelay(action.body) : 0ns;
+    atNode(m_now + random(m_network.minDelay, m_network.maxDelay) + extra, to, deliver);
+    if (std::bernoulli_distribution(m_network.duplicates)(m_random))
+        atNode(m_now + random(m_network.minDelay, 20 * m_network.maxDelay), to, deliver);
+}
+
+void limits_fleet::carryOut(std::size_t index, const append_claim &action)
+{
+    ++m_appends;
+    const auto claim = action.claim;
+    const auto effect = [=, this] {
+        m_log.push_back(claim);
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+            at(m_now + random(m_network.logDelay / 2, m_network.logDelay),
+               [=, this] { readLog(i); });
+    };
+    if (m_logUp && !m_nodes[index].logCut) {
+        at(m_now + random(m_network.logDelay / 2, m_network.logDelay), effect);
+        return;
+    }
+    // Down or cut off: either it certainly failed, or it takes effect late with no answer.
+    if (std::bernoulli_distribution(0.5)(m_random))
+        m_hungAppends.push_back(effect);
+    else
+        atNode(m_now + m_network.logDelay, index, [=](fleet_limiter &limiter, instant now) {
+            limiter.onAppendFailed(claim, now);
+        });
+}
+
+void limits_fleet::scheduleTick(std::size_t index)
+{
+    auto &node = m_nodes[index];
+    const auto deadline = node.limiter->nextDeadline();
+    if (!deadline)
+        return;
+    const double ahead = static_cast<double>((*deadline - local(node)).count());
+    const auto when = m_now + true_time(std::max<std::int64_t>(
+                          0, static_cast<std::int64_t>(std::ceil(ahead / (1 + node.clockError))) + 1));
+    if (when >= node.tickAt && node.tickAt > m_now)
+        return;
+    node.tickAt = when;
+    const auto life = node.life;
+    at(when, [=, this] {
+        auto &due = m_nodes[index];
+        if (due.life != life || due.paused || due.tickAt != when)
+            return;
+        due.tickAt = true_time::max();
+        call(index, [](fleet_limiter &limiter, instant now) { limiter.tick(now); });
+    });
+}
+
+void limits_fleet::readLog(std::size_t index)
+{
+    if (!m_logUp || !alive(index) || m_nodes[index].logCut)
+        return;
+    auto &node = m_nodes[index];
+    while (node.logRead < m_log.size()) {
+        const auto offset = ++node.logRead;
+        atNode(m_now, index, [=, this](fleet_limiter &limiter, instant now) {
+            limiter.onHomeRecord(log_offset(offset), m_log[offset - 1], now);
+        });
+    }
+}
+
+void limits_fleet::listTick()
+{
+    std::vector<live_entry> live;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (alive(i))
+            live.push_back({vmName(i), incarnation(m_nodes[i].generation)});
+    }
+    const bool first = m_lists.empty();
+    m_lists.emplace_back(m_now, live);
+    if (!first)
+        return;
+    // Every entry reads the lagging list each half second, for ever.
+    const auto read = std::make_shared<std::function<void()>>();
+    *read = [this, read] {
+        const auto shown = std::find_if(m_lists.rbegin(), m_lists.rend(), [&](const auto &list) {
+            return list.first <= std::max(m_now - m_network.listLag, true_time{});
+        });
+        if (shown != m_lists.rend()) {
+            for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+                if (alive(i))
+                    atNode(m_now, i, [list = shown->second](fleet_limiter &limiter, instant now) {
+                        limiter.onEntries(list, now);
+                    });
+            }
+        }
+        at(m_now + 500ms, *read);
+    };
+    (*read)();
+}
+
+instant limits_fleet::local(const sim_entry &entry) const
+{
+    const auto elapsed = static_cast<double>(m_now.count()) * (1 + entry.clockError);
+    return instant(duration(static_cast<std::int64_t>(elapsed)) + entry.clockOffset);
+}
+
+true_time limits_fleet::random(true_time from, true_time to)
+{
+    return true_time(
+        std::uniform_int_distribution<std::int64_t>(from.count(), to.count())(m_random));
+}
+
+} // namespace tamarack::test
