Entry: the fleet-wide rate limits decide each request

A request of a customer waits for the limiter's verdict; a refusal is 429 with the time when a token is expected. 17 end-to-end tests over real processes pass.

--- a/include/tamarackglade/entry/entry_context.hpp
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/entry/call_board.hpp>
+#include <tamarackglade/entry/limit_service.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/node/config_store.hpp>
 
@@ -14,6 +15,7 @@
 {
     config_store &config;
     call_board &calls;
+    limit_service &limits;
     metric_registry &metrics;
     std::chrono::milliseconds requestTimeout{120'000};
 };
--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -41,7 +41,7 @@
     absl::Status startTls();
     absl::Status startServing();
     http_server_options serverOptions();
-    void onConfig(bool serving);
+    void onConfig(const config_state &state, bool serving);
     void onVmList(const std::vector<vm_record> &list);
     void reloadTlsLoop();
     void drain();
@@ -53,13 +53,14 @@
     config_store m_config;
     peer_directory m_peers;
     call_board m_calls;
-    entry_context m_context;
-    request_front m_front;
     std::optional<tls_context> m_tls;
     std::atomic<bool> m_endNow{false}; // a second signal came
 
     io_thread m_control;
     platform_client m_platform;
+    limit_service m_limits;
+    entry_context m_context;
+    request_front m_front;
     config_service m_configService;
     vm_watch m_vmWatch;
     wire_server m_wireServer;
--- /dev/null
+++ b/include/tamarackglade/entry/limit_service.hpp
@@ -0,0 +1,76 @@
+// Runs the fleet-wide rate limits in an entry: waiting requests, peers and the log's "homes".
+#pragma once
+
+#include <tamarackglade/config/config_state.hpp>
+#include <tamarackglade/limits/fleet_limiter.hpp>
+#include <tamarackglade/metrics/metric_registry.hpp>
+#include <tamarackglade/node/vm_record.hpp>
+#include <tamarackglade/platform/log_tailer.hpp>
+#include <tamarackglade/platform/platform_client.hpp>
+#include <tamarackglade/runtime/io_thread.hpp>
+#include <tamarackglade/wire/peer_directory.hpp>
+
+#include <boost/fiber/future.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Whether a request may run now.
+struct limit_verdict
+{
+    bool admitted = false;
+    std::chrono::milliseconds retryAfter{0}; // of a refusal
+};
+
+/// @brief Thread-safe once started. All references must outlive the thread.
+class limit_service
+{
+public:
+    limit_service(io_thread &thread, platform_client &platform, peer_directory &peers,
+                  metric_registry &metrics, const peer_identity &self);
+
+    /// @brief Takes a new configuration; the first one starts the service.
+    void onConfig(const config_state &state);
+    /// @brief Takes the platform's VM list.
+    void onVmList(const std::vector<vm_record> &list);
+    /// @return whether the frame was one of the limits' protocol
+    bool onFrame(const vm_id &from, const schema::frame_message &frame);
+
+    /// @brief Asks for a token of the customer; the calling fiber waits for the answer.
+    limit_verdict admit(const customer_id &customer);
+
+    /// @brief Gives this entry's homes to their successors, for a planned stop.
+    void handOver();
+
+private:
+    using verdict_promise = boost::fibers::promise<limit_verdict>;
+
+    void begin(std::uint32_t partitions);
+    void applyRates(const config_state &state);
+    void onHomesRead(const log_read &read);
+    void tickLoop();
+    void perform(std::vector<limit_action> actions);
+    void settle(std::uint64_t ticket, const limit_verdict &verdict);
+    void sendMessage(const send_limit_message &message);
+    void appendClaim(const schema::home_claimed_message &claim);
+
+    io_thread &m_thread;
+    platform_client &m_platform;
+    peer_directory &m_peers;
+    metric_registry &m_metrics;
+    const peer_identity m_self;
+    std::unique_ptr<log_tailer> m_tailer;
+
+    std::mutex m_mutex; // guards the members below
+    std::unique_ptr<fleet_limiter> m_limiter; // null until the first configuration
+    std::map<customer_id, customer_rate> m_rates; // as the limiter has them
+    std::vector<live_entry> m_entries; // the latest VM list
+    std::uint64_t m_lastTicket = 0;
+    std::map<std::uint64_t, verdict_promise> m_waiting; // by ticket
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/node/vm_record.hpp
+++ b/include/tamarackglade/node/vm_record.hpp
@@ -15,6 +15,7 @@
     group_id group; // of a side
     std::string address; // of the wire, ip:port
     bool leaving = false;
+    incarnation generation; // of the VM
 };
 
 } // namespace tamarack
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -27,10 +27,10 @@
 } // namespace
 
 entry_process::entry_process(const setting_values &settings, const wire_settings &wire)
-    : m_settings(settings), m_wire(wire), m_context{m_config, m_calls, m_metrics,
-                                                    settings.milliseconds("request-timeout")},
-      m_front(m_context), m_platform(m_control, settings.list("platform")),
-      m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
+    : m_settings(settings), m_wire(wire), m_platform(m_control, settings.list("platform")),
+      m_limits(m_control, m_platform, m_peers, m_metrics, wire.self),
+      m_context{m_config, m_calls, m_limits, m_metrics, settings.milliseconds("request-timeout")},
+      m_front(m_context), m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
       m_vmWatch(m_control, m_platform, wire, *this,
                 [this](const std::vector<vm_record> &list) { onVmList(list); }),
       m_wireServer(m_control, wire, *this), m_admin(m_control, m_metrics)
@@ -48,8 +48,8 @@
     const auto adminPort = m_admin.listen(m_settings.text("admin-listen"));
     if (!adminPort.ok())
         return adminPort.status();
-    m_configService.addListener(
-        [this](const std::shared_ptr<const config_state> &, bool serving) { onConfig(serving); });
+    m_configService.addListener([this](const std::shared_ptr<const config_state> &state,
+                                       bool serving) { onConfig(*state, serving); });
     m_configService.start();
     m_vmWatch.start();
     return startServing();
@@ -114,7 +114,8 @@
 
 void entry_process::onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame)
 {
-    if (m_configService.onFrame(peer->identity().vm, frame))
+    const vm_id &from = peer->identity().vm;
+    if (m_configService.onFrame(from, frame) || m_limits.onFrame(from, frame))
         return;
     if (peer->identity().role == schema::vm_role::Side)
         m_calls.onFrame(peer, std::move(frame));
@@ -127,8 +128,9 @@
         m_calls.onClosed(peer);
 }
 
-void entry_process::onConfig(bool serving)
+void entry_process::onConfig(const config_state &state, bool serving)
 {
+    m_limits.onConfig(state);
     m_admin.setReady(serving, serving ? "" : "no configuration is confirmed");
 }
 
@@ -138,6 +140,7 @@
     for (const vm_record &record : list)
         peers.push_back(record.vm);
     m_configService.setPeers(peers);
+    m_limits.onVmList(list);
 }
 
 void entry_process::reloadTlsLoop()
@@ -159,6 +162,7 @@
     boost::this_fiber::sleep_for(m_settings.milliseconds("drain-notice"));
     for (const auto &server : m_servers)
         server->drain();
+    m_limits.handOver();
     const auto deadline = std::chrono::steady_clock::now() + m_settings.milliseconds("drain-limit");
     while (activeRequests() > 0 && !m_endNow && std::chrono::steady_clock::now() < deadline)
         boost::this_fiber::sleep_for(DrainPoll);
--- a/src/entry/request_front.cpp
+++ b/src/entry/request_front.cpp
@@ -55,6 +55,10 @@
         request.refuse(*fault);
         return;
     }
+    if (auto refusal = checkRate(request.from)) {
+        request.refuse(*refusal);
+        return;
+    }
     bool pathKnown = false;
     if (const api_route *route = findRoute(http, pathKnown))
         (this->*route->handle)(request);
@@ -67,6 +71,22 @@
         .with("path", http.path);
 }
 
+std::optional<api_error> request_front::checkRate(const caller &from)
+{
+    // Open routes belong to no customer.
+    if (from.customer.value().empty())
+        return std::nullopt;
+    const limit_verdict verdict = m_context.limits.admit(from.customer);
+    if (verdict.admitted)
+        return std::nullopt;
+    return api_error{429,
+                     "rate_limit_error",
+                     "rate_limit_exceeded",
+                     "the customer's rate and burst are used up",
+                     executed::No,
+                     verdict.retryAfter};
+}
+
 header_verdict request_front::checkHeader(const http_request &request, std::size_t bodyLimit,
                                           std::size_t fileLimit)
 {
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -43,7 +43,7 @@
 void http_session::discardRest()
 {
     constexpr std::size_t DiscardBytes = 64 * 1024;
-    constexpr std::chrono::seconds LingerTime {3};
+    constexpr std::chrono::seconds LingerTime{3};
     std::string discarded(DiscardBytes, '\0');
     const auto deadline = std::chrono::steady_clock::now() + LingerTime;
     boost::system::error_code error;
--- a/src/node/vm_watch.cpp
+++ b/src/node/vm_watch.cpp
@@ -29,6 +29,7 @@
         record.group = group_id(entry.value("group", ""));
         record.address = entry.value("address", "");
         record.leaving = entry.value("state", "") == "leaving";
+        record.generation = incarnation(entry.value("incarnation", std::uint64_t{0}));
         list.push_back(std::move(record));
     }
     return list;
