--- /dev/null
+++ b/include/tamarackglade/membership/membership_view.hpp
@@ -0,0 +1,61 @@
+// Who is there: the platform's lagging list, merged with what processes say themselves.
+#pragma once
+
+#include <tamarackglade/config/drained_vm.hpp>
+#include <tamarackglade/membership/member.hpp>
+#include <tamarackglade/membership/membership_mutation.hpp>
+#include <tamarackglade/membership/vm_list.hpp>
+
+#include <map>
+#include <span>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief A process's view of all VMs. Knowledge only grows: the newest incarnation counts, and an
+/// incarnation that was once seen leaving stays so, whatever a late list or message says.
+class membership_view
+{
+public:
+    explicit membership_view(membership_mutation mutation = membership_mutation::None)
+        : m_mutation(mutation)
+    { }
+
+    /// @brief Takes the platform's list. Complexity O(VMs log VMs).
+    void onList(const vm_list &list);
+
+    /// @brief Takes a hello of a process on a direct connection.
+    /// @return whether it is the VM's newest process; an older one is to be refused
+    bool onHello(const vm_id &vm, incarnation process);
+
+    /// @brief Takes a process's own announcement that it is leaving.
+    void onLeaving(const vm_id &vm, incarnation process);
+
+    /// @brief Takes the VMs that operators drained, from the configuration.
+    void onDrained(std::span<const drained_vm> drained);
+
+    /// @return whether new work may go to a VM: listed, and not leaving
+    [[nodiscard]] bool takesWork(const vm_id &vm) const;
+
+    /// @return whether a process surely no longer runs: a newer one does, or the list dropped its
+    /// VM. Silence is never a proof.
+    [[nodiscard]] bool isGone(const vm_id &vm, incarnation process) const;
+
+    /// @return the newest incarnation of a VM; 0 if it was never seen
+    [[nodiscard]] incarnation newest(const vm_id &vm) const;
+
+    /// @return listed VMs of a role that take work, in order of name
+    [[nodiscard]] std::vector<listed_vm> takingWork(vm_role role) const;
+
+    /// @return names of all listed entries and sides, also leaving ones: whom to gossip with
+    [[nodiscard]] std::vector<vm_id> processes() const;
+
+private:
+    void seen(member &known, incarnation process) const;
+    void list(const listed_vm &entry);
+
+    membership_mutation m_mutation;
+    std::map<vm_id, member> m_members;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/membership/vm_list.cpp
@@ -0,0 +1,96 @@
+// Parsing of the platform's list.
+#include <tamarackglade/membership/vm_list.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace tamarack {
+
+namespace {
+
+using nlohmann::json;
+
+const std::map<std::string, vm_role> Roles{
+    {"entry", vm_role::Entry}, {"side", vm_role::Side}, {"service", vm_role::Service}};
+const std::map<std::string, listed_state> States{{"live", listed_state::Live},
+                                                 {"leaving", listed_state::Leaving}};
+
+absl::Status fault(std::size_t index, const std::string &what)
+{
+    return absl::InvalidArgumentError("VM list entry " + std::to_string(index) + ": " + what);
+}
+
+std::optional<std::string> text(const json &entry, const char *member)
+{
+    const auto found = entry.find(member);
+    if (found == entry.end() || !found->is_string())
+        return std::nullopt;
+    return found->get<std::string>();
+}
+
+template <class Value>
+std::optional<Value> choice(const json &entry, const char *member,
+                            const std::map<std::string, Value> &choices)
+{
+    const auto found = choices.find(text(entry, member).value_or(""));
+    if (found == choices.end())
+        return std::nullopt;
+    return found->second;
+}
+
+absl::StatusOr<listed_vm> parseEntry(const json &entry, std::size_t index)
+{
+    if (!entry.is_object())
+        return fault(index, "not an object");
+    for (const char *member : {"vm", "zone", "region", "address"}) {
+        if (text(entry, member).value_or("").empty())
+            return fault(index, std::string(member) + " is not a text");
+    }
+    const auto process = entry.find("incarnation");
+    if (process == entry.end() || !process->is_number_unsigned())
+        return fault(index, "incarnation is not a whole number");
+    const auto role = choice(entry, "role", Roles);
+    if (!role)
+        return fault(index, "role is not entry, side or service");
+    const auto state = choice(entry, "state", States);
+    if (!state)
+        return fault(index, "state is not live or leaving");
+    listed_vm vm;
+    vm.vm = vm_id(*text(entry, "vm"));
+    vm.process = incarnation(process->get<std::uint64_t>());
+    vm.role = *role;
+    vm.group = group_id(text(entry, "group").value_or(""));
+    vm.zone = zone_id(*text(entry, "zone"));
+    vm.region = region_id(*text(entry, "region"));
+    vm.address = *text(entry, "address");
+    vm.state = *state;
+    if (vm.role != vm_role::Entry && vm.group.value().empty())
+        return fault(index, "group is empty");
+    return vm;
+}
+
+} // namespace
+
+absl::StatusOr<vm_list> parseVmList(std::string_view text)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_array())
+        return absl::InvalidArgumentError("VM list is not a JSON array");
+    vm_list list;
+    std::set<vm_id> seen;
+    for (std::size_t index = 0; index < document.size(); ++index) {
+        absl::StatusOr<listed_vm> entry = parseEntry(document[index], index);
+        if (!entry.ok())
+            return entry.status();
+        if (!seen.insert(entry->vm).second)
+            return fault(index, "vm stands twice");
+        list.push_back(*std::move(entry));
+    }
+    return list;
+}
+
+} // namespace tamarack
