--- a/include/tamarackglade/config/config_fold.hpp
+++ b/include/tamarackglade/config/config_fold.hpp
@@ -26,8 +26,7 @@
 {
 public:
     explicit config_fold(config_mutation mutation = config_mutation::None)
-        : m_mutation(mutation)
-    { }
+        : m_mutation(mutation) { }
 
     /// @brief Takes one append. One at or below the folded offset is ignored; one beyond the next
     /// offset waits for a snapshot that covers the gap. A malformed payload folds to nothing.
--- a/include/tamarackglade/config/config_snapshot_codec.hpp
+++ b/include/tamarackglade/config/config_snapshot_codec.hpp
@@ -16,8 +16,7 @@
 std::string encodeSnapshot(const config_state &state, std::uint64_t takenAtSeconds);
 
 /// @return the snapshot record in a batch; null if it has none
-const schema::config_snapshot_record_message *
-findSnapshot(const schema::log_batch_message &batch);
+const schema::config_snapshot_record_message *findSnapshot(const schema::log_batch_message &batch);
 
 /// @brief Rebuilds a state from its record.
 /// @return InvalidArgument if the record is malformed or its manifest is faulty
--- a/include/tamarackglade/membership/membership_view.hpp
+++ b/include/tamarackglade/membership/membership_view.hpp
@@ -19,7 +19,8 @@
 public:
     explicit membership_view(membership_mutation mutation = membership_mutation::None)
         : m_mutation(mutation)
-    { }
+    {
+    }
 
     /// @brief Takes the platform's list. Complexity O(VMs log VMs).
     void onList(const vm_list &list);
--- a/include/tamarackglade/membership/select_sides.hpp
+++ b/include/tamarackglade/membership/select_sides.hpp
@@ -15,7 +15,6 @@
 /// @param sides those that take work, of the entry's region
 /// @return the chosen sides, in order of group and name; complexity O(sides log sides)
 std::vector<listed_vm> selectSides(const vm_id &entry, const zone_id &zone,
-                                   std::span<const listed_vm> sides,
-                                   const subset_options &options);
+                                   std::span<const listed_vm> sides, const subset_options &options);
 
 } // namespace tamarack
--- a/src/config/config_fold.cpp
+++ b/src/config/config_fold.cpp
@@ -63,9 +63,8 @@
 
 const publish_verdict *config_fold::verdictOf(const std::string &recordId) const
 {
-    const auto found =
-        std::find_if(m_verdicts.begin(), m_verdicts.end(),
-                     [&](const auto &verdict) { return verdict.first == recordId; });
+    const auto found = std::find_if(m_verdicts.begin(), m_verdicts.end(),
+                                    [&](const auto &verdict) { return verdict.first == recordId; });
     return found == m_verdicts.end() ? nullptr : &found->second;
 }
 
@@ -101,13 +100,12 @@
     publish_verdict verdict;
     verdict.offset = m_state.offset;
     const bool baseInForce = record.base_offset == m_state.manifestOffset.value()
-        || m_mutation == config_mutation::IgnoreBase;
+                             || m_mutation == config_mutation::IgnoreBase;
     if (!baseInForce) {
         verdict.outcome = publish_outcome::Lost;
     } else {
         manifest_result result = parseManifest(record.text);
-        verdict.outcome =
-            result.ok() ? publish_outcome::Accepted : publish_outcome::Invalid;
+        verdict.outcome = result.ok() ? publish_outcome::Accepted : publish_outcome::Invalid;
         verdict.faults = std::move(result.faults);
         if (result.ok()) {
             m_state.inForce = std::move(result.parsed);
@@ -156,7 +154,7 @@
 bool config_fold::adoptRecord(const schema::config_snapshot_record_message &record)
 {
     const bool newer = log_offset(record.offset) > m_state.offset
-        || m_mutation == config_mutation::AcceptOlderSnapshot;
+                       || m_mutation == config_mutation::AcceptOlderSnapshot;
     if (!newer)
         return false;
     absl::StatusOr<config_state> state = stateOf(record);
--- a/src/config/config_snapshot_codec.cpp
+++ b/src/config/config_snapshot_codec.cpp
@@ -64,8 +64,7 @@
     return encodeBatch(batch);
 }
 
-const schema::config_snapshot_record_message *
-findSnapshot(const schema::log_batch_message &batch)
+const schema::config_snapshot_record_message *findSnapshot(const schema::log_batch_message &batch)
 {
     for (const auto &record : batch.records) {
         if (const auto *snapshot = record->body.Asconfig_snapshot_record())
--- a/src/config/config_spread.cpp
+++ b/src/config/config_spread.cpp
@@ -32,13 +32,10 @@
 } // namespace
 
 config_spread::config_spread(vm_id self, config_spread_options options, std::mt19937_64 random)
-    : m_self(std::move(self)),
-      m_options(options),
-      m_random(random),
-      m_fold(options.mutation),
-      m_history(options.historyBytes),
-      m_answers(options.answerLifetime)
-{ }
+    : m_self(std::move(self)), m_options(options), m_random(random), m_fold(options.mutation),
+      m_history(options.historyBytes), m_answers(options.answerLifetime)
+{
+}
 
 void config_spread::start(instant now)
 {
@@ -113,8 +110,8 @@
         answer->batches.push_back(std::move(batch));
     }
     const std::string whole = answer->batches.empty() || m_history.bytesAfter(from) > 4096
-        ? encodeSnapshot(*state(), m_fold.lastSnapshotSeconds())
-        : std::string();
+                                  ? encodeSnapshot(*state(), m_fold.lastSnapshotSeconds())
+                                  : std::string();
     if (answer->batches.empty() || (!whole.empty() && whole.size() < m_history.bytesAfter(from))) {
         answer->batches.clear();
         answer->records = toBytes(whole);
@@ -157,8 +154,8 @@
     if (!m_confirmed)
         deadline = std::min(deadline, m_nextAsk);
     if (m_wanted)
-        deadline = std::min(deadline, std::max(m_wanted->notBefore,
-                                               m_fetchDeadline.value_or(m_wanted->notBefore)));
+        deadline = std::min(
+            deadline, std::max(m_wanted->notBefore, m_fetchDeadline.value_or(m_wanted->notBefore)));
     return deadline;
 }
 
--- a/src/config/start_answers.cpp
+++ b/src/config/start_answers.cpp
@@ -5,8 +5,7 @@
 
 namespace tamarack {
 
-void start_answers::add(const vm_id &peer, instant askedAt, log_offset offset,
-                        bool serving)
+void start_answers::add(const vm_id &peer, instant askedAt, log_offset offset, bool serving)
 {
     answer &entry = m_answers[peer];
     if (askedAt >= entry.askedAt)
--- a/src/membership/membership_view.cpp
+++ b/src/membership/membership_view.cpp
@@ -41,8 +41,7 @@
 {
     for (const drained_vm &entry : drained) {
         member &known = m_members[entry.vm];
-        const incarnation upTo =
-            entry.upTo == incarnation(0) ? AllIncarnations : entry.upTo;
+        const incarnation upTo = entry.upTo == incarnation(0) ? AllIncarnations : entry.upTo;
         known.leavingUpTo = std::max(known.leavingUpTo, upTo);
     }
 }
--- a/src/membership/select_sides.cpp
+++ b/src/membership/select_sides.cpp
@@ -21,8 +21,7 @@
 
 bool isBetter(const scored_side &left, const scored_side &right)
 {
-    return left.score != right.score ? left.score > right.score
-                                     : left.side->vm < right.side->vm;
+    return left.score != right.score ? left.score > right.score : left.side->vm < right.side->vm;
 }
 
 // Zones other than the own, each with its ranked sides, in an order of the entry's own.
@@ -68,8 +67,7 @@
 } // namespace
 
 std::vector<listed_vm> selectSides(const vm_id &entry, const zone_id &zone,
-                                   std::span<const listed_vm> sides,
-                                   const subset_options &options)
+                                   std::span<const listed_vm> sides, const subset_options &options)
 {
     const std::uint64_t seed = stableHash(entry.value());
     std::map<group_id, scored_sides> groups;
--- a/src/report/virtual_config_fleet.cpp
+++ b/src/report/virtual_config_fleet.cpp
@@ -31,8 +31,7 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     const auto body = schema::config_snapshot::Pack(builder, &message);
-    builder.Finish(
-        schema::Createframe(builder, schema::frame_body::config_snapshot, body.Union()));
+    builder.Finish(schema::Createframe(builder, schema::frame_body::config_snapshot, body.Union()));
     return LengthBytes + builder.GetSize();
 }
 
@@ -58,9 +57,8 @@
     started.spread->onPeers(m_names);
     started.spread->start(m_now);
     const std::uint64_t generation = started.generation;
-    schedule(upToTwice(m_options.logPeriod / 2), [this, node, generation] {
-        readLog(node, generation);
-    });
+    schedule(upToTwice(m_options.logPeriod / 2),
+             [this, node, generation] { readLog(node, generation); });
     tick(node, generation);
 }
 
@@ -223,9 +221,8 @@
 void virtual_config_fleet::readLog(node_index node, std::uint64_t generation)
 {
     const instant askedAt = m_now;
-    schedule(upToTwice(m_options.logDelay), [this, node, generation, askedAt] {
-        finishRead(node, generation, askedAt);
-    });
+    schedule(upToTwice(m_options.logDelay),
+             [this, node, generation, askedAt] { finishRead(node, generation, askedAt); });
 }
 
 void virtual_config_fleet::finishRead(node_index node, std::uint64_t generation, instant askedAt)
@@ -236,8 +233,9 @@
     const bool answered = m_logUp && !reader.logCut;
     const log_offset end(m_log.size());
     std::vector<log_entry> entries;
-    std::size_t index = std::max<std::size_t>(
-        static_cast<std::size_t>(reader.spread->nextLogOffset().value()) - 1, firstRetainedAfter(duration::zero()));
+    std::size_t index =
+        std::max<std::size_t>(static_cast<std::size_t>(reader.spread->nextLogOffset().value()) - 1,
+                              firstRetainedAfter(duration::zero()));
     for (; answered && index < m_log.size() && entries.size() < m_options.logReadLimit; ++index)
         entries.push_back({log_offset(index + 1), m_log[index]});
     for (const log_entry &entry : entries)
--- a/tests/fuzz-config.cpp
+++ b/tests/fuzz-config.cpp
@@ -46,8 +46,8 @@
 
 TEST_CASE("the configuration holds its promises under random faults")
 {
-    const auto step = rc::gen::tuple(rc::gen::inRange(0, ConfigStepKinds),
-                                     rc::gen::inRange(0, 40), rc::gen::inRange(0, 40));
+    const auto step = rc::gen::tuple(rc::gen::inRange(0, ConfigStepKinds), rc::gen::inRange(0, 40),
+                                     rc::gen::inRange(0, 40));
     const bool held = rc::check("config", [&] {
         const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1000000);
         const auto steps = *rc::gen::container<std::vector<config_step>>(step);
--- a/tests/support/config_script.cpp
+++ b/tests/support/config_script.cpp
@@ -2,7 +2,6 @@
 #include "support/config_script.hpp"
 
 #include "support/config_records.hpp"
-
 #include <tamarackglade/config/config_snapshot_codec.hpp>
 
 #include <algorithm>
@@ -171,8 +170,8 @@
 void config_script::publish(node_index operatorsNode, bool valid)
 {
     const std::uint64_t base = m_fleet.isRunning(operatorsNode)
-        ? m_fleet.spread(operatorsNode).fold().manifestOffset().value()
-        : 0;
+                                   ? m_fleet.spread(operatorsNode).fold().manifestOffset().value()
+                                   : 0;
     const std::string name = "f" + std::to_string(++m_counter);
     const std::string text = valid ? validManifest(name) : "[fleet]\n";
     append(publishPayload("publish-" + name, base, text),
@@ -302,15 +301,13 @@
 void config_script::checkWithdrawn()
 {
     for (node_index node = 0; node < Nodes; ++node) {
-        if (!m_fleet.isRunning(node) || m_fleet.isPaused(node)
-            || !m_fleet.spread(node).serving())
+        if (!m_fleet.isRunning(node) || m_fleet.isPaused(node) || !m_fleet.spread(node).serving())
             continue;
         if (!readsLog(node) && !hearsFromPeers(node))
             continue;
         const auto state = m_fleet.spread(node).state();
         for (const auto &[key, when] : m_withdrawnAt) {
-            const bool late =
-                m_fleet.now() - std::max(when, m_lastDisturbance) > WithdrawalLimit;
+            const bool late = m_fleet.now() - std::max(when, m_lastDisturbance) > WithdrawalLimit;
             if (late && state->keys.entries().contains(key_id(key)))
                 m_violations.insert("withdrawn key accepted after 5 s");
         }
--- a/tests/support/config_script.hpp
+++ b/tests/support/config_script.hpp
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "support/config_oracle.hpp"
-
 #include <tamarackglade/report/virtual_config_fleet.hpp>
 
 #include <functional>
--- a/tests/unit-membership.cpp
+++ b/tests/unit-membership.cpp
@@ -72,10 +72,14 @@
     CHECK(parseVmList("[]")->empty());
     for (const char *bad : {"", "{}", "[1]", "[{}]", "nonsense"})
         CHECK_FALSE(parseVmList(bad).ok());
-    for (const auto &[from, to] : std::map<std::string, std::string>{
-             {"\"entry\"", "\"boss\""}, {"\"live\"", "\"dead\""}, {":3", ":-3"}, {":3", ":\"3\""},
-             {"\"vm\":\"s\"", "\"vm\":\"entry-1\""}, {"\"group\":\"records\",", ""},
-             {"\"address\":\"127.0.0.1:7002\",", ""}}) {
+    for (const auto &[from, to] :
+         std::map<std::string, std::string>{{"\"entry\"", "\"boss\""},
+                                            {"\"live\"", "\"dead\""},
+                                            {":3", ":-3"},
+                                            {":3", ":\"3\""},
+                                            {"\"vm\":\"s\"", "\"vm\":\"entry-1\""},
+                                            {"\"group\":\"records\",", ""},
+                                            {"\"address\":\"127.0.0.1:7002\",", ""}}) {
         std::string text = good;
         text.replace(text.find(from), from.size(), to);
         CHECK_FALSE(parseVmList(text).ok());
