--- /dev/null
+++ b/include/tamarackglade/jobs/fold_changes.hpp
@@ -0,0 +1,26 @@
+// What one batch of the log changed in a partition's state.
+#pragma once
+
+#include <tamarackglade/jobs/item_key.hpp>
+#include <tamarackglade/jobs/job_refusal.hpp>
+
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+struct fold_changes
+{
+    std::string recordId; // of the batch, also when it was a repeat
+    bool duplicate = false;
+    bool epochChanged = false;
+    std::vector<file_id> filesCompleted;
+    std::vector<job_id> jobsAccepted;
+    std::vector<job_refusal> jobsRefused;
+    std::vector<job_id> jobsCancelled;
+    std::vector<item_key> itemsSettled;
+    std::vector<job_id> jobsEnded; // completed or cancelled
+    std::vector<job_id> jobsRemoved;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/jobs/item_key.hpp
@@ -0,0 +1,28 @@
+// Names one item of one job.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+
+#include <compare>
+
+namespace tamarack {
+
+struct item_key
+{
+    job_id job;
+    item_index item;
+
+    friend bool operator==(const item_key &, const item_key &) = default;
+    friend auto operator<=>(const item_key &, const item_key &) = default;
+};
+
+} // namespace tamarack
+
+template <>
+struct std::hash<tamarack::item_key>
+{
+    std::size_t operator()(const tamarack::item_key &key) const noexcept
+    {
+        return std::hash<tamarack::job_id>{}(key.job) * 31 + key.item.value();
+    }
+};
--- /dev/null
+++ b/include/tamarackglade/jobs/partition_fold.hpp
@@ -0,0 +1,123 @@
+// The state of one partition's jobs, folded from the records of its stream.
+#pragma once
+
+#include <tamarackglade/jobs/batch_job.hpp>
+#include <tamarackglade/jobs/fold_changes.hpp>
+#include <tamarackglade/jobs/input_file.hpp>
+#include <tamarackglade/jobs/jobs_mutation.hpp>
+#include <tamarackglade/jobs/recent_records.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace tamarack {
+
+/// @brief A deterministic fold: equal records in equal order give equal state on every VM.
+/// Records that break a rule are void; malformed ones are also counted. Payload bytes aren't
+/// kept, only where they lie. Not thread-safe.
+class partition_fold
+{
+public:
+    static constexpr std::uint32_t MaxChunks = 65536;
+
+    explicit partition_fold(partition_id partition, jobs_mutation mutation = jobs_mutation::None);
+
+    /// @brief The state that snapshot() gave, as it was after offset asOf.
+    /// @return InvalidArgument if the state contradicts itself
+    static absl::StatusOr<partition_fold>
+    fromSnapshot(const schema::partition_state_message &state, log_offset asOf,
+                 jobs_mutation mutation = jobs_mutation::None);
+
+    /// @brief Applies the batch at offset; offsets must grow. @return what it changed
+    fold_changes apply(log_offset offset, const schema::log_batch_message &batch);
+
+    /// @return the whole state, deterministically ordered
+    [[nodiscard]] schema::partition_state_message snapshot() const;
+
+    [[nodiscard]] partition_id partition() const { return m_partition; }
+    /// @return the offset of the last batch applied, 0 before the first
+    [[nodiscard]] log_offset position() const { return m_position; }
+    [[nodiscard]] epoch currentEpoch() const { return m_epoch; }
+    [[nodiscard]] const vm_id &ownerVm() const { return m_ownerVm; }
+    [[nodiscard]] incarnation ownerIncarnation() const { return m_ownerIncarnation; }
+    /// @return the job, or nullptr; valid until the next apply; complexity O(log jobs)
+    [[nodiscard]] const batch_job *job(const job_id &id) const;
+    [[nodiscard]] const batch_job *jobByDigest(const customer_id &customer,
+                                               std::uint64_t digest) const;
+    /// @return a customer's jobs in the order in which they were accepted
+    [[nodiscard]] std::vector<job_id> jobsOf(const customer_id &customer) const;
+    [[nodiscard]] const std::map<job_id, batch_job> &jobs() const { return m_jobs; }
+    [[nodiscard]] const input_file *file(const file_id &id) const;
+    [[nodiscard]] const std::map<file_id, input_file> &files() const { return m_files; }
+    [[nodiscard]] bool isFileUsed(const file_id &id) const;
+    /// @return where the line of an item lies, while its job is there
+    [[nodiscard]] std::optional<input_reference> inputOf(const item_key &key) const;
+    /// @return up to limit items without a result, from the index from on
+    [[nodiscard]] std::vector<item_index> openItems(const job_id &id, item_index from,
+                                                    std::size_t limit) const;
+    /// @return whether a record at offset holds a payload that the state refers to
+    [[nodiscard]] bool isLive(log_offset offset, const schema::log_record_message &record) const;
+    /// @return whether a batch with this id was folded lately (within the last
+    /// recent_records::Capacity batches)
+    [[nodiscard]] bool hasRecord(const std::string &recordId) const;
+    /// @return the state's offset of the last snapshot that was seen whole, or 0
+    [[nodiscard]] log_offset lastSnapshot() const { return m_lastSnapshot; }
+    [[nodiscard]] std::uint64_t malformedCount() const { return m_malformed; }
+
+private:
+    struct record_context
+    {
+        record_reference reference;
+        std::uint64_t writtenAtS = 0;
+        fold_changes *changes = nullptr;
+    };
+    using body_union = schema::record_bodyUnion;
+    using handler = void (partition_fold::*)(const record_context &, const body_union &);
+    static handler handlerOf(schema::record_body type);
+
+    void applyClaim(const record_context &context, const body_union &body);
+    void applyChunk(const record_context &context, const body_union &body);
+    void applyAccepted(const record_context &context, const body_union &body);
+    void applyCancelled(const record_context &context, const body_union &body);
+    void applyResult(const record_context &context, const body_union &body);
+    void applyJobExpired(const record_context &context, const body_union &body);
+    void applyFileExpired(const record_context &context, const body_union &body);
+    void applySnapshotPart(const record_context &context, const body_union &body);
+    void applyCopy(log_offset offset, const schema::log_batch_message &batch);
+
+    bool refuseJob(const record_context &context, const schema::job_accepted_message &accepted);
+    void addJob(batch_job job);
+    void endJob(batch_job &job, const record_context &context);
+    bool isCurrent(std::uint64_t recordEpoch) const;
+    absl::Status loadFile(const schema::snapshot_file_message &message);
+    absl::Status loadJob(const schema::snapshot_job_message &message);
+
+    struct snapshot_progress
+    {
+        std::string id;
+        std::vector<bool> seen;
+        std::uint32_t missing = 0;
+    };
+
+    partition_id m_partition;
+    jobs_mutation m_mutation;
+    log_offset m_position{0};
+    epoch m_epoch{0};
+    vm_id m_ownerVm;
+    incarnation m_ownerIncarnation{0};
+    std::map<file_id, input_file> m_files;
+    std::map<job_id, batch_job> m_jobs;
+    // Invariant: the three indexes below name exactly the jobs of m_jobs.
+    std::map<std::pair<customer_id, std::uint64_t>, job_id> m_jobsByDigest;
+    std::map<std::pair<customer_id, std::uint64_t>, job_id> m_jobsInOrder; // by acceptedAt
+    std::map<file_id, std::uint32_t> m_fileUses;
+    recent_records m_recent;
+    snapshot_progress m_progress;
+    log_offset m_lastSnapshot{0};
+    std::uint64_t m_malformed = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/jobs/recent_records.hpp
@@ -0,0 +1,35 @@
+// The ids of the batches folded last, so that a repeated append changes nothing.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief A window of hashed record ids. Its size counts batches, not time, so that every fold
+/// forgets at the same record.
+class recent_records
+{
+public:
+    static constexpr std::size_t Capacity = 4096;
+
+    /// @return false if the id is in the window already, else adds it; complexity O(1)
+    bool insert(const std::string &recordId);
+    [[nodiscard]] bool contains(const std::string &recordId) const;
+
+    [[nodiscard]] const std::deque<std::uint64_t> &hashes() const { return m_order; }
+    void load(const std::vector<std::uint64_t> &hashes);
+
+private:
+    void insertHash(std::uint64_t hash);
+
+    // Invariant: both hold the same hashes, at most Capacity.
+    std::deque<std::uint64_t> m_order;
+    std::unordered_set<std::uint64_t> m_known;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/jobs/recent_records.cpp
@@ -0,0 +1,39 @@
+// The window of record ids.
+#include <tamarackglade/core/hash.hpp>
+#include <tamarackglade/jobs/recent_records.hpp>
+
+namespace tamarack {
+
+bool recent_records::insert(const std::string &recordId)
+{
+    const auto hash = stableHash(recordId);
+    if (m_known.contains(hash))
+        return false;
+    insertHash(hash);
+    return true;
+}
+
+bool recent_records::contains(const std::string &recordId) const
+{
+    return m_known.contains(stableHash(recordId));
+}
+
+void recent_records::load(const std::vector<std::uint64_t> &hashes)
+{
+    for (const auto hash : hashes) {
+        if (!m_known.contains(hash))
+            insertHash(hash);
+    }
+}
+
+void recent_records::insertHash(std::uint64_t hash)
+{
+    m_order.push_back(hash);
+    m_known.insert(hash);
+    if (m_order.size() > Capacity) {
+        m_known.erase(m_order.front());
+        m_order.pop_front();
+    }
+}
+
+} // namespace tamarack
