Jobs: claims, the partition's owner, retention planner, submissions

Cause: items must run with bounded tries, results must reach the log in few appends, and what is needed must outlive retention.

--- a/include/tamarackglade/jobs/batch_job.hpp
+++ b/include/tamarackglade/jobs/batch_job.hpp
@@ -37,10 +37,7 @@
     }
     [[nodiscard]] std::uint32_t openCount() const { return itemCount() - succeeded - failed; }
     [[nodiscard]] bool isEnded() const { return cancelled || openCount() == 0; }
-    [[nodiscard]] bool hasResult(item_index item) const
-    {
-        return results[item.value()].isSet();
-    }
+    [[nodiscard]] bool hasResult(item_index item) const { return results[item.value()].isSet(); }
     [[nodiscard]] std::uint64_t dueAtS() const { return createdAtS + completionWindowS; }
     [[nodiscard]] job_state state() const;
 };
--- /dev/null
+++ b/include/tamarackglade/jobs/live_vm.hpp
@@ -0,0 +1,15 @@
+// One entry VM as the VM list shows it.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+
+namespace tamarack {
+
+struct live_vm
+{
+    vm_id vm;
+    incarnation generation;
+    bool leaving = false;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/jobs/need_claim.hpp
@@ -0,0 +1,21 @@
+// The wish to own a partition.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/schema/records.hpp>
+
+namespace tamarack {
+
+/// @brief Says that this VM should append a claim. The fold decides whether it counts.
+struct need_claim
+{
+    partition_id partition;
+    epoch next;
+    vm_id vm;
+    incarnation generation;
+};
+
+/// @return the batch to append; equal claims have equal record ids
+schema::log_batch_message claimBatch(const need_claim &claim);
+
+} // namespace tamarack
--- a/include/tamarackglade/jobs/partition_fold.hpp
+++ b/include/tamarackglade/jobs/partition_fold.hpp
@@ -58,8 +58,9 @@
     /// @return up to limit items without a result, from the index from on
     [[nodiscard]] std::vector<item_index> openItems(const job_id &id, item_index from,
                                                     std::size_t limit) const;
-    /// @return whether a record at offset holds a payload that the state refers to
-    [[nodiscard]] bool isLive(log_offset offset, const schema::log_record_message &record) const;
+    /// @return whether the record at a position holds a payload that the state refers to
+    [[nodiscard]] bool isLive(const record_reference &position,
+                              const schema::log_record_message &record) const;
     /// @return whether a batch with this id was folded lately (within the last
     /// recent_records::Capacity batches)
     [[nodiscard]] bool hasRecord(const std::string &recordId) const;
--- a/include/tamarackglade/jobs/partition_snapshot.hpp
+++ b/include/tamarackglade/jobs/partition_snapshot.hpp
@@ -1,9 +1,8 @@
 // Snapshots of a partition's state, cut into records that fit the log.
 #pragma once
 
-#include <tamarackglade/schema/records.hpp>
-
 #include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/schema/records.hpp>
 
 #include <absl/status/statusor.h>
 
--- a/include/tamarackglade/jobs/record_reference.hpp
+++ b/include/tamarackglade/jobs/record_reference.hpp
@@ -16,9 +16,9 @@
     static constexpr std::uint32_t MaxIndex = (1U << IndexBits) - 1;
 
     record_reference() = default;
-    record_reference(log_offset offset, std::uint32_t index, bool flag = false) :
-        m_packed((offset.value() << (IndexBits + 1)) | (std::uint64_t{index} << 1)
-                 | (flag ? 1U : 0U))
+    record_reference(log_offset offset, std::uint32_t index, bool flag = false)
+        : m_packed((offset.value() << (IndexBits + 1)) | (std::uint64_t{index} << 1)
+                   | (flag ? 1U : 0U))
     {
     }
 
--- /dev/null
+++ b/include/tamarackglade/jobs/result_buffer.hpp
@@ -0,0 +1,52 @@
+// Item results that wait for the next group commit.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/jobs/item_key.hpp>
+#include <tamarackglade/schema/records.hpp>
+
+#include <optional>
+#include <unordered_set>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Groups results into few appends by size, count and age.
+class result_buffer
+{
+public:
+    struct limits
+    {
+        std::size_t maxBytes = 512 * 1024;
+        std::size_t maxItems = 2000;
+        duration maxDelay = std::chrono::milliseconds(250);
+    };
+
+    explicit result_buffer(limits bounds);
+
+    void add(schema::item_result_message result, instant now);
+    /// @brief Forgets the results of a job that are not yet in a batch.
+    void dropJob(const job_id &job);
+    /// @return whether a batch is due
+    [[nodiscard]] bool isDue(instant now) const;
+    /// @return when the oldest result is due
+    [[nodiscard]] std::optional<instant> nextDeadline() const;
+    /// @return up to one batch's results, oldest first
+    std::vector<schema::item_result_message> take();
+    [[nodiscard]] std::size_t size() const { return m_results.size(); }
+
+private:
+    struct entry
+    {
+        schema::item_result_message result;
+        instant addedAt;
+    };
+
+    static std::size_t bytesOf(const schema::item_result_message &result);
+
+    limits m_limits;
+    std::vector<entry> m_results; // in order of addedAt
+    std::size_t m_bytes = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/jobs/submission_tracker.hpp
@@ -0,0 +1,50 @@
+// Follows one job_accepted record until it is known what became of it.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/jobs/append_outcome.hpp>
+#include <tamarackglade/jobs/fold_changes.hpp>
+#include <tamarackglade/jobs/job_request.hpp>
+#include <tamarackglade/jobs/partition_fold.hpp>
+#include <tamarackglade/jobs/submission_outcome.hpp>
+#include <tamarackglade/schema/records.hpp>
+
+#include <optional>
+
+namespace tamarack {
+
+/// @brief Appends with retries under one record id, and says only what the fold shows.
+/// The outcome doesn't change once it is no longer Waiting.
+class submission_tracker
+{
+public:
+    struct times
+    {
+        duration retryDelay = std::chrono::milliseconds(300);
+        duration appendTimeout = std::chrono::seconds(2);
+        duration answerWithin = std::chrono::seconds(10); // then Unknown or NotWritten
+    };
+
+    submission_tracker(const partition_fold &fold, job_request request, times limits, instant now);
+
+    /// @return the batch to append now, if any
+    std::optional<schema::log_batch_message> next(instant now);
+    void onAppendResult(append_outcome outcome, instant now);
+    void onFolded(const fold_changes &changes);
+    void tick(instant now);
+
+    [[nodiscard]] const submission_outcome &outcome() const { return m_outcome; }
+    [[nodiscard]] const job_request &request() const { return m_request; }
+
+private:
+    job_request m_request;
+    times m_times;
+    schema::log_batch_message m_batch;
+    submission_outcome m_outcome;
+    instant m_answerBy;
+    std::optional<instant> m_sendAgainAt;
+    bool m_inFlight = false;
+    bool m_mayBeWritten = false; // an append was answered Ok or Unknown, or not at all
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/jobs/claim_policy.cpp
@@ -0,0 +1,101 @@
+// The claim policy.
+#include <tamarackglade/core/hash.hpp>
+#include <tamarackglade/jobs/claim_policy.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+claim_policy::claim_policy(partition_id partition, vm_id self, incarnation generation,
+                           claim_options options)
+    : m_partition(partition), m_self(std::move(self)), m_generation(generation), m_options(options)
+{
+}
+
+void claim_policy::onLiveView(std::vector<live_vm> vms)
+{
+    m_vms = std::move(vms);
+}
+
+void claim_policy::onOwnerAlive(instant now)
+{
+    m_ownerAliveAt = std::max(m_ownerAliveAt, now);
+}
+
+void claim_policy::onOwnerReleased(epoch released)
+{
+    m_released = std::max(m_released, released);
+}
+
+bool claim_policy::isOwnedBySelf(const partition_fold &fold) const
+{
+    return fold.ownerVm() == m_self && fold.ownerIncarnation() == m_generation;
+}
+
+const live_vm *claim_policy::find(const vm_id &vm) const
+{
+    const auto found =
+        std::find_if(m_vms.begin(), m_vms.end(), [&](const auto &entry) { return entry.vm == vm; });
+    return found == m_vms.end() ? nullptr : &*found;
+}
+
+std::optional<instant> claim_policy::freeSince(const partition_fold &fold, instant now)
+{
+    const auto *owner = find(fold.ownerVm());
+    const bool isGone = !owner || owner->generation > fold.ownerIncarnation();
+    const bool isLeaving = owner && owner->leaving;
+    if (!isGone)
+        m_goneSince.reset();
+    else if (!m_goneSince)
+        m_goneSince = now;
+    if (!isLeaving)
+        m_leavingSince.reset();
+    else if (!m_leavingSince)
+        m_leavingSince = now;
+    if (isGone)
+        return m_goneSince;
+    if (m_released >= fold.currentEpoch())
+        return now - m_options.rankStep; // at once for the first two ranks
+    if (m_leavingSince && now >= *m_leavingSince + m_options.handoverGrace)
+        return *m_leavingSince + m_options.handoverGrace;
+    if (now >= m_ownerAliveAt + m_options.ownerTimeout)
+        return m_ownerAliveAt + m_options.ownerTimeout;
+    return std::nullopt;
+}
+
+std::optional<std::size_t> claim_policy::rank(const partition_fold &fold) const
+{
+    const auto score = [&](const vm_id &vm) {
+        return stableHash(vm.value(), m_partition.value() + 1);
+    };
+    const auto *self = find(m_self);
+    if (!self || self->leaving)
+        return std::nullopt;
+    return static_cast<std::size_t>(std::count_if(m_vms.begin(), m_vms.end(), [&](const auto &vm) {
+        const bool isOwner = vm.vm == fold.ownerVm() && vm.generation == fold.ownerIncarnation();
+        return !vm.leaving && !isOwner && vm.vm != m_self && score(vm.vm) > score(m_self);
+    }));
+}
+
+std::optional<need_claim> claim_policy::decide(const partition_fold &fold, instant now)
+{
+    if (!m_started || fold.currentEpoch() != m_seenEpoch) {
+        m_started = true;
+        m_seenEpoch = fold.currentEpoch();
+        m_ownerAliveAt = std::max(m_ownerAliveAt, now);
+        m_goneSince.reset();
+        m_claimedAt.reset();
+    }
+    if (isOwnedBySelf(fold))
+        return std::nullopt;
+    const auto since = freeSince(fold, now);
+    const auto place = rank(fold);
+    if (!since || !place || now < *since + m_options.rankStep * static_cast<int>(*place))
+        return std::nullopt;
+    if (m_claimedAt && now < *m_claimedAt + m_options.claimRetry)
+        return std::nullopt;
+    m_claimedAt = now;
+    return need_claim{m_partition, epoch(m_seenEpoch.value() + 1), m_self, m_generation};
+}
+
+} // namespace tamarack
--- a/src/jobs/input_file.cpp
+++ b/src/jobs/input_file.cpp
@@ -6,10 +6,9 @@
 
 namespace tamarack {
 
-input_file::input_file(file_id id, customer_id customer, std::string name,
-                       std::uint32_t chunkCount) :
-    m_id(std::move(id)), m_customer(std::move(customer)), m_name(std::move(name)),
-    m_chunks(chunkCount), m_missing(chunkCount)
+input_file::input_file(file_id id, customer_id customer, std::string name, std::uint32_t chunkCount)
+    : m_id(std::move(id)), m_customer(std::move(customer)), m_name(std::move(name)),
+      m_chunks(chunkCount), m_missing(chunkCount)
 {
 }
 
--- a/src/jobs/partition_fold.cpp
+++ b/src/jobs/partition_fold.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-partition_fold::partition_fold(partition_id partition, jobs_mutation mutation) :
-    m_partition(partition), m_mutation(mutation)
+partition_fold::partition_fold(partition_id partition, jobs_mutation mutation)
+    : m_partition(partition), m_mutation(mutation)
 {
 }
 
@@ -98,7 +98,7 @@
 {
     const auto &chunk = *body.Asfile_chunk();
     const bool wellFormed = !chunk.file_id.empty() && !chunk.customer.empty()
-        && chunk.chunk_count <= MaxChunks && chunk.chunk < chunk.chunk_count;
+                            && chunk.chunk_count <= MaxChunks && chunk.chunk < chunk.chunk_count;
     if (!wellFormed) {
         ++m_malformed;
         return;
--- a/src/jobs/partition_fold_queries.cpp
+++ b/src/jobs/partition_fold_queries.cpp
@@ -57,18 +57,21 @@
     return result;
 }
 
-bool partition_fold::isLive(log_offset offset, const schema::log_record_message &record) const
+bool partition_fold::isLive(const record_reference &position,
+                            const schema::log_record_message &record) const
 {
+    const auto isAt = [&](const record_reference &held) {
+        return held.isSet() && held.offset() == position.offset()
+               && held.index() == position.index();
+    };
     if (const auto *chunk = record.body.Asfile_chunk()) {
         const auto *found = file(file_id(chunk->file_id));
         return found && chunk->chunk < found->chunks().size()
-            && found->chunks()[chunk->chunk].reference.isSet()
-            && found->chunks()[chunk->chunk].reference.offset() == offset;
+               && isAt(found->chunks()[chunk->chunk].reference);
     }
     if (const auto *result = record.body.Asitem_result()) {
         const auto *found = job(job_id(result->job_id));
-        return found && result->item < found->itemCount() && found->results[result->item].isSet()
-            && found->results[result->item].offset() == offset;
+        return found && result->item < found->itemCount() && isAt(found->results[result->item]);
     }
     return false;
 }
--- /dev/null
+++ b/src/jobs/partition_owner.cpp
@@ -0,0 +1,216 @@
+// The owner's events.
+#include <tamarackglade/core/partition.hpp>
+#include <tamarackglade/jobs/partition_owner.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+partition_owner::partition_owner(const partition_fold &fold, owner_options options, instant now)
+    : m_fold(fold), m_options(options), m_partition(fold.partition()), m_epoch(fold.currentEpoch()),
+      m_vm(fold.ownerVm()), m_generation(fold.ownerIncarnation()),
+      m_stream(jobStreamName(fold.partition())), m_tailConfirmedAt(now), m_scheduler(fold),
+      m_results(options.groupCommit), m_appends(options.appendRetryDelay, options.appendTimeout)
+{
+    for (const auto &[id, job] : fold.jobs()) {
+        if (!job.isEnded())
+            m_scheduler.addJob(job);
+    }
+}
+
+void partition_owner::onFolded(const fold_changes &changes, instant now, owner_actions &out)
+{
+    if (!m_active)
+        return;
+    if (m_fold.currentEpoch() != m_epoch) {
+        lose(out);
+        return;
+    }
+    onBatchFolded(changes.recordId);
+    for (const auto &job : changes.jobsAccepted)
+        m_scheduler.addJob(*m_fold.job(job));
+    if (m_options.mutation != jobs_mutation::CancelIgnored) {
+        for (const auto &job : changes.jobsEnded)
+            stopJob(job, out);
+    }
+    for (const auto &job : changes.jobsRemoved)
+        m_expiring.erase(job);
+    pump(now, out);
+}
+
+void partition_owner::onBatchFolded(const std::string &recordId)
+{
+    if (!m_appends.onFolded(recordId))
+        return;
+    const auto items = m_batchItems.find(recordId);
+    if (items == m_batchItems.end())
+        return;
+    for (const auto &item : items->second) {
+        const auto held = m_uncommitted.find(item);
+        m_uncommittedBytes -= held->second;
+        m_uncommitted.erase(held);
+        m_retries.erase(item);
+    }
+    m_batchItems.erase(items);
+}
+
+void partition_owner::lose(owner_actions &out)
+{
+    m_active = false;
+    for (const auto &attempt : m_attempts.all())
+        out.emplace_back(cancel_attempt{attempt, m_attempts.at(attempt).upstream});
+    m_attempts = {};
+    out.emplace_back(lost_partition{m_partition, m_epoch});
+}
+
+// Ends what is left of a job: its attempts, its results that no batch holds yet, its retries.
+void partition_owner::stopJob(const job_id &job, owner_actions &out)
+{
+    m_scheduler.removeJob(job);
+    m_suspects.dropJob(job);
+    if (m_reservedFor && m_reservedFor->item.job == job)
+        releaseReservation();
+    for (const auto &attempt : m_attempts.ofJob(job)) {
+        out.emplace_back(cancel_attempt{attempt, m_attempts.at(attempt).upstream});
+        endAttempt(attempt);
+    }
+    m_results.dropJob(job);
+    std::unordered_set<item_key> queued;
+    for (const auto &[id, items] : m_batchItems)
+        queued.insert(items.begin(), items.end());
+    std::erase_if(m_uncommitted, [&](const auto &held) {
+        const bool isDropped = held.first.job == job && !queued.contains(held.first);
+        m_uncommittedBytes -= isDropped ? held.second : 0;
+        return isDropped;
+    });
+    std::erase_if(m_retries, [&](const auto &entry) { return entry.first.job == job; });
+}
+
+void partition_owner::onTailConfirmed(instant now, owner_actions &out)
+{
+    m_tailConfirmedAt = std::max(m_tailConfirmedAt, now);
+    pump(now, out);
+}
+
+void partition_owner::onCredits(const upstream_id &upstream, const model_id &model,
+                                std::uint32_t items, instant now, owner_actions &out)
+{
+    m_credits[upstream] = {model, items};
+    const bool isUnusable = items == 0 && m_attempts.countOn(upstream) == 0;
+    if (isUnusable && m_reserved == upstream && m_reservedFor) {
+        auto suspect = *m_reservedFor;
+        suspect.readyAt = now + m_options.notStartedBackoff;
+        releaseReservation();
+        m_suspects.add(std::move(suspect));
+    }
+    pump(now, out);
+}
+
+std::optional<running_attempt> partition_owner::endAttempt(const attempt_id &attempt)
+{
+    auto ended = m_attempts.remove(attempt);
+    if (ended && ended->alone && m_reserved == ended->upstream)
+        releaseReservation();
+    return ended;
+}
+
+void partition_owner::onAttemptResult(const attempt_id &attempt, attempt_outcome outcome,
+                                      std::vector<std::uint8_t> data, const std::string &customId,
+                                      instant now, owner_actions &out)
+{
+    if (!m_active)
+        return;
+    const auto ended = endAttempt(attempt);
+    if (!ended) {
+        if (outcome == attempt_outcome::Succeeded)
+            onLateSuccess(attempt, std::move(data), customId, now);
+        pump(now, out);
+        return;
+    }
+    switch (outcome) {
+    case attempt_outcome::Succeeded:
+        settle(ended->item, schema::item_outcome::Succeeded, std::move(data), customId, now);
+        break;
+    case attempt_outcome::Rejected:
+        settle(ended->item, schema::item_outcome::Failed, std::move(data), customId, now);
+        break;
+    case attempt_outcome::Transient:
+        retryAfterFailure(*ended, customId, now);
+        break;
+    case attempt_outcome::WorkerLost:
+        retryAfterCrash(*ended, customId, now);
+        break;
+    case attempt_outcome::NotStarted:
+    case attempt_outcome::Cancelled:
+        retryUncounted(*ended, now);
+        break;
+    }
+    pump(now, out);
+}
+
+void partition_owner::onLateSuccess(const attempt_id &attempt, std::vector<std::uint8_t> data,
+                                    const std::string &customId, instant now)
+{
+    const auto name = attempt_name::parse(attempt);
+    if (name && name->owner == m_epoch)
+        settle(name->item, schema::item_outcome::Succeeded, std::move(data), customId, now);
+}
+
+void partition_owner::onAppendResult(const std::string &recordId, append_outcome outcome,
+                                     instant now, owner_actions &out)
+{
+    m_appends.onResult(recordId, outcome, now);
+    pump(now, out);
+}
+
+void partition_owner::onCustomerWeight(const customer_id &customer, std::uint32_t weight)
+{
+    m_scheduler.setWeight(customer, weight);
+}
+
+void partition_owner::tick(instant now, std::uint64_t wallS, owner_actions &out)
+{
+    if (!m_active)
+        return;
+    m_wallS = std::max(m_wallS, wallS);
+    for (const auto &attempt : m_attempts.startedBy(now - m_options.attemptTimeout))
+        giveUp(attempt, now, out);
+    expire();
+    pump(now, out);
+}
+
+void partition_owner::giveUp(const attempt_id &attempt, instant now, owner_actions &out)
+{
+    const auto ended = endAttempt(attempt);
+    out.emplace_back(cancel_attempt{attempt, ended->upstream});
+    retryAfterFailure(*ended, {}, now);
+}
+
+void partition_owner::enqueue(schema::log_batch_message batch, instant now, owner_actions &out)
+{
+    m_appends.push(std::move(batch));
+    pump(now, out);
+}
+
+void partition_owner::beginHandover(instant now, owner_actions &out)
+{
+    m_handingOver = true;
+    pump(now, out);
+}
+
+std::optional<instant> partition_owner::nextDeadline()
+{
+    std::optional<instant> first;
+    const auto consider = [&](std::optional<instant> when) {
+        if (when && (!first || *when < *first))
+            first = when;
+    };
+    consider(m_appends.isEmpty() ? m_results.nextDeadline() : m_appends.nextDeadline());
+    consider(m_scheduler.nextRetry());
+    consider(m_suspects.nextReady());
+    if (const auto oldest = m_attempts.oldestStart())
+        consider(*oldest + m_options.attemptTimeout);
+    return first;
+}
+
+} // namespace tamarack
--- a/src/jobs/snapshot_finder.cpp
+++ b/src/jobs/snapshot_finder.cpp
@@ -4,8 +4,8 @@
 namespace tamarack {
 
 snapshot_finder::snapshot_finder(partition_id partition, log_offset firstRetained,
-                                 jobs_mutation mutation) :
-    m_partition(partition), m_firstRetained(firstRetained), m_mutation(mutation)
+                                 jobs_mutation mutation)
+    : m_partition(partition), m_firstRetained(firstRetained), m_mutation(mutation)
 {
 }
 
@@ -22,7 +22,8 @@
     const log_offset asOf(part.as_of);
     // The records after asOf must all be retained, and a newer snapshot makes this one useless.
     const bool usable = part.as_of + 1 >= m_firstRetained.value() && asOf > m_bestAsOf
-        && part.part < part.part_count && part.part_count <= partition_fold::MaxChunks;
+                        && part.part < part.part_count
+                        && part.part_count <= partition_fold::MaxChunks;
     if (!usable)
         return;
     auto &found = m_candidates[part.snapshot_id];
@@ -38,8 +39,7 @@
     m_bestBytes.clear();
     for (const auto &slice : found.parts)
         m_bestBytes += slice;
-    std::erase_if(m_candidates,
-                  [&](const auto &entry) { return entry.second.asOf <= m_bestAsOf; });
+    std::erase_if(m_candidates, [&](const auto &entry) { return entry.second.asOf <= m_bestAsOf; });
 }
 
 absl::StatusOr<partition_fold> snapshot_finder::start() const
--- /dev/null
+++ b/src/jobs/submission_tracker.cpp
@@ -0,0 +1,63 @@
+// One submission's way into the log.
+#include <tamarackglade/jobs/job_submission.hpp>
+#include <tamarackglade/jobs/submission_tracker.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+submission_tracker::submission_tracker(const partition_fold &fold, job_request request,
+                                       times limits, instant now)
+    : m_request(std::move(request)), m_times(limits), m_batch(acceptBatch(m_request)),
+      m_answerBy(now + limits.answerWithin)
+{
+    const auto *same = fold.jobByDigest(m_request.customer, m_request.idempotencyDigest);
+    if (same)
+        m_outcome = {submission_state::Existing, same->id, {}};
+}
+
+std::optional<schema::log_batch_message> submission_tracker::next(instant now)
+{
+    const bool isEarly = m_sendAgainAt && now < *m_sendAgainAt;
+    if (m_outcome.state != submission_state::Waiting || isEarly)
+        return std::nullopt;
+    m_mayBeWritten = m_mayBeWritten || m_inFlight; // the one before was never answered
+    m_inFlight = true;
+    m_sendAgainAt = now + m_times.appendTimeout;
+    return m_batch;
+}
+
+void submission_tracker::onAppendResult(append_outcome outcome, instant now)
+{
+    m_inFlight = false;
+    if (outcome != append_outcome::Failed)
+        m_mayBeWritten = true;
+    if (outcome != append_outcome::Ok)
+        m_sendAgainAt = now + m_times.retryDelay;
+}
+
+void submission_tracker::onFolded(const fold_changes &changes)
+{
+    if (m_outcome.state != submission_state::Waiting)
+        return;
+    const auto &accepted = changes.jobsAccepted;
+    if (std::find(accepted.begin(), accepted.end(), m_request.id) != accepted.end())
+        m_outcome = {submission_state::Accepted, m_request.id, {}};
+    for (const auto &refusal : changes.jobsRefused) {
+        if (refusal.job != m_request.id)
+            continue;
+        const bool isSame = refusal.reason == refusal_reason::SameJobExists;
+        m_outcome = {isSame ? submission_state::Existing : submission_state::Refused,
+                     refusal.existing, refusal.reason};
+    }
+}
+
+void submission_tracker::tick(instant now)
+{
+    if (m_outcome.state != submission_state::Waiting || now < m_answerBy)
+        return;
+    const bool isUnknown = m_mayBeWritten || m_inFlight;
+    m_outcome.state = isUnknown ? submission_state::Unknown : submission_state::NotWritten;
+}
+
+} // namespace tamarack
