--- /dev/null
+++ b/include/tamarackglade/entry/batch_board.hpp
@@ -0,0 +1,74 @@
+// The batch items that an entry has running on sides, and the sides' offers.
+#pragma once
+
+#include <tamarackglade/entry/batch_answer.hpp>
+#include <tamarackglade/entry/call_request.hpp>
+#include <tamarackglade/wire/wire_peer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief A side's latest offer of room for batch items.
+struct side_offer
+{
+    vm_id side;
+    group_id group;
+    std::uint32_t credits = 0; // items that it would take now
+    std::uint32_t running = 0; // items of this entry that it has
+};
+
+/// @brief Used on the control thread only.
+class batch_board
+{
+public:
+    using answer_callback = std::function<void(batch_answer)>;
+
+    /// @param self names this process in attempt ids
+    explicit batch_board(const peer_identity &self);
+
+    /// @brief Sends an item to a side; the callback is called once, not before start returns.
+    /// @return the attempt, or nothing if the side isn't connected
+    std::optional<attempt_id> start(const vm_id &side, const call_request &call, bool alone,
+                                    answer_callback callback);
+    /// @brief Asks the side to end an attempt; the callback still follows.
+    void cancel(const attempt_id &attempt);
+
+    /// @return the offers of all connected sides
+    [[nodiscard]] std::vector<side_offer> offers() const;
+
+    void onConnected(const std::shared_ptr<wire_peer> &peer);
+    /// @return whether the frame belonged to a batch item
+    bool onFrame(const std::shared_ptr<wire_peer> &peer, const schema::frame_message &frame);
+    void onClosed(const std::shared_ptr<wire_peer> &peer);
+
+private:
+    struct side_state
+    {
+        std::shared_ptr<wire_peer> peer;
+        side_offer offer;
+    };
+    struct running_item
+    {
+        vm_id side;
+        std::uint64_t connection = 0;
+        batch_answer answer; // as far as it came
+        answer_callback callback;
+    };
+
+    std::string nextAttempt(const peer_identity &side);
+    void finish(const std::string &attempt, schema::call_outcome outcome, std::string code);
+
+    const std::string m_self; // a sender name of its own, apart from the online calls'
+    const incarnation m_generation;
+    std::uint64_t m_lastSequence = 0;
+    std::map<vm_id, side_state> m_sides; // connected ones
+    std::unordered_map<std::string, running_item> m_running; // by attempt
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/entry/batches_api.hpp
@@ -0,0 +1,26 @@
+// /v1/batches.
+#pragma once
+
+#include <tamarackglade/entry/caller_request.hpp>
+#include <tamarackglade/entry/job_desk.hpp>
+
+namespace tamarack {
+
+/// @brief Creates, lists, shows and cancels jobs. Work on jobs is done on the control thread.
+class batches_api
+{
+public:
+    batches_api(io_thread &control, job_desk &desk) : m_control(control), m_desk(desk) { }
+
+    void create(const caller_request &request);
+    void list(const caller_request &request);
+    void show(const caller_request &request);
+    /// @brief Serves POST /v1/batches/{id}/cancel.
+    void cancel(const caller_request &request);
+
+private:
+    io_thread &m_control;
+    job_desk &m_desk;
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -1,7 +1,10 @@
 // The entry VM's process: puts its parts together.
 #pragma once
 
+#include <tamarackglade/entry/batch_board.hpp>
 #include <tamarackglade/entry/call_board.hpp>
+#include <tamarackglade/entry/job_desk.hpp>
+#include <tamarackglade/entry/job_service.hpp>
 #include <tamarackglade/entry/request_front.hpp>
 #include <tamarackglade/http/admin_server.hpp>
 #include <tamarackglade/http/http_server.hpp>
@@ -42,7 +45,7 @@
     absl::Status startServing();
     http_server_options serverOptions();
     void onConfig(const config_state &state, bool serving);
-    void onVmList(const std::vector<vm_record> &list);
+    void onVmList(const vm_list &list);
     void reloadTlsLoop();
     void drain();
     std::size_t activeRequests() const;
@@ -59,6 +62,9 @@
     io_thread m_control;
     platform_client m_platform;
     limit_service m_limits;
+    batch_board m_batchBoard;
+    job_service m_jobs;
+    job_desk m_desk;
     entry_context m_context;
     request_front m_front;
     config_service m_configService;
--- /dev/null
+++ b/include/tamarackglade/entry/files_api.hpp
@@ -0,0 +1,27 @@
+// /v1/files.
+#pragma once
+
+#include <tamarackglade/entry/caller_request.hpp>
+#include <tamarackglade/entry/job_desk.hpp>
+
+namespace tamarack {
+
+/// @brief Uploads, lists, shows and reads files. Work on jobs is done on the control thread.
+class files_api
+{
+public:
+    files_api(io_thread &control, job_desk &desk) : m_control(control), m_desk(desk) { }
+
+    void upload(const caller_request &request);
+    void list(const caller_request &request);
+    /// @brief Serves /v1/files/{id} and /v1/files/{id}/content.
+    void showOrRead(const caller_request &request);
+
+private:
+    void read(const caller_request &request, const file_id &file);
+
+    io_thread &m_control;
+    job_desk &m_desk;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/entry/job_desk.hpp
@@ -0,0 +1,79 @@
+// What callers can do with files and batch jobs.
+#pragma once
+
+#include <tamarackglade/entry/api_error.hpp>
+#include <tamarackglade/entry/job_service.hpp>
+#include <tamarackglade/jobs/job_request.hpp>
+#include <tamarackglade/jobs/submission_limits.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief A value, or the error that the caller gets.
+template <class Value>
+using api_result = std::variant<Value, api_error>;
+
+/// @brief A caller's wish to run a batch job.
+struct batch_wish
+{
+    file_id inputFile;
+    std::string endpoint; // path
+    std::string completionWindow; // such as "24h"
+    std::string metadataJson;
+    std::string idempotencyKey; // "" if none was sent
+};
+
+/// @brief Part of a file's content.
+struct content_part
+{
+    std::string bytes;
+    std::size_t next = 0; // where to go on
+    bool last = false;
+};
+
+/// @brief Operations on one customer's files and jobs. Used on the control thread only; each may
+/// wait for the log. JSON results have OpenAI's shapes.
+class job_desk
+{
+public:
+    using json = nlohmann::ordered_json;
+
+    job_desk(job_service &jobs, config_store &config, submission_limits limits);
+
+    api_result<json> upload(const customer_id &customer, const std::string &filename,
+                            std::string_view content);
+    api_result<json> showFile(const customer_id &customer, const file_id &file);
+    api_result<json> listFiles(const customer_id &customer);
+    /// @param from 0 or the next of the part before
+    api_result<content_part> readContent(const customer_id &customer, const file_id &file,
+                                         std::size_t from);
+    api_result<json> create(const customer_id &customer, const batch_wish &wish);
+    api_result<json> show(const customer_id &customer, const job_id &job);
+    api_result<json> list(const customer_id &customer, const std::string &after, std::size_t limit);
+    api_result<json> cancel(const customer_id &customer, const job_id &job);
+
+private:
+    /// @return the runner with its fold caught up, or why not
+    api_result<partition_runner *> readyRunner(const customer_id &customer);
+    api_result<job_request> checkWish(const customer_id &customer, const batch_wish &wish,
+                                      partition_runner &runner);
+    api_result<std::string> inputContent(partition_runner &runner, const file_id &file);
+    api_result<content_part> inputPart(partition_runner &runner, const input_file &file,
+                                       std::size_t from);
+    api_result<content_part> resultPart(partition_runner &runner, const job_id &job, bool succeeded,
+                                        std::size_t from);
+    std::optional<api_error> storeChunk(partition_runner &runner,
+                                        const schema::log_batch_message &batch);
+    api_result<json> submit(partition_runner &runner, const job_request &request);
+
+    job_service &m_jobs;
+    config_store &m_config;
+    submission_limits m_limits;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/entry/job_service.hpp
@@ -0,0 +1,46 @@
+// The batch jobs of all partitions in an entry.
+#pragma once
+
+#include <tamarackglade/entry/partition_runner.hpp>
+#include <tamarackglade/membership/listed_vm.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Owns the partitions' runners, ticks them and divides the sides' offers among them.
+/// Used on the control thread only.
+class job_service
+{
+public:
+    explicit job_service(const job_services &services);
+
+    /// @brief Takes a new configuration; the first one starts the runners.
+    void onConfig(const config_state &state);
+    /// @brief Takes the entries that take work, and this one's own state.
+    void onEntries(const std::vector<listed_vm> &entries);
+    /// @return whether the frame was one of the jobs' protocol
+    bool onFrame(const schema::frame_message &frame);
+
+    /// @return the runner of a customer's partition, or null before the first configuration
+    [[nodiscard]] partition_runner *runnerOf(const customer_id &customer);
+
+    /// @brief Hands all partitions over, for a planned stop.
+    void beginHandover();
+    /// @return whether nothing is owned here any more
+    [[nodiscard]] bool isReleased() const;
+    /// @return partitions that this process owns
+    [[nodiscard]] std::size_t ownedCount() const;
+
+private:
+    void tickLoop();
+    void allotCredits();
+    void allotOffer(const side_offer &offer, const std::vector<partition_runner *> &wanting);
+
+    job_services m_services;
+    std::vector<std::unique_ptr<partition_runner>> m_runners; // by partition id
+    std::size_t m_nextRunner = 0; // gets the first credit of the next offer
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/entry/limit_service.hpp
+++ b/include/tamarackglade/entry/limit_service.hpp
@@ -3,8 +3,8 @@
 
 #include <tamarackglade/config/config_state.hpp>
 #include <tamarackglade/limits/fleet_limiter.hpp>
+#include <tamarackglade/membership/vm_list.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
-#include <tamarackglade/node/vm_record.hpp>
 #include <tamarackglade/platform/log_tailer.hpp>
 #include <tamarackglade/platform/platform_client.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
@@ -36,7 +36,7 @@
     /// @brief Takes a new configuration; the first one starts the service.
     void onConfig(const config_state &state);
     /// @brief Takes the platform's VM list.
-    void onVmList(const std::vector<vm_record> &list);
+    void onVmList(const vm_list &list);
     /// @return whether the frame was one of the limits' protocol
     bool onFrame(const vm_id &from, const schema::frame_message &frame);
 
--- /dev/null
+++ b/include/tamarackglade/entry/partition_runner.hpp
@@ -0,0 +1,116 @@
+// One partition's jobs in an entry: its stream's fold, and its owner's work while we own it.
+#pragma once
+
+#include <tamarackglade/config/config_state.hpp>
+#include <tamarackglade/entry/batch_board.hpp>
+#include <tamarackglade/entry/log_payloads.hpp>
+#include <tamarackglade/jobs/claim_policy.hpp>
+#include <tamarackglade/jobs/partition_fold.hpp>
+#include <tamarackglade/jobs/partition_owner.hpp>
+#include <tamarackglade/jobs/retention_planner.hpp>
+#include <tamarackglade/metrics/metric_registry.hpp>
+#include <tamarackglade/node/config_store.hpp>
+#include <tamarackglade/platform/log_tailer.hpp>
+#include <tamarackglade/wire/peer_directory.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace tamarack {
+
+/// @brief What the runners of a process share; outlives them.
+struct job_services
+{
+    io_thread &thread;
+    platform_client &platform;
+    peer_directory &peers;
+    batch_board &board;
+    config_store &config;
+    metric_registry &metrics;
+    peer_identity self;
+};
+
+/// @brief Used on the control thread only; its fibers may interleave at every I/O.
+class partition_runner
+{
+public:
+    /// Told of each folded batch.
+    using fold_listener = std::function<void(const fold_changes &)>;
+
+    partition_runner(const job_services &services, partition_id partition);
+
+    /// @brief Begins to read the stream.
+    void start();
+
+    [[nodiscard]] partition_id partition() const { return m_partition; }
+    /// @return the fold, or null while the stream's beginning is being read
+    [[nodiscard]] const partition_fold *fold() const { return m_fold.get(); }
+    [[nodiscard]] log_payloads &payloads() { return m_payloads; }
+    [[nodiscard]] bool caughtUp() const { return m_caughtUp; }
+    /// @return whether this process owns the partition and has items to hand out
+    [[nodiscard]] bool wantsCredits() const;
+
+    /// @brief Adds a listener until the returned number is given to removeListener.
+    std::uint64_t addListener(fold_listener listener);
+    void removeListener(std::uint64_t number);
+
+    /// @brief Appends a batch. @return what is known of the append
+    append_outcome append(const schema::log_batch_message &batch);
+
+    void onLiveView(const std::vector<live_vm> &vms);
+    void onReleased(epoch released);
+    /// @brief Gives the owner credits on one side for one model.
+    void onCredits(const vm_id &side, const model_id &model, std::uint32_t items);
+    void onWeights(const manifest &manifest);
+    void tick();
+    /// @brief Starts nothing more and hands the partition over when all has ended.
+    void beginHandover();
+    /// @return whether this process owns nothing here any more
+    [[nodiscard]] bool isReleased() const { return m_owner == nullptr; }
+
+private:
+    void load();
+    bool loadOnce();
+    void follow();
+    void onRead(const log_read &read, bool caughtUp);
+    void applyEntry(const log_entry &entry);
+    void updateOwner();
+    void claim(const need_claim &wanted);
+    void heartbeat();
+    void perform(owner_actions actions);
+    void startItem(const start_item &action);
+    absl::StatusOr<std::string> inputLine(const input_reference &input);
+    void runItem(const start_item &action, const std::string &line);
+    void onAnswer(const attempt_id &attempt, const std::string &customId, batch_answer answer);
+    void endAttempt(const attempt_id &attempt, attempt_outcome outcome, const std::string &data,
+                    const std::string &customId);
+    void sendAppend(const append_batch &action);
+    void announceRelease(epoch released);
+    void workOnRetention();
+    void advanceHorizon();
+    void readForRetention(log_offset offset);
+
+    job_services m_services;
+    partition_id m_partition;
+    std::string m_stream;
+    log_payloads m_payloads;
+    std::unique_ptr<partition_fold> m_fold; // null until the stream's beginning was read
+    log_offset m_firstRetained{1};
+    bool m_caughtUp = false;
+    bool m_leaving = false;
+    bool m_claiming = false; // a claim's append is under way
+    claim_policy m_claims;
+    std::unique_ptr<partition_owner> m_owner; // set while the fold shows our claim
+    std::unique_ptr<retention_planner> m_retention; // of m_owner
+    // Offsets and their writers' wall clocks, oldest first; they place the retention's horizon.
+    std::deque<std::pair<log_offset, std::uint64_t>> m_written;
+    std::map<attempt_id, attempt_id> m_wireAttempts; // of running items, by the owner's attempt
+    std::map<std::uint64_t, fold_listener> m_listeners;
+    std::uint64_t m_lastListener = 0;
+    std::unique_ptr<log_tailer> m_tailer; // last, so that it stops first
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/entry/request_front.hpp
+++ b/include/tamarackglade/entry/request_front.hpp
@@ -1,8 +1,10 @@
 // The first handler of every caller's request: key, route, request id, log line.
 #pragma once
 
+#include <tamarackglade/entry/batches_api.hpp>
 #include <tamarackglade/entry/completions_api.hpp>
 #include <tamarackglade/entry/entry_context.hpp>
+#include <tamarackglade/entry/files_api.hpp>
 #include <tamarackglade/entry/service_api.hpp>
 #include <tamarackglade/http/http_server_options.hpp>
 
@@ -17,7 +19,7 @@
 class request_front
 {
 public:
-    explicit request_front(entry_context &context);
+    request_front(entry_context &context, io_thread &control, job_desk &desk);
 
     /// @brief Answers one request.
     void serve(http_exchange &exchange);
@@ -44,6 +46,13 @@
     void serveCompletion(const caller_request &request);
     void listModels(const caller_request &request);
     void showModel(const caller_request &request);
+    void uploadFile(const caller_request &request);
+    void listFiles(const caller_request &request);
+    void showFile(const caller_request &request);
+    void createBatch(const caller_request &request);
+    void listBatches(const caller_request &request);
+    void showBatch(const caller_request &request);
+    void cancelBatch(const caller_request &request);
 
     static const api_route *findRoute(const http_request &request, bool &pathKnown);
     static identity identify(const http_request &request, const config_state &config);
@@ -55,6 +64,8 @@
     entry_context &m_context;
     completions_api m_completions;
     service_api m_services;
+    files_api m_files;
+    batches_api m_batches;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/node/vm_watch.hpp
+++ b/include/tamarackglade/node/vm_watch.hpp
@@ -1,7 +1,10 @@
-// Polls the platform's VM list and keeps wire links to the VMs in it.
+// Keeps the process's view of the fleet's VMs, and wire links to those that it talks to.
 #pragma once
 
-#include <tamarackglade/node/vm_record.hpp>
+#include <tamarackglade/config/config_state.hpp>
+#include <tamarackglade/membership/membership_view.hpp>
+#include <tamarackglade/membership/subset_options.hpp>
+#include <tamarackglade/membership/vm_list.hpp>
 #include <tamarackglade/platform/platform_client.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 #include <tamarackglade/wire/wire_link.hpp>
@@ -9,33 +12,54 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
 namespace tamarack {
 
-/// @brief Runs on one thread; all references must outlive it.
+/// @brief Polls the platform's VM list and merges it with what processes say of themselves.
+/// The view is thread-safe; links are kept on one thread. All references must outlive it.
 class vm_watch
 {
 public:
-    using list_listener = std::function<void(const std::vector<vm_record> &)>;
+    /// Told of each list that was read.
+    using list_listener = std::function<void(const vm_list &)>;
 
     vm_watch(io_thread &thread, platform_client &platform, const wire_settings &settings,
-             wire_handler &handler, list_listener listener);
+             region_id region, wire_handler &handler, list_listener listener);
 
     /// @brief Begins to poll.
     void start();
 
+    /// @brief Takes a hello. @return whether the peer is its VM's newest process
+    bool onHello(const peer_identity &peer);
+    /// @brief Takes a process's own announcement that it is leaving.
+    void onLeaving(const peer_identity &peer);
+    /// @brief Takes the drained VMs of a new configuration.
+    void onConfig(const config_state &state);
+
+    /// @return whether new work may go to a VM
+    [[nodiscard]] bool takesWork(const vm_id &vm);
+    /// @return listed entries that take work, with their newest known processes
+    [[nodiscard]] std::vector<listed_vm> entries();
+    /// @return the names of all listed processes
+    [[nodiscard]] std::vector<vm_id> processes();
+
 private:
     void pollLoop();
-    void apply(const std::vector<vm_record> &list);
+    void apply(const vm_list &list);
+    std::vector<listed_vm> wantedLinks(const vm_list &list);
 
     io_thread &m_thread;
     platform_client &m_platform;
     const wire_settings &m_settings;
+    region_id m_region;
     wire_handler &m_handler;
     list_listener m_listener;
     std::map<std::string, std::unique_ptr<wire_link>> m_links; // by address
+    std::mutex m_mutex; // guards m_view
+    membership_view m_view;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/runtime/io_thread.hpp
+++ b/include/tamarackglade/runtime/io_thread.hpp
@@ -26,7 +26,8 @@
     /// @brief Starts a fiber on this thread; callable from any thread.
     void spawn(std::function<void()> body);
 
-    /// @brief Runs a function on this thread in a fiber and waits for its end.
+    /// @brief Runs a function on this thread in a fiber and waits for its end; only the calling
+    /// fiber is suspended.
     void run(std::function<void()> body);
 
     /// @brief Ends the thread once all its fibers have ended. A process whose fibers serve for ever
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,14 +14,4 @@
 clang-format --dry-run --Werror "${existing[@]}"
 echo "format: ${#existing[@]} files clean"
 [ "${1:-}" = "--format-only" ] && exit 0
-# clang can't read gcc's precompiled headers: lint without them.
-mkdir -p "$build/tidy"
-sed -E 's/-Winvalid-pch|-fpch-preprocess|-include [^ ]*cmake_pch\.hxx//g' \
-    "$build/compile_commands.json" > "$build/tidy/compile_commands.json"
-units=()
-for source in "${existing[@]}"; do
-    case "$source" in *.cpp) units+=("$source") ;; esac
-done
-printf '%s\0' "${units[@]}" \
-    | xargs -0 -n 1 -P "$(nproc)" scripts/tidy-one.sh "$build/tidy"
-echo "clang-tidy: ${#units[@]} files clean"
+python3 scripts/tidy.py --build "$build" --jobs "${LINT_JOBS:-$(nproc)}"
--- /dev/null
+++ b/src/entry/batches_api.cpp
@@ -0,0 +1,103 @@
+// Batch jobs over HTTP.
+#include <tamarackglade/entry/answer_json.hpp>
+#include <tamarackglade/entry/batches_api.hpp>
+
+#include <absl/strings/numbers.h>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::string_view BatchesPrefix = "/v1/batches/";
+constexpr std::string_view CancelSuffix = "/cancel";
+constexpr std::size_t DefaultListLimit = 20;
+constexpr std::size_t MaxListLimit = 100;
+constexpr std::size_t MaxKeyBytes = 256;
+constexpr std::size_t MaxMetadataBytes = 16 * 1024;
+
+using wish_result = api_result<batch_wish>;
+
+wish_result parseWish(const http_request &http)
+{
+    const auto body = nlohmann::json::parse(http.body, nullptr, false);
+    if (!body.is_object())
+        return invalidRequest("malformed_json", "the body must be a JSON object");
+    batch_wish wish;
+    for (const char *name : {"input_file_id", "endpoint", "completion_window"}) {
+        if (!body.contains(name) || !body[name].is_string())
+            return invalidRequest(std::string("invalid_") + name,
+                                  std::string(name) + " must be a string");
+    }
+    wish.inputFile = file_id(body["input_file_id"].get<std::string>());
+    wish.endpoint = body["endpoint"].get<std::string>();
+    wish.completionWindow = body["completion_window"].get<std::string>();
+    if (body.contains("metadata") && !body["metadata"].is_null()) {
+        if (!body["metadata"].is_object())
+            return invalidRequest("invalid_metadata", "metadata must be an object");
+        wish.metadataJson =
+            body["metadata"].dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+    wish.idempotencyKey = std::string(http.header("idempotency-key"));
+    if (wish.idempotencyKey.size() > MaxKeyBytes || wish.metadataJson.size() > MaxMetadataBytes)
+        return invalidRequest("too_long", "the Idempotency-Key or the metadata is too long");
+    return wish;
+}
+
+} // namespace
+
+void batches_api::create(const caller_request &request)
+{
+    auto wish = parseWish(request.exchange.request());
+    if (const auto *error = std::get_if<api_error>(&wish)) {
+        request.refuse(*error);
+        return;
+    }
+    api_result<job_desk::json> result;
+    m_control.run(
+        [&] { result = m_desk.create(request.from.customer, std::get<batch_wish>(wish)); });
+    answerJson(request, result);
+}
+
+void batches_api::list(const caller_request &request)
+{
+    const http_request &http = request.exchange.request();
+    std::size_t limit = DefaultListLimit;
+    const std::string asked = http.queryParameter("limit");
+    if (!asked.empty()
+        && (!absl::SimpleAtoi(asked, &limit) || limit == 0 || limit > MaxListLimit)) {
+        request.refuse(invalidRequest("invalid_limit", "limit must be from 1 to 100"));
+        return;
+    }
+    api_result<job_desk::json> result;
+    m_control.run(
+        [&] { result = m_desk.list(request.from.customer, http.queryParameter("after"), limit); });
+    answerJson(request, result);
+}
+
+void batches_api::show(const caller_request &request)
+{
+    const job_id job(request.exchange.request().path.substr(BatchesPrefix.size()));
+    api_result<job_desk::json> result;
+    m_control.run([&] { result = m_desk.show(request.from.customer, job); });
+    answerJson(request, result);
+}
+
+void batches_api::cancel(const caller_request &request)
+{
+    std::string id = request.exchange.request().path.substr(BatchesPrefix.size());
+    const bool isCancel =
+        id.size() > CancelSuffix.size()
+        && id.compare(id.size() - CancelSuffix.size(), CancelSuffix.size(), CancelSuffix) == 0;
+    if (!isCancel) {
+        api_error error = invalidRequest("not_found", "only /cancel can be posted to a batch");
+        error.status = 404;
+        request.refuse(error);
+        return;
+    }
+    id.resize(id.size() - CancelSuffix.size());
+    api_result<job_desk::json> result;
+    m_control.run([&] { result = m_desk.cancel(request.from.customer, job_id(id)); });
+    answerJson(request, result);
+}
+
+} // namespace tamarack
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -28,11 +28,14 @@
 
 entry_process::entry_process(const setting_values &settings, const wire_settings &wire)
     : m_settings(settings), m_wire(wire), m_platform(m_control, settings.list("platform")),
-      m_limits(m_control, m_platform, m_peers, m_metrics, wire.self),
+      m_limits(m_control, m_platform, m_peers, m_metrics, wire.self), m_batchBoard(wire.self),
+      m_jobs({m_control, m_platform, m_peers, m_batchBoard, m_config, m_metrics, wire.self}),
+      m_desk(m_jobs, m_config, submission_limits{}),
       m_context{m_config, m_calls, m_limits, m_metrics, settings.milliseconds("request-timeout")},
-      m_front(m_context), m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
-      m_vmWatch(m_control, m_platform, wire, *this,
-                [this](const std::vector<vm_record> &list) { onVmList(list); }),
+      m_front(m_context, m_control, m_desk),
+      m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
+      m_vmWatch(m_control, m_platform, wire, region_id(settings.text("region")), *this,
+                [this](const vm_list &list) { onVmList(list); }),
       m_wireServer(m_control, wire, *this), m_admin(m_control, m_metrics)
 {
 }
@@ -107,40 +110,54 @@
 
 void entry_process::onConnected(const std::shared_ptr<wire_peer> &peer)
 {
+    if (!m_vmWatch.onHello(peer->identity())) {
+        peer->close();
+        return;
+    }
     m_peers.add(peer);
-    if (peer->identity().role == schema::vm_role::Side)
-        m_calls.onConnected(peer);
+    if (peer->identity().role != schema::vm_role::Side)
+        return;
+    m_batchBoard.onConnected(peer);
+    m_calls.onConnected(peer);
 }
 
 void entry_process::onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame)
 {
     const vm_id &from = peer->identity().vm;
-    if (m_configService.onFrame(from, frame) || m_limits.onFrame(from, frame))
+    if (m_configService.onFrame(from, frame) || m_limits.onFrame(from, frame)
+        || m_jobs.onFrame(frame))
         return;
-    if (peer->identity().role == schema::vm_role::Side)
+    if (peer->identity().role != schema::vm_role::Side)
+        return;
+    const auto *report = frame.body.Asload_report();
+    if (report != nullptr && report->state == schema::upstream_state::Leaving)
+        m_vmWatch.onLeaving(peer->identity());
+    if (!m_batchBoard.onFrame(peer, frame))
         m_calls.onFrame(peer, std::move(frame));
 }
 
 void entry_process::onClosed(const std::shared_ptr<wire_peer> &peer)
 {
     m_peers.remove(peer);
-    if (peer->identity().role == schema::vm_role::Side)
-        m_calls.onClosed(peer);
+    if (peer->identity().role != schema::vm_role::Side)
+        return;
+    m_batchBoard.onClosed(peer);
+    m_calls.onClosed(peer);
 }
 
 void entry_process::onConfig(const config_state &state, bool serving)
 {
     m_limits.onConfig(state);
+    m_vmWatch.onConfig(state);
+    m_jobs.onConfig(state);
     m_admin.setReady(serving, serving ? "" : "no configuration is confirmed");
 }
 
-void entry_process::onVmList(const std::vector<vm_record> &list)
+void entry_process::onVmList(const vm_list &list)
 {
-    std::vector<vm_id> peers;
-    for (const vm_record &record : list)
-        peers.push_back(record.vm);
-    m_configService.setPeers(peers);
+    m_configService.setPeers(m_vmWatch.processes());
     m_limits.onVmList(list);
+    m_jobs.onEntries(m_vmWatch.entries());
 }
 
 void entry_process::reloadTlsLoop()
@@ -163,8 +180,10 @@
     for (const auto &server : m_servers)
         server->drain();
     m_limits.handOver();
+    m_jobs.beginHandover();
     const auto deadline = std::chrono::steady_clock::now() + m_settings.milliseconds("drain-limit");
-    while (activeRequests() > 0 && !m_endNow && std::chrono::steady_clock::now() < deadline)
+    while ((activeRequests() > 0 || !m_jobs.isReleased()) && !m_endNow
+           && std::chrono::steady_clock::now() < deadline)
         boost::this_fiber::sleep_for(DrainPoll);
     log_event(log_level::Info, "stopped").with("requests_cut", activeRequests());
 }
--- /dev/null
+++ b/src/entry/job_desk.cpp
@@ -0,0 +1,400 @@
+// Uploads, submissions and reading back, through the partition's stream.
+#include <tamarackglade/entry/job_desk.hpp>
+#include <tamarackglade/entry/job_views.hpp>
+#include <tamarackglade/jobs/job_submission.hpp>
+#include <tamarackglade/jobs/submission_tracker.hpp>
+#include <tamarackglade/runtime/random_bytes.hpp>
+#include <tamarackglade/runtime/steady_now.hpp>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <boost/fiber/operations.hpp>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds PollPause{5};
+constexpr std::chrono::seconds FoldPatience{10};
+constexpr std::chrono::milliseconds RetryLater{2'000};
+constexpr int AppendTries = 4;
+constexpr std::size_t PartBytes = 256 * 1024; // of results read at a time
+
+api_error unavailable(std::string code, std::string message)
+{
+    return {503,       "service_unavailable", std::move(code), std::move(message), executed::No,
+            RetryLater};
+}
+
+api_error unknownOutcome(std::string message)
+{
+    return {
+        503,       "service_unavailable", "outcome_unknown", std::move(message), executed::Unknown,
+        RetryLater};
+}
+
+api_error noSuch(const std::string &kind, const std::string &id)
+{
+    api_error error =
+        invalidRequest(absl::StrCat(kind, "_not_found"), absl::StrCat("no ", kind, " ", id));
+    error.status = 404;
+    return error;
+}
+
+const batch_job *ownJob(const partition_fold &fold, const customer_id &customer, const job_id &id)
+{
+    const batch_job *job = fold.job(id);
+    return job != nullptr && job->customer == customer ? job : nullptr;
+}
+
+const input_file *ownFile(const partition_fold &fold, const customer_id &customer,
+                          const file_id &id)
+{
+    const input_file *file = fold.file(id);
+    const bool readable = file != nullptr && file->customer() == customer && file->isComplete();
+    return readable ? file : nullptr;
+}
+
+std::size_t openJobs(const partition_fold &fold, const customer_id &customer)
+{
+    std::size_t open = 0;
+    for (const job_id &id : fold.jobsOf(customer))
+        open += fold.job(id)->isEnded() ? 0 : 1;
+    return open;
+}
+
+api_error refusalError(const submission_outcome &outcome)
+{
+    if (outcome.reason == refusal_reason::FileNotComplete)
+        return noSuch("file", "input_file_id");
+    return invalidRequest("job_refused", "the job can't be accepted");
+}
+
+} // namespace
+
+job_desk::job_desk(job_service &jobs, config_store &config, submission_limits limits)
+    : m_jobs(jobs), m_config(config), m_limits(limits)
+{
+}
+
+api_result<job_desk::json> job_desk::upload(const customer_id &customer,
+                                            const std::string &filename, std::string_view content)
+{
+    auto ready = readyRunner(customer);
+    if (const auto *error = std::get_if<api_error>(&ready))
+        return *error;
+    partition_runner &runner = *std::get<partition_runner *>(ready);
+    const file_id id = newFileId(wallSeconds(), content.size());
+    const auto batches = fileBatches(id, customer, filename, content, m_limits);
+    if (!batches.ok())
+        return invalidRequest("invalid_file", std::string(batches.status().message()));
+    for (const schema::log_batch_message &batch : *batches) {
+        if (auto error = storeChunk(runner, batch))
+            return *error;
+    }
+    const auto deadline = steadyNow() + FoldPatience;
+    while (ownFile(*runner.fold(), customer, id) == nullptr) {
+        if (steadyNow() >= deadline)
+            return unknownOutcome("the file was sent to the log, which doesn't show it yet");
+        boost::this_fiber::sleep_for(PollPause);
+    }
+    return inputFileJson(*runner.fold()->file(id));
+}
+
+api_result<job_desk::json> job_desk::showFile(const customer_id &customer, const file_id &file)
+{
+    auto ready = readyRunner(customer);
+    if (const auto *error = std::get_if<api_error>(&ready))
+        return *error;
+    const partition_fold &fold = *std::get<partition_runner *>(ready)->fold();
+    if (const input_file *input = ownFile(fold, customer, file))
+        return inputFileJson(*input);
+    const result_file_name name = parseResultFile(file);
+    const batch_job *job = ownJob(fold, customer, name.job);
+    if (job != nullptr && job->isEnded())
+        return resultFileJson(*job, name.succeeded);
+    return noSuch("file", file.value());
+}
+
+api_result<job_desk::json> job_desk::listFiles(const customer_id &customer)
+{
+    auto ready = readyRunner(customer);
+    if (const auto *error = std::get_if<api_error>(&ready))
+        return *error;
+    json list;
+    list["object"] = "list";
+    list["data"] = json::array();
+    for (const auto &[id, file] : std::get<partition_runner *>(ready)->fold()->files()) {
+        if (file.customer() == customer && file.isComplete())
+            list["data"].push_back(inputFileJson(file));
+    }
+    list["has_more"] = false;
+    return list;
+}
+
+api_result<content_part> job_desk::readContent(const customer_id &customer, const file_id &file,
+                                               std::size_t from)
+{
+    auto ready = readyRunner(customer);
+    if (const auto *error = std::get_if<api_error>(&ready))
+        return *error;
+    partition_runner &runner = *std::get<partition_runner *>(ready);
+    if (const input_file *input = ownFile(*runner.fold(), customer, file))
+        return inputPart(runner, *input, from);
+    const result_file_name name = parseResultFile(file);
+    const batch_job *job = ownJob(*runner.fold(), customer, name.job);
+    if (job == nullptr || !job->isEnded())
+        return noSuch("file", file.value());
+    return resultPart(runner, name.job, name.succeeded, from);
+}
+
+api_result<job_desk::json> job_desk::create(const customer_id &customer, const batch_wish &wish)
+{
+    auto ready = readyRunner(customer);
+    if (const auto *error = std::get_if<api_error>(&ready))
+        return *error;
+    partition_runner &runner = *std::get<partition_runner *>(ready);
+    auto checked = checkWish(customer, wish, runner);
+    if (const auto *error = std::get_if<api_error>(&checked))
+        return *error;
+    return submit(runner, std::get<job_request>(checked));
+}
+
+api_result<job_desk::json> job_desk::show(const customer_id &customer, const job_id &job)
+{
+    auto ready = readyRunner(customer);
+    if (const auto *error = std::get_if<api_error>(&ready))
+        return *error;
+    const partition_fold &fold = *std::get<partition_runner *>(ready)->fold();
+    const batch_job *found = ownJob(fold, customer, job);
+    if (found == nullptr)
+        return noSuch("batch", job.value());
+    return jobJson(*found);
+}
+
+api_result<job_desk::json> job_desk::list(const customer_id &customer, const std::string &after,
+                                          std::size_t limit)
+{
+    auto ready = readyRunner(customer);
+    if (const auto *error = std::get_if<api_error>(&ready))
+        return *error;
+    const partition_fold &fold = *std::get<partition_runner *>(ready)->fold();
+    std::vector<job_id> ids = fold.jobsOf(customer);
+    std::reverse(ids.begin(), ids.end()); // newest first
+    auto first = ids.begin();
+    if (!after.empty()) {
+        const auto found = std::find(ids.begin(), ids.end(), job_id(after));
+        first = found == ids.end() ? found : found + 1;
+    }
+    json list;
+    list["object"] = "list";
+    list["data"] = json::array();
+    for (; first != ids.end() && list["data"].size() < limit; ++first)
+        list["data"].push_back(jobJson(*fold.job(*first)));
+    list["has_more"] = first != ids.end();
+    return list;
+}
+
+api_result<job_desk::json> job_desk::cancel(const customer_id &customer, const job_id &job)
+{
+    auto ready = readyRunner(customer);
+    if (const auto *error = std::get_if<api_error>(&ready))
+        return *error;
+    partition_runner &runner = *std::get<partition_runner *>(ready);
+    const batch_job *found = ownJob(*runner.fold(), customer, job);
+    if (found == nullptr)
+        return noSuch("batch", job.value());
+    if (found->isEnded())
+        return jobJson(*found);
+    const auto batch = cancelBatch(job, randomId("cancel_"), wallSeconds());
+    if (auto error = storeChunk(runner, batch))
+        return *error;
+    const auto deadline = steadyNow() + FoldPatience;
+    for (;;) {
+        found = ownJob(*runner.fold(), customer, job);
+        if (found == nullptr || found->isEnded())
+            break;
+        if (steadyNow() >= deadline)
+            return unknownOutcome("the cancel was sent to the log, which doesn't show it yet");
+        boost::this_fiber::sleep_for(PollPause);
+    }
+    if (found == nullptr)
+        return noSuch("batch", job.value());
+    return jobJson(*found);
+}
+
+api_result<partition_runner *> job_desk::readyRunner(const customer_id &customer)
+{
+    partition_runner *runner = m_jobs.runnerOf(customer);
+    if (runner == nullptr || runner->fold() == nullptr)
+        return unavailable("jobs_loading", "the jobs are still being read from the log");
+    return runner;
+}
+
+api_result<job_request> job_desk::checkWish(const customer_id &customer, const batch_wish &wish,
+                                            partition_runner &runner)
+{
+    const auto config = m_config.current();
+    const customer_options *options = config->inForce->customer(customer);
+    if (options == nullptr || !options->batchAllowed) {
+        api_error error = invalidRequest("batch_not_allowed", "the customer has no batch jobs");
+        error.status = 403;
+        return error;
+    }
+    const auto endpoint = parseEndpoint(wish.endpoint);
+    if (!endpoint.ok())
+        return invalidRequest("invalid_endpoint", std::string(endpoint.status().message()));
+    const auto window = parseCompletionWindow(wish.completionWindow);
+    if (!window.ok())
+        return invalidRequest("invalid_completion_window", std::string(window.status().message()));
+    auto content = inputContent(runner, wish.inputFile);
+    if (const auto *error = std::get_if<api_error>(&content))
+        return *error;
+    const input_file *file = ownFile(*runner.fold(), customer, wish.inputFile);
+    if (file == nullptr)
+        return noSuch("file", wish.inputFile.value());
+    submission_limits limits = m_limits;
+    limits.maxItems = std::min(limits.maxItems, config->inForce->batch.maxItems);
+    const auto facts = checkInput(std::get<std::string>(content), *endpoint, limits);
+    if (!facts.ok())
+        return invalidRequest("invalid_input_file", std::string(facts.status().message()));
+    if (config->inForce->model(facts->model) == nullptr || !options->mayUse(facts->model))
+        return noSuch("model", facts->model.value());
+    job_request request;
+    request.id = job_id(randomId("batch_"));
+    request.customer = customer;
+    request.idempotencyDigest = idempotencyDigest(wish.idempotencyKey, *file, *endpoint);
+    request.inputFile = wish.inputFile;
+    request.endpoint = *endpoint;
+    request.model = facts->model;
+    request.itemCount = facts->itemCount;
+    request.createdAtS = wallSeconds();
+    request.completionWindowS = *window;
+    request.metadataJson = wish.metadataJson;
+    const bool known = runner.fold()->jobByDigest(customer, request.idempotencyDigest) != nullptr;
+    if (!known && openJobs(*runner.fold(), customer) >= options->maxOpenJobs) {
+        api_error error =
+            invalidRequest("too_many_jobs", absl::StrCat("the customer may have ",
+                                                         options->maxOpenJobs, " open jobs"));
+        error.status = 429;
+        error.retryAfter = RetryLater;
+        return error;
+    }
+    return request;
+}
+
+api_result<std::string> job_desk::inputContent(partition_runner &runner, const file_id &file)
+{
+    std::string content;
+    for (std::size_t from = 0;;) {
+        const input_file *input = runner.fold()->file(file);
+        if (input == nullptr || !input->isComplete())
+            return noSuch("file", file.value());
+        auto part = inputPart(runner, *input, from);
+        if (const auto *error = std::get_if<api_error>(&part))
+            return *error;
+        const auto &piece = std::get<content_part>(part);
+        content += piece.bytes;
+        if (piece.last)
+            return content;
+        from = piece.next;
+    }
+}
+
+api_result<content_part> job_desk::inputPart(partition_runner &runner, const input_file &file,
+                                             std::size_t from)
+{
+    content_part part;
+    part.next = from + 1;
+    part.last = part.next >= file.chunks().size();
+    if (from >= file.chunks().size()) {
+        part.last = true;
+        return part;
+    }
+    const record_reference reference = file.chunks()[from].reference;
+    const auto batch = runner.payloads().fetch(reference.offset());
+    if (!batch.ok())
+        return unavailable("log_unavailable", "the file can't be read from the log now");
+    const auto *chunk = (*batch)->records[reference.index()]->body.Asfile_chunk();
+    if (chunk == nullptr)
+        return unavailable("log_unavailable", "the file can't be read from the log now");
+    part.bytes.assign(chunk->data.begin(), chunk->data.end());
+    return part;
+}
+
+api_result<content_part> job_desk::resultPart(partition_runner &runner, const job_id &id,
+                                              bool succeeded, std::size_t from)
+{
+    content_part part;
+    for (part.next = from; part.bytes.size() < PartBytes; ++part.next) {
+        // Looked up anew each time: reading waits, and the fold goes on.
+        const batch_job *job = runner.fold()->job(id);
+        if (job == nullptr)
+            return noSuch("batch", id.value());
+        if (part.next >= job->results.size()) {
+            part.last = true;
+            break;
+        }
+        const record_reference reference = job->results[part.next];
+        if (!reference.isSet() || reference.flag() != succeeded)
+            continue;
+        const auto batch = runner.payloads().fetch(reference.offset());
+        if (!batch.ok())
+            return unavailable("log_unavailable", "the results can't be read from the log now");
+        const auto *result = (*batch)->records[reference.index()]->body.Asitem_result();
+        if (result != nullptr)
+            part.bytes += resultLine(*result);
+    }
+    return part;
+}
+
+// The record id makes retries of one append fold to one.
+std::optional<api_error> job_desk::storeChunk(partition_runner &runner,
+                                              const schema::log_batch_message &batch)
+{
+    bool mayBeStored = false;
+    for (int tries = 0; tries < AppendTries; ++tries) {
+        const append_outcome outcome = runner.append(batch);
+        if (outcome == append_outcome::Ok)
+            return std::nullopt;
+        mayBeStored = mayBeStored || outcome == append_outcome::Unknown;
+        boost::this_fiber::sleep_for(PollPause * (1 << (4 + tries)));
+    }
+    if (mayBeStored)
+        return unknownOutcome("the log's answer was lost; sending again is safe");
+    return unavailable("log_unavailable", "the log can't store it now; nothing was accepted");
+}
+
+api_result<job_desk::json> job_desk::submit(partition_runner &runner, const job_request &request)
+{
+    auto tracker = std::make_shared<submission_tracker>(*runner.fold(), request,
+                                                        submission_tracker::times{}, steadyNow());
+    const auto listener =
+        runner.addListener([tracker](const fold_changes &changes) { tracker->onFolded(changes); });
+    while (tracker->outcome().state == submission_state::Waiting) {
+        if (const auto batch = tracker->next(steadyNow()))
+            tracker->onAppendResult(runner.append(*batch), steadyNow());
+        tracker->tick(steadyNow());
+        boost::this_fiber::sleep_for(PollPause);
+    }
+    runner.removeListener(listener);
+    const submission_outcome &outcome = tracker->outcome();
+    switch (outcome.state) {
+    case submission_state::Accepted:
+    case submission_state::Existing:
+        break;
+    case submission_state::Refused:
+        return refusalError(outcome);
+    case submission_state::NotWritten:
+        return unavailable("log_unavailable", "the log can't store it now; no job was accepted");
+    case submission_state::Waiting:
+    case submission_state::Unknown:
+        return unknownOutcome("whether the job was accepted is not known; sending again is safe");
+    }
+    const batch_job *job = runner.fold()->job(outcome.job);
+    if (job == nullptr)
+        return noSuch("batch", outcome.job.value());
+    return jobJson(*job);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/entry/job_service.cpp
@@ -0,0 +1,137 @@
+// Runners by partition.
+#include <tamarackglade/core/partition.hpp>
+#include <tamarackglade/entry/job_service.hpp>
+
+#include <boost/fiber/operations.hpp>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{50};
+
+std::vector<model_id> modelsOf(const manifest &manifest, const group_id &group)
+{
+    std::vector<model_id> models;
+    for (const auto &[id, options] : manifest.models) {
+        if (options.group == group)
+            models.push_back(id);
+    }
+    return models;
+}
+
+} // namespace
+
+job_service::job_service(const job_services &services) : m_services(services) { }
+
+void job_service::onConfig(const config_state &state)
+{
+    if (!state.inForce)
+        return;
+    for (const auto &runner : m_runners)
+        runner->onWeights(*state.inForce);
+    if (!m_runners.empty())
+        return;
+    for (std::uint32_t i = 0; i < state.inForce->fleet.partitions; ++i)
+        m_runners.push_back(std::make_unique<partition_runner>(m_services, partition_id(i)));
+    for (const auto &runner : m_runners)
+        runner->start();
+    m_services.thread.spawn([this] { tickLoop(); });
+}
+
+void job_service::onEntries(const std::vector<listed_vm> &entries)
+{
+    std::vector<live_vm> view;
+    for (const listed_vm &entry : entries) {
+        const bool self = entry.vm == m_services.self.vm;
+        view.push_back({entry.vm, self ? m_services.self.incarnation : entry.process,
+                        entry.state == listed_state::Leaving});
+    }
+    for (const auto &runner : m_runners)
+        runner->onLiveView(view);
+}
+
+bool job_service::onFrame(const schema::frame_message &frame)
+{
+    const auto *released = frame.body.Aspartition_released();
+    if (released == nullptr)
+        return false;
+    if (released->partition < m_runners.size())
+        m_runners[released->partition]->onReleased(epoch(released->epoch));
+    return true;
+}
+
+partition_runner *job_service::runnerOf(const customer_id &customer)
+{
+    if (m_runners.empty())
+        return nullptr;
+    const auto count = static_cast<std::uint32_t>(m_runners.size());
+    return m_runners[partitionOf(customer, count).value()].get();
+}
+
+void job_service::beginHandover()
+{
+    for (const auto &runner : m_runners)
+        runner->beginHandover();
+}
+
+bool job_service::isReleased() const
+{
+    return ownedCount() == 0;
+}
+
+std::size_t job_service::ownedCount() const
+{
+    std::size_t owned = 0;
+    for (const auto &runner : m_runners)
+        owned += runner->isReleased() ? 0 : 1;
+    return owned;
+}
+
+void job_service::tickLoop()
+{
+    for (;;) {
+        boost::this_fiber::sleep_for(TickPeriod);
+        for (const auto &runner : m_runners)
+            runner->tick();
+        allotCredits();
+        m_services.metrics.set("tamarack_partitions_owned", static_cast<double>(ownedCount()));
+    }
+}
+
+void job_service::allotCredits()
+{
+    std::vector<partition_runner *> wanting;
+    for (const auto &runner : m_runners) {
+        if (runner->wantsCredits())
+            wanting.push_back(runner.get());
+    }
+    if (wanting.empty())
+        return;
+    for (const side_offer &offer : m_services.board.offers())
+        allotOffer(offer, wanting);
+}
+
+// Each runner gets an equal share; the remainder goes round from one offer to the next.
+void job_service::allotOffer(const side_offer &offer,
+                             const std::vector<partition_runner *> &wanting)
+{
+    const auto config = m_services.config.current();
+    const std::vector<model_id> models = modelsOf(*config->inForce, offer.group);
+    if (models.empty())
+        return;
+    const std::size_t receivers = wanting.size() * models.size();
+    const std::size_t share = offer.credits / receivers;
+    std::size_t remainder = offer.credits % receivers;
+    for (std::size_t i = 0; i < wanting.size(); ++i) {
+        partition_runner *runner = wanting[(m_nextRunner + i) % wanting.size()];
+        for (const model_id &model : models) {
+            const std::size_t extra = remainder > 0 ? 1 : 0;
+            remainder -= extra;
+            runner->onCredits(offer.side, model, static_cast<std::uint32_t>(share + extra));
+        }
+    }
+    ++m_nextRunner;
+}
+
+} // namespace tamarack
--- a/src/entry/limit_service.cpp
+++ b/src/entry/limit_service.cpp
@@ -56,14 +56,14 @@
     m_thread.spawn([this] { tickLoop(); });
 }
 
-void limit_service::onVmList(const std::vector<vm_record> &list)
+void limit_service::onVmList(const vm_list &list)
 {
     std::vector<live_entry> entries;
-    for (const vm_record &record : list) {
-        if (record.role != "entry")
+    for (const listed_vm &record : list) {
+        if (record.role != vm_role::Entry)
             continue;
         // A process that said hello is known better than its VM's row.
-        live_entry entry{record.vm, record.generation};
+        live_entry entry{record.vm, record.process};
         if (record.vm == m_self.vm)
             entry.generation = m_self.incarnation;
         else if (const auto peer = m_peers.find(record.vm))
--- /dev/null
+++ b/src/entry/log_payloads.cpp
@@ -0,0 +1,50 @@
+// A small cache in front of the log.
+#include <tamarackglade/entry/log_payloads.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t CachedBatches = 32;
+
+} // namespace
+
+log_payloads::log_payloads(platform_client &platform, std::string stream)
+    : m_platform(platform), m_stream(std::move(stream))
+{
+}
+
+absl::StatusOr<log_payloads::shared_batch> log_payloads::fetch(log_offset offset)
+{
+    const auto found = std::find_if(m_cache.begin(), m_cache.end(), [&](const cached_batch &entry) {
+        return entry.offset == offset;
+    });
+    if (found != m_cache.end()) {
+        m_cache.splice(m_cache.begin(), m_cache, found);
+        return found->batch;
+    }
+    const auto read = m_platform.read(m_stream, offset, 1, std::chrono::milliseconds(0));
+    if (absl::IsOutOfRange(read.status()))
+        return absl::NotFoundError("the record is no longer in the log");
+    if (!read.ok())
+        return read.status();
+    if (read->entries.empty() || read->entries.front().offset != offset)
+        return absl::NotFoundError("the log has no record at the offset");
+    auto batch = decodeBatch(read->entries.front().payload);
+    if (!batch.ok())
+        return absl::NotFoundError("the record at the offset is malformed");
+    auto shared = std::make_shared<const schema::log_batch_message>(std::move(*batch));
+    remember(offset, shared);
+    return shared;
+}
+
+void log_payloads::remember(log_offset offset, shared_batch batch)
+{
+    m_cache.push_front({offset, std::move(batch)});
+    if (m_cache.size() > CachedBatches)
+        m_cache.pop_back();
+}
+
+} // namespace tamarack
--- a/src/entry/request_front.cpp
+++ b/src/entry/request_front.cpp
@@ -39,10 +39,18 @@
     {"POST", "/v1/completions", &request_front::serveCompletion},
     {"GET", "/v1/models", &request_front::listModels},
     {"GET", "/v1/models/", &request_front::showModel},
+    {"POST", "/v1/files", &request_front::uploadFile},
+    {"GET", "/v1/files", &request_front::listFiles},
+    {"GET", "/v1/files/", &request_front::showFile},
+    {"POST", "/v1/batches", &request_front::createBatch},
+    {"GET", "/v1/batches", &request_front::listBatches},
+    {"GET", "/v1/batches/", &request_front::showBatch},
+    {"POST", "/v1/batches/", &request_front::cancelBatch},
 };
 
-request_front::request_front(entry_context &context)
-    : m_context(context), m_completions(context), m_services(context)
+request_front::request_front(entry_context &context, io_thread &control, job_desk &desk)
+    : m_context(context), m_completions(context), m_services(context), m_files(control, desk),
+      m_batches(control, desk)
 {
 }
 
@@ -113,6 +121,41 @@
     models_api::show(request);
 }
 
+void request_front::uploadFile(const caller_request &request)
+{
+    m_files.upload(request);
+}
+
+void request_front::listFiles(const caller_request &request)
+{
+    m_files.list(request);
+}
+
+void request_front::showFile(const caller_request &request)
+{
+    m_files.showOrRead(request);
+}
+
+void request_front::createBatch(const caller_request &request)
+{
+    m_batches.create(request);
+}
+
+void request_front::listBatches(const caller_request &request)
+{
+    m_batches.list(request);
+}
+
+void request_front::showBatch(const caller_request &request)
+{
+    m_batches.show(request);
+}
+
+void request_front::cancelBatch(const caller_request &request)
+{
+    m_batches.cancel(request);
+}
+
 const request_front::api_route *request_front::findRoute(const http_request &request,
                                                          bool &pathKnown)
 {
--- a/src/runtime/io_thread.cpp
+++ b/src/runtime/io_thread.cpp
@@ -29,7 +29,7 @@
 
 void io_thread::run(std::function<void()> body)
 {
-    std::promise<void> done;
+    boost::fibers::promise<void> done;
     auto future = done.get_future();
     spawn([&] {
         body();
