--- a/include/tamarackglade/limits/entry_view.hpp
+++ b/include/tamarackglade/limits/entry_view.hpp
@@ -4,8 +4,8 @@
 #include <tamarackglade/core/time.hpp>
 #include <tamarackglade/limits/live_entry.hpp>
 
-#include <map>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace tamarack {
@@ -41,8 +41,8 @@
     duration m_vmListLag;
     std::vector<live_entry> m_entries;
     std::optional<instant> m_lastUpdate;
-    std::map<vm_id, instant> m_lastShown; // the last answer that showed each VM
-    std::map<vm_id, instant> m_suspects; // end of each suspicion
+    std::unordered_map<vm_id, instant> m_lastShown; // the last answer that showed each VM
+    std::unordered_map<vm_id, instant> m_suspects; // end of each suspicion
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/limits/lending_bucket.hpp
+++ b/include/tamarackglade/limits/lending_bucket.hpp
@@ -6,7 +6,7 @@
 #include <tamarackglade/limits/limit_options.hpp>
 #include <tamarackglade/schema/wire_generated.h>
 
-#include <map>
+#include <unordered_map>
 
 namespace tamarack {
 
@@ -61,7 +61,7 @@
     instant m_settledAt;
     bool m_settled = false;
     std::uint32_t m_outstanding = 0; // the sum over m_accounts
-    std::map<vm_id, borrower_account> m_accounts;
+    std::unordered_map<vm_id, borrower_account> m_accounts;
 };
 
 } // namespace tamarack
--- a/src/limits/entry_view.cpp
+++ b/src/limits/entry_view.cpp
@@ -37,13 +37,13 @@
 bool entry_view::isGone(const live_entry &entry, instant knownSince) const
 {
     if (entry.vm == m_self.vm)
-        return entry.generation < m_self.generation;
+        return entry.generation.value() < m_self.generation.value();
     if (!m_lastUpdate)
         return false;
     const auto found = std::find_if(m_entries.begin(), m_entries.end(),
                                     [&](const live_entry &other) { return other.vm == entry.vm; });
     if (found != m_entries.end())
-        return found->generation > entry.generation;
+        return found->generation.value() > entry.generation.value();
     const auto shown = m_lastShown.find(entry.vm);
     const instant since =
         shown == m_lastShown.end() ? knownSince : std::max(knownSince, shown->second);
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -165,7 +165,7 @@
 void fleet_limiter::onHomeRecord(log_offset offset, const schema::home_claimed_message &claim,
                                  instant now)
 {
-    if (offset <= m_lastOffset)
+    if (offset.value() <= m_lastOffset.value())
         return;
     m_lastOffset = offset;
     if (claim.partition >= m_partitions.size())
--- a/src/limits/lending_bucket.cpp
+++ b/src/limits/lending_bucket.cpp
@@ -53,9 +53,9 @@
     }
     auto &account = m_accounts[borrower];
     const incarnation generation(request.incarnation);
-    if (generation < account.generation)
+    if (request.incarnation < account.generation.value())
         return false;
-    if (generation > account.generation) {
+    if (generation != account.generation) {
         // The earlier process has ended, and its tokens with it.
         m_outstanding -= account.outstanding;
         account = {};
--- a/tests/support/limits_oracle.hpp
+++ b/tests/support/limits_oracle.hpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <map>
 
 namespace tamarack::test {
 
