--- a/tests/fuzz-limits.cpp
+++ b/tests/fuzz-limits.cpp
@@ -83,12 +83,12 @@
         limit_mutation mutation;
         std::uint64_t seed;
     };
-    for (const auto &[mutation, seed] : {seeded_fault{limit_mutation::LenderIgnoresLoans, 13},
-                                         seeded_fault{limit_mutation::NewHomeStartsFull, 10},
-                                         seeded_fault{limit_mutation::HomeIgnoresLease, 20}}) {
-        INFO("mutation " << static_cast<int>(mutation) << ", seed " << seed);
-        const auto steps = randomSteps(MutationSteps, seed);
-        CHECK(runSteps(steps, 3, seed, mutation).overAdmitted > 0);
-        CHECK(runSteps(steps, 3, seed).overAdmitted == 0);
+    for (const auto &fault : {seeded_fault{limit_mutation::LenderIgnoresLoans, 13},
+                              seeded_fault{limit_mutation::NewHomeStartsFull, 10},
+                              seeded_fault{limit_mutation::HomeIgnoresLease, 20}}) {
+        INFO("mutation " << static_cast<int>(fault.mutation) << ", seed " << fault.seed);
+        const auto steps = randomSteps(MutationSteps, fault.seed);
+        CHECK(runSteps(steps, 3, fault.seed, fault.mutation).overAdmitted > 0);
+        CHECK(runSteps(steps, 3, fault.seed).overAdmitted == 0);
     }
 }
