--- a/tests/standins/engine/main.cpp
+++ b/tests/standins/engine/main.cpp
@@ -59,5 +59,5 @@
     http_server_options limits;
     limits.bodyLimit = 16 * 1024 * 1024;
     http_server server(thread, limits, [&](http_exchange &exchange) { service.handle(exchange); });
-    return standins::serveUntilSignal(server, FLAGS_listen);
+    standins::serveUntilSignal(server, FLAGS_listen);
 }
--- a/tests/standins/plain/main.cpp
+++ b/tests/standins/plain/main.cpp
@@ -16,5 +16,5 @@
     io_thread thread;
     standins::plain_service service;
     http_server server(thread, {}, [&](http_exchange &exchange) { service.handle(exchange); });
-    return standins::serveUntilSignal(server, FLAGS_listen);
+    standins::serveUntilSignal(server, FLAGS_listen);
 }
--- a/tests/standins/platform/platform_service.cpp
+++ b/tests/standins/platform/platform_service.cpp
@@ -299,7 +299,10 @@
                          {"bytes_read", stream.bytesRead},
                          {"first_offset", stream.firstOffset},
                          {"next_offset", stream.nextOffset}};
-    respondJson(exchange, 200, {{"streams", streams}, {"refused_appends", m_refusedAppends}});
+    respondJson(exchange, 200,
+                {{"streams", streams},
+                 {"refused_appends", m_refusedAppends},
+                 {"weight_readers", m_weightReaders}});
 }
 
 } // namespace tamarack::standins
--- a/tests/support/standins_main.hpp
+++ b/tests/support/standins_main.hpp
@@ -33,24 +33,28 @@
     return address.starts_with("127.0.0.1:");
 }
 
-/// @brief Serves until SIGTERM or SIGINT. A stand-in keeps nothing, so it ends at once.
-/// @return the exit status if the address can't be served
-inline int serveUntilSignal(http_server &server, const std::string &address)
+/// @brief Ends the process without tearing its threads and fibers down, since it keeps nothing.
+[[noreturn]] inline void endProcess(int status, const std::string &message)
 {
-    if (!isLoopback(address)) {
-        std::cerr << "--listen: '" << address << "' is not 127.0.0.1:PORT\n";
-        return 2;
-    }
+    if (!message.empty())
+        std::cerr << "--listen: " << message << std::endl;
+    std::_Exit(status);
+}
+
+/// @brief Serves until SIGTERM or SIGINT, then ends the process with status 0; with 2 if the
+/// address isn't loopback and 1 if it can't be bound.
+[[noreturn]] inline void serveUntilSignal(http_server &server, const std::string &address)
+{
+    if (!isLoopback(address))
+        endProcess(2, "'" + address + "' is not 127.0.0.1:PORT");
     const auto port = server.listen(address);
-    if (!port.ok()) {
-        std::cerr << "--listen: " << port.status().message() << "\n";
-        return 1;
-    }
+    if (!port.ok())
+        endProcess(1, std::string(port.status().message()));
     std::cout << "listening on 127.0.0.1:" << *port << std::endl;
     const sigset_t signals = stopSignals();
     int received = 0;
     sigwait(&signals, &received);
-    std::_Exit(0);
+    endProcess(0, "");
 }
 
 } // namespace tamarack::standins
