--- /dev/null
+++ b/include/tamarackglade/load/batch_result.hpp
@@ -0,0 +1,26 @@
+// What became of one batch job.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace tamarack {
+
+/// @brief Counts of a job's items by their results, as read back from its files.
+struct batch_result
+{
+    std::string name;
+    std::string status; // as the API says, or why there is none
+    std::uint32_t items = 0;
+    std::uint32_t whole = 0; // the expected answer, once
+    std::uint32_t wrong = 0;
+    std::uint32_t errors = 0; // a final error result
+    std::uint32_t duplicates = 0; // results beyond an item's first
+    std::uint32_t missing = 0; // without any result
+    double seconds = 0; // from the upload to the final status
+
+    /// @return items with an answer, per second
+    [[nodiscard]] double itemsPerSecond() const { return seconds > 0 ? whole / seconds : 0; }
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/load/load_target.hpp
@@ -0,0 +1,16 @@
+// An address that load is sent to.
+#pragma once
+
+#include <string>
+
+namespace tamarack {
+
+/// @brief One entry, and its share of the requests.
+struct load_target
+{
+    std::string name;
+    std::string address; // ip:port
+    double weight = 1; // relative to the other targets
+};
+
+} // namespace tamarack
--- a/tests/shell-load.cpp
+++ b/tests/shell-load.cpp
@@ -5,8 +5,9 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
-#include <map>
-#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 using namespace tamarack;
 using namespace std::chrono_literals;
@@ -42,7 +43,7 @@
     const duration step =
         claimed.iterationBase + claimed.iterationPerSequence * static_cast<std::int64_t>(n);
     const instant joined = Start + claimed.iterationBase + claimed.iterationPerSequence;
-    std::map<sequence_id, int> steps;
+    std::unordered_map<sequence_id, int> steps;
     for (const token_event &event : runAll(model)) {
         const bool alone = event.sequence == sequence_id(1) && event.index == 0;
         if (!alone && event.when != joined + step * ++steps[event.sequence])
@@ -192,9 +193,9 @@
         profile.cacheBlocks = *rc::gen::inRange(0, 12);
         engine_model model(profile);
         instant now = Start;
-        std::map<sequence_id, std::uint32_t> nextToken;
-        std::map<sequence_id, std::uint32_t> endToken;
-        std::set<sequence_id> cancelled;
+        std::unordered_map<sequence_id, std::uint32_t> nextToken;
+        std::unordered_map<sequence_id, std::uint32_t> endToken;
+        std::unordered_set<sequence_id> cancelled;
         const auto take = [&](const std::vector<token_event> &events) {
             for (const token_event &event : events) {
                 RC_ASSERT(!cancelled.contains(event.sequence));
--- a/tests/support/standins_process.cpp
+++ b/tests/support/standins_process.cpp
@@ -31,6 +31,7 @@
     std::vector<std::string> words{program};
     words.insert(words.end(), flags.begin(), flags.end());
     std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string &word : words)
         arguments.push_back(word.data());
     arguments.push_back(nullptr);
@@ -40,7 +41,7 @@
 
 } // namespace
 
-standin_process::standin_process(const std::string &name, std::vector<std::string> flags)
+standin_process::standin_process(const std::string &name, const std::vector<std::string> &flags)
 {
     const auto folder = std::filesystem::read_symlink("/proc/self/exe").parent_path();
     const std::string program = (folder / ("standin-" + name)).string();
--- a/tests/support/standins_process.hpp
+++ b/tests/support/standins_process.hpp
@@ -11,7 +11,7 @@
 class standin_process
 {
 public:
-    explicit standin_process(const std::string &name, std::vector<std::string> flags = {});
+    explicit standin_process(const std::string &name, const std::vector<std::string> &flags = {});
     standin_process(const standin_process &) = delete;
     standin_process &operator=(const standin_process &) = delete;
     ~standin_process();
