Jobs: tests, stateful fuzz against an oracle, and measurement

Cause: each promise's check must be shown, and be shown able to fail. Ruled out: RapidCheck's state machine (a vector of commands shrinks as well and needs less code). The check counted from the landing, which nobody could read: it now counts from the first fold, as the promise says. And an owner that woke in an outage trusted its old fold: onOutageConfirmed now holds only for a fold that was current until then.

--- a/include/tamarackglade/core/strong_id.hpp
+++ b/include/tamarackglade/core/strong_id.hpp
@@ -24,7 +24,10 @@
     [[nodiscard]] const Rep &value() const { return m_value; }
 
     friend bool operator==(const strong_id &, const strong_id &) = default;
-    friend auto operator<=>(const strong_id &, const strong_id &) = default;
+    friend auto operator<=>(const strong_id &left, const strong_id &right)
+    {
+        return left.m_value <=> right.m_value;
+    }
     friend std::ostream &operator<<(std::ostream &out, const strong_id &id)
     {
         return out << id.m_value;
--- a/include/tamarackglade/jobs/partition_owner.hpp
+++ b/include/tamarackglade/jobs/partition_owner.hpp
@@ -12,6 +12,7 @@
 #include <tamarackglade/jobs/suspect_queue.hpp>
 #include <tamarackglade/jobs/upstream_credit.hpp>
 
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -27,9 +28,12 @@
 
     /// @brief A batch was folded. @param changes what partition_fold::apply returned
     void onFolded(const fold_changes &changes, instant now, owner_actions &out);
-    /// @brief The fold is at the log's end. Also call it while all live peers agree that the log
-    /// is down, since nothing can be appended then.
+    /// @brief The log was just read to its end and the fold is there.
     void onTailConfirmed(instant now, owner_actions &out);
+    /// @brief The log is down: every live peer says so, and none has folded past this fold's
+    /// position. Hand-out goes on if the fold was at the log's end until now; an owner that wakes
+    /// from a pause during the outage may have missed a cancel, and must read the log first.
+    void onOutageConfirmed(instant now, owner_actions &out);
     /// @brief An upstream would take this many more batch items of a model; replaces what it said
     /// before.
     void onCredits(const upstream_id &upstream, const model_id &model, std::uint32_t items,
@@ -85,8 +89,10 @@
     void reserveForSuspect(instant now);
     void startSuspect(instant now, owner_actions &out);
     void releaseReservation();
-    bool startOnNextUpstream(instant now, owner_actions &out);
-    bool startOn(const upstream_id &upstream, instant now, owner_actions &out);
+    /// @param dry models found to have no item to start now; grows
+    bool startOnNextUpstream(instant now, std::set<model_id> &dry, owner_actions &out);
+    bool startOn(const upstream_id &upstream, instant now, std::set<model_id> &dry,
+                 owner_actions &out);
     void start(const item_key &item, const upstream_id &upstream, bool alone, instant now,
                owner_actions &out);
 
--- a/src/jobs/partition_owner.cpp
+++ b/src/jobs/partition_owner.cpp
@@ -92,6 +92,12 @@
     pump(now, out);
 }
 
+void partition_owner::onOutageConfirmed(instant now, owner_actions &out)
+{
+    if (now - m_tailConfirmedAt <= m_options.maxTailAge)
+        onTailConfirmed(now, out);
+}
+
 void partition_owner::onCredits(const upstream_id &upstream, const model_id &model,
                                 std::uint32_t items, instant now, owner_actions &out)
 {
--- a/src/jobs/partition_owner_items.cpp
+++ b/src/jobs/partition_owner_items.cpp
@@ -111,7 +111,8 @@
         return;
     reserveForSuspect(now);
     startSuspect(now, out);
-    while (mayStart(now) && startOnNextUpstream(now, out)) { }
+    std::set<model_id> dry;
+    while (mayStart(now) && startOnNextUpstream(now, dry, out)) { }
 }
 
 // Prefers the least busy upstream other than the one whose worker died.
@@ -163,7 +164,7 @@
 }
 
 // Takes upstreams in turn, so that none is filled before the others get an item.
-bool partition_owner::startOnNextUpstream(instant now, owner_actions &out)
+bool partition_owner::startOnNextUpstream(instant now, std::set<model_id> &dry, owner_actions &out)
 {
     auto entry = m_credits.upper_bound(m_lastServed);
     for (std::size_t tried = 0; tried < m_credits.size(); ++tried) {
@@ -171,7 +172,7 @@
             entry = m_credits.begin();
         const auto upstream = entry->first;
         ++entry;
-        if (startOn(upstream, now, out)) {
+        if (startOn(upstream, now, dry, out)) {
             m_lastServed = upstream;
             return true;
         }
@@ -179,10 +180,11 @@
     return false;
 }
 
-bool partition_owner::startOn(const upstream_id &upstream, instant now, owner_actions &out)
+bool partition_owner::startOn(const upstream_id &upstream, instant now, std::set<model_id> &dry,
+                              owner_actions &out)
 {
     const auto &credit = m_credits.at(upstream);
-    if (credit.items == 0 || m_reserved == upstream)
+    if (credit.items == 0 || m_reserved == upstream || dry.contains(credit.model))
         return false;
     while (const auto item = m_scheduler.next(credit.model, now)) {
         if (!isOpen(*item))
@@ -190,6 +192,7 @@
         start(*item, upstream, false, now, out);
         return true;
     }
+    dry.insert(credit.model);
     return false;
 }
 
--- /dev/null
+++ b/tests/support/jobs_fake_log.hpp
@@ -0,0 +1,106 @@
+// A fake of the platform's log in virtual time: one stream, with faults and limited retention.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/jobs/append_outcome.hpp>
+#include <tamarackglade/schema/records.hpp>
+
+#include <functional>
+#include <random>
+#include <vector>
+
+namespace tamarack::test {
+
+class jobs_fake_log
+{
+public:
+    using reply = std::function<void(append_outcome)>;
+    struct record
+    {
+        schema::log_batch_message batch;
+        instant landedAt;
+    };
+
+    instant downUntil{};
+    instant slowUntil{};
+    instant answersLostUntil{};
+    duration retention = std::chrono::seconds(150);
+    std::function<void(log_offset, const record &)> onLanded;
+
+    explicit jobs_fake_log(std::uint64_t seed) : m_random(seed) { }
+
+    [[nodiscard]] bool isUp(instant now) const { return now >= downUntil; }
+    [[nodiscard]] log_offset tail() const { return log_offset(m_records.size()); }
+    [[nodiscard]] log_offset firstRetained() const { return m_firstRetained; }
+    /// All records that ever landed; a reader may only ask from firstRetained() on.
+    [[nodiscard]] const record &at(log_offset offset) const
+    {
+        return m_records.at(offset.value() - 1);
+    }
+
+    void append(instant now, const schema::log_batch_message &batch, const reply &answer)
+    {
+        if (!isUp(now)) {
+            const bool isKnown = m_random() % 2 == 0;
+            const auto outcome = isKnown ? append_outcome::Failed : append_outcome::Unknown;
+            m_answers.push_back({now + std::chrono::milliseconds(200), outcome, answer});
+            return;
+        }
+        const bool isSlow = now < slowUntil;
+        const auto delay = std::chrono::milliseconds(isSlow ? 1000 + m_random() % 6000 : 20);
+        const bool isLost = now < answersLostUntil || isSlow;
+        const auto outcome = isLost ? append_outcome::Unknown : append_outcome::Ok;
+        m_landings.push_back({now + delay, batch});
+        m_answers.push_back({now + std::chrono::milliseconds(isLost ? 1500 : 40), outcome, answer});
+    }
+
+    void advance(instant now)
+    {
+        takeDue(m_landings, now, [&](landing &due) { land(now, std::move(due.batch)); });
+        takeDue(m_answers, now, [](answer_due &due) { due.answer(due.outcome); });
+        while (m_firstRetained.value() <= m_records.size()
+               && now - at(m_firstRetained).landedAt > retention)
+            m_firstRetained = log_offset(m_firstRetained.value() + 1);
+    }
+
+    void land(instant now, schema::log_batch_message batch)
+    {
+        m_records.push_back({std::move(batch), now});
+        if (onLanded)
+            onLanded(tail(), m_records.back());
+    }
+
+private:
+    struct landing
+    {
+        instant at;
+        schema::log_batch_message batch;
+    };
+    struct answer_due
+    {
+        instant at;
+        append_outcome outcome;
+        reply answer;
+    };
+
+    template <class Due, class Action>
+    static void takeDue(std::vector<Due> &waiting, instant now, Action action)
+    {
+        std::vector<Due> due;
+        std::vector<Due> rest;
+        for (auto &entry : waiting)
+            (entry.at <= now ? due : rest).push_back(std::move(entry));
+        waiting = std::move(rest);
+        for (auto &entry : due)
+            action(entry);
+    }
+
+    std::mt19937_64 m_random;
+    std::vector<record> m_records;
+    log_offset m_firstRetained{1};
+    std::vector<landing> m_landings;
+    std::vector<answer_due> m_answers;
+};
+
+} // namespace tamarack::test
--- /dev/null
+++ b/tests/support/jobs_sim.hpp
@@ -0,0 +1,92 @@
+// A fleet of entries, sides and a log around one partition, in virtual time, with an oracle.
+#pragma once
+
+#include "support/jobs_fake_side.hpp"
+#include "support/jobs_oracle.hpp"
+#include "support/jobs_sim_entry.hpp"
+
+#include <set>
+#include <string>
+
+namespace tamarack::test {
+
+class jobs_sim
+{
+public:
+    static constexpr duration Step = std::chrono::milliseconds(100);
+
+    explicit jobs_sim(std::uint64_t seed, std::size_t entryCount = 3,
+                      jobs_mutation mutation = jobs_mutation::None);
+
+    jobs_fake_log log;
+    jobs_oracle oracle;
+    std::vector<sim_entry> entries;
+    std::vector<jobs_fake_side> sides;
+    std::vector<std::string> faults; // what the oracle objected to
+    std::map<std::string, std::set<std::string>> acknowledged; // customer and digest to job ids
+    std::map<std::string, std::uint32_t> crashesOfItem; // "job:item"
+    std::map<std::string, instant> cancelFoldedAt; // by the first entry that folded it
+    std::uint64_t startCount = 0;
+
+    [[nodiscard]] instant now() const { return m_now; }
+    [[nodiscard]] std::uint64_t wallS() const
+    {
+        return 1'800'000'000 + static_cast<std::uint64_t>(toSeconds(m_now.time_since_epoch()));
+    }
+
+    /// @return the content of an input file; flags say "poison" or "rejected" for some items
+    static std::string content(std::size_t items, const std::string &tag,
+                               const std::map<std::size_t, std::string> &flags = {});
+    void submit(std::size_t entry, const std::string &customer, const std::string &content,
+                const std::string &key = {}, bool killAfterwards = false);
+    void cancel(const std::string &job);
+    /// @brief Lands a result that no owner of the fleet wrote, of this epoch or the one before.
+    void landStrayResult(std::uint64_t choice);
+    /// @brief Lands an earlier batch once more, as a delayed copy of its append would.
+    void landRepeat(std::uint64_t choice);
+    /// @brief Loses an entry for some time, unless no other would run.
+    void kill(std::size_t entry, duration away);
+    void pause(std::size_t entry, duration time);
+    void crashSide(std::size_t side);
+    void run(duration time);
+    /// @brief Ends all faults, runs until every job has ended, and checks everything.
+    void heal();
+    /// @brief Compares every entry that has read the whole log with the oracle.
+    void check();
+    [[nodiscard]] std::size_t ownerIndex() const;
+    [[nodiscard]] std::vector<std::string> openJobs() const;
+
+private:
+    void step();
+    void stepEntry(std::size_t index);
+    void readLog(std::size_t index);
+    bool bootstrap(sim_entry &entry);
+    void followOwnership(std::size_t index);
+    void stepOwner(std::size_t index);
+    void stepPlanner(std::size_t index);
+    void stepSubmissions(std::size_t index);
+    void finishSubmission(std::size_t index, sim_submission &submission);
+    void perform(std::size_t index, const owner_actions &actions);
+    void startItem(std::size_t index, const start_item &start);
+    void cancelAttempt(const cancel_attempt &cancel);
+    void offerCredits();
+    void deliver(const jobs_fake_side::job_run &run, attempt_outcome outcome,
+                 const std::string &data);
+    void checkEntry(const sim_entry &entry);
+    void checkJob(const partition_fold &fold, const std::string &id,
+                  const jobs_oracle::known_job &expected);
+    void checkLateReader();
+    [[nodiscard]] std::string payload(const record_reference &reference);
+    void fault(const std::string &text);
+    [[nodiscard]] std::vector<live_vm> liveView() const;
+    [[nodiscard]] bool isFoldedFurthest(const sim_entry &entry) const;
+    [[nodiscard]] bool anotherRuns(std::size_t entry) const;
+
+    jobs_mutation m_mutation;
+    instant m_now{std::chrono::seconds(1000)};
+    partition_id m_partition{0};
+    std::uint64_t m_lastId = 0;
+    std::vector<std::string> m_notWritten; // record ids that callers were told are not in the log
+};
+
+} // namespace tamarack::test
--- /dev/null
+++ b/tests/support/jobs_sim_entry.hpp
@@ -0,0 +1,57 @@
+// One entry VM of the simulated fleet: the jobs objects of one partition, wired as in the shell.
+#pragma once
+
+#include "support/jobs_fake_log.hpp"
+#include <tamarackglade/jobs/append_queue.hpp>
+#include <tamarackglade/jobs/claim_policy.hpp>
+#include <tamarackglade/jobs/job_submission.hpp>
+#include <tamarackglade/jobs/partition_owner.hpp>
+#include <tamarackglade/jobs/retention_planner.hpp>
+#include <tamarackglade/jobs/snapshot_finder.hpp>
+#include <tamarackglade/jobs/submission_tracker.hpp>
+
+#include <list>
+#include <memory>
+
+namespace tamarack::test {
+
+/// A caller's request at an entry: first the file, then the job.
+struct sim_submission
+{
+    std::string customer;
+    std::string key;
+    std::string content;
+    file_id file;
+    bool killAfterwards = false;
+    append_queue uploads{std::chrono::milliseconds(300), std::chrono::seconds(2)};
+    std::optional<submission_tracker> tracker;
+    bool isDone = false;
+};
+
+struct sim_entry
+{
+    vm_id vm;
+    incarnation generation{1};
+    instant restartAt{}; // not running before
+    instant pausedUntil{};
+    std::unique_ptr<partition_fold> fold;
+    std::unique_ptr<partition_owner> owner;
+    std::unique_ptr<retention_planner> planner;
+    std::unique_ptr<claim_policy> policy;
+    std::list<sim_submission> submissions;
+
+    [[nodiscard]] bool isAlive(instant now) const { return now >= restartAt; }
+    [[nodiscard]] bool isRunning(instant now) const { return isAlive(now) && now >= pausedUntil; }
+
+    /// Loses everything, as a VM does.
+    void reset()
+    {
+        owner.reset();
+        planner.reset();
+        policy.reset();
+        submissions.clear();
+        fold.reset();
+    }
+};
+
+} // namespace tamarack::test
--- /dev/null
+++ b/tests/unit-jobs-fold.cpp
@@ -0,0 +1,304 @@
+// Tests of the fold's rules.
+#include "support/jobs_records.hpp"
+#include <tamarackglade/jobs/partition_snapshot.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace tamarack;
+using namespace tamarack::test;
+
+TEST_CASE("claims")
+{
+    folded_stream stream;
+    CHECK(stream.claim(1, "a").epochChanged);
+    SUBCASE("count only with the next epoch")
+    {
+        CHECK_FALSE(stream.claim(1, "b").epochChanged);
+        CHECK_FALSE(stream.claim(3, "b").epochChanged);
+        CHECK(stream.fold.ownerVm() == vm_id("a"));
+        CHECK(stream.claim(2, "b").epochChanged);
+        CHECK(stream.fold.ownerVm() == vm_id("b"));
+        CHECK(stream.fold.currentEpoch() == epoch(2));
+    }
+    SUBCASE("of another partition are malformed")
+    {
+        stream.land(claimBatch({partition_id(7), epoch(2), vm_id("b"), incarnation(1)}));
+        CHECK(stream.fold.currentEpoch() == epoch(1));
+        CHECK(stream.fold.malformedCount() == 1);
+    }
+    SUBCASE("in a copy neither raise nor reset the epoch")
+    {
+        auto copy = claimBatch({partition_id(0), epoch(2), vm_id("b"), incarnation(1)});
+        copy.reappended_from = 1;
+        stream.land(copy);
+        CHECK(stream.fold.currentEpoch() == epoch(1));
+    }
+}
+
+TEST_CASE("files")
+{
+    folded_stream stream;
+    stream.file("f", 5);
+    const auto *file = stream.fold.file(file_id("f"));
+    REQUIRE(file != nullptr);
+    CHECK(file->isComplete());
+    CHECK(file->lineCount() == 5);
+    SUBCASE("know where each line lies")
+    {
+        CHECK(file->line(0)->chunk.offset() == log_offset(1));
+        CHECK(file->line(3)->chunk.offset() == log_offset(2));
+        CHECK(file->line(3)->line == 1);
+        CHECK(file->line(4)->chunk.offset() == log_offset(3));
+        CHECK_FALSE(file->line(5));
+    }
+    SUBCASE("with equal content have equal digests")
+    {
+        stream.file("g", 5);
+        stream.file("h", 6);
+        CHECK(stream.fold.file(file_id("g"))->contentDigest() == file->contentDigest());
+        CHECK(stream.fold.file(file_id("h"))->contentDigest() != file->contentDigest());
+    }
+    SUBCASE("ignore a chunk of another customer or of another count")
+    {
+        schema::file_chunk_message chunk;
+        chunk.file_id = "f";
+        chunk.customer = "other";
+        chunk.chunk_count = 3;
+        stream.landRecord(chunk);
+        chunk.customer = "c";
+        chunk.chunk_count = 4'000'000'000;
+        stream.landRecord(chunk);
+        CHECK(stream.fold.malformedCount() == 2);
+        CHECK(file->lineCount() == 5);
+    }
+    SUBCASE("that no job uses can expire")
+    {
+        stream.claim(1);
+        schema::file_expired_message expired;
+        expired.file_id = "f";
+        expired.epoch = 1;
+        stream.landRecord(expired);
+        CHECK(stream.fold.file(file_id("f")) == nullptr);
+    }
+}
+
+TEST_CASE("accepting a job")
+{
+    folded_stream stream;
+    stream.file("f", 4);
+    SUBCASE("needs the whole file of the same customer and the right count")
+    {
+        CHECK(stream.accept("j", "g", 4, 1).jobsRefused.at(0).reason
+              == refusal_reason::FileNotComplete);
+        CHECK(stream.accept("k", "f", 3, 1).jobsRefused.at(0).reason
+              == refusal_reason::ItemCountWrong);
+        const auto foreign = folded_stream::request("l", "f", 4, 1, "other");
+        CHECK(stream.land(acceptBatch(foreign)).jobsRefused.at(0).reason
+              == refusal_reason::FileNotComplete);
+    }
+    SUBCASE("with a known digest answers with the known job")
+    {
+        CHECK(stream.accept("j", "f", 4, 1).jobsAccepted.size() == 1);
+        const auto again = stream.accept("k", "f", 4, 1);
+        CHECK(again.jobsAccepted.empty());
+        CHECK(again.jobsRefused.at(0).existing == job_id("j"));
+        CHECK(stream.fold.jobByDigest(customer_id("c"), 1)->id == job_id("j"));
+    }
+    SUBCASE("repeated under its record id changes nothing")
+    {
+        stream.accept("j", "f", 4, 1);
+        CHECK(stream.accept("j", "f", 4, 1).duplicate);
+        CHECK(stream.fold.jobs().size() == 1);
+    }
+    SUBCASE("keeps a customer's jobs in order")
+    {
+        stream.accept("z", "f", 4, 1);
+        stream.accept("a", "f", 4, 2);
+        CHECK(stream.fold.jobsOf(customer_id("c")) == std::vector{job_id("z"), job_id("a")});
+    }
+}
+
+TEST_CASE("results")
+{
+    folded_stream stream;
+    stream.claim(1);
+    stream.file("f", 3);
+    stream.accept("j", "f", 3, 1);
+    CHECK(stream.result("j", 0, 1).itemsSettled.size() == 1);
+    const auto first = stream.job("j")->results[0];
+    SUBCASE("the first one counts for ever")
+    {
+        CHECK(stream.result("j", 0, 1, 'b').itemsSettled.empty());
+        CHECK(stream.job("j")->results[0] == first);
+    }
+    SUBCASE("of an older or a future epoch are void")
+    {
+        stream.claim(2, "b");
+        CHECK(stream.result("j", 1, 1).itemsSettled.empty());
+        CHECK(stream.result("j", 1, 3).itemsSettled.empty());
+        CHECK(stream.result("j", 1, 2).itemsSettled.size() == 1);
+    }
+    SUBCASE("of items that don't exist are malformed")
+    {
+        CHECK(stream.result("j", 3, 1).itemsSettled.empty());
+        CHECK(stream.fold.malformedCount() == 1);
+    }
+    SUBCASE("complete the job, and a cancel is then too late")
+    {
+        stream.result("j", 1, 1);
+        CHECK(stream.fold.openItems(job_id("j"), item_index(0), 9) == std::vector{item_index(2)});
+        CHECK(stream.result("j", 2, 1).jobsEnded.size() == 1);
+        CHECK(stream.land(cancelBatch(job_id("j"), "x", 1)).jobsCancelled.empty());
+        CHECK(stream.job("j")->state() == job_state::Completed);
+    }
+    SUBCASE("after a cancel are void, and those before it stay")
+    {
+        CHECK(stream.land(cancelBatch(job_id("j"), "x", 1)).jobsCancelled.size() == 1);
+        CHECK(stream.result("j", 1, 1).itemsSettled.empty());
+        CHECK(stream.job("j")->results[0] == first);
+        CHECK(stream.job("j")->state() == job_state::Cancelled);
+    }
+}
+
+TEST_CASE("expiry")
+{
+    folded_stream stream;
+    stream.claim(1);
+    stream.file("f", 1);
+    stream.accept("j", "f", 1, 1);
+    SUBCASE("never takes a job that has not ended")
+    {
+        CHECK(stream.expire("j", 1).jobsRemoved.empty());
+    }
+    SUBCASE("takes an ended job, and its file with the last job that uses it")
+    {
+        stream.accept("k", "f", 1, 2);
+        stream.result("j", 0, 1);
+        stream.result("k", 0, 1);
+        CHECK(stream.expire("j", 0).jobsRemoved.empty());
+        CHECK(stream.expire("j", 1).jobsRemoved.size() == 1);
+        CHECK(stream.fold.file(file_id("f")) != nullptr);
+        CHECK(stream.expire("k", 1).jobsRemoved.size() == 1);
+        CHECK(stream.fold.file(file_id("f")) == nullptr);
+    }
+}
+
+namespace {
+
+// A late copy of the append that accepted a job arrives after the job's expiry, while another job
+// keeps the file.
+bool expiredJobComesBack(jobs_mutation mutation)
+{
+    folded_stream stream(mutation);
+    stream.claim(1);
+    stream.file("f", 1);
+    stream.accept("j", "f", 1, 1);
+    stream.accept("k", "f", 1, 2);
+    stream.result("j", 0, 1);
+    stream.expire("j", 1);
+    stream.accept("j", "f", 1, 1);
+    return stream.job("j") != nullptr;
+}
+
+} // namespace
+
+TEST_CASE("an expired job never comes back")
+{
+    CHECK_FALSE(expiredJobComesBack(jobs_mutation::None));
+    CHECK(expiredJobComesBack(jobs_mutation::RecordIdNotDeduplicated));
+}
+
+TEST_CASE("copies")
+{
+    folded_stream stream;
+    stream.claim(1);
+    stream.file("f", 1);
+    stream.accept("j", "f", 1, 1);
+    schema::log_batch_message batch;
+    batch.record_id = "two";
+    addRecord(batch, folded_stream::resultRecord("j", 0, 7, 'x')); // void: a wrong epoch
+    addRecord(batch, folded_stream::resultRecord("j", 0, 1, 'a'));
+    stream.land(batch);
+    const auto original = stream.job("j")->results[0];
+    REQUIRE(original.index() == 1);
+    schema::log_batch_message copy;
+    copy.record_id = "copy";
+    copy.reappended_from = original.offset().value();
+    addRecord(copy, folded_stream::resultRecord("j", 0, 1, 'a'));
+    SUBCASE("move a reference and settle nothing")
+    {
+        const auto changes = stream.land(copy);
+        CHECK(changes.itemsSettled.empty());
+        CHECK(stream.job("j")->results[0].offset() > original.offset());
+        CHECK(stream.job("j")->succeeded == 1);
+    }
+    SUBCASE("that come late, after another copy, change nothing")
+    {
+        stream.land(copy);
+        const auto moved = stream.job("j")->results[0];
+        copy.record_id = "later copy";
+        stream.land(copy);
+        CHECK(stream.job("j")->results[0] == moved);
+    }
+    SUBCASE("never give a result to an open item or bring back a job")
+    {
+        stream.accept("k", "f", 1, 2);
+        copy.records.clear();
+        addRecord(copy, folded_stream::resultRecord("k", 0, 1));
+        stream.land(copy);
+        CHECK_FALSE(stream.job("k")->hasResult(item_index(0)));
+        stream.expire("j", 1);
+        auto accepted = acceptBatch(folded_stream::request("j", "f", 1, 1));
+        accepted.record_id = "copy of the job";
+        accepted.reappended_from = 3;
+        stream.land(accepted);
+        CHECK(stream.job("j") == nullptr);
+    }
+    SUBCASE("take only the record that counted")
+    {
+        const auto &records = stream.batches.back().records;
+        const auto at = [&](std::uint32_t index) {
+            return record_reference(original.offset(), index);
+        };
+        CHECK_FALSE(stream.fold.isLive(at(0), *records[0]));
+        CHECK(stream.fold.isLive(at(1), *records[1]));
+    }
+}
+
+TEST_CASE("malformed batches are ignored and counted")
+{
+    folded_stream stream;
+    schema::log_batch_message batch;
+    stream.land(batch); // no record id
+    batch.record_id = "empty record";
+    batch.records.push_back(std::make_unique<schema::log_record_message>());
+    batch.records.push_back(nullptr);
+    stream.land(batch);
+    schema::key_withdrawn_message foreign;
+    stream.landRecord(foreign);
+    CHECK(stream.fold.malformedCount() == 4);
+    CHECK(stream.fold.jobs().empty());
+}
+
+TEST_CASE("a snapshot gives the same state")
+{
+    folded_stream stream;
+    stream.claim(1);
+    stream.file("f", 3);
+    stream.accept("j", "f", 3, 1);
+    stream.result("j", 1, 1);
+    const auto state = decodeState(encodeState(stream.fold.snapshot()));
+    REQUIRE(state.ok());
+    auto restored = partition_fold::fromSnapshot(*state, stream.fold.position());
+    REQUIRE(restored.ok());
+    CHECK(encodeState(restored->snapshot()) == encodeState(stream.fold.snapshot()));
+    CHECK(restored->hasRecord("accept:j"));
+    CHECK(restored->job(job_id("j"))->succeeded == stream.job("j")->succeeded);
+    SUBCASE("that is damaged is an error")
+    {
+        auto broken = *state;
+        broken.files.clear();
+        CHECK_FALSE(partition_fold::fromSnapshot(broken, log_offset(9)).ok());
+        CHECK_FALSE(decodeState("nonsense").ok());
+    }
+}
