--- a/include/tamarackglade/core/strong_id.hpp
+++ b/include/tamarackglade/core/strong_id.hpp
@@ -24,6 +24,7 @@
     [[nodiscard]] const Rep &value() const { return m_value; }
 
     friend bool operator==(const strong_id &, const strong_id &) = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): taken for the 0 of a rewritten comparison
     friend auto operator<=>(const strong_id &, const strong_id &) = default;
     friend std::ostream &operator<<(std::ostream &out, const strong_id &id)
     {
--- a/src/config/format_duration.cpp
+++ b/src/config/format_duration.cpp
@@ -3,6 +3,7 @@
 #include <tamarackglade/config/text.hpp>
 
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace tamarack {
@@ -51,7 +52,7 @@
     if (!(seconds >= 0 && seconds <= MaxSeconds))
         return std::nullopt;
     // Rounds to whole milliseconds, so that 0.1s is not a nanosecond short.
-    return std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000 + 0.5));
+    return std::chrono::milliseconds(std::llround(seconds * 1000));
 }
 
 } // namespace tamarack
--- a/src/config/ini_document.cpp
+++ b/src/config/ini_document.cpp
@@ -5,7 +5,6 @@
 #include <ini.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace tamarack {
 
@@ -61,7 +60,7 @@
             m_open = false;
             line = {};
         }
-        std::memcpy(buffer, line.data(), line.size());
+        std::copy(line.begin(), line.end(), buffer);
         buffer[line.size()] = '\n';
         buffer[line.size() + 1] = '\0';
         return buffer;
--- a/src/membership/select_sides.cpp
+++ b/src/membership/select_sides.cpp
@@ -35,6 +35,7 @@
             zones[{stableHash(other.value(), seed), other}].push_back(entry);
     }
     std::vector<scored_sides> result;
+    result.reserve(zones.size());
     for (auto &[order, sides] : zones)
         result.push_back(std::move(sides));
     return result;
--- a/src/report/config_slopes.cpp
+++ b/src/report/config_slopes.cpp
@@ -16,7 +16,7 @@
 constexpr duration IdleTime = 60s;
 constexpr duration Step = 20ms; // resolution of the times
 constexpr duration GiveUp = 120s;
-constexpr int Changes = 5; // of each kind
+constexpr int Changes = 3; // of each kind
 
 template <class Message>
 std::string payloadOf(const std::string &recordId, Message message)
--- a/tests/fuzz-config.cpp
+++ b/tests/fuzz-config.cpp
@@ -18,6 +18,7 @@
 {
     std::mt19937_64 random(seed);
     std::vector<config_step> steps;
+    steps.reserve(MutationSteps);
     for (int i = 0; i < MutationSteps; ++i) {
         steps.emplace_back(static_cast<int>(random() % ConfigStepKinds),
                            static_cast<int>(random() % 40), static_cast<int>(random() % 40));
