The gate: online before batch, attempts at most once, fenced orders

A fixed number of batch streams is wrong at every load but one, and watching the gap harms online first. The gate predicts the iteration time (W + H*n, fitted to what it sees) and holds batch to what the knob allows. Batch streams yield before an online call opens and resume where they stopped. Attempt ids carry the side's incarnation, and a watermark per sender bounds what the ledger remembers without a wrong 'not started'.

--- /dev/null
+++ b/include/tamarackglade/gate/abort_upstream.hpp
@@ -0,0 +1,13 @@
+// Action: cancel a call at the upstream.
+#pragma once
+
+#include <tamarackglade/gate/upstream_run.hpp>
+
+namespace tamarack {
+
+struct abort_upstream
+{
+    upstream_run run;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/gate/admission_offer.hpp
@@ -0,0 +1,20 @@
+// A request offered to an admission queue.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace tamarack {
+
+struct admission_offer
+{
+    std::string id; // unique in the queue
+    customer_id customer;
+    std::uint32_t weight = 1;
+    instant deadline{}; // by when service has to begin
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/gate/deficit_round_robin.hpp
@@ -0,0 +1,145 @@
+// Weighted deficit round robin over customers.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace tamarack {
+
+/// @brief A queue in which each customer with waiting items gets its weight's share of the pops.
+/// push and pop are O(1) amortized for weights of at least one.
+template <class Item>
+class deficit_round_robin
+{
+public:
+    /// @brief Queues an item behind the customer's others.
+    /// @param weight pops per round; 0 counts as 1
+    void push(const customer_id &customer, std::uint32_t weight, Item item)
+    {
+        auto &queue = m_flows[customer];
+        if (queue.items.empty())
+            m_round.push_back(customer);
+        queue.weight = std::max<std::uint32_t>(weight, 1);
+        queue.items.push_back(std::move(item));
+        ++m_size;
+    }
+
+    /// @return the next item in fair order
+    std::optional<Item> pop()
+    {
+        if (m_round.empty())
+            return std::nullopt;
+        const auto customer = m_round.front();
+        auto &queue = m_flows[customer];
+        if (queue.deficit == 0)
+            queue.deficit = queue.weight;
+        std::optional<Item> item(std::move(queue.items.front()));
+        queue.items.pop_front();
+        --queue.deficit;
+        --m_size;
+        leaveOrRotate(customer);
+        return item;
+    }
+
+    /// @brief Removes the customer's newest item.
+    std::optional<Item> popNewest(const customer_id &customer)
+    {
+        const auto found = m_flows.find(customer);
+        if (found == m_flows.end())
+            return std::nullopt;
+        std::optional<Item> item(std::move(found->second.items.back()));
+        found->second.items.pop_back();
+        --m_size;
+        dropIfEmpty(customer);
+        return item;
+    }
+
+    /// @brief Removes one item that equals value; O(items of the customer).
+    bool remove(const customer_id &customer, const Item &value)
+    {
+        const auto found = m_flows.find(customer);
+        if (found == m_flows.end())
+            return false;
+        auto &items = found->second.items;
+        const auto position = std::find(items.begin(), items.end(), value);
+        if (position == items.end())
+            return false;
+        items.erase(position);
+        --m_size;
+        dropIfEmpty(customer);
+        return true;
+    }
+
+    [[nodiscard]] std::size_t size() const { return m_size; }
+    [[nodiscard]] bool empty() const { return m_size == 0; }
+
+    /// @return the number of waiting items of a customer
+    [[nodiscard]] std::size_t backlog(const customer_id &customer) const
+    {
+        const auto found = m_flows.find(customer);
+        return found == m_flows.end() ? 0 : found->second.items.size();
+    }
+
+    /// @return the sum of the weights of customers with waiting items, without one customer
+    [[nodiscard]] std::uint64_t weightOfOthers(const customer_id &customer) const
+    {
+        std::uint64_t sum = 0;
+        for (const auto &[name, queue] : m_flows)
+            sum += name == customer ? 0 : queue.weight;
+        return sum;
+    }
+
+    /// @return the customer with the most waiting items for its weight; the queue isn't empty
+    [[nodiscard]] customer_id mostBacklogged() const
+    {
+        const auto load = [](const auto &entry) {
+            return static_cast<double>(entry.second.items.size()) / entry.second.weight;
+        };
+        const auto less = [&](const auto &a, const auto &b) {
+            return std::pair(load(a), a.first.value()) < std::pair(load(b), b.first.value());
+        };
+        return std::max_element(m_flows.begin(), m_flows.end(), less)->first;
+    }
+
+private:
+    struct flow
+    {
+        std::deque<Item> items;
+        std::uint32_t weight = 1;
+        std::uint32_t deficit = 0; // pops left in this round
+    };
+
+    void leaveOrRotate(const customer_id &customer)
+    {
+        const auto &queue = m_flows.at(customer);
+        if (!queue.items.empty() && queue.deficit > 0)
+            return;
+        m_round.pop_front();
+        if (queue.items.empty())
+            m_flows.erase(customer);
+        else
+            m_round.push_back(customer);
+    }
+
+    void dropIfEmpty(const customer_id &customer)
+    {
+        if (!m_flows.at(customer).items.empty())
+            return;
+        m_round.erase(std::find(m_round.begin(), m_round.end(), customer));
+        m_flows.erase(customer);
+    }
+
+    // Invariant: m_flows has exactly the customers with waiting items, each once in m_round.
+    std::unordered_map<customer_id, flow> m_flows;
+    std::deque<customer_id> m_round;
+    std::size_t m_size = 0;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/gate/gated_call.hpp
@@ -0,0 +1,34 @@
+// A call that the gate holds: queued, running or parked.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/gate/attempt_name.hpp>
+#include <tamarackglade/gate/connection_id.hpp>
+#include <tamarackglade/gate/upstream_run.hpp>
+#include <tamarackglade/schema/wire_generated.h>
+
+#include <cstdint>
+#include <optional>
+
+namespace tamarack {
+
+struct gated_call
+{
+    enum class phase { Queued, Running, Parked };
+
+    [[nodiscard]] bool isBatch() const { return call.call_class == schema::call_class::Batch; }
+    [[nodiscard]] upstream_run run() const { return {attempt_id(call.attempt), runNumber}; }
+
+    schema::start_call_message call;
+    attempt_name name;
+    connection_id connection;
+    phase current = phase::Queued;
+    std::uint32_t runNumber = 0; // openings so far
+    bool headSent = false;
+    std::uint64_t dataFrames = 0; // passed on so far
+    std::uint64_t order = 0; // when it last started or was parked, in the gate's own count
+    instant parkedUntil{}; // meaningful only in phase Parked
+    std::optional<instant> lastData; // in the present run
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/gate/iteration_model.hpp
@@ -0,0 +1,46 @@
+// Estimates how an engine's iteration time grows with the number of its streams.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+
+#include <cstddef>
+
+namespace tamarack {
+
+/// @brief Fits iteration time = base + perStream * streams to observed token gaps.
+/// Least squares with exponential forgetting; a weak prior holds where data is missing. The
+/// linear form is that of Fleet Sim's manual profile (W + H*n).
+class iteration_model
+{
+public:
+    /// @param base prior of the time of an iteration without streams
+    /// @param perStream prior of what each stream adds
+    iteration_model(duration base, duration perStream);
+
+    /// @brief Adds an observed gap between two tokens of one stream.
+    /// @param streams how many streams ran meanwhile
+    void observe(std::size_t streams, duration gap);
+
+    /// @return the expected iteration time with that many streams
+    [[nodiscard]] duration predict(std::size_t streams) const;
+
+    /// @return the most streams whose iteration time is at most gap
+    [[nodiscard]] std::size_t streamsWithin(duration gap) const;
+
+private:
+    void addSample(double streams, double seconds, double weight);
+    void fit();
+
+    // Weighted sums of the samples: 1, n, n*n, t, n*t.
+    double m_sumWeight = 0;
+    double m_sumStreams = 0;
+    double m_sumStreamsSquared = 0;
+    double m_sumTime = 0;
+    double m_sumStreamsTime = 0;
+    double m_base; // seconds, at least 0
+    double m_perStream; // seconds, above 0
+    const double m_priorBase;
+    const double m_priorPerStream;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/gate/ledger_limits.hpp
@@ -0,0 +1,16 @@
+// Bounds on what the attempt ledger remembers.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+
+#include <cstddef>
+
+namespace tamarack {
+
+struct ledger_limits
+{
+    duration retention = std::chrono::minutes(10); // of settled attempts
+    std::size_t settledPerSender = 4096;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/gate/ledger_verdict.hpp
@@ -0,0 +1,13 @@
+// What the attempt ledger knows about an arriving start_call.
+#pragma once
+
+namespace tamarack {
+
+enum class ledger_verdict {
+    Fresh, // first seen now; it is recorded as pending
+    Duplicate, // pending, running or finished here
+    Refused, // proved never to start
+    Unknown // forgotten, or sent to an earlier incarnation: it may have run
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/gate/open_upstream.hpp
@@ -0,0 +1,18 @@
+// Action: send a call to the upstream.
+#pragma once
+
+#include <tamarackglade/gate/upstream_run.hpp>
+#include <tamarackglade/schema/wire_generated.h>
+
+#include <cstdint>
+
+namespace tamarack {
+
+struct open_upstream
+{
+    upstream_run run;
+    schema::start_call_message call;
+    std::uint64_t resumeFrom = 0; // data frames that the caller has already; skip so many
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/orders/order_mutation.hpp
@@ -0,0 +1,11 @@
+// Faults that tests seed into the order desk.
+#pragma once
+
+namespace tamarack {
+
+enum class order_mutation {
+    None,
+    IgnoreFence // orders with an old fencing number are given
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/orders/weight_store_limiter.hpp
@@ -0,0 +1,29 @@
+// Spaces out loads from the rate-limited weight store.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+
+namespace tamarack {
+
+/// @brief Admits loads at a steady rate with a burst, by the generic cell rate algorithm.
+/// In any window of length t at most t/interval + burst loads begin.
+class weight_store_limiter
+{
+public:
+    /// @param interval between two loads at the steady rate
+    /// @param burst loads at once, at least 1
+    weight_store_limiter(duration interval, int burst);
+
+    /// @return whether a load may begin now; if so it is counted
+    bool tryLoad(instant now);
+
+    /// @return when the next load may begin, at or after now
+    [[nodiscard]] instant nextLoad(instant now) const;
+
+private:
+    duration m_interval;
+    duration m_tolerance; // how far m_full may lie ahead of a load
+    instant m_full{}; // when the whole burst is available again
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/gate/attempt_name.cpp
@@ -0,0 +1,48 @@
+// Formats and parses attempt ids.
+#include <tamarackglade/gate/attempt_name.hpp>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+namespace {
+
+/// Removes the last "/<number>" of text.
+std::optional<std::uint64_t> takeLastNumber(std::string_view &text)
+{
+    const auto slash = text.rfind('/');
+    if (slash == std::string_view::npos)
+        return std::nullopt;
+    const auto digits = text.substr(slash + 1);
+    std::uint64_t number = 0;
+    if (!absl::SimpleAtoi(absl::string_view(digits.data(), digits.size()), &number))
+        return std::nullopt;
+    text = text.substr(0, slash);
+    return number;
+}
+
+} // namespace
+
+attempt_id attempt_name::format() const
+{
+    return attempt_id(absl::StrCat(entry.value(), "/", entryIncarnation.value(), "/", sequence, "/",
+                                   sideIncarnation.value()));
+}
+
+std::optional<attempt_name> attempt_name::parse(const attempt_id &id)
+{
+    std::string_view rest = id.value();
+    const auto side = takeLastNumber(rest);
+    const auto sequence = side ? takeLastNumber(rest) : std::nullopt;
+    const auto entry = sequence ? takeLastNumber(rest) : std::nullopt;
+    if (!entry || rest.empty())
+        return std::nullopt;
+    return attempt_name{vm_id(std::string(rest)), incarnation(*entry), *sequence,
+                        incarnation(*side)};
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/gate/side_gate.cpp
@@ -0,0 +1,263 @@
+// Events of the gate: frames, upstream answers, state changes.
+#include <tamarackglade/gate/side_gate.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr duration StoppingRetryAfter = std::chrono::milliseconds(100);
+
+} // namespace
+
+side_gate::side_gate(gate_options options, incarnation own)
+    : m_options(std::move(options)), m_ledger(own, m_options.ledger, m_options.mutation),
+      m_pacer(m_options), m_queue(m_options.queue)
+{
+}
+
+gate_actions side_gate::onStart(const schema::start_call_message &call, connection_id from,
+                                instant now)
+{
+    const auto name = attempt_name::parse(attempt_id(call.attempt));
+    if (!name) {
+        sendEnd(from, call.attempt, schema::call_outcome::NotStarted, "bad_attempt", "",
+                duration::zero());
+        return takeActions();
+    }
+    auto verdict = m_ledger.admit(*name);
+    const bool repeated = verdict == ledger_verdict::Duplicate;
+    if (repeated && m_options.mutation == gate_mutation::NoDedupe
+        && !m_calls.contains(call.attempt))
+        verdict = ledger_verdict::Fresh;
+    switch (verdict) {
+    case ledger_verdict::Fresh:
+        takeFresh(call, *name, from, now);
+        break;
+    case ledger_verdict::Duplicate:
+        break; // its answer goes to the connection that asked first
+    case ledger_verdict::Refused:
+        sendEnd(from, call.attempt, schema::call_outcome::NotStarted, "refused", "",
+                duration::zero());
+        break;
+    case ledger_verdict::Unknown:
+        sendEnd(from, call.attempt, schema::call_outcome::Unknown, "attempt_forgotten", "",
+                duration::zero());
+        break;
+    }
+    return takeActions();
+}
+
+gate_actions side_gate::onCancel(const attempt_id &attempt, connection_id from, instant now)
+{
+    const auto found = m_calls.find(attempt.value());
+    if (found == m_calls.end() || found->second.connection != from)
+        return takeActions();
+    giveUp(found->second, "cancelled", now);
+    pump(now);
+    return takeActions();
+}
+
+gate_actions side_gate::onRefuseAttempt(const attempt_id &attempt, connection_id from, instant now)
+{
+    schema::refuse_answer_message answer;
+    answer.attempt = attempt.value();
+    const auto name = attempt_name::parse(attempt);
+    answer.never_started = name && m_ledger.proveNeverStarted(*name, now);
+    const auto found = m_calls.find(attempt.value());
+    const bool queued =
+        found != m_calls.end() && found->second.current == gated_call::phase::Queued;
+    if (answer.never_started && queued) {
+        m_queue.remove(attempt.value());
+        removeCall(found->second);
+    }
+    send(from, std::move(answer));
+    return takeActions();
+}
+
+gate_actions side_gate::onConnected(connection_id connection, instant now)
+{
+    m_connections.emplace(connection, std::nullopt);
+    reportToAll(now);
+    return takeActions();
+}
+
+gate_actions side_gate::onDisconnected(connection_id connection, instant now)
+{
+    m_connections.erase(connection);
+    std::vector<std::string> lost;
+    for (const auto &[id, held] : m_calls) {
+        const bool runsOn = held.current == gated_call::phase::Running && !held.call.repeatable;
+        if (held.connection == connection && !runsOn)
+            lost.push_back(id);
+    }
+    std::sort(lost.begin(), lost.end());
+    for (const auto &id : lost)
+        giveUp(m_calls.at(id), "disconnected", now);
+    pump(now);
+    return takeActions();
+}
+
+gate_actions side_gate::onUpstreamHead(const upstream_run &run, std::uint16_t status,
+                                       const std::string &contentType, instant /*now*/)
+{
+    auto *held = runningCall(run);
+    if (!held || held->headSent)
+        return takeActions();
+    held->headSent = true;
+    schema::call_head_message head;
+    head.attempt = run.attempt.value();
+    head.status = status;
+    head.content_type = contentType;
+    send(held->connection, std::move(head));
+    return takeActions();
+}
+
+gate_actions side_gate::onUpstreamData(const upstream_run &run,
+                                       const std::vector<std::uint8_t> &data, instant now)
+{
+    auto *held = runningCall(run);
+    if (!held)
+        return takeActions();
+    if (held->lastData)
+        m_pacer.onTokenGap(m_onlineRunning + m_batchRunning, now - *held->lastData);
+    held->lastData = now;
+    ++held->dataFrames;
+    schema::call_data_message message;
+    message.attempt = run.attempt.value();
+    message.data = data;
+    send(held->connection, std::move(message));
+    return takeActions();
+}
+
+gate_actions side_gate::onUpstreamEnd(const upstream_run &run, instant now)
+{
+    if (auto *held = runningCall(run)) {
+        endStarted(*held, schema::call_outcome::Complete, "", "", now);
+        pump(now);
+    }
+    return takeActions();
+}
+
+gate_actions side_gate::onUpstreamFailed(const upstream_run &run, bool neverSent,
+                                         const std::string &message, instant now)
+{
+    auto *held = runningCall(run);
+    if (!held)
+        return takeActions();
+    if (neverSent && held->runNumber == 1 && !held->headSent)
+        endNotStarted(*held, "upstream_unreachable", duration::zero(), now);
+    else
+        endStarted(*held, schema::call_outcome::Failed, "upstream_failed", message, now);
+    pump(now);
+    return takeActions();
+}
+
+gate_actions side_gate::onUpstreamState(schema::upstream_state state, instant now)
+{
+    if (state == m_state)
+        return takeActions();
+    m_state = state;
+    if (!takesNew())
+        giveBackWaiting("upstream_leaving", true, now);
+    reportToAll(now);
+    pump(now);
+    return takeActions();
+}
+
+void side_gate::onModelVersion(const std::string &version)
+{
+    m_modelVersion = version;
+}
+
+gate_actions side_gate::onDrain(instant now)
+{
+    m_draining = true;
+    giveBackWaiting("draining", false, now);
+    reportToAll(now);
+    return takeActions();
+}
+
+bool side_gate::isDrained() const
+{
+    return m_draining && m_calls.empty();
+}
+
+gate_actions side_gate::tick(instant now)
+{
+    for (const auto &refusal : m_queue.expire(now))
+        endNotStarted(m_calls.at(refusal.id), "deadline", refusal.retryAfter, now);
+    expireParked(now);
+    m_ledger.tick(now);
+    pump(now);
+    if (now >= m_nextReport)
+        reportToAll(now);
+    return takeActions();
+}
+
+instant side_gate::nextDeadline(instant now) const
+{
+    auto next = m_nextReport;
+    if (const auto expiry = m_queue.nextDeadline())
+        next = std::min(next, *expiry);
+    const auto grows = m_pacer.growsAt(now);
+    if (m_parked > 0 && grows)
+        next = std::min(next, *grows);
+    return next;
+}
+
+void side_gate::takeFresh(const schema::start_call_message &call, const attempt_name &name,
+                          connection_id from, instant now)
+{
+    gated_call held;
+    held.call = call;
+    held.name = name;
+    held.connection = from;
+    if (held.isBatch()) {
+        if (const auto connection = m_connections.find(from); connection != m_connections.end())
+            connection->second = now;
+    }
+    if (!takesNew())
+        endNotStarted(held, m_draining ? "draining" : "upstream_leaving", StoppingRetryAfter, now);
+    else if (held.isBatch())
+        startBatch(held, now);
+    else
+        queueOnline(held, now);
+}
+
+void side_gate::queueOnline(const gated_call &held, instant now)
+{
+    const auto deadline = now + std::chrono::milliseconds(held.call.deadline_ms);
+    m_calls.emplace(held.call.attempt, held);
+    const auto refusal = m_queue.offer(
+        {held.call.attempt, customer_id(held.call.customer), held.call.weight, deadline}, now);
+    if (refusal)
+        endNotStarted(m_calls.at(refusal->id), "overloaded", refusal->retryAfter, now);
+    pump(now);
+}
+
+void side_gate::startBatch(const gated_call &held, instant now)
+{
+    const bool room = m_batchRunning + m_parked < batchRoom();
+    if (!room || !m_queue.empty() || !m_pacer.mayGrow(now)) {
+        endNotStarted(held, "no_batch_slot", m_options.batchGrowthHold, now);
+        return;
+    }
+    open(m_calls.emplace(held.call.attempt, held).first->second);
+}
+
+bool side_gate::takesNew() const
+{
+    if (m_options.mutation == gate_mutation::IgnoreLeaving)
+        return !m_draining;
+    return !m_draining && m_state == schema::upstream_state::Serving;
+}
+
+std::size_t side_gate::batchRoom() const
+{
+    return m_pacer.batchLimit(m_onlineRunning);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/gate/side_gate_pump.cpp
@@ -0,0 +1,254 @@
+// How the gate fills the upstream, ends calls and reports.
+#include <tamarackglade/gate/side_gate.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+void side_gate::pump(instant now)
+{
+    startQueuedOnline(now);
+    resumeBatch(now);
+}
+
+std::size_t side_gate::onlineLimit() const
+{
+    const auto limit = m_pacer.onlineLimit();
+    if (m_options.mutation != gate_mutation::BatchBeforeOnline)
+        return limit;
+    return m_batchRunning > 0 ? m_onlineRunning : limit;
+}
+
+void side_gate::startQueuedOnline(instant now)
+{
+    while (!m_queue.empty() && m_onlineRunning < onlineLimit()) {
+        const auto id = m_queue.pop(now);
+        yieldBatch(m_onlineRunning + 1, now);
+        open(m_calls.at(*id));
+    }
+    // What is still queued needs all the room that batch has.
+    if (!m_queue.empty() && m_options.mutation != gate_mutation::BatchBeforeOnline) {
+        while (auto *held = youngestBatch())
+            park(*held, now);
+    }
+}
+
+void side_gate::yieldBatch(std::size_t online, instant now)
+{
+    const auto limit = m_pacer.batchLimit(online);
+    while (m_batchRunning > limit)
+        park(*youngestBatch(), now);
+}
+
+void side_gate::resumeBatch(instant now)
+{
+    if (!m_queue.empty() || !m_pacer.mayGrow(now))
+        return;
+    while (m_parked > 0 && m_batchRunning < batchRoom())
+        open(*oldestParked());
+}
+
+void side_gate::expireParked(instant now)
+{
+    std::vector<std::string> expired;
+    for (const auto &[id, held] : m_calls) {
+        if (held.current == gated_call::phase::Parked && held.parkedUntil <= now)
+            expired.push_back(id);
+    }
+    std::sort(expired.begin(), expired.end());
+    for (const auto &id : expired)
+        endStarted(m_calls.at(id), schema::call_outcome::Cancelled, "yielded", "", now);
+}
+
+void side_gate::open(gated_call &held)
+{
+    m_ledger.start(held.name);
+    if (held.current == gated_call::phase::Parked)
+        --m_parked;
+    held.current = gated_call::phase::Running;
+    held.order = ++m_lastOrder;
+    held.lastData.reset();
+    ++held.runNumber;
+    countRunning(held, true);
+    m_actions.emplace_back(open_upstream{held.run(), held.call, held.dataFrames});
+}
+
+void side_gate::park(gated_call &held, instant now)
+{
+    abortRun(held);
+    countRunning(held, false);
+    held.current = gated_call::phase::Parked;
+    held.parkedUntil = now + m_options.maxParked;
+    held.order = ++m_lastOrder;
+    ++m_parked;
+    m_pacer.onYield(now);
+}
+
+gated_call *side_gate::youngestBatch()
+{
+    gated_call *youngest = nullptr;
+    for (auto &[id, held] : m_calls) {
+        if (!held.isBatch() || held.current != gated_call::phase::Running)
+            continue;
+        if (!youngest || held.order > youngest->order)
+            youngest = &held;
+    }
+    return youngest;
+}
+
+gated_call *side_gate::oldestParked()
+{
+    gated_call *oldest = nullptr;
+    for (auto &[id, held] : m_calls) {
+        if (held.current != gated_call::phase::Parked)
+            continue;
+        if (!oldest || held.order < oldest->order)
+            oldest = &held;
+    }
+    return oldest;
+}
+
+gated_call *side_gate::runningCall(const upstream_run &run)
+{
+    const auto found = m_calls.find(run.attempt.value());
+    if (found == m_calls.end() || found->second.current != gated_call::phase::Running)
+        return nullptr;
+    return found->second.runNumber == run.number ? &found->second : nullptr;
+}
+
+void side_gate::endNotStarted(const gated_call &held, const std::string &code, duration retryAfter,
+                              instant now)
+{
+    m_ledger.refuse(held.name, now);
+    sendEnd(held.connection, held.call.attempt, schema::call_outcome::NotStarted, code, "",
+            retryAfter);
+    removeCall(held);
+}
+
+void side_gate::endStarted(const gated_call &held, schema::call_outcome outcome,
+                           const std::string &code, const std::string &message, instant now)
+{
+    m_ledger.finish(held.name, now);
+    sendEnd(held.connection, held.call.attempt, outcome, code, message, duration::zero());
+    removeCall(held);
+}
+
+void side_gate::giveUp(gated_call &held, const std::string &code, instant now)
+{
+    switch (held.current) {
+    case gated_call::phase::Queued:
+        m_queue.remove(held.call.attempt);
+        endNotStarted(held, code, duration::zero(), now);
+        return;
+    case gated_call::phase::Running:
+        abortRun(held);
+        break;
+    case gated_call::phase::Parked:
+        break;
+    }
+    endStarted(held, schema::call_outcome::Cancelled, code, "", now);
+}
+
+void side_gate::giveBackWaiting(const std::string &code, bool online, instant now)
+{
+    if (online) {
+        for (const auto &id : m_queue.clear())
+            endNotStarted(m_calls.at(id), code, duration::zero(), now);
+    }
+    while (auto *held = oldestParked())
+        giveUp(*held, code, now);
+}
+
+void side_gate::removeCall(const gated_call &held)
+{
+    const auto found = m_calls.find(held.call.attempt);
+    if (found == m_calls.end())
+        return;
+    if (found->second.current == gated_call::phase::Running)
+        countRunning(found->second, false);
+    if (found->second.current == gated_call::phase::Parked)
+        --m_parked;
+    m_calls.erase(found);
+}
+
+void side_gate::countRunning(const gated_call &held, bool running)
+{
+    auto &count = held.isBatch() ? m_batchRunning : m_onlineRunning;
+    running ? ++count : --count;
+}
+
+void side_gate::abortRun(const gated_call &held)
+{
+    m_actions.emplace_back(abort_upstream{held.run()});
+}
+
+void side_gate::sendEnd(connection_id to, const std::string &attempt, schema::call_outcome outcome,
+                        const std::string &code, const std::string &message, duration retryAfter)
+{
+    using std::chrono::milliseconds;
+    schema::call_end_message end;
+    end.attempt = attempt;
+    end.outcome = outcome;
+    end.code = code;
+    end.message = message;
+    end.retry_after_ms =
+        static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(retryAfter).count());
+    send(to, std::move(end));
+}
+
+void side_gate::send(connection_id to, side_frame frame)
+{
+    if (m_connections.contains(to))
+        m_actions.emplace_back(send_frame{to, std::move(frame)});
+}
+
+void side_gate::reportToAll(instant now)
+{
+    m_nextReport = now + m_options.reportInterval;
+    schema::load_report_message report;
+    report.group = m_options.group;
+    report.kind = m_options.kind;
+    report.state = takesNew() ? schema::upstream_state::Serving : schema::upstream_state::Leaving;
+    if (m_state == schema::upstream_state::Down)
+        report.state = m_state;
+    report.model_version = m_modelVersion;
+    report.online_active = static_cast<std::uint32_t>(m_onlineRunning);
+    report.batch_active = static_cast<std::uint32_t>(m_batchRunning);
+    report.queued = static_cast<std::uint32_t>(m_queue.size());
+    const auto iteration = m_pacer.predictedIteration(m_onlineRunning + m_batchRunning);
+    report.iteration_us = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(iteration).count());
+    std::size_t position = 0;
+    for (const auto &[connection, lastBatch] : m_connections) {
+        report.batch_credits = creditsFor(connection, position++, now);
+        m_actions.emplace_back(send_frame{connection, report});
+    }
+}
+
+std::uint32_t side_gate::creditsFor(connection_id connection, std::size_t position,
+                                    instant now) const
+{
+    const auto used = m_batchRunning + m_parked;
+    const auto room = batchRoom();
+    if (!takesNew() || !m_queue.empty() || !m_pacer.mayGrow(now) || room <= used)
+        return 0;
+    const auto interested = [&](const auto &entry) {
+        return entry.second && *entry.second + m_options.interestWindow > now;
+    };
+    const auto count = static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(), interested));
+    const auto own = m_connections.find(connection);
+    if (own == m_connections.end() || !interested(*own))
+        return 1; // enough to show interest
+    const auto free = room - used;
+    const bool extra = position < free % count;
+    return static_cast<std::uint32_t>(free / count + (extra ? 1 : 0));
+}
+
+gate_actions side_gate::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/orders/weight_store_limiter.cpp
@@ -0,0 +1,26 @@
+// Generic cell rate algorithm.
+#include <tamarackglade/orders/weight_store_limiter.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+weight_store_limiter::weight_store_limiter(duration interval, int burst)
+    : m_interval(interval), m_tolerance(interval * (burst - 1))
+{
+}
+
+bool weight_store_limiter::tryLoad(instant now)
+{
+    if (nextLoad(now) > now)
+        return false;
+    m_full = std::max(m_full, now) + m_interval;
+    return true;
+}
+
+instant weight_store_limiter::nextLoad(instant now) const
+{
+    return std::max(now, m_full - m_tolerance);
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/unit-gate.cpp
@@ -0,0 +1,318 @@
+// Tests of the gate: ledger, queue, iteration model, online before batch.
+#include <tamarackglade/gate/side_gate.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace tamarack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant Start{1h};
+const connection_id Entry(1);
+
+attempt_name nameOf(std::uint64_t sequence)
+{
+    return {vm_id("e/1"), incarnation(3), sequence, incarnation(9)};
+}
+
+schema::start_call_message callOf(std::uint64_t sequence, schema::call_class callClass,
+                                  const std::string &customer = "c")
+{
+    schema::start_call_message call;
+    call.attempt = nameOf(sequence).format().value();
+    call.call_class = callClass;
+    call.customer = customer;
+    call.deadline_ms = 10'000;
+    call.weight = 1;
+    call.repeatable = true;
+    return call;
+}
+
+template <class Action>
+std::vector<Action> only(const gate_actions &actions)
+{
+    std::vector<Action> found;
+    for (const auto &action : actions) {
+        if (const auto *match = std::get_if<Action>(&action))
+            found.push_back(*match);
+    }
+    return found;
+}
+
+std::vector<schema::call_end_message> endsOf(const gate_actions &actions)
+{
+    std::vector<schema::call_end_message> ends;
+    for (const auto &sent : only<send_frame>(actions)) {
+        if (const auto *end = std::get_if<schema::call_end_message>(&sent.frame))
+            ends.push_back(*end);
+    }
+    return ends;
+}
+
+/// A gate with one connection and room for that many streams.
+side_gate makeGate(std::size_t streams)
+{
+    gate_options options;
+    options.maxStreams = streams;
+    side_gate gate(options, incarnation(9));
+    gate.onConnected(Entry, Start);
+    return gate;
+}
+
+} // namespace
+
+TEST_CASE("attempt ids")
+{
+    CHECK(attempt_name::parse(nameOf(7).format())->sequence == 7);
+    CHECK(attempt_name::parse(nameOf(7).format())->entry == vm_id("e/1"));
+    CHECK_FALSE(attempt_name::parse(attempt_id("x")));
+    CHECK_FALSE(attempt_name::parse(attempt_id("a/1/x/3")));
+    CHECK_FALSE(attempt_name::parse(attempt_id("/1/2/3")));
+}
+
+TEST_CASE("attempt ledger")
+{
+    ledger_limits limits;
+    limits.settledPerSender = 4;
+    attempt_ledger ledger(incarnation(9), limits, gate_mutation::None);
+
+    SUBCASE("a refused attempt never starts")
+    {
+        CHECK(ledger.proveNeverStarted(nameOf(1), Start));
+        CHECK(ledger.admit(nameOf(1)) == ledger_verdict::Refused);
+    }
+    SUBCASE("a started attempt is not refused")
+    {
+        CHECK(ledger.admit(nameOf(1)) == ledger_verdict::Fresh);
+        ledger.start(nameOf(1));
+        CHECK_FALSE(ledger.proveNeverStarted(nameOf(1), Start));
+        CHECK(ledger.admit(nameOf(1)) == ledger_verdict::Duplicate);
+    }
+    SUBCASE("an earlier incarnation's attempts are unknown")
+    {
+        auto name = nameOf(1);
+        name.sideIncarnation = incarnation(8);
+        CHECK(ledger.admit(name) == ledger_verdict::Unknown);
+        CHECK_FALSE(ledger.proveNeverStarted(name, Start));
+    }
+    SUBCASE("forgotten attempts are unknown, also by count")
+    {
+        for (std::uint64_t i = 1; i <= 10; ++i) {
+            ledger.admit(nameOf(i));
+            ledger.start(nameOf(i));
+            ledger.finish(nameOf(i), Start);
+        }
+        CHECK(ledger.size() == 4);
+        CHECK(ledger.admit(nameOf(1)) == ledger_verdict::Unknown);
+        CHECK_FALSE(ledger.proveNeverStarted(nameOf(1), Start));
+        CHECK(ledger.admit(nameOf(10)) == ledger_verdict::Duplicate);
+        ledger.tick(Start + limits.retention);
+        CHECK(ledger.size() == 0);
+        CHECK(ledger.admit(nameOf(10)) == ledger_verdict::Unknown);
+        CHECK(ledger.admit(nameOf(11)) == ledger_verdict::Fresh);
+    }
+    SUBCASE("old entry incarnations are dropped whole and stay unknown")
+    {
+        ledger.proveNeverStarted(nameOf(1), Start);
+        auto newer = nameOf(1);
+        newer.entryIncarnation = incarnation(4);
+        ledger.proveNeverStarted(newer, Start + limits.retention);
+        ledger.tick(Start + limits.retention);
+        CHECK(ledger.size() == 1);
+        CHECK(ledger.admit(nameOf(2)) == ledger_verdict::Unknown);
+    }
+}
+
+TEST_CASE("iteration model")
+{
+    iteration_model model(8ms, 650us);
+    CHECK(toSeconds(model.predict(10)) == doctest::Approx(0.0145));
+    SUBCASE("learns an engine's own line")
+    {
+        for (int i = 0; i < 2000; ++i) {
+            const auto streams = static_cast<std::size_t>(1 + i % 40);
+            model.observe(streams, 20ms + 1ms * streams);
+        }
+        CHECK(toSeconds(model.predict(40)) == doctest::Approx(0.060).epsilon(0.02));
+        CHECK(model.streamsWithin(76ms) >= 54);
+        CHECK(model.streamsWithin(76ms) <= 58);
+    }
+    SUBCASE("samples at one load don't upset it")
+    {
+        for (int i = 0; i < 2000; ++i)
+            model.observe(5, 11250us);
+        CHECK(toSeconds(model.predict(5)) == doctest::Approx(0.01125).epsilon(0.01));
+    }
+}
+
+TEST_CASE("admission queue")
+{
+    admission_limits limits;
+    limits.maxQueued = 10;
+    admission_queue queue(limits);
+    const auto offer = [&](const std::string &id, const std::string &customer,
+                           std::uint32_t weight) {
+        return queue.offer({id, customer_id(customer), weight, Start + 10s}, Start);
+    };
+
+    SUBCASE("serves customers by weight")
+    {
+        for (int i = 0; i < 5; ++i) {
+            offer("a" + std::to_string(i), "a", 1);
+            offer("b" + std::to_string(i), "b", 2);
+        }
+        std::map<char, int> served;
+        for (int i = 0; i < 6; ++i)
+            ++served[queue.pop(Start)->front()];
+        CHECK(served['a'] == 2);
+        CHECK(served['b'] == 4);
+    }
+    SUBCASE("a full queue turns away the customer with the largest backlog")
+    {
+        for (int i = 0; i < 10; ++i)
+            CHECK_FALSE(offer("a" + std::to_string(i), "a", 1));
+        const auto refused = offer("b", "b", 1);
+        REQUIRE(refused);
+        CHECK(refused->id == "a9");
+        CHECK(refused->retryAfter >= limits.minRetryAfter);
+        CHECK(offer("a", "a", 1)->id == "a");
+        CHECK(queue.size() == 10);
+    }
+    SUBCASE("refuses at once what can't be served in time")
+    {
+        for (int i = 0; i < 5; ++i)
+            offer("a" + std::to_string(i), "a", 1);
+        const auto hopeless = queue.offer({"x", customer_id("a"), 1, Start + 1ms}, Start);
+        REQUIRE(hopeless);
+        CHECK(hopeless->id == "x");
+    }
+    SUBCASE("expires what waited too long")
+    {
+        offer("a", "a", 1);
+        CHECK(queue.expire(Start + 9s).empty());
+        CHECK(queue.expire(Start + 10s).size() == 1);
+        CHECK(queue.empty());
+        CHECK_FALSE(queue.nextDeadline());
+    }
+}
+
+TEST_CASE("gate: online before batch")
+{
+    auto gate = makeGate(2);
+    const auto batch = schema::call_class::Batch;
+    const auto online = schema::call_class::Online;
+    REQUIRE(only<open_upstream>(gate.onStart(callOf(1, batch), Entry, Start)).size() == 1);
+    REQUIRE(only<open_upstream>(gate.onStart(callOf(2, batch), Entry, Start)).size() == 1);
+    gate.onUpstreamHead({attempt_id(callOf(2, batch).attempt), 1}, 200, "", Start);
+    gate.onUpstreamData({attempt_id(callOf(2, batch).attempt), 1}, {'x'}, Start);
+
+    const auto actions = gate.onStart(callOf(3, online), Entry, Start);
+    REQUIRE(actions.size() == 2);
+    SUBCASE("the youngest batch stream yields before the online call opens")
+    {
+        CHECK(std::get<abort_upstream>(actions[0]).run.attempt.value() == callOf(2, batch).attempt);
+        CHECK(std::get<open_upstream>(actions[1]).run.attempt.value() == callOf(3, online).attempt);
+    }
+    SUBCASE("it resumes where it stopped, after a pause")
+    {
+        gate.onUpstreamEnd({attempt_id(callOf(3, online).attempt), 1}, Start + 1ms);
+        CHECK(gate.batchParked() == 1);
+        const auto resumed = only<open_upstream>(gate.tick(Start + 200ms));
+        REQUIRE(resumed.size() == 1);
+        CHECK(resumed[0].resumeFrom == 1);
+        CHECK(resumed[0].run.number == 2);
+    }
+    SUBCASE("it is given back when it was parked too long")
+    {
+        gate.onStart(callOf(4, online), Entry, Start);
+        const auto ends = endsOf(gate.tick(Start + 31s));
+        REQUIRE(ends.size() == 2);
+        CHECK(ends[0].outcome == schema::call_outcome::Cancelled);
+    }
+    SUBCASE("answers of the yielded run are ignored")
+    {
+        const upstream_run old{attempt_id(callOf(2, batch).attempt), 1};
+        CHECK(gate.onUpstreamData(old, {'y'}, Start).empty());
+        CHECK(gate.onUpstreamEnd(old, Start).empty());
+    }
+    SUBCASE("new batch is refused and was not started")
+    {
+        const auto ends = endsOf(gate.onStart(callOf(5, batch), Entry, Start));
+        REQUIRE(ends.size() == 1);
+        CHECK(ends[0].outcome == schema::call_outcome::NotStarted);
+        CHECK(ends[0].retry_after_ms > 0);
+    }
+}
+
+TEST_CASE("gate: leaving, drain and proof")
+{
+    auto gate = makeGate(1);
+    const auto online = schema::call_class::Online;
+    gate.onStart(callOf(1, online), Entry, Start);
+    gate.onStart(callOf(2, online), Entry, Start);
+    REQUIRE(gate.onlineQueued() == 1);
+
+    SUBCASE("a leaving upstream hands back what waits and ends what runs")
+    {
+        const auto ends = endsOf(gate.onUpstreamState(schema::upstream_state::Leaving, Start));
+        REQUIRE(ends.size() == 1);
+        CHECK(ends[0].outcome == schema::call_outcome::NotStarted);
+        CHECK(gate.onlineRunning() == 1);
+        CHECK(endsOf(gate.onStart(callOf(3, online), Entry, Start)).size() == 1);
+    }
+    SUBCASE("a draining side still serves what waits")
+    {
+        CHECK(endsOf(gate.onDrain(Start)).empty());
+        const upstream_run run{attempt_id(callOf(1, online).attempt), 1};
+        const auto actions = gate.onUpstreamEnd(run, Start);
+        CHECK(only<open_upstream>(actions).size() == 1);
+        CHECK_FALSE(gate.isDrained());
+        gate.onUpstreamEnd({attempt_id(callOf(2, online).attempt), 1}, Start);
+        CHECK(gate.isDrained());
+    }
+    SUBCASE("a queued attempt is dropped when the proof is asked for")
+    {
+        const auto actions =
+            gate.onRefuseAttempt(attempt_id(callOf(2, online).attempt), Entry, Start);
+        const auto sent = only<send_frame>(actions);
+        REQUIRE(sent.size() == 1);
+        CHECK(std::get<schema::refuse_answer_message>(sent[0].frame).never_started);
+        CHECK(gate.onlineQueued() == 0);
+    }
+    SUBCASE("a running attempt has started")
+    {
+        const auto actions =
+            gate.onRefuseAttempt(attempt_id(callOf(1, online).attempt), Entry, Start);
+        const auto sent = only<send_frame>(actions);
+        REQUIRE(sent.size() == 1);
+        CHECK_FALSE(std::get<schema::refuse_answer_message>(sent[0].frame).never_started);
+    }
+    SUBCASE("a call that may not be repeated outlives its connection")
+    {
+        auto once = callOf(9, online);
+        once.repeatable = false;
+        gate.onUpstreamEnd({attempt_id(callOf(1, online).attempt), 1}, Start);
+        gate.onUpstreamEnd({attempt_id(callOf(2, online).attempt), 1}, Start);
+        gate.onStart(once, Entry, Start);
+        CHECK(only<abort_upstream>(gate.onDisconnected(Entry, Start)).empty());
+        CHECK(gate.onlineRunning() == 1);
+    }
+}
+
+TEST_CASE("gate: batch credits")
+{
+    gate_options options;
+    options.maxStreams = 10;
+    side_gate gate(options, incarnation(9));
+    gate.onConnected(connection_id(1), Start);
+    gate.onConnected(connection_id(2), Start);
+    gate.onStart(callOf(1, schema::call_class::Batch), connection_id(1), Start);
+    gate.onStart(callOf(2, schema::call_class::Batch), connection_id(2), Start);
+    std::uint32_t credits = 0;
+    for (const auto &sent : only<send_frame>(gate.tick(Start + 1s)))
+        credits += std::get<schema::load_report_message>(sent.frame).batch_credits;
+    CHECK(credits == 8);
+}
