Routing: strategies, ejection, slow start, leaving upstreams

Strategies are small objects behind one interface so that they can be compared. Load is the side's report corrected by the entry's own calls since.

--- /dev/null
+++ b/include/tamarackglade/routing/router.hpp
@@ -0,0 +1,85 @@
+// Chooses upstreams for the calls of one entry process.
+#pragma once
+
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/routing/route_candidate.hpp>
+#include <tamarackglade/routing/routing_mutation.hpp>
+#include <tamarackglade/routing/routing_options.hpp>
+#include <tamarackglade/routing/routing_strategy.hpp>
+#include <tamarackglade/routing/upstream_chooser.hpp>
+#include <tamarackglade/routing/upstream_health.hpp>
+#include <tamarackglade/routing/upstream_info.hpp>
+#include <tamarackglade/schema/wire_generated.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Filters upstreams by group, model, connection, leaving and health; a strategy chooses.
+/// At most half of a group's usable upstreams are kept out for their failures. Load is the last
+/// report corrected by this process's own calls since. choose costs O(upstreams).
+class router : public upstream_chooser
+{
+public:
+    router(const routing_options &options, std::mt19937_64 random,
+           routing_mutation mutation = routing_mutation::None);
+
+    /// @brief Takes the upstreams in force; what is known of those that stay is kept.
+    void setUpstreams(const std::vector<upstream_info> &upstreams);
+
+    /// @name What is learned of single upstreams; unknown ones are ignored
+    /// @{
+    void onConnected(const upstream_id &upstream, instant now);
+    void onDisconnected(const upstream_id &upstream);
+    void onReport(const upstream_id &upstream, const schema::load_report_message &report);
+    /// @param leaving by the VM list or a drain, besides what the upstream itself reports
+    void onLeaving(const upstream_id &upstream, bool leaving, instant now);
+    /// @}
+
+    std::optional<upstream_id> choose(const route_query &query, instant now) override;
+    void onAttemptStarted(const upstream_id &upstream, instant now) override;
+    void onAttemptEnded(const upstream_id &upstream, attempt_result result, instant now) override;
+
+    /// @return whether the upstream is kept out for its failures
+    [[nodiscard]] bool isEjected(const upstream_id &upstream, instant now) const;
+
+    /// @return the calls at the upstream, as well as this process knows
+    [[nodiscard]] double loadOf(const upstream_id &upstream) const;
+
+private:
+    struct upstream_state
+    {
+        explicit upstream_state(const health_options &options) : health(options) { }
+
+        upstream_info info;
+        upstream_health health;
+        bool connected = false;
+        bool leaving = false; // by the VM list or a drain
+        schema::upstream_state reported = schema::upstream_state::Serving;
+        double reportedLoad = 0; // calls at the last report
+        double inFlight = 0; // this process's own calls
+        double inFlightAtReport = 0;
+        std::optional<instant> returnedAt; // when it was connected or stopped leaving
+    };
+
+    [[nodiscard]] bool fits(const upstream_state &state, const route_query &query) const;
+    [[nodiscard]] std::vector<const upstream_state *> usable(const route_query &query,
+                                                             instant now) const;
+    [[nodiscard]] route_candidate candidateOf(const upstream_state &state, instant now) const;
+    [[nodiscard]] double shareOf(const upstream_state &state, instant now) const;
+    [[nodiscard]] static double loadOf(const upstream_state &state);
+    upstream_state *find(const upstream_id &upstream);
+
+    routing_options m_options;
+    std::mt19937_64 m_random;
+    routing_mutation m_mutation;
+    std::unique_ptr<routing_strategy> m_strategy;
+    std::map<std::string, upstream_state> m_upstreams; // by id
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/routing/routing_strategy.hpp
@@ -0,0 +1,31 @@
+// The interface of strategies that choose among candidates.
+#pragma once
+
+#include <tamarackglade/routing/route_candidate.hpp>
+#include <tamarackglade/routing/routing_options.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Chooses one of several upstreams.
+class routing_strategy
+{
+public:
+    virtual ~routing_strategy() = default;
+
+    /// @param candidates at least one, in the order of their ids
+    /// @param prefixHash of the prompt's beginning; 0 if there is none
+    /// @return an index of candidates
+    virtual std::size_t choose(const std::vector<route_candidate> &candidates,
+                               std::uint64_t prefixHash, std::mt19937_64 &random) = 0;
+};
+
+/// @return a strategy of the kind that the options name
+std::unique_ptr<routing_strategy> makeRoutingStrategy(const routing_options &options);
+
+} // namespace tamarack
