Calls: attempts, proofs, retries within a share, keyed calls, one error shape

A lost call that may not be repeated is answered only on the side's proof or as unknown. Retries after work was done take from a share of 10% of the calls; refused attempts are free, so that a draining side doesn't use up the budget. The fuzzer runs entries, sides, upstreams and a log in virtual time.

--- /dev/null
+++ b/include/tamarackglade/calls/call_tracker.hpp
@@ -0,0 +1,99 @@
+// The calls of one entry process: attempts, retries and truthful final answers.
+#pragma once
+
+#include <tamarackglade/calls/call_action.hpp>
+#include <tamarackglade/calls/call_failure.hpp>
+#include <tamarackglade/calls/retry_budget.hpp>
+#include <tamarackglade/calls/tracked_call.hpp>
+#include <tamarackglade/calls/tracker_options.hpp>
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/routing/upstream_chooser.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace tamarack {
+
+/// @brief Sends calls to upstreams and answers each exactly once.
+/// A call is sent elsewhere only if it is proved that the earlier attempts never start, or if it
+/// may be repeated and nothing was passed to the caller. "Not executed" is said only on proof.
+/// Frames are matched by attempt id; those of ended attempts are ignored. Events cost O(log calls)
+/// but for lost connections, which are linear in the calls held.
+class call_tracker
+{
+public:
+    /// @param chooser outlives the tracker
+    /// @param own greater than the incarnation of every earlier process of this VM
+    call_tracker(tracker_options options, vm_id vm, incarnation own, upstream_chooser &chooser);
+
+    /// @brief Takes a request; its id must not be in use.
+    call_actions onRequest(upstream_request request, instant now);
+
+    /// @brief Ends a request whose caller left or whose key was withdrawn.
+    call_actions onCallerGone(const request_id &request, instant now);
+
+    /// @name Frames from sides
+    /// @{
+    call_actions onHead(const schema::call_head_message &frame, instant now);
+    call_actions onData(const schema::call_data_message &frame, instant now);
+    call_actions onEnd(const schema::call_end_message &frame, instant now);
+    call_actions onRefuseAnswer(const schema::refuse_answer_message &frame, instant now);
+    /// @}
+
+    /// @brief Learns of a connection to an upstream's side, after hello.
+    call_actions onSideConnected(const upstream_id &upstream, incarnation side, instant now);
+    call_actions onSideDisconnected(const upstream_id &upstream, instant now);
+
+    /// @brief Learns that an upstream's VM is gone for good: no proof will come.
+    call_actions onSideLost(const upstream_id &upstream, instant now);
+
+    /// @brief Ends calls whose deadline has passed.
+    call_actions tick(instant now);
+
+    /// @return when tick has something to do next
+    [[nodiscard]] std::optional<instant> nextDeadline() const;
+
+    [[nodiscard]] std::size_t openCalls() const { return m_calls.size(); }
+
+private:
+    using deadline_key = std::pair<instant, std::string>;
+
+    void sendAttempt(tracked_call &call, instant now);
+    std::optional<upstream_id> chooseConnected(tracked_call &call, instant now);
+    void onNotStarted(tracked_call &call, instant now);
+    void onMayHaveRun(tracked_call &call, call_failure failure, instant now);
+    void awaitSide(tracked_call &call, instant now);
+    void askProof(tracked_call &call);
+    void complete(tracked_call &call, instant now);
+    void fail(tracked_call &call, call_failure failure, instant now);
+    void endAttempt(tracked_call &call, attempt_result result, instant now);
+    void finish(const tracked_call &call, answer_end end);
+    [[nodiscard]] executed ranSoFar(const tracked_call &call) const;
+    [[nodiscard]] bool mayResend(const tracked_call &call) const;
+    void setDue(tracked_call &call, instant due);
+    void loseConnection(const upstream_id &upstream, instant now);
+    tracked_call *callOf(const std::string &attempt);
+    std::vector<std::string> callsAt(const upstream_id &upstream) const;
+    call_actions takeActions();
+
+    tracker_options m_options;
+    vm_id m_vm;
+    incarnation m_own;
+    upstream_chooser &m_chooser;
+    retry_budget m_budget;
+    std::uint64_t m_lastSequence = 0;
+    // Upstreams with a standing connection to their side.
+    std::unordered_map<upstream_id, incarnation> m_sides;
+    std::unordered_map<std::string, tracked_call> m_calls; // by request id
+    // Invariant: maps the present attempt of each call in m_calls, and no other.
+    std::unordered_map<std::string, std::string> m_requestOfAttempt;
+    // Invariant: holds the due time of each call in m_calls.
+    std::set<deadline_key> m_due;
+    call_actions m_actions; // of the event in progress
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/calls/keyed_call_desk.hpp
@@ -0,0 +1,65 @@
+// Makes calls with an Idempotency-Key run at most once over all entries.
+#pragma once
+
+#include <tamarackglade/calls/call_failure.hpp>
+#include <tamarackglade/calls/idempotency_index.hpp>
+#include <tamarackglade/calls/keyed_action.hpp>
+#include <tamarackglade/calls/keyed_mutation.hpp>
+#include <tamarackglade/calls/keyed_request.hpp>
+#include <tamarackglade/core/time.hpp>
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace tamarack {
+
+/// @brief Holds a keyed call back until the log says that it holds its key.
+/// Two appends for each call. While the log is down, new keyed calls are refused and not run.
+class keyed_call_desk
+{
+public:
+    /// @param index outlives the desk; the shell folds the log into it
+    /// @param claimTimeout how long a call waits for its record
+    /// @param maxKeptBody larger answers are not kept for replay, in bytes
+    keyed_call_desk(const idempotency_index &index, std::string callIdPrefix, duration claimTimeout,
+                    std::size_t maxKeptBody, keyed_mutation mutation = keyed_mutation::None);
+
+    keyed_actions onRequest(const keyed_request &request, bool logAvailable, instant now);
+
+    /// @brief To be called after records were folded into the index.
+    keyed_actions onFolded(instant now);
+
+    /// @brief Learns the end of a call that this desk let run.
+    keyed_actions onCallEnded(const request_id &request, executed ran, std::uint16_t status,
+                              const std::string &contentType,
+                              const std::vector<std::uint8_t> &body);
+
+    /// @brief Refuses the calls that waited too long; they never run.
+    keyed_actions tick(instant now);
+
+    [[nodiscard]] std::size_t waiting() const { return m_waiting.size(); }
+
+private:
+    struct held_call
+    {
+        keyed_request request;
+        std::string callId;
+        instant giveUpAt{};
+    };
+
+    [[nodiscard]] std::optional<keyed_action> answerFromIndex(const keyed_request &request) const;
+    static answer_end refusal(const request_id &request, call_failure failure, executed ran);
+    static schema::call_finished_message finishedRecord(const held_call &call, executed ran);
+
+    const idempotency_index &m_index;
+    std::string m_prefix; // unique to this process incarnation
+    duration m_claimTimeout;
+    std::size_t m_maxKeptBody;
+    keyed_mutation m_mutation;
+    std::uint64_t m_lastCall = 0;
+    std::unordered_map<std::string, held_call> m_waiting; // by request id
+    std::unordered_map<std::string, held_call> m_running; // by request id
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/calls/keyed_request.hpp
@@ -0,0 +1,21 @@
+// A call with an Idempotency-Key that waits for its record in the log.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/core/time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace tamarack {
+
+struct keyed_request
+{
+    request_id id;
+    customer_id customer;
+    std::string key;
+    std::uint64_t requestDigest = 0; // of method, target and body
+    instant deadline{};
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/calls/tracked_call.hpp
@@ -0,0 +1,36 @@
+// A call that the tracker has not answered yet.
+#pragma once
+
+#include <tamarackglade/calls/call_failure.hpp>
+#include <tamarackglade/calls/upstream_request.hpp>
+#include <tamarackglade/core/ids.hpp>
+
+#include <cstddef>
+#include <vector>
+
+namespace tamarack {
+
+struct tracked_call
+{
+    enum class phase {
+        InFlight, // the attempt was sent on a connection that stands
+        AwaitingSide, // the connection was lost; its side has to prove what happened
+        AwaitingProof, // refuse_attempt was sent
+        Settled // no attempt is under way
+    };
+
+    upstream_request request;
+    phase current = phase::Settled;
+    attempt_id attempt; // the present one
+    upstream_id upstream; // of the present attempt
+    incarnation sideIncarnation; // of the present attempt
+    std::size_t attempts = 0;
+    std::vector<upstream_id> tried;
+    // Whether an earlier attempt may have run, or has; never goes back to false.
+    bool mayHaveRun = false;
+    bool headSent = false; // implies that the call ran
+    instant due{}; // when the tracker acts on it unasked
+    duration retryAfter{}; // the latest that a side named
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/calls/upstream_request.hpp
@@ -0,0 +1,23 @@
+// A caller's request, admitted and ready to be sent to an upstream.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/schema/wire_generated.h>
+
+#include <cstdint>
+
+namespace tamarack {
+
+struct upstream_request
+{
+    request_id id;
+    group_id group;
+    model_id model; // empty for services
+    instant deadline{};
+    std::uint64_t prefixHash = 0; // of the prompt's beginning; 0 if there is none
+    // What is sent; the tracker fills in attempt and deadline_ms.
+    schema::start_call_message call;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/calls/error_of_call.cpp
@@ -0,0 +1,67 @@
+// The table of call failures.
+#include <tamarackglade/calls/error_of_call.hpp>
+
+#include <array>
+#include <cstddef>
+
+namespace tamarack {
+
+namespace {
+
+struct error_shape
+{
+    call_failure failure;
+    std::uint16_t status;
+    const char *type;
+    const char *code;
+    const char *message;
+};
+
+constexpr std::array Shapes{
+    error_shape{call_failure::NoUpstream, 503, "unavailable", "no_upstream",
+                "No upstream can take the request now."},
+    error_shape{call_failure::Overloaded, 503, "overloaded", "overloaded",
+                "The request can't be answered by its deadline."},
+    error_shape{call_failure::DeadlinePassed, 504, "timeout", "deadline_passed",
+                "The request's deadline passed before its answer."},
+    error_shape{call_failure::UpstreamFailed, 502, "upstream_error", "upstream_failed",
+                "The upstream failed."},
+    error_shape{call_failure::ConnectionLost, 502, "upstream_error", "connection_lost",
+                "The connection to the upstream was lost."},
+    error_shape{call_failure::AnswerBroken, 502, "upstream_error", "answer_broken",
+                "The answer broke off before its end."},
+    error_shape{call_failure::CallerGone, 499, "cancelled", "caller_gone",
+                "The caller closed the connection."},
+    error_shape{call_failure::Stopping, 503, "unavailable", "stopping", "This server is stopping."},
+    error_shape{call_failure::Duplicate, 409, "conflict", "duplicate_call",
+                "A call with this Idempotency-Key was started before."},
+    error_shape{call_failure::KeyReused, 422, "invalid_request", "idempotency_key_reused",
+                "This Idempotency-Key was used for another request."},
+    error_shape{call_failure::LogUnavailable, 503, "unavailable", "log_unavailable",
+                "The call can't be recorded now."},
+};
+
+constexpr bool inOrder()
+{
+    for (std::size_t i = 0; i < Shapes.size(); ++i) {
+        if (static_cast<std::size_t>(Shapes[i].failure) != i)
+            return false;
+    }
+    return true;
+}
+static_assert(inOrder());
+
+constexpr std::uint16_t ServiceUnavailable = 503;
+
+} // namespace
+
+api_error errorOfCall(call_failure failure, executed ran, duration retryAfter)
+{
+    const auto &shape = Shapes.at(static_cast<std::size_t>(failure));
+    api_error error{shape.status, shape.type, shape.code, shape.message, ran, std::nullopt};
+    if (shape.status == ServiceUnavailable)
+        error.retryAfter = retryAfter;
+    return error;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/calls/keyed_call_desk.cpp
@@ -0,0 +1,144 @@
+// Claims of Idempotency-Keys through the log.
+#include <tamarackglade/calls/error_of_call.hpp>
+#include <tamarackglade/calls/keyed_call_desk.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr duration LogRetryAfter = std::chrono::seconds(5);
+
+schema::call_execution toRecord(executed ran)
+{
+    switch (ran) {
+    case executed::No:
+        return schema::call_execution::No;
+    case executed::Yes:
+        return schema::call_execution::Yes;
+    case executed::Unknown:
+        break;
+    }
+    return schema::call_execution::Unknown;
+}
+
+} // namespace
+
+keyed_call_desk::keyed_call_desk(const idempotency_index &index, std::string callIdPrefix,
+                                 duration claimTimeout, std::size_t maxKeptBody,
+                                 keyed_mutation mutation)
+    : m_index(index), m_prefix(std::move(callIdPrefix)), m_claimTimeout(claimTimeout),
+      m_maxKeptBody(maxKeptBody), m_mutation(mutation)
+{
+}
+
+keyed_actions keyed_call_desk::onRequest(const keyed_request &request, bool logAvailable,
+                                         instant now)
+{
+    if (auto answer = answerFromIndex(request))
+        return {std::move(*answer)};
+    if (!logAvailable)
+        return {refusal(request.id, call_failure::LogUnavailable, executed::No)};
+    held_call call;
+    call.request = request;
+    call.callId = absl::StrCat(m_prefix, "/", ++m_lastCall);
+    call.giveUpAt = std::min(request.deadline, now + m_claimTimeout);
+    append_started append;
+    append.record.customer = request.customer.value();
+    append.record.key = request.key;
+    append.record.request_digest = request.requestDigest;
+    append.record.call_id = call.callId;
+    m_waiting.emplace(request.id.value(), std::move(call));
+    return {std::move(append)};
+}
+
+keyed_actions keyed_call_desk::onFolded(instant now)
+{
+    keyed_actions actions;
+    std::vector<std::string> decided;
+    for (const auto &[id, call] : m_waiting) {
+        if (call.giveUpAt > now && m_index.find(call.request.customer, call.request.key))
+            decided.push_back(id);
+    }
+    std::sort(decided.begin(), decided.end());
+    for (const auto &id : decided) {
+        auto node = m_waiting.extract(id);
+        const auto &call = node.mapped();
+        const auto *holder = m_index.find(call.request.customer, call.request.key);
+        if (holder->callId == call.callId || m_mutation == keyed_mutation::RunUnclaimed) {
+            actions.emplace_back(run_keyed{call.request.id});
+            m_running.insert(std::move(node));
+        } else {
+            actions.push_back(*answerFromIndex(call.request));
+        }
+    }
+    return actions;
+}
+
+keyed_actions keyed_call_desk::onCallEnded(const request_id &request, executed ran,
+                                           std::uint16_t status, const std::string &contentType,
+                                           const std::vector<std::uint8_t> &body)
+{
+    const auto node = m_running.extract(request.value());
+    if (node.empty())
+        return {};
+    append_finished append{finishedRecord(node.mapped(), ran)};
+    if (ran == executed::Yes && body.size() <= m_maxKeptBody) {
+        append.record.status = status;
+        append.record.content_type = contentType;
+        append.record.body = body;
+    }
+    return {std::move(append)};
+}
+
+keyed_actions keyed_call_desk::tick(instant now)
+{
+    keyed_actions actions;
+    std::vector<std::string> late;
+    for (const auto &[id, call] : m_waiting) {
+        if (call.giveUpAt <= now)
+            late.push_back(id);
+    }
+    std::sort(late.begin(), late.end());
+    for (const auto &id : late) {
+        const auto node = m_waiting.extract(id);
+        // The claim may still reach the log; its release frees the key for a resend.
+        actions.emplace_back(append_finished{finishedRecord(node.mapped(), executed::No)});
+        actions.emplace_back(refusal(request_id(id), call_failure::LogUnavailable, executed::No));
+    }
+    return actions;
+}
+
+std::optional<keyed_action> keyed_call_desk::answerFromIndex(const keyed_request &request) const
+{
+    const auto *state = m_index.find(request.customer, request.key);
+    if (!state)
+        return std::nullopt;
+    if (state->requestDigest != request.requestDigest)
+        return refusal(request.id, call_failure::KeyReused, executed::No);
+    if (state->finished && state->status != 0)
+        return replay_answer{request.id, *state};
+    const auto ran = state->finished ? executed::Yes : executed::Unknown;
+    return refusal(request.id, call_failure::Duplicate, ran);
+}
+
+answer_end keyed_call_desk::refusal(const request_id &request, call_failure failure, executed ran)
+{
+    return {request, ran, errorOfCall(failure, ran, LogRetryAfter), false};
+}
+
+schema::call_finished_message keyed_call_desk::finishedRecord(const held_call &call, executed ran)
+{
+    schema::call_finished_message record;
+    record.customer = call.request.customer.value();
+    record.key = call.request.key;
+    record.call_id = call.callId;
+    record.execution = toRecord(ran);
+    return record;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/fuzz-calls.cpp
@@ -0,0 +1,160 @@
+// Random runs of entries, sides and faults against the promises on calls.
+#include "support/calls_world.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace tamarack;
+using namespace tamarack::test;
+
+namespace {
+
+using kind = calls_command::kind;
+
+constexpr int Kinds = static_cast<int>(kind::Last);
+
+/// Maps a number to a kind: half of the commands send or let time pass.
+kind kindOf(std::uint32_t number)
+{
+    constexpr kind Frequent[] = {kind::SendOnline, kind::SendOnce, kind::SendKeyed,
+                                 kind::SendBatch,  kind::Advance,  kind::Advance};
+    if (number % 2 == 0)
+        return Frequent[(number / 2) % std::size(Frequent)];
+    return static_cast<kind>((number / 2) % Kinds);
+}
+
+std::vector<calls_command> randomCommands(std::uint32_t seed, std::size_t count)
+{
+    std::mt19937 random(seed);
+    std::vector<calls_command> commands(count);
+    for (auto &command : commands)
+        command = {kindOf(random()), static_cast<std::uint32_t>(random()),
+                   static_cast<std::uint32_t>(random())};
+    return commands;
+}
+
+std::string firstViolation(const world_options &options, const std::vector<calls_command> &commands)
+{
+    calls_world world(options);
+    for (const auto &command : commands)
+        world.run(command);
+    world.settle();
+    return world.violations().empty() ? "" : world.violations().front();
+}
+
+/// @return the first seed under which the oracle fails, or -1
+int failingSeed(world_options options, const std::string &wanted)
+{
+    constexpr int Seeds = 200;
+    constexpr std::size_t Length = 80;
+    for (int seed = 1; seed <= Seeds; ++seed) {
+        options.seed = static_cast<std::uint32_t>(seed);
+        const auto found = firstViolation(options, randomCommands(options.seed, Length));
+        if (found.rfind(wanted, 0) == 0)
+            return seed;
+    }
+    return -1;
+}
+
+} // namespace
+
+TEST_CASE("calls keep their promises under random faults")
+{
+    const bool passed = rc::check("random commands", [] {
+        const auto numbers = *rc::gen::container<std::vector<std::uint32_t>>(
+            rc::gen::resize(1000, rc::gen::arbitrary<std::uint32_t>()));
+        const auto seed = *rc::gen::inRange<std::uint32_t>(1, 1000000);
+        std::mt19937 random(seed);
+        std::vector<calls_command> commands;
+        commands.reserve(numbers.size());
+        for (const auto number : numbers)
+            commands.push_back({kindOf(number), static_cast<std::uint32_t>(random()),
+                                static_cast<std::uint32_t>(random())});
+        world_options options;
+        options.seed = seed;
+        const auto found = firstViolation(options, commands);
+        if (!found.empty())
+            RC_FAIL(found);
+    });
+    CHECK(passed);
+}
+
+TEST_CASE("calls keep their promises in long runs with fixed seeds")
+{
+    const char *wanted = std::getenv("TAMARACK_FUZZ_RUNS");
+    const std::uint32_t runs = wanted ? static_cast<std::uint32_t>(std::atoi(wanted)) : 300;
+    for (std::uint32_t seed = 1; seed <= runs; ++seed) {
+        world_options options;
+        options.seed = seed;
+        const auto found = firstViolation(options, randomCommands(seed, 120));
+        REQUIRE_MESSAGE(found.empty(), "seed " << seed << ": " << found);
+    }
+}
+
+TEST_CASE("a planned stop cuts nothing")
+{
+    for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+        world_options options;
+        options.seed = seed;
+        calls_world world(options);
+        for (std::uint32_t round = 0; round < 12; ++round) {
+            for (std::uint32_t i = 0; i < 4; ++i)
+                world.run({i % 2 == 0 ? kind::SendOnline : kind::SendOnce, i, 0});
+            world.run({kind::Drain, 0, round});
+            world.run({kind::Advance, 590, 0});
+            world.run({kind::Advance, 590, 0});
+        }
+        world.settle();
+        CHECK(world.violations().empty());
+        CHECK(world.failed() == 0);
+        CHECK(world.completed() == world.requests());
+    }
+}
+
+TEST_CASE("the oracle finds seeded faults")
+{
+    world_options options;
+    SUBCASE("a refused attempt that starts after all")
+    {
+        options.gateFault = gate_mutation::NoTombstone;
+        CHECK(failingSeed(options, "ran twice") > 0);
+    }
+    SUBCASE("a repeated start that runs again")
+    {
+        options.gateFault = gate_mutation::NoDedupe;
+        CHECK(failingSeed(options, "ran twice") > 0);
+    }
+    SUBCASE("batch before online")
+    {
+        options.gateFault = gate_mutation::BatchBeforeOnline;
+        CHECK(failingSeed(options, "online waits") > 0);
+    }
+    SUBCASE("leaving ignored")
+    {
+        options.gateFault = gate_mutation::IgnoreLeaving;
+        CHECK(failingSeed(options, "new work") > 0);
+    }
+    SUBCASE("retry of what may have run")
+    {
+        options.callFault = call_mutation::RetryOnUnknown;
+        CHECK(failingSeed(options, "ran twice") > 0);
+    }
+    SUBCASE("not run, without proof")
+    {
+        options.callFault = call_mutation::ClaimNotRun;
+        CHECK(failingSeed(options, "said not run") > 0);
+    }
+    SUBCASE("frames of earlier attempts taken for the present one's")
+    {
+        options.callFault = call_mutation::KeepOldAttempts;
+        CHECK(failingSeed(options, "wrong answer") > 0);
+    }
+    SUBCASE("a keyed call that runs without its claim")
+    {
+        options.keyedFault = keyed_mutation::RunUnclaimed;
+        CHECK(failingSeed(options, "key ran twice") > 0);
+    }
+}
--- /dev/null
+++ b/tests/unit-calls.cpp
@@ -0,0 +1,299 @@
+// Tests of calls at the entry: attempts, retries, proofs, keys and error bodies.
+#include <tamarackglade/calls/call_tracker.hpp>
+#include <tamarackglade/calls/error_of_call.hpp>
+#include <tamarackglade/calls/keyed_call_desk.hpp>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace tamarack;
+using namespace std::chrono_literals;
+
+namespace {
+
+const instant Start{1h};
+const upstream_id A("a");
+const upstream_id B("b");
+
+/// Takes the first upstream that is not excluded.
+class first_chooser : public upstream_chooser
+{
+public:
+    std::optional<upstream_id> choose(const route_query &query, instant /*now*/) override
+    {
+        for (const auto &upstream : {A, B}) {
+            const auto &excluded = query.excluded;
+            if (std::find(excluded.begin(), excluded.end(), upstream) == excluded.end())
+                return upstream;
+        }
+        return std::nullopt;
+    }
+    void onAttemptStarted(const upstream_id & /*upstream*/, instant /*now*/) override { ++open; }
+    void onAttemptEnded(const upstream_id & /*upstream*/, attempt_result result,
+                        instant /*now*/) override
+    {
+        --open;
+        last = result;
+    }
+
+    int open = 0;
+    attempt_result last = attempt_result::Succeeded;
+};
+
+upstream_request requestOf(const std::string &id, bool repeatable)
+{
+    upstream_request request;
+    request.id = request_id(id);
+    request.deadline = Start + 5s;
+    request.call.repeatable = repeatable;
+    return request;
+}
+
+template <class Action>
+const Action *find(const call_actions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *match = std::get_if<Action>(&action))
+            return match;
+    }
+    return nullptr;
+}
+
+schema::call_end_message endOf(const std::string &attempt, schema::call_outcome outcome)
+{
+    schema::call_end_message end;
+    end.attempt = attempt;
+    end.outcome = outcome;
+    return end;
+}
+
+struct tracker_fixture
+{
+    tracker_fixture() : tracker({}, vm_id("e"), incarnation(1), chooser)
+    {
+        tracker.onSideConnected(A, incarnation(1), Start);
+        tracker.onSideConnected(B, incarnation(1), Start);
+    }
+
+    std::string sendOf(const std::string &id, bool repeatable)
+    {
+        const auto actions = tracker.onRequest(requestOf(id, repeatable), Start);
+        return find<send_start>(actions)->frame.attempt;
+    }
+
+    first_chooser chooser;
+    call_tracker tracker;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(tracker_fixture, "a whole answer")
+{
+    const auto attempt = sendOf("r", true);
+    schema::call_head_message head;
+    head.attempt = attempt;
+    head.status = 200;
+    CHECK(find<answer_head>(tracker.onHead(head, Start)));
+    CHECK(tracker.onHead(head, Start).empty());
+    schema::call_data_message data;
+    data.attempt = attempt;
+    CHECK(find<answer_data>(tracker.onData(data, Start)));
+    const auto last = tracker.onEnd(endOf(attempt, schema::call_outcome::Complete), Start);
+    CHECK_FALSE(find<answer_end>(last)->error);
+    CHECK(tracker.onData(data, Start).empty());
+    CHECK(tracker.openCalls() == 0);
+    CHECK(chooser.open == 0);
+    CHECK_FALSE(tracker.nextDeadline());
+}
+
+TEST_CASE_FIXTURE(tracker_fixture, "an answer that breaks off is an explicit error")
+{
+    const auto attempt = sendOf("r", true);
+    schema::call_head_message head;
+    head.attempt = attempt;
+    tracker.onHead(head, Start);
+    const auto actions = tracker.onSideDisconnected(A, Start);
+    REQUIRE(find<answer_end>(actions));
+    CHECK(find<answer_end>(actions)->error->code == "answer_broken");
+    CHECK(find<answer_end>(actions)->ran == executed::Yes);
+}
+
+TEST_CASE_FIXTURE(tracker_fixture, "refused attempts go elsewhere, then end as not run")
+{
+    const auto first = sendOf("r", false);
+    const auto actions = tracker.onEnd(endOf(first, schema::call_outcome::NotStarted), Start);
+    REQUIRE(find<send_start>(actions));
+    CHECK(find<send_start>(actions)->upstream == B);
+    const auto second = find<send_start>(actions)->frame.attempt;
+    CHECK(tracker.onEnd(endOf(first, schema::call_outcome::Failed), Start).empty());
+    const auto last = tracker.onEnd(endOf(second, schema::call_outcome::NotStarted), Start);
+    CHECK(find<answer_end>(last)->ran == executed::No);
+    CHECK(find<answer_end>(last)->error->retryAfter);
+}
+
+TEST_CASE_FIXTURE(tracker_fixture, "a call that may not be repeated needs proof")
+{
+    const auto attempt = sendOf("r", false);
+    SUBCASE("a failure ends it as unknown")
+    {
+        const auto actions = tracker.onEnd(endOf(attempt, schema::call_outcome::Failed), Start);
+        CHECK(find<answer_end>(actions)->ran == executed::Unknown);
+    }
+    SUBCASE("the same side incarnation proves")
+    {
+        CHECK(tracker.onSideDisconnected(A, Start).empty());
+        const auto asked = tracker.onSideConnected(A, incarnation(1), Start);
+        REQUIRE(find<send_refuse>(asked));
+        CHECK(find<send_refuse>(asked)->attempt.value() == attempt);
+        schema::refuse_answer_message answer;
+        answer.attempt = attempt;
+        answer.never_started = true;
+        CHECK(find<send_start>(tracker.onRefuseAnswer(answer, Start))->upstream == B);
+    }
+    SUBCASE("another incarnation can't")
+    {
+        tracker.onSideDisconnected(A, Start);
+        const auto actions = tracker.onSideConnected(A, incarnation(2), Start);
+        CHECK(find<answer_end>(actions)->ran == executed::Unknown);
+    }
+    SUBCASE("no proof in time")
+    {
+        tracker.onSideDisconnected(A, Start);
+        CHECK(tracker.tick(Start + 1s).empty());
+        CHECK(find<answer_end>(tracker.tick(Start + 2s))->ran == executed::Unknown);
+    }
+    SUBCASE("a lost VM ends the wait at once")
+    {
+        tracker.onSideDisconnected(A, Start);
+        CHECK(find<answer_end>(tracker.onSideLost(A, Start))->ran == executed::Unknown);
+    }
+}
+
+TEST_CASE_FIXTURE(tracker_fixture, "deadlines and callers that leave end the call at once")
+{
+    sendOf("r", true);
+    CHECK(tracker.nextDeadline() == Start + 5s);
+    const auto late = tracker.tick(Start + 5s);
+    CHECK(find<send_cancel>(late));
+    CHECK(find<answer_end>(late)->ran == executed::Unknown);
+    sendOf("s", true);
+    CHECK(find<send_cancel>(tracker.onCallerGone(request_id("s"), Start)));
+    CHECK(chooser.open == 0);
+}
+
+TEST_CASE_FIXTURE(tracker_fixture, "no upstream: not run, and when to come back")
+{
+    tracker.onSideDisconnected(A, Start);
+    tracker.onSideDisconnected(B, Start);
+    const auto actions = tracker.onRequest(requestOf("r", true), Start);
+    CHECK(find<answer_end>(actions)->ran == executed::No);
+    CHECK(find<answer_end>(actions)->error->retryAfterSeconds() == 1);
+}
+
+TEST_CASE("retries stay within their share of calls")
+{
+    retry_budget budget(0.1, 3, 100);
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.onCall();
+        retries += budget.tryRetry() ? 1 : 0;
+    }
+    CHECK(retries >= 100);
+    CHECK(retries <= 103);
+}
+
+TEST_CASE("keyed calls")
+{
+    idempotency_index index;
+    keyed_call_desk desk(index, "e/1", 1s, 8);
+    const keyed_request request{request_id("r"), customer_id("c"), "k", 7, Start + 5s};
+    auto resend = request;
+    resend.id = request_id("s");
+
+    SUBCASE("a log that is down refuses, and nothing runs")
+    {
+        const auto actions = desk.onRequest(request, false, Start);
+        const auto &end = std::get<answer_end>(actions.at(0));
+        CHECK(end.ran == executed::No);
+        CHECK(end.error->status == 503);
+    }
+    SUBCASE("runs once its record is folded")
+    {
+        const auto record =
+            std::get<append_started>(desk.onRequest(request, true, Start).at(0)).record;
+        CHECK(desk.onFolded(Start).empty());
+        index.apply(record, log_offset(1));
+        CHECK(std::holds_alternative<run_keyed>(desk.onFolded(Start).at(0)));
+        const auto pending = desk.onRequest(resend, true, Start);
+        CHECK(std::get<answer_end>(pending.at(0)).ran == executed::Unknown);
+        auto other = resend;
+        other.requestDigest = 8;
+        CHECK(std::get<answer_end>(desk.onRequest(other, true, Start).at(0)).error->status == 422);
+
+        SUBCASE("a small answer is replayed")
+        {
+            const auto ended =
+                desk.onCallEnded(request.id, executed::Yes, 201, "text/plain", {'o', 'k'});
+            index.apply(std::get<append_finished>(ended.at(0)).record, log_offset(2));
+            const auto again = desk.onRequest(resend, true, Start);
+            CHECK(std::get<replay_answer>(again.at(0)).answered.status == 201);
+        }
+        SUBCASE("a large answer is not kept")
+        {
+            const auto ended =
+                desk.onCallEnded(request.id, executed::Yes, 200, "", std::vector<std::uint8_t>(9));
+            index.apply(std::get<append_finished>(ended.at(0)).record, log_offset(2));
+            const auto again = desk.onRequest(resend, true, Start);
+            CHECK(std::get<answer_end>(again.at(0)).ran == executed::Yes);
+        }
+        SUBCASE("a call that proved not to run frees its key")
+        {
+            const auto ended = desk.onCallEnded(request.id, executed::No, 503, "", {});
+            index.apply(std::get<append_finished>(ended.at(0)).record, log_offset(2));
+            const auto again = desk.onRequest(resend, true, Start);
+            CHECK(std::holds_alternative<append_started>(again.at(0)));
+        }
+        SUBCASE("a key is free again past the log's retention")
+        {
+            index.trim(log_offset(2));
+            CHECK(index.size() == 0);
+        }
+    }
+    SUBCASE("the first claim in the log wins")
+    {
+        desk.onRequest(request, true, Start);
+        schema::call_started_message theirs;
+        theirs.customer = "c";
+        theirs.key = "k";
+        theirs.request_digest = 7;
+        theirs.call_id = "other/1";
+        index.apply(theirs, log_offset(1));
+        CHECK(std::get<answer_end>(desk.onFolded(Start).at(0)).error->status == 409);
+    }
+    SUBCASE("a claim that comes too late stays without effect")
+    {
+        const auto record =
+            std::get<append_started>(desk.onRequest(request, true, Start).at(0)).record;
+        const auto actions = desk.tick(Start + 1s);
+        REQUIRE(actions.size() == 2);
+        CHECK(std::get<answer_end>(actions[1]).ran == executed::No);
+        index.apply(std::get<append_finished>(actions[0]).record, log_offset(1));
+        index.apply(record, log_offset(2));
+        CHECK(desk.onFolded(Start + 2s).empty());
+        CHECK_FALSE(index.find(customer_id("c"), "k"));
+    }
+}
+
+TEST_CASE("errors towards callers")
+{
+    const auto error = errorOfCall(call_failure::Overloaded, executed::No, 1500ms);
+    CHECK(error.retryAfterSeconds() == 2);
+    const auto body = nlohmann::json::parse(error.toJson(request_id("r1")));
+    CHECK(body["error"]["executed"] == "no");
+    CHECK(body["error"]["request_id"] == "r1");
+    CHECK(body["error"]["code"] == "overloaded");
+    CHECK_FALSE(errorOfCall(call_failure::UpstreamFailed, executed::Unknown, 1s).retryAfter);
+    auto bad = error;
+    bad.message = "\xff";
+    CHECK(nlohmann::json::parse(bad.toJson(request_id("r"))).is_object());
+}
