--- /dev/null
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -0,0 +1,23 @@
+// What the request handlers of an entry share.
+#pragma once
+
+#include <tamarackglade/entry/call_board.hpp>
+#include <tamarackglade/entry/limit_service.hpp>
+#include <tamarackglade/metrics/metric_registry.hpp>
+#include <tamarackglade/node/config_store.hpp>
+
+#include <chrono>
+
+namespace tamarack {
+
+/// @brief References to an entry's services; they outlive all handlers.
+struct entry_context
+{
+    config_store &config;
+    call_board &calls;
+    limit_service &limits;
+    metric_registry &metrics;
+    std::chrono::milliseconds requestTimeout{120'000};
+};
+
+} // namespace tamarack
