--- a/include/tamarackglade/calls/keyed_action.hpp
+++ b/include/tamarackglade/calls/keyed_action.hpp
@@ -1,9 +1,9 @@
 // What the keyed-call desk asks its shell to do, in order.
 #pragma once
 
-#include <tamarackglade/calls/caller_end.hpp>
 #include <tamarackglade/calls/append_finished.hpp>
 #include <tamarackglade/calls/append_started.hpp>
+#include <tamarackglade/calls/caller_end.hpp>
 #include <tamarackglade/calls/replay_answer.hpp>
 #include <tamarackglade/calls/run_keyed.hpp>
 
--- a/include/tamarackglade/gate/attempt_ledger.hpp
+++ b/include/tamarackglade/gate/attempt_ledger.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <tamarackglade/core/time.hpp>
-#include <tamarackglade/gate/call_attempt_name.hpp>
 #include <tamarackglade/gate/by_value.hpp>
+#include <tamarackglade/gate/call_attempt_name.hpp>
 #include <tamarackglade/gate/gate_mutation.hpp>
 #include <tamarackglade/gate/ledger_limits.hpp>
 #include <tamarackglade/gate/ledger_verdict.hpp>
--- a/src/gate/call_attempt_name.cpp
+++ b/src/gate/call_attempt_name.cpp
@@ -42,7 +42,7 @@
     if (!entry || rest.empty())
         return std::nullopt;
     return call_attempt_name{vm_id(std::string(rest)), incarnation(*entry), *sequence,
-                        incarnation(*side)};
+                             incarnation(*side)};
 }
 
 } // namespace tamarack
