Side on its gate, entry on the call tracker and router

The side runs each attempt at most once, online before batch; the entry retries only on proof or where it may, within a budget, and routes by prefix with bounded load.

--- a/include/tamarackglade/entry/answer_event.hpp
+++ b/include/tamarackglade/entry/answer_event.hpp
@@ -1,8 +1,9 @@
 // The parts in which an upstream's answer reaches the request that waits for it.
 #pragma once
 
-#include <tamarackglade/schema/wire_generated.h>
+#include <tamarackglade/calls/call_error.hpp>
 
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -24,10 +25,7 @@
 /// @brief The end of the answer; nothing follows.
 struct answer_end
 {
-    schema::call_outcome outcome = schema::call_outcome::Unknown;
-    std::string code;
-    std::string message;
-    std::uint32_t retryAfterMs = 0;
+    std::optional<call_error> error; // unset: the answer is whole
 };
 
 using answer_event = std::variant<answer_head, answer_data, answer_end>;
--- a/include/tamarackglade/entry/call_board.hpp
+++ b/include/tamarackglade/entry/call_board.hpp
@@ -1,55 +1,68 @@
-// The calls that an entry has running on upstreams, and the sides that it may use.
+// The online calls that an entry has running on upstreams.
 #pragma once
 
+#include <tamarackglade/calls/call_tracker.hpp>
 #include <tamarackglade/entry/answer_channel.hpp>
 #include <tamarackglade/entry/call_request.hpp>
-#include <tamarackglade/wire/wire_handler.hpp>
+#include <tamarackglade/membership/listed_vm.hpp>
+#include <tamarackglade/routing/router.hpp>
+#include <tamarackglade/wire/wire_peer.hpp>
 
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace tamarack {
 
-/// @brief Starts calls on sides and gives each answer to the channel of its attempt. Thread-safe.
+/// @brief Carries out what the call tracker decides: frames to sides, answers to channels.
+/// Thread-safe; an upstream is named by its side's VM.
 class call_board
 {
 public:
-    /// @brief Sends a call to a side of its group.
-    /// @return the attempt, whose events come through channel; NotStarted at once if no side is
-    /// there
-    attempt_id start(const call_request &call, std::shared_ptr<answer_channel> channel);
+    explicit call_board(const peer_identity &self);
 
-    /// @brief Ends an attempt; its channel gets nothing more.
-    void cancel(const attempt_id &attempt);
+    /// @brief Sends a call to an upstream of its group; the answer comes through the channel.
+    void start(const call_request &call, std::shared_ptr<answer_channel> channel);
+    /// @brief Ends a call whose caller has gone; its channel gets nothing more.
+    void cancel(const request_id &request);
+    /// @brief Ends calls whose deadlines have passed; call it often.
+    void tick();
+
+    /// @brief Takes the listed sides, and those of them that take new work.
+    void setSides(const std::vector<listed_vm> &listed, const std::vector<listed_vm> &working);
 
     void onConnected(const std::shared_ptr<wire_peer> &peer);
-    void onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame);
+    void onFrame(const std::shared_ptr<wire_peer> &peer, const schema::frame_message &frame);
     void onClosed(const std::shared_ptr<wire_peer> &peer);
 
 private:
-    struct side_state
-    {
-        std::shared_ptr<wire_peer> peer;
-        schema::load_report_message report;
-        std::size_t inFlight = 0;
-    };
-    struct running_call
+    using channel_pointer = std::shared_ptr<answer_channel>;
+    using peer_pointer = std::shared_ptr<wire_peer>;
+
+    /// @brief A frame or an answer's part that is passed on once the lock is released.
+    struct delivery
     {
-        std::shared_ptr<answer_channel> channel;
-        std::uint64_t connection = 0;
+        peer_pointer peer; // of a frame
+        schema::frame_bodyUnion body;
+        channel_pointer channel; // of an answer's part
+        answer_event event;
     };
+    using deliveries = std::vector<delivery>;
 
-    side_state *chooseSide(const group_id &group);
-    std::shared_ptr<answer_channel> channelOf(const std::string &attempt);
-    std::shared_ptr<answer_channel> finish(const std::string &attempt);
+    deliveries deliver(call_actions actions);
+    void addFrame(deliveries &out, const upstream_id &upstream, schema::frame_bodyUnion body);
+    void addEvent(deliveries &out, const request_id &request, answer_event event);
+    static void pass(deliveries out);
 
     std::mutex m_mutex; // guards the members below
-    std::map<std::uint64_t, side_state> m_sides; // by connection
-    std::unordered_map<std::string, running_call> m_running; // by attempt
-    std::uint64_t m_lastAttempt = 0;
+    router m_router;
+    call_tracker m_tracker;
+    std::map<upstream_id, peer_pointer> m_sides; // connected ones
+    std::vector<upstream_id> m_listed; // by the latest VM list
+    std::unordered_map<std::string, channel_pointer> m_channels; // by request
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/entry/caller_request.hpp
+++ b/include/tamarackglade/entry/caller_request.hpp
@@ -20,10 +20,7 @@
     caller from; // empty ids on an open route
 
     /// @brief Answers with an error.
-    void refuse(const api_error &error) const
-    {
-        exchange.respond(errorResponse(error, id.value()));
-    }
+    void refuse(const api_error &error) const { exchange.respond(errorResponse(error, id)); }
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -46,6 +46,7 @@
     http_server_options serverOptions();
     void onConfig(const config_state &state, bool serving);
     void onVmList(const vm_list &list);
+    void callTickLoop();
     void reloadTlsLoop();
     void drain();
     std::size_t activeRequests() const;
--- a/include/tamarackglade/entry/job_service.hpp
+++ b/include/tamarackglade/entry/job_service.hpp
@@ -34,13 +34,20 @@
     [[nodiscard]] std::size_t ownedCount() const;
 
 private:
+    /// @brief A runner that has items of a model to hand out.
+    struct credit_receiver
+    {
+        partition_runner *runner = nullptr;
+        model_id model;
+    };
+
     void tickLoop();
     void allotCredits();
-    void allotOffer(const side_offer &offer, const std::vector<partition_runner *> &wanting);
+    void allotOffer(const side_offer &offer, const std::vector<credit_receiver> &receivers);
 
     job_services m_services;
     std::vector<std::unique_ptr<partition_runner>> m_runners; // by partition id
-    std::size_t m_nextRunner = 0; // gets the first credit of the next offer
+    std::size_t m_nextReceiver = 0; // gets the first credit of the next offer
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/entry/partition_runner.hpp
+++ b/include/tamarackglade/entry/partition_runner.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace tamarack {
 
@@ -50,8 +51,8 @@
     [[nodiscard]] const partition_fold *fold() const { return m_fold.get(); }
     [[nodiscard]] log_payloads &payloads() { return m_payloads; }
     [[nodiscard]] bool caughtUp() const { return m_caughtUp; }
-    /// @return whether this process owns the partition and has items to hand out
-    [[nodiscard]] bool wantsCredits() const;
+    /// @return the models of unfinished jobs, if this process owns the partition
+    [[nodiscard]] std::set<model_id> wantedModels() const;
 
     /// @brief Adds a listener until the returned number is given to removeListener.
     std::uint64_t addListener(fold_listener listener);
--- a/include/tamarackglade/gate/batch_pacer.hpp
+++ b/include/tamarackglade/gate/batch_pacer.hpp
@@ -19,6 +19,9 @@
     /// @brief Learns from a gap between two tokens of one stream.
     void onTokenGap(std::size_t streams, duration gap);
 
+    /// @brief Sets the knob of gate_options::onlineProtection, from 0 to 1.
+    void setOnlineProtection(double share) { m_options.onlineProtection = share; }
+
     /// @brief Notes that batch had to yield; it does not grow for a while.
     void onYield(instant now);
 
--- a/include/tamarackglade/gate/side_gate.hpp
+++ b/include/tamarackglade/gate/side_gate.hpp
@@ -58,6 +58,9 @@
     /// @brief Learns that the upstream serves, leaves or is down.
     gate_actions onUpstreamState(schema::upstream_state state, instant now);
 
+    /// @brief Sets the knob of gate_options::onlineProtection, from 0 to 1.
+    void setOnlineProtection(double share) { m_pacer.setOnlineProtection(share); }
+
     /// @brief Learns the upstream's model version, for reports.
     void onModelVersion(const std::string &version);
 
--- a/include/tamarackglade/node/vm_watch.hpp
+++ b/include/tamarackglade/node/vm_watch.hpp
@@ -43,6 +43,8 @@
     [[nodiscard]] bool takesWork(const vm_id &vm);
     /// @return listed entries that take work, with their newest known processes
     [[nodiscard]] std::vector<listed_vm> entries();
+    /// @return listed sides that take work
+    [[nodiscard]] std::vector<listed_vm> workingSides();
     /// @return the names of all listed processes
     [[nodiscard]] std::vector<vm_id> processes();
 
--- /dev/null
+++ b/include/tamarackglade/side/side_process.hpp
@@ -0,0 +1,49 @@
+// The side's process: puts its parts together.
+#pragma once
+
+#include <tamarackglade/http/admin_server.hpp>
+#include <tamarackglade/node/config_service.hpp>
+#include <tamarackglade/settings/setting_values.hpp>
+#include <tamarackglade/side/side_server.hpp>
+#include <tamarackglade/wire/wire_server.hpp>
+
+#include <absl/status/status.h>
+
+namespace tamarack {
+
+/// @brief Serves entries until told to stop; all on one thread.
+class side_process final : public wire_handler
+{
+public:
+    side_process(const setting_values &settings, const wire_settings &wire);
+
+    /// @brief Starts all parts.
+    /// @return why a part can't start
+    absl::Status start();
+    /// @brief Serves until SIGTERM or SIGINT, then drains; ends the process.
+    [[noreturn]] void runUntilStopped();
+
+    void onConnected(const std::shared_ptr<wire_peer> &peer) override;
+    void onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame) override;
+    void onClosed(const std::shared_ptr<wire_peer> &peer) override;
+
+private:
+    void onConfig(const config_state &state);
+    void updatePeers();
+    void drain();
+
+    const setting_values &m_settings;
+    const wire_settings &m_wire;
+    metric_registry m_metrics;
+    config_store m_config;
+    peer_directory m_peers;
+    bool m_endNow = false; // a second signal came
+    io_thread m_thread;
+    platform_client m_platform;
+    config_service m_configService;
+    side_server m_server;
+    wire_server m_wireServer;
+    admin_server m_admin;
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/side/side_server.hpp
+++ b/include/tamarackglade/side/side_server.hpp
@@ -1,15 +1,15 @@
-// The side's wire handler: runs calls on the upstream and reports the load.
+// The side's wire handler: carries out what its gate decides.
 #pragma once
 
+#include <tamarackglade/gate/side_gate.hpp>
+#include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 #include <tamarackglade/side/upstream_call.hpp>
 #include <tamarackglade/wire/wire_handler.hpp>
 
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <unordered_map>
 
 namespace tamarack {
 
@@ -17,46 +17,48 @@
 struct side_options
 {
     std::string upstreamAddress;
-    group_id group;
-    schema::upstream_kind kind = schema::upstream_kind::Engine;
-    std::chrono::milliseconds reportPeriod{250};
+    gate_options gate;
 };
 
-/// @brief Accepts calls from entries on one thread.
-class side_server final : public wire_handler
+/// @brief Used on one thread; its fibers may interleave at every I/O, the gate's events don't.
+class side_server
 {
 public:
-    side_server(io_thread &thread, side_options options);
+    side_server(io_thread &thread, metric_registry &metrics, side_options options,
+                incarnation self);
 
-    void onConnected(const std::shared_ptr<wire_peer> &peer) override;
-    void onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame) override;
-    void onClosed(const std::shared_ptr<wire_peer> &peer) override;
+    /// @brief Begins to tick the gate.
+    void start();
 
-    /// @brief Takes no new calls.
+    void onConnected(const std::shared_ptr<wire_peer> &peer);
+    void onFrame(const std::shared_ptr<wire_peer> &peer, const schema::frame_message &frame);
+    void onClosed(const std::shared_ptr<wire_peer> &peer);
+
+    /// @brief Sets how much of batch's room is given up for the online tail, from 0 to 1.
+    void setOnlineProtection(double share) { m_gate.setOnlineProtection(share); }
+
+    /// @brief Takes no new calls; idempotent.
     void drain();
-    /// @return calls under way
-    [[nodiscard]] std::size_t activeCalls();
+    /// @return whether no call is held any more
+    [[nodiscard]] bool isDrained() const { return m_gate.isDrained(); }
+    [[nodiscard]] std::size_t activeCalls() const { return m_running.size(); }
 
 private:
-    class running_events;
-    struct running_call
-    {
-        std::shared_ptr<upstream_call> call;
-        std::uint64_t connection = 0;
-    };
-
-    void startCall(const std::shared_ptr<wire_peer> &peer, const schema::start_call_message &start);
-    void cancelCall(const std::string &attempt);
-    void finishCall(const std::string &attempt);
-    schema::load_report_message report();
-    void reportLoop();
+    class run_events;
+
+    void tickLoop();
+    void perform(gate_actions actions);
+    void open(const open_upstream &action);
+    void send(const send_frame &action);
+    void finishRun(const upstream_run &run);
 
     io_thread &m_thread;
+    metric_registry &m_metrics;
     side_options m_options;
-    std::mutex m_mutex; // guards the members below
-    std::map<std::uint64_t, std::shared_ptr<wire_peer>> m_peers;
-    std::unordered_map<std::string, running_call> m_running; // by attempt
+    side_gate m_gate;
     bool m_draining = false;
+    std::map<connection_id, std::shared_ptr<wire_peer>> m_peers;
+    std::map<upstream_run, std::shared_ptr<upstream_call>> m_running;
 };
 
 } // namespace tamarack
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds CheckPeriod{250};
-constexpr std::chrono::milliseconds RetryPause{1'000};
 constexpr std::string_view StreamEnd = "data: [DONE]";
 constexpr std::size_t TailBytes = 64;
 constexpr unsigned ServerErrorStatus = 500;
@@ -21,7 +20,7 @@
             "authentication_error",
             "key_withdrawn",
             "the key was withdrawn",
-            executed::Unknown,
+            execution::Unknown,
             std::nullopt};
 }
 
@@ -31,28 +30,10 @@
             "timeout_error",
             "deadline_exceeded",
             "the answer took too long",
-            executed::Unknown,
+            execution::Unknown,
             std::nullopt};
 }
 
-api_error brokenAnswerError(const answer_end &end, bool begun)
-{
-    api_error error;
-    error.type = "upstream_error";
-    error.code = end.code.empty() ? "upstream_failed" : end.code;
-    error.message = end.message;
-    if (end.outcome == schema::call_outcome::NotStarted && !begun) {
-        error.status = 503;
-        error.ran = executed::No;
-        error.retryAfter =
-            end.retryAfterMs > 0 ? std::chrono::milliseconds(end.retryAfterMs) : RetryPause;
-    } else {
-        error.status = 502;
-        error.ran = executed::Unknown;
-    }
-    return error;
-}
-
 // The upstream's own message, if its body has one in the usual shape.
 std::string upstreamMessage(const std::string &body)
 {
@@ -73,7 +54,7 @@
 void answer_relay::run(const call_request &call)
 {
     m_deadline = m_started + call.timeout;
-    const attempt_id attempt = m_context.calls.start(call, m_channel);
+    m_context.calls.start(call, m_channel);
     while (!m_finished) {
         answer_event event;
         const wait_result waited = waitForEvent(event);
@@ -86,7 +67,7 @@
                 relayEnd(std::get<answer_end>(event));
             continue;
         }
-        m_context.calls.cancel(attempt);
+        m_context.calls.cancel(call.id);
         if (waited == wait_result::KeyWithdrawn)
             fail(withdrawnKeyError());
         else if (waited == wait_result::TimedOut)
@@ -171,8 +152,8 @@
 void answer_relay::relayEnd(const answer_end &end)
 {
     m_finished = true;
-    if (end.outcome != schema::call_outcome::Complete) {
-        fail(brokenAnswerError(end, m_firstByteSeen));
+    if (end.error) {
+        fail(*end.error);
         return;
     }
     if (m_streaming) {
@@ -180,13 +161,13 @@
         return;
     }
     if (m_head.status >= ServerErrorStatus) {
-        fail({502, "upstream_error", "upstream_failed", upstreamMessage(m_body), executed::Unknown,
+        fail({502, "upstream_error", "upstream_failed", upstreamMessage(m_body), execution::Unknown,
               std::nullopt});
         return;
     }
     if (m_head.status >= 400) {
-        fail({m_head.status, "invalid_request_error", "upstream_refused", upstreamMessage(m_body),
-              executed::Unknown, std::nullopt});
+        fail({static_cast<std::uint16_t>(m_head.status), "invalid_request_error",
+              "upstream_refused", upstreamMessage(m_body), execution::Unknown, std::nullopt});
         return;
     }
     http_response response;
@@ -204,7 +185,7 @@
         m_request.exchange.endStream();
     else
         fail({502, "upstream_error", "stream_broken", "the upstream's stream ended early",
-              executed::Unknown, std::nullopt});
+              execution::Unknown, std::nullopt});
 }
 
 void answer_relay::fail(const api_error &error)
@@ -218,7 +199,7 @@
         m_request.exchange.abortStream();
         return;
     }
-    const std::string json = errorJson(error, m_request.id.value());
+    const std::string json = error.toJson(m_request.id);
     m_request.exchange.writeChunk(absl::StrCat("data: ", json, "\n\n"));
     m_request.exchange.endStream();
 }
--- a/src/entry/call_board.cpp
+++ b/src/entry/call_board.cpp
@@ -1,17 +1,31 @@
-// Sides by connection, calls by attempt.
+// Decisions under the lock, deliveries after it.
 #include <tamarackglade/entry/call_board.hpp>
+#include <tamarackglade/runtime/steady_now.hpp>
 #include <tamarackglade/wire/frame_codec.hpp>
 
-#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <random>
+#include <utility>
 
 namespace tamarack {
 
 namespace {
 
-schema::start_call_message startMessage(const call_request &call, const std::string &attempt)
+routing_options routingOptions(const peer_identity &self)
+{
+    routing_options options;
+    options.zone = self.zone;
+    return options;
+}
+
+upstream_id upstreamOf(const std::shared_ptr<wire_peer> &peer)
+{
+    return upstream_id(peer->identity().vm.value());
+}
+
+schema::start_call_message startMessage(const call_request &call)
 {
     schema::start_call_message message;
-    message.attempt = attempt;
     message.call_class = call.callClass;
     message.customer = call.customer.value();
     message.request_id = call.id.value();
@@ -21,135 +35,189 @@
     message.body.assign(call.body.begin(), call.body.end());
     message.streamed = call.streamed;
     message.repeatable = call.repeatable;
-    message.deadline_ms = static_cast<std::uint32_t>(call.timeout.count());
     message.weight = call.weight;
     return message;
 }
 
-answer_end notStarted(const std::string &code, const std::string &message)
+} // namespace
+
+call_board::call_board(const peer_identity &self)
+    : m_router(routingOptions(self), std::mt19937_64(std::random_device{}())),
+      m_tracker(tracker_options{}, self.vm, self.incarnation, m_router)
 {
-    constexpr std::uint32_t RetryAfterMs = 1'000;
-    return {schema::call_outcome::NotStarted, code, message, RetryAfterMs};
 }
 
-} // namespace
+void call_board::start(const call_request &call, std::shared_ptr<answer_channel> channel)
+{
+    tracked_request request;
+    request.id = call.id;
+    request.group = call.group;
+    request.deadline = steadyNow() + call.timeout;
+    request.prefixHash = call.prefixHash;
+    request.call = startMessage(call);
+    deliveries out;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_channels[call.id.value()] = std::move(channel);
+        out = deliver(m_tracker.onRequest(std::move(request), steadyNow()));
+    }
+    pass(std::move(out));
+}
 
-attempt_id call_board::start(const call_request &call, std::shared_ptr<answer_channel> channel)
+void call_board::cancel(const request_id &request)
 {
-    std::shared_ptr<wire_peer> peer;
-    std::string attempt;
+    deliveries out;
     {
         const std::lock_guard lock(m_mutex);
-        attempt = absl::StrCat(call.id.value(), ".", ++m_lastAttempt);
-        if (side_state *side = chooseSide(call.group)) {
-            peer = side->peer;
-            ++side->inFlight;
-            m_running[attempt] = running_call{channel, peer->connectionId()};
-        }
+        m_channels.erase(request.value());
+        out = deliver(m_tracker.onCallerGone(request, steadyNow()));
     }
-    if (peer)
-        peer->send(frameBody(startMessage(call, attempt)));
-    else
-        channel->push(notStarted("no_upstream", "no upstream of the group is reachable"));
-    return attempt_id(attempt);
+    pass(std::move(out));
 }
 
-void call_board::cancel(const attempt_id &attempt)
+void call_board::tick()
 {
-    std::shared_ptr<wire_peer> peer;
+    deliveries out;
     {
         const std::lock_guard lock(m_mutex);
-        const auto found = m_running.find(attempt.value());
-        if (found == m_running.end())
-            return;
-        const auto side = m_sides.find(found->second.connection);
-        if (side != m_sides.end()) {
-            peer = side->second.peer;
-            --side->second.inFlight;
+        out = deliver(m_tracker.tick(steadyNow()));
+    }
+    pass(std::move(out));
+}
+
+void call_board::setSides(const std::vector<listed_vm> &listed,
+                          const std::vector<listed_vm> &working)
+{
+    deliveries out;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<upstream_info> upstreams;
+        std::vector<upstream_id> ids;
+        for (const listed_vm &side : listed) {
+            ids.emplace_back(side.vm.value());
+            upstreams.push_back({ids.back(), side.group, side.zone, {}});
         }
-        m_running.erase(found);
+        m_router.setUpstreams(upstreams);
+        for (const upstream_id &id : ids) {
+            const bool works = std::any_of(working.begin(), working.end(), [&](const auto &side) {
+                return side.vm.value() == id.value();
+            });
+            m_router.onLeaving(id, !works, steadyNow());
+        }
+        // What the list dropped is gone for good.
+        for (const upstream_id &id : m_listed) {
+            if (std::find(ids.begin(), ids.end(), id) != ids.end())
+                continue;
+            deliveries more = deliver(m_tracker.onSideLost(id, steadyNow()));
+            std::move(more.begin(), more.end(), std::back_inserter(out));
+        }
+        m_listed = std::move(ids);
+        for (const auto &[id, peer] : m_sides)
+            m_router.onConnected(id, steadyNow());
     }
-    if (!peer)
-        return;
-    schema::cancel_call_message message;
-    message.attempt = attempt.value();
-    peer->send(frameBody(message));
+    pass(std::move(out));
 }
 
 void call_board::onConnected(const std::shared_ptr<wire_peer> &peer)
 {
-    const std::lock_guard lock(m_mutex);
-    m_sides[peer->connectionId()].peer = peer;
+    deliveries out;
+    {
+        const std::lock_guard lock(m_mutex);
+        const upstream_id id = upstreamOf(peer);
+        m_sides[id] = peer;
+        m_router.onConnected(id, steadyNow());
+        out = deliver(m_tracker.onSideConnected(id, peer->identity().incarnation, steadyNow()));
+    }
+    pass(std::move(out));
 }
 
-void call_board::onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame)
+void call_board::onFrame(const std::shared_ptr<wire_peer> &peer, const schema::frame_message &frame)
 {
-    if (const auto *report = frame.body.Asload_report()) {
+    const instant now = steadyNow();
+    deliveries out;
+    {
         const std::lock_guard lock(m_mutex);
-        m_sides[peer->connectionId()].report = *report;
-    } else if (const auto *head = frame.body.Ascall_head()) {
-        if (const auto channel = channelOf(head->attempt))
-            channel->push(answer_head{head->status, head->content_type});
-    } else if (const auto *data = frame.body.Ascall_data()) {
-        if (const auto channel = channelOf(data->attempt))
-            channel->push(answer_data{std::string(data->data.begin(), data->data.end())});
-    } else if (const auto *end = frame.body.Ascall_end()) {
-        if (const auto channel = finish(end->attempt))
-            channel->push(answer_end{end->outcome, end->code, end->message, end->retry_after_ms});
+        if (const auto *report = frame.body.Asload_report())
+            m_router.onReport(upstreamOf(peer), *report);
+        else if (const auto *head = frame.body.Ascall_head())
+            out = deliver(m_tracker.onHead(*head, now));
+        else if (const auto *data = frame.body.Ascall_data())
+            out = deliver(m_tracker.onData(*data, now));
+        else if (const auto *end = frame.body.Ascall_end())
+            out = deliver(m_tracker.onEnd(*end, now));
+        else if (const auto *refused = frame.body.Asrefuse_answer())
+            out = deliver(m_tracker.onRefuseAnswer(*refused, now));
     }
+    pass(std::move(out));
 }
 
 void call_board::onClosed(const std::shared_ptr<wire_peer> &peer)
 {
-    std::vector<std::shared_ptr<answer_channel>> lost;
+    deliveries out;
     {
         const std::lock_guard lock(m_mutex);
-        m_sides.erase(peer->connectionId());
-        for (auto it = m_running.begin(); it != m_running.end();) {
-            if (it->second.connection != peer->connectionId()) {
-                ++it;
-                continue;
-            }
-            lost.push_back(it->second.channel);
-            it = m_running.erase(it);
-        }
+        const auto found = m_sides.find(upstreamOf(peer));
+        // An older connection's end says nothing about the present one.
+        if (found == m_sides.end() || found->second != peer)
+            return;
+        const upstream_id id = found->first;
+        m_sides.erase(found);
+        m_router.onDisconnected(id);
+        out = deliver(m_tracker.onSideDisconnected(id, steadyNow()));
     }
-    for (const auto &channel : lost)
-        channel->push(answer_end{schema::call_outcome::Unknown, "upstream_lost",
-                                 "the connection to the upstream was lost", 0});
+    pass(std::move(out));
 }
 
-call_board::side_state *call_board::chooseSide(const group_id &group)
+call_board::deliveries call_board::deliver(call_actions actions)
 {
-    side_state *best = nullptr;
-    for (auto &[connection, side] : m_sides) {
-        const bool usable = side.peer && side.report.group == group.value()
-                            && side.report.state == schema::upstream_state::Serving;
-        if (usable && (best == nullptr || side.inFlight < best->inFlight))
-            best = &side;
+    deliveries out;
+    for (call_action &action : actions) {
+        if (auto *start = std::get_if<send_start>(&action)) {
+            addFrame(out, start->upstream, frameBody(std::move(start->frame)));
+        } else if (const auto *cancelled = std::get_if<send_cancel>(&action)) {
+            schema::cancel_call_message message;
+            message.attempt = cancelled->attempt.value();
+            addFrame(out, cancelled->upstream, frameBody(message));
+        } else if (const auto *refuse = std::get_if<send_refuse>(&action)) {
+            schema::refuse_attempt_message message;
+            message.attempt = refuse->attempt.value();
+            addFrame(out, refuse->upstream, frameBody(message));
+        } else if (auto *head = std::get_if<caller_head>(&action)) {
+            addEvent(out, head->request, answer_head{head->status, head->contentType});
+        } else if (const auto *data = std::get_if<caller_data>(&action)) {
+            addEvent(out, data->request,
+                     answer_data{std::string(data->data.begin(), data->data.end())});
+        } else if (auto *end = std::get_if<caller_end>(&action)) {
+            addEvent(out, end->request, answer_end{std::move(end->error)});
+            m_channels.erase(end->request.value());
+        }
     }
-    return best;
+    return out;
 }
 
-std::shared_ptr<answer_channel> call_board::channelOf(const std::string &attempt)
+void call_board::addFrame(deliveries &out, const upstream_id &upstream,
+                          schema::frame_bodyUnion body)
 {
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_running.find(attempt);
-    return found == m_running.end() ? nullptr : found->second.channel;
+    const auto peer = m_sides.find(upstream);
+    if (peer != m_sides.end())
+        out.push_back({peer->second, std::move(body), nullptr, {}});
 }
 
-std::shared_ptr<answer_channel> call_board::finish(const std::string &attempt)
+void call_board::addEvent(deliveries &out, const request_id &request, answer_event event)
 {
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_running.find(attempt);
-    if (found == m_running.end())
-        return nullptr;
-    auto channel = found->second.channel;
-    const auto side = m_sides.find(found->second.connection);
-    if (side != m_sides.end())
-        --side->second.inFlight;
-    m_running.erase(found);
-    return channel;
+    const auto channel = m_channels.find(request.value());
+    if (channel != m_channels.end())
+        out.push_back({nullptr, {}, channel->second, std::move(event)});
+}
+
+void call_board::pass(deliveries out)
+{
+    for (delivery &one : out) {
+        if (one.peer)
+            one.peer->send(one.body);
+        else
+            one.channel->push(std::move(one.event));
+    }
 }
 
 } // namespace tamarack
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -10,24 +10,36 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds CallTickPeriod{20};
 constexpr std::chrono::milliseconds DrainPoll{20};
 constexpr std::chrono::seconds TlsReloadPeriod{1};
 
 http_response serverError(unsigned status, const std::string &code, const std::string &message)
 {
     api_error error = invalidRequest(code, message);
-    error.status = status;
+    error.status = static_cast<std::uint16_t>(status);
     if (status >= 500) {
         error.type = "server_error";
-        error.ran = executed::Unknown;
+        error.ran = execution::Unknown;
     }
-    return errorResponse(error, randomId("req_"));
+    return errorResponse(error, request_id(randomId("req_")));
+}
+
+std::vector<listed_vm> sidesOf(const vm_list &list)
+{
+    std::vector<listed_vm> sides;
+    for (const listed_vm &vm : list) {
+        if (vm.role == vm_role::Side)
+            sides.push_back(vm);
+    }
+    return sides;
 }
 
 } // namespace
 
 entry_process::entry_process(const setting_values &settings, const wire_settings &wire)
-    : m_settings(settings), m_wire(wire), m_platform(m_control, settings.list("platform")),
+    : m_settings(settings), m_wire(wire), m_calls(wire.self),
+      m_platform(m_control, settings.list("platform")),
       m_limits(m_control, m_platform, m_peers, m_metrics, wire.self), m_batchBoard(wire.self),
       m_jobs({m_control, m_platform, m_peers, m_batchBoard, m_config, m_metrics, wire.self}),
       m_desk(m_jobs, m_config, submission_limits{}),
@@ -55,6 +67,7 @@
                                        bool serving) { onConfig(*state, serving); });
     m_configService.start();
     m_vmWatch.start();
+    m_control.spawn([this] { callTickLoop(); });
     return startServing();
 }
 
@@ -133,7 +146,7 @@
     if (report != nullptr && report->state == schema::upstream_state::Leaving)
         m_vmWatch.onLeaving(peer->identity());
     if (!m_batchBoard.onFrame(peer, frame))
-        m_calls.onFrame(peer, std::move(frame));
+        m_calls.onFrame(peer, frame);
 }
 
 void entry_process::onClosed(const std::shared_ptr<wire_peer> &peer)
@@ -157,9 +170,18 @@
 {
     m_configService.setPeers(m_vmWatch.processes());
     m_limits.onVmList(list);
+    m_calls.setSides(sidesOf(list), m_vmWatch.workingSides());
     m_jobs.onEntries(m_vmWatch.entries());
 }
 
+void entry_process::callTickLoop()
+{
+    for (;;) {
+        boost::this_fiber::sleep_for(CallTickPeriod);
+        m_calls.tick();
+    }
+}
+
 void entry_process::reloadTlsLoop()
 {
     for (;;) {
--- a/src/entry/job_desk.cpp
+++ b/src/entry/job_desk.cpp
@@ -22,14 +22,14 @@
 
 api_error unavailable(std::string code, std::string message)
 {
-    return {503,       "service_unavailable", std::move(code), std::move(message), executed::No,
+    return {503,       "service_unavailable", std::move(code), std::move(message), execution::No,
             RetryLater};
 }
 
 api_error unknownOutcome(std::string message)
 {
     return {
-        503,       "service_unavailable", "outcome_unknown", std::move(message), executed::Unknown,
+        503,       "service_unavailable", "outcome_unknown", std::move(message), execution::Unknown,
         RetryLater};
 }
 
--- a/src/entry/job_service.cpp
+++ b/src/entry/job_service.cpp
@@ -10,16 +10,6 @@
 
 constexpr std::chrono::milliseconds TickPeriod{50};
 
-std::vector<model_id> modelsOf(const manifest &manifest, const group_id &group)
-{
-    std::vector<model_id> models;
-    for (const auto &[id, options] : manifest.models) {
-        if (options.group == group)
-            models.push_back(id);
-    }
-    return models;
-}
-
 } // namespace
 
 job_service::job_service(const job_services &services) : m_services(services) { }
@@ -101,37 +91,34 @@
 
 void job_service::allotCredits()
 {
-    std::vector<partition_runner *> wanting;
+    const auto config = m_services.config.current();
+    if (!config || !config->inForce)
+        return;
+    std::map<group_id, std::vector<credit_receiver>> receivers;
     for (const auto &runner : m_runners) {
-        if (runner->wantsCredits())
-            wanting.push_back(runner.get());
+        for (const model_id &model : runner->wantedModels()) {
+            if (const model_options *options = config->inForce->model(model))
+                receivers[options->group].push_back({runner.get(), model});
+        }
+    }
+    for (const side_offer &offer : m_services.board.offers()) {
+        const auto group = receivers.find(offer.group);
+        if (group != receivers.end())
+            allotOffer(offer, group->second);
     }
-    if (wanting.empty())
-        return;
-    for (const side_offer &offer : m_services.board.offers())
-        allotOffer(offer, wanting);
 }
 
-// Each runner gets an equal share; the remainder goes round from one offer to the next.
-void job_service::allotOffer(const side_offer &offer,
-                             const std::vector<partition_runner *> &wanting)
+// Each receiver gets an equal share; the remainder goes round from one offer to the next.
+void job_service::allotOffer(const side_offer &offer, const std::vector<credit_receiver> &receivers)
 {
-    const auto config = m_services.config.current();
-    const std::vector<model_id> models = modelsOf(*config->inForce, offer.group);
-    if (models.empty())
-        return;
-    const std::size_t receivers = wanting.size() * models.size();
-    const std::size_t share = offer.credits / receivers;
-    std::size_t remainder = offer.credits % receivers;
-    for (std::size_t i = 0; i < wanting.size(); ++i) {
-        partition_runner *runner = wanting[(m_nextRunner + i) % wanting.size()];
-        for (const model_id &model : models) {
-            const std::size_t extra = remainder > 0 ? 1 : 0;
-            remainder -= extra;
-            runner->onCredits(offer.side, model, static_cast<std::uint32_t>(share + extra));
-        }
+    const std::size_t share = offer.credits / receivers.size();
+    const std::size_t remainder = offer.credits % receivers.size();
+    for (std::size_t i = 0; i < receivers.size(); ++i) {
+        const credit_receiver &receiver = receivers[(m_nextReceiver + i) % receivers.size()];
+        const std::size_t credits = share + (i < remainder ? 1 : 0);
+        receiver.runner->onCredits(offer.side, receiver.model, static_cast<std::uint32_t>(credits));
     }
-    ++m_nextRunner;
+    ++m_nextReceiver;
 }
 
 } // namespace tamarack
--- a/src/entry/partition_runner.cpp
+++ b/src/entry/partition_runner.cpp
@@ -92,15 +92,16 @@
     m_services.thread.spawn([this] { load(); });
 }
 
-bool partition_runner::wantsCredits() const
+std::set<model_id> partition_runner::wantedModels() const
 {
+    std::set<model_id> models;
     if (!m_owner || !m_owner->isOwner() || !m_fold)
-        return false;
+        return models;
     for (const auto &[id, job] : m_fold->jobs()) {
         if (!job.isEnded())
-            return true;
+            models.insert(job.model);
     }
-    return false;
+    return models;
 }
 
 std::uint64_t partition_runner::addListener(fold_listener listener)
--- a/src/entry/request_front.cpp
+++ b/src/entry/request_front.cpp
@@ -16,20 +16,21 @@
 
 api_error notReady()
 {
-    return {503,          "service_unavailable", "not_ready", "this entry has no configuration yet",
-            executed::No, NotReadyPause};
+    return {503,           "service_unavailable",
+            "not_ready",   "this entry has no configuration yet",
+            execution::No, NotReadyPause};
 }
 
 api_error unauthorized(const std::string &message)
 {
-    return {401, "authentication_error", "invalid_api_key", message, executed::No, std::nullopt};
+    return {401, "authentication_error", "invalid_api_key", message, execution::No, std::nullopt};
 }
 
 api_error notFound(const std::string &path)
 {
-    return {404,          "invalid_request_error",
-            "not_found",  absl::StrCat("there is nothing at ", path),
-            executed::No, std::nullopt};
+    return {404,           "invalid_request_error",
+            "not_found",   absl::StrCat("there is nothing at ", path),
+            execution::No, std::nullopt};
 }
 
 } // namespace
@@ -91,7 +92,7 @@
                      "rate_limit_error",
                      "rate_limit_exceeded",
                      "the customer's rate and burst are used up",
-                     executed::No,
+                     execution::No,
                      verdict.retryAfter};
 }
 
@@ -102,7 +103,7 @@
     header_verdict verdict{upload ? fileLimit : bodyLimit, std::nullopt};
     caller from;
     if (auto fault = checkRoute(request, m_context.config.current(), from))
-        verdict.refusal = errorResponse(*fault, randomId("req_"));
+        verdict.refusal = errorResponse(*fault, request_id(randomId("req_")));
     return verdict;
 }
 
--- a/src/node/vm_watch.cpp
+++ b/src/node/vm_watch.cpp
@@ -60,6 +60,12 @@
     return found;
 }
 
+std::vector<listed_vm> vm_watch::workingSides()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_view.takingWork(vm_role::Side);
+}
+
 std::vector<vm_id> vm_watch::processes()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/runtime/io_thread.cpp
+++ b/src/runtime/io_thread.cpp
@@ -29,11 +29,12 @@
 
 void io_thread::run(std::function<void()> body)
 {
-    boost::fibers::promise<void> done;
-    auto future = done.get_future();
-    spawn([&] {
+    // Shared with the fiber: the waiting side may return while set_value is still at work.
+    auto done = std::make_shared<boost::fibers::promise<void>>();
+    auto future = done->get_future();
+    spawn([done, body = std::move(body)] {
         body();
-        done.set_value();
+        done->set_value();
     });
     future.get();
 }
--- a/src/settings/option_table.cpp
+++ b/src/settings/option_table.cpp
@@ -135,10 +135,8 @@
              "Upstream group of the manifest that this upstream belongs to"},
             {"kind", Text, "", AnyMinimum, AnyMaximum, "engine", false,
              "engine for a model engine, service for a plain service"},
-            {"online-slots", Integer, "requests", 1, 4'096, "64", false,
-             "Online requests that the upstream runs at once"},
-            {"batch-slots", Integer, "requests", 0, 4'096, "16", false,
-             "Batch items that the upstream runs at once when no online request waits"},
+            {"max-streams", Integer, "requests", 1, 4'096, "256", false,
+             "Requests that the upstream may run at once, online and batch together"},
         })};
     return Table;
 }
--- /dev/null
+++ b/src/side/side_process.cpp
@@ -0,0 +1,117 @@
+// Start, configuration changes and the planned stop of a side.
+#include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/runtime/stop_signal.hpp>
+#include <tamarackglade/side/side_process.hpp>
+
+#include <boost/fiber/operations.hpp>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr double Percent = 100;
+
+side_options optionsOf(const setting_values &values)
+{
+    side_options options;
+    options.upstreamAddress = values.text("upstream");
+    options.gate.group = values.text("group");
+    options.gate.kind = values.text("kind") == "service" ? schema::upstream_kind::Service
+                                                         : schema::upstream_kind::Engine;
+    options.gate.maxStreams = static_cast<std::size_t>(values.integer("max-streams"));
+    return options;
+}
+
+} // namespace
+
+side_process::side_process(const setting_values &settings, const wire_settings &wire)
+    : m_settings(settings), m_wire(wire), m_platform(m_thread, settings.list("platform")),
+      m_configService(m_thread, m_platform, m_peers, m_config, wire.self.vm),
+      m_server(m_thread, m_metrics, optionsOf(settings), wire.self.incarnation),
+      m_wireServer(m_thread, wire, *this), m_admin(m_thread, m_metrics)
+{
+}
+
+absl::Status side_process::start()
+{
+    const auto wirePort = m_wireServer.listen(m_settings.text("wire-listen"));
+    if (!wirePort.ok())
+        return wirePort.status();
+    const auto adminPort = m_admin.listen(m_settings.text("admin-listen"));
+    if (!adminPort.ok())
+        return adminPort.status();
+    m_configService.addListener(
+        [this](const std::shared_ptr<const config_state> &state, bool) { onConfig(*state); });
+    m_configService.start();
+    m_server.start();
+    m_admin.setReady(true, "");
+    log_event(log_level::Info, "serving")
+        .with("vm", m_settings.text("vm"))
+        .with("wire_port", *wirePort)
+        .with("admin_port", *adminPort);
+    return absl::OkStatus();
+}
+
+void side_process::runUntilStopped()
+{
+    tamarack::runUntilStopped(
+        m_thread, [this] { drain(); }, [this] { m_endNow = true; });
+    exitProcess(0);
+}
+
+void side_process::onConnected(const std::shared_ptr<wire_peer> &peer)
+{
+    m_peers.add(peer);
+    updatePeers();
+    m_server.onConnected(peer);
+}
+
+void side_process::onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame)
+{
+    if (!m_configService.onFrame(peer->identity().vm, frame))
+        m_server.onFrame(peer, frame);
+}
+
+void side_process::onClosed(const std::shared_ptr<wire_peer> &peer)
+{
+    m_peers.remove(peer);
+    updatePeers();
+    m_server.onClosed(peer);
+}
+
+void side_process::onConfig(const config_state &state)
+{
+    if (state.inForce)
+        m_server.setOnlineProtection(state.inForce->batch.onlineProtection / Percent);
+    if (!state.isDrained(m_wire.self.vm, m_wire.self.incarnation))
+        return;
+    m_admin.setReady(false, "drained by an operator");
+    m_server.drain();
+}
+
+// A side gossips with the entries that are connected to it.
+void side_process::updatePeers()
+{
+    std::vector<vm_id> peers;
+    for (const auto &peer : m_peers.withRole(schema::vm_role::Entry))
+        peers.push_back(peer->identity().vm);
+    m_configService.setPeers(peers);
+}
+
+void side_process::drain()
+{
+    m_admin.setReady(false, "draining");
+    m_server.drain();
+    const auto limit = m_settings.milliseconds("drain-limit");
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    // Entries learn from the report that this side leaves; what was on its way then still comes.
+    boost::this_fiber::sleep_for(m_settings.milliseconds("drain-notice"));
+    while (!m_server.isDrained() && !m_endNow && std::chrono::steady_clock::now() < deadline)
+        boost::this_fiber::sleep_for(DrainPoll);
+    // The last frames are still being written.
+    boost::this_fiber::sleep_for(DrainPoll);
+    log_event(log_level::Info, "stopped").with("calls_cut", m_server.activeCalls());
+}
+
+} // namespace tamarack
--- a/src/side/side_server.cpp
+++ b/src/side/side_server.cpp
@@ -1,4 +1,5 @@
-// Calls by attempt; answers go back on the connection that asked.
+// Frames and upstream answers in, the gate's actions out.
+#include <tamarackglade/runtime/steady_now.hpp>
 #include <tamarackglade/side/side_server.hpp>
 #include <tamarackglade/wire/frame_codec.hpp>
 
@@ -8,177 +9,178 @@
 
 namespace tamarack {
 
-// Translates the upstream's answer to frames.
-class side_server::running_events final : public upstream_events
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{5};
+
+connection_id idOf(const std::shared_ptr<wire_peer> &peer)
+{
+    return connection_id(peer->connectionId());
+}
+
+} // namespace
+
+// Hands the upstream's answer to the gate. An answer that isn't streamed is held until it is
+// whole, so that a batch run that yields has passed on nothing of it.
+class side_server::run_events final : public upstream_events
 {
 public:
-    running_events(side_server &server, std::shared_ptr<wire_peer> peer, std::string attempt)
-        : m_server(server), m_peer(std::move(peer)), m_attempt(std::move(attempt))
+    run_events(side_server &server, upstream_run run, bool streamed)
+        : m_server(server), m_run(std::move(run)), m_streamed(streamed)
     {
     }
 
     void onHead(unsigned status, const std::string &contentType) override
     {
-        schema::call_head_message head;
-        head.attempt = m_attempt;
-        head.status = static_cast<std::uint16_t>(status);
-        head.content_type = contentType;
-        m_peer->send(frameBody(head));
+        m_status = static_cast<std::uint16_t>(status);
+        m_contentType = contentType;
+        if (m_streamed)
+            passHead();
     }
     void onData(std::string data) override
     {
-        schema::call_data_message message;
-        message.attempt = m_attempt;
-        message.data.assign(data.begin(), data.end());
-        m_peer->send(frameBody(message));
+        if (m_streamed)
+            passData(data);
+        else
+            m_held += data;
     }
     void onEnd(upstream_end end, const std::string &message) override
     {
-        schema::call_end_message answer;
-        answer.attempt = m_attempt;
-        answer.outcome = outcomeOf(end);
-        answer.message = message;
-        m_server.finishCall(m_attempt);
-        m_peer->send(frameBody(answer));
+        m_server.finishRun(m_run);
+        if (end == upstream_end::Complete) {
+            passHeld();
+            m_server.perform(m_server.m_gate.onUpstreamEnd(m_run, steadyNow()));
+            return;
+        }
+        const bool neverSent = end == upstream_end::NotSent;
+        m_server.perform(m_server.m_gate.onUpstreamFailed(m_run, neverSent, message, steadyNow()));
     }
 
 private:
-    static schema::call_outcome outcomeOf(upstream_end end)
+    void passHead()
     {
-        switch (end) {
-        case upstream_end::Complete:
-            return schema::call_outcome::Complete;
-        case upstream_end::NotSent:
-            return schema::call_outcome::NotStarted;
-        case upstream_end::Aborted:
-            return schema::call_outcome::Cancelled;
-        case upstream_end::Broken:
-        case upstream_end::TimedOut:
-            return schema::call_outcome::Failed;
-        }
-        return schema::call_outcome::Unknown;
+        m_server.perform(
+            m_server.m_gate.onUpstreamHead(m_run, m_status, m_contentType, steadyNow()));
+    }
+    void passData(const std::string &data)
+    {
+        m_server.perform(
+            m_server.m_gate.onUpstreamData(m_run, {data.begin(), data.end()}, steadyNow()));
+    }
+    void passHeld()
+    {
+        if (m_streamed)
+            return;
+        passHead();
+        if (!m_held.empty())
+            passData(m_held);
     }
 
     side_server &m_server;
-    std::shared_ptr<wire_peer> m_peer;
-    std::string m_attempt;
+    upstream_run m_run;
+    bool m_streamed;
+    std::uint16_t m_status = 0;
+    std::string m_contentType;
+    std::string m_held; // the body of an answer that isn't streamed
 };
 
-side_server::side_server(io_thread &thread, side_options options)
-    : m_thread(thread), m_options(std::move(options))
+side_server::side_server(io_thread &thread, metric_registry &metrics, side_options options,
+                         incarnation self)
+    : m_thread(thread), m_metrics(metrics), m_options(std::move(options)),
+      m_gate(m_options.gate, self)
+{
+}
+
+void side_server::start()
 {
-    m_thread.spawn([this] { reportLoop(); });
+    m_thread.spawn([this] { tickLoop(); });
 }
 
 void side_server::onConnected(const std::shared_ptr<wire_peer> &peer)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_peers[peer->connectionId()] = peer;
-    }
-    peer->send(frameBody(report()));
+    m_peers[idOf(peer)] = peer;
+    perform(m_gate.onConnected(idOf(peer), steadyNow()));
 }
 
-void side_server::onFrame(const std::shared_ptr<wire_peer> &peer, schema::frame_message frame)
+void side_server::onFrame(const std::shared_ptr<wire_peer> &peer,
+                          const schema::frame_message &frame)
 {
     if (const auto *start = frame.body.Asstart_call())
-        startCall(peer, *start);
+        perform(m_gate.onStart(*start, idOf(peer), steadyNow()));
     else if (const auto *cancel = frame.body.Ascancel_call())
-        cancelCall(cancel->attempt);
+        perform(m_gate.onCancel(attempt_id(cancel->attempt), idOf(peer), steadyNow()));
+    else if (const auto *refuse = frame.body.Asrefuse_attempt())
+        perform(m_gate.onRefuseAttempt(attempt_id(refuse->attempt), idOf(peer), steadyNow()));
 }
 
 void side_server::onClosed(const std::shared_ptr<wire_peer> &peer)
 {
-    std::vector<std::shared_ptr<upstream_call>> orphans;
-    {
-        const std::lock_guard lock(m_mutex);
-        m_peers.erase(peer->connectionId());
-        for (const auto &[attempt, running] : m_running) {
-            if (running.connection == peer->connectionId())
-                orphans.push_back(running.call);
-        }
-    }
-    for (const auto &call : orphans)
-        call->abort();
+    m_peers.erase(idOf(peer));
+    perform(m_gate.onDisconnected(idOf(peer), steadyNow()));
 }
 
 void side_server::drain()
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_draining = true;
-    }
-    const auto message = frameBody(report());
-    const std::lock_guard lock(m_mutex);
-    for (const auto &[connection, peer] : m_peers)
-        peer->send(message);
-}
-
-std::size_t side_server::activeCalls()
-{
-    const std::lock_guard lock(m_mutex);
-    return m_running.size();
+    if (std::exchange(m_draining, true))
+        return;
+    perform(m_gate.onDrain(steadyNow()));
 }
 
-void side_server::startCall(const std::shared_ptr<wire_peer> &peer,
-                            const schema::start_call_message &start)
+void side_server::tickLoop()
 {
-    upstream_request request;
-    request.method = start.method;
-    request.target = start.target;
-    request.contentType = start.content_type;
-    request.body.assign(start.body.begin(), start.body.end());
-    request.requestId = start.request_id;
-    request.timeout = std::chrono::milliseconds(start.deadline_ms);
-    auto events = std::make_shared<running_events>(*this, peer, start.attempt);
-    auto call = std::make_shared<upstream_call>(m_thread, m_options.upstreamAddress,
-                                                std::move(request), std::move(events));
-    {
-        const std::lock_guard lock(m_mutex);
-        m_running[start.attempt] = running_call{call, peer->connectionId()};
+    for (;;) {
+        boost::this_fiber::sleep_for(TickPeriod);
+        perform(m_gate.tick(steadyNow()));
+        m_metrics.set("tamarack_side_online_running", static_cast<double>(m_gate.onlineRunning()));
+        m_metrics.set("tamarack_side_batch_running", static_cast<double>(m_gate.batchRunning()));
+        m_metrics.set("tamarack_side_online_queued", static_cast<double>(m_gate.onlineQueued()));
     }
-    call->start();
 }
 
-void side_server::cancelCall(const std::string &attempt)
+void side_server::perform(gate_actions actions)
 {
-    std::shared_ptr<upstream_call> call;
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto found = m_running.find(attempt);
-        if (found != m_running.end())
-            call = found->second.call;
+    for (const gate_action &action : actions) {
+        if (const auto *opened = std::get_if<open_upstream>(&action)) {
+            open(*opened);
+        } else if (const auto *aborted = std::get_if<abort_upstream>(&action)) {
+            const auto found = m_running.find(aborted->run);
+            if (found != m_running.end())
+                found->second->abort();
+        } else {
+            send(std::get<send_frame>(action));
+        }
     }
-    if (call)
-        call->abort();
 }
 
-void side_server::finishCall(const std::string &attempt)
+void side_server::open(const open_upstream &action)
 {
-    const std::lock_guard lock(m_mutex);
-    m_running.erase(attempt);
+    const schema::start_call_message &call = action.call;
+    upstream_request request;
+    request.method = call.method;
+    request.target = call.target;
+    request.contentType = call.content_type;
+    request.body.assign(call.body.begin(), call.body.end());
+    request.requestId = call.request_id;
+    request.timeout = std::chrono::milliseconds(call.deadline_ms);
+    auto events = std::make_shared<run_events>(*this, action.run, call.streamed);
+    auto running = std::make_shared<upstream_call>(m_thread, m_options.upstreamAddress,
+                                                   std::move(request), std::move(events));
+    m_running[action.run] = running;
+    m_metrics.add("tamarack_side_upstream_calls_total");
+    running->start();
 }
 
-schema::load_report_message side_server::report()
+void side_server::send(const send_frame &action)
 {
-    const std::lock_guard lock(m_mutex);
-    schema::load_report_message message;
-    message.group = m_options.group.value();
-    message.kind = m_options.kind;
-    message.state = m_draining ? schema::upstream_state::Leaving : schema::upstream_state::Serving;
-    message.online_active = static_cast<std::uint32_t>(m_running.size());
-    return message;
+    const auto peer = m_peers.find(action.connection);
+    if (peer == m_peers.end())
+        return;
+    std::visit([&](const auto &message) { peer->second->send(frameBody(message)); }, action.frame);
 }
 
-void side_server::reportLoop()
+void side_server::finishRun(const upstream_run &run)
 {
-    for (;;) {
-        boost::this_fiber::sleep_for(m_options.reportPeriod);
-        const auto message = frameBody(report());
-        const std::lock_guard lock(m_mutex);
-        for (const auto &[connection, peer] : m_peers)
-            peer->send(message);
-    }
+    m_running.erase(run);
 }
 
 } // namespace tamarack
