Load tool: tests of plan, profile, checks, counts and runs against an engine process

Change: shell-load covers the plan's rates, weights and seeds, requests within the rate against rate * t + burst in every window, faults of a profile, the answer check in every split, histogram, reports and batch results; shell-standins runs the tool against an engine with cut, failed, refused, hanging and crossed answers (new fault switch cross_answers, which shows that the check can fail).

--- a/tests/shell-load.cpp
+++ b/tests/shell-load.cpp
@@ -1,7 +1,15 @@
-// Tests of the load tool's parts that need no network: the engine model in virtual time.
+// Tests of the load tool's parts that need no network: the engine model in virtual time, the plan,
+// the profile, the check of answers and the counts.
+#include <tamarackglade/load/answer_check.hpp>
+#include <tamarackglade/load/batch_run.hpp>
 #include <tamarackglade/load/engine_model.hpp>
 #include <tamarackglade/load/expected_answer.hpp>
+#include <tamarackglade/load/load_plan.hpp>
+#include <tamarackglade/load/load_report.hpp>
+#include <tamarackglade/load/profile_parser.hpp>
 
+#include <absl/strings/match.h>
+#include <absl/strings/str_split.h>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -32,6 +40,34 @@
     return events;
 }
 
+load_profile smallProfile()
+{
+    load_profile profile;
+    profile.seconds = 100;
+    profile.targets = {{"a", "127.0.0.1:1", 3}, {"b", "127.0.0.1:2", 1}};
+    profile.customers.resize(2);
+    profile.customers[0].name = "large";
+    profile.customers[0].load = 20;
+    profile.customers[1].name = "small";
+    profile.customers[1].load = 5;
+    profile.classes.emplace_back().name = "chat";
+    return profile;
+}
+
+std::string event(const std::string &text)
+{
+    return R"(data: {"choices":[{"index":0,"delta":{"content":")" + text + "\"}}]}\n\n";
+}
+
+// Feeds an answer in pieces of some size.
+answer_check checked(const std::string &expected, const std::string &body, std::size_t piece)
+{
+    answer_check check(expected, true);
+    for (std::size_t at = 0; at < body.size(); at += piece)
+        check.feed(std::string_view(body).substr(at, piece));
+    return check;
+}
+
 // The oracle of the iteration time: n equal short sequences make a token each W + H * n.
 bool followsFormula(const engine_profile &claimed, const engine_profile &actual, std::size_t n)
 {
@@ -244,3 +280,262 @@
     CHECK(chatPrompt({{{"role", "user"}}}).empty());
     CHECK(chatPrompt("text").empty());
 }
+
+TEST_CASE("load plan: fixed by the seed, with the asked rates and weights")
+{
+    load_profile profile = smallProfile();
+    const auto plan = planRequests(profile);
+    REQUIRE(plan.ok());
+    const auto again = planRequests(profile);
+    REQUIRE(again->size() == plan->size());
+    std::size_t large = 0;
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < plan->size(); ++i) {
+        const planned_request &request = (*plan)[i];
+        CHECK((*again)[i].arrival == request.arrival);
+        CHECK((*again)[i].promptSeed == request.promptSeed);
+        CHECK((i == 0 || (*plan)[i - 1].arrival <= request.arrival));
+        large += request.customer == 0 ? 1 : 0;
+        first += request.target == 0 ? 1 : 0;
+    }
+    // 2,000 and 500 arrivals are expected; the bounds are four standard deviations wide.
+    CHECK(large > 1820);
+    CHECK(large < 2180);
+    CHECK(plan->size() - large > 410);
+    CHECK(plan->size() - large < 590);
+    CHECK(static_cast<double>(first) / static_cast<double>(plan->size()) > 0.71);
+    CHECK(static_cast<double>(first) / static_cast<double>(plan->size()) < 0.79);
+
+    SUBCASE("another seed gives another plan")
+    {
+        profile.seed = 2;
+        CHECK(planRequests(profile)->front().arrival != plan->front().arrival);
+    }
+    SUBCASE("one customer's excess leaves the other's arrivals")
+    {
+        profile.customers[0].excess = 5;
+        std::vector<duration> before;
+        std::vector<duration> after;
+        for (const planned_request &request : *plan)
+            if (request.customer == 1)
+                before.push_back(request.arrival);
+        const auto more = planRequests(profile);
+        for (const planned_request &request : *more)
+            if (request.customer == 1)
+                after.push_back(request.arrival);
+        CHECK(before == after);
+        CHECK(more->size() > plan->size() * 3);
+    }
+    SUBCASE("a plan that is too long is refused")
+    {
+        profile.maxRequests = 100;
+        CHECK(absl::IsResourceExhausted(planRequests(profile).status()));
+    }
+    SUBCASE("bursts and the daily wave change the rate")
+    {
+        profile.shape = arrival_shape::Bursty;
+        CHECK(shapeFactor(profile, 0.5) == 4);
+        CHECK(shapeFactor(profile, 2) == 1);
+        CHECK(shapeFactor(profile, 5.5) == 4);
+        CHECK(planRequests(profile)->size() > plan->size() * 14 / 10);
+        profile.shape = arrival_shape::Diurnal;
+        CHECK(shapeFactor(profile, 15) == doctest::Approx(1.5));
+        CHECK(shapeFactor(profile, 45) == doctest::Approx(0.5));
+    }
+}
+
+TEST_CASE("load plan: requests within the rate are those that a bucket admits")
+{
+    load_profile profile = smallProfile();
+    profile.customers[0].rate = 10;
+    profile.customers[0].burst = 5;
+    profile.customers[1].rate = 1000;
+    profile.customers[1].burst = 1000;
+    std::vector<instant> admitted;
+    const auto plan = planRequests(profile);
+    for (const planned_request &request : *plan) {
+        if (request.customer == 1)
+            CHECK(request.withinRate);
+        else if (request.withinRate)
+            admitted.push_back(instant{} + request.arrival);
+    }
+    // 20 a second are sent, 10 are allowed.
+    CHECK(admitted.size() > 950);
+    for (std::size_t first = 0; first < admitted.size(); ++first) {
+        for (std::size_t last = first; last < admitted.size(); ++last) {
+            const double allowed = 5 + 10 * toSeconds(admitted[last] - admitted[first]);
+            if (static_cast<double>(last - first + 1) > allowed + 1e-6)
+                FAIL("more than rate * t + burst");
+        }
+    }
+}
+
+TEST_CASE("load plan: prompts of a customer share prefixes")
+{
+    load_profile profile = smallProfile();
+    profile.classes[0].prefixes = 1;
+    planned_request first;
+    planned_request second;
+    first.promptSeed = 1;
+    second.promptSeed = 2;
+    const std::string one = promptText(profile, first);
+    const std::string two = promptText(profile, second);
+    CHECK(one.size() == 64 * 4);
+    CHECK(one.substr(0, 32 * 4) == two.substr(0, 32 * 4));
+    CHECK(one != two);
+    second.customer = 1;
+    CHECK(one.substr(0, 32 * 4) != promptText(profile, second).substr(0, 32 * 4));
+}
+
+TEST_CASE("load profile: values and faults")
+{
+    const auto good = parseLoadProfile("[run]\nseconds = 3\nshape = bursty\n[target a]\n"
+                                       "address = 127.0.0.1:1\n[customer c]\nrate = 5\n"
+                                       "[class k]\nmax-tokens = 9\n[batch b]\ncustomer = c\n");
+    CHECK(good.faults.empty());
+    CHECK(good.profile.seconds == 3);
+    CHECK(good.profile.shape == arrival_shape::Bursty);
+    CHECK(good.profile.customers.at(0).rate == 5);
+    CHECK(good.profile.classes.at(0).maxTokens == 9);
+    CHECK(checkLoadProfile(good.profile).empty());
+
+    const auto bad = parseLoadProfile("[run]\nseconds = -1\ncolour = red\n[customer c]\n"
+                                      "rate = fast\n[zoo]\na = b\nnonsense\n[class k]\n"
+                                      "max-tokens = 1.5\nstreamed = nan\n");
+    REQUIRE(bad.faults.size() == 7);
+    CHECK(bad.faults[0]
+          == "line 2: [run] seconds: expected a number from 0.01 to 86400, found '-1'");
+    CHECK(absl::StartsWith(bad.faults[1], "line 3: [run] colour: expected one of seed"));
+    CHECK(absl::StartsWith(bad.faults[2], "line 5: [customer c] rate: expected a number"));
+    CHECK(absl::StartsWith(bad.faults[3], "line 7: [zoo] a: expected a section"));
+    CHECK(absl::StartsWith(bad.faults[4], "line 10: [class k] max-tokens: expected a whole"));
+    CHECK(absl::StartsWith(bad.faults[5], "line 11: [class k] streamed: expected a number"));
+    CHECK(bad.faults[6] == "line 8: expected a section or key = value");
+    CHECK(checkLoadProfile(load_profile{}).size() == 3);
+
+    load_profile keyed = good.profile;
+    CHECK(applyKeys(keyed, "c secret\n").ok());
+    CHECK(keyed.customers[0].key == "secret");
+    CHECK_FALSE(applyKeys(keyed, "other secret\n").ok());
+    CHECK_FALSE(applyKeys(keyed, "c\n").ok());
+}
+
+TEST_CASE("answer check: only the whole expected answer passes, in any split")
+{
+    const std::string whole = event("one ") + event("two ") + "data: [DONE]\n\n";
+    for (std::size_t piece = 1; piece <= whole.size(); ++piece)
+        CHECK(checked("one two ", whole, piece).whole());
+    CHECK_FALSE(checked("one two ", event("one ") + event("two "), 7).whole());
+    CHECK_FALSE(checked("one two ", event("one ") + "data: [DONE]\n\n", 7).whole());
+    CHECK_FALSE(checked("one two ", event("two ") + event("one ") + "data: [DONE]\n\n", 7).whole());
+    CHECK_FALSE(checked("one ", whole, 7).whole());
+    CHECK_FALSE(checked("one one ", event("one ") + whole, 7).whole());
+    CHECK(checked("a", "data: {\"error\":{\"code\":\"cut\"}}\n\n", 5).failed());
+    CHECK(checked("a\"b",
+                  "data: {\"choices\": [{\"delta\": {\"content\": \"a\\\"b\"}}]}\n\n"
+                  "data: [DONE]\n\n",
+                  5)
+              .whole());
+}
+
+TEST_CASE("latency histogram: quantiles, with those that never came")
+{
+    latency_histogram histogram;
+    CHECK_FALSE(histogram.quantile(0.5));
+    for (int i = 1; i <= 100; ++i)
+        histogram.add(std::chrono::milliseconds(i));
+    CHECK(toSeconds(*histogram.quantile(0.5)) == doctest::Approx(0.050).epsilon(0.016));
+    CHECK(toSeconds(*histogram.quantile(0.99)) == doctest::Approx(0.099).epsilon(0.016));
+    latency_histogram other;
+    other.addNever(10);
+    histogram.merge(other);
+    CHECK(histogram.count() == 110);
+    CHECK(histogram.quantile(0.90));
+    CHECK_FALSE(histogram.quantile(0.95));
+}
+
+TEST_CASE("load statistics: every outcome is in the denominators and in all reports")
+{
+    load_profile profile = smallProfile();
+    load_report report{profile, {}, {}};
+    report.result.measuredSeconds = 10;
+    planned_request request;
+    request.streamed = true;
+    request_outcome outcome;
+    outcome.kind = outcome_kind::Whole;
+    outcome.firstToken = 20ms;
+    outcome.total = 40ms;
+    outcome.gaps = {10ms};
+    outcome.tokens = outcome.expectedTokens = 2;
+    report.result.statistics.record(request, outcome);
+    outcome.kind = outcome_kind::Cut;
+    outcome.tokens = 1;
+    outcome.reason = "no end";
+    report.result.statistics.record(request, outcome);
+    request_outcome refused;
+    refused.kind = outcome_kind::Refused;
+    refused.reason = "429 rate_limited";
+    report.result.statistics.record(request, refused);
+    request.withinRate = false;
+    report.result.statistics.record(request, refused);
+    const load_row total = report.result.statistics.total();
+    CHECK(total.intended == 4);
+    CHECK(total.intendedWithinRate == 3);
+    CHECK(total.refused == 2);
+    CHECK(total.refusedWithinRate == 1);
+    CHECK(total.total.count() == 4);
+    CHECK(total.firstToken.quantile(0.5));
+    CHECK_FALSE(total.firstToken.quantile(0.75));
+    CHECK_FALSE(total.gap.quantile(1));
+
+    batch_result batch;
+    batch.name = "night";
+    report.batches.push_back(batch);
+    const std::string text = reportText(report);
+    CHECK(absl::StrContains(text, "large/chat"));
+    CHECK(absl::StrContains(text, "never"));
+    CHECK(absl::StrContains(text, "429 rate_limited: 2"));
+    CHECK(absl::StrContains(text, "batch night"));
+    const auto json = reportJson(report);
+    CHECK(json["all"]["refused_within_rate"] == 1);
+    CHECK(json["all"]["first_token"]["p99_ms"].is_null());
+    CHECK(json["rows"][0]["customer"] == "large");
+    CHECK(absl::StrContains(reportCsv(report), "large,chat,4,3,1,2,1,0,1,0,0,"));
+    CHECK(absl::StrContains(reportSvg(report), "<polyline"));
+}
+
+TEST_CASE("batch results: each item has to be there once, with its own answer")
+{
+    load_batch batch;
+    batch.name = "night";
+    batch.items = 3;
+    std::vector<std::string> lines;
+    for (const absl::string_view text :
+         absl::StrSplit(batchInput(batch), '\n', absl::SkipEmpty())) {
+        const auto input = nlohmann::json::parse(text.begin(), text.end());
+        const std::string answer =
+            expectedAnswer("model", chatPrompt(input["body"]["messages"]), batch.maxTokens);
+        const nlohmann::json message = {{"role", "assistant"}, {"content", answer}};
+        const nlohmann::json choices = nlohmann::json::array({{{"message", message}}});
+        lines.push_back(nlohmann::json{{"custom_id", input["custom_id"]},
+                                       {"response", {{"body", {{"choices", choices}}}}},
+                                       {"error", nullptr}}
+                            .dump()
+                        + "\n");
+    }
+    REQUIRE(lines.size() == 3);
+    const auto counted = [&](const std::string &output, const std::string &errors) {
+        batch_result result;
+        countBatchResults(batch, output, errors, result);
+        return result;
+    };
+    CHECK(counted(lines[2] + lines[0] + lines[1], "").whole == 3);
+    CHECK(counted(lines[0] + lines[1], "").missing == 1);
+    CHECK(counted(lines[0] + lines[0] + lines[1] + lines[2], "").duplicates == 1);
+    const std::string error = R"({"custom_id":"item-2","error":{"code":"x"}})";
+    CHECK(counted(lines[0] + lines[1], error).errors == 1);
+    std::string crossed = lines[0];
+    crossed.replace(crossed.find("item-0"), 6, "item-1");
+    CHECK(counted(crossed + lines[0] + lines[2], "").wrong == 1);
+    CHECK(counted("nonsense", "").wrong == 1);
+}
--- a/tests/shell-standins.cpp
+++ b/tests/shell-standins.cpp
@@ -2,6 +2,8 @@
 #include "support/standins_client.hpp"
 #include "support/standins_process.hpp"
 #include <tamarackglade/load/expected_answer.hpp>
+#include <tamarackglade/load/load_plan.hpp>
+#include <tamarackglade/load/load_run.hpp>
 
 #include <doctest/doctest.h>
 
@@ -369,6 +371,70 @@
     CHECK(other.getJson("/cache-events?from=1")["events"].empty());
 }
 
+TEST_CASE("load tool: every answer is checked and every request counted")
+{
+    standin_process engine("engine", {"--w-us=500", "--h-us=10"});
+    load_profile profile;
+    profile.seconds = 0.5;
+    profile.drain = 5;
+    profile.targets = {{"engine", engine.address(), 1}};
+    profile.customers.emplace_back().name = "c";
+    profile.customers[0].load = 100;
+    profile.classes.emplace_back().streamed = 0.5;
+    standin_client client(engine.address());
+    const auto run = [&] {
+        const auto plan = planRequests(profile);
+        load_row total = runOpenLoop(profile, *plan, 2).statistics.total();
+        CHECK(total.intended == plan->size());
+        CHECK(total.intended
+              == total.whole + total.refused + total.failed + total.cut + total.wrong
+                     + total.unfinished);
+        return total;
+    };
+
+    SUBCASE("whole answers")
+    {
+        const load_row total = run();
+        CHECK(total.whole == total.intended);
+        CHECK(client.getJson("/executions")["finished"] == total.intended);
+    }
+    SUBCASE("cut streams and failures are seen")
+    {
+        profile.classes[0].streamed = 1;
+        client.postJson("/fault", {{"cut_stream_after", 3}, {"cut_streams", 4}});
+        CHECK(run().cut == 4);
+        client.postJson("/fault", {{"fail_next", 5}});
+        CHECK(run().failed == 5);
+    }
+    SUBCASE("refusals are seen")
+    {
+        profile.classes[0].promptTokens = 10;
+        profile.classes[0].maxTokens = 1'000'000;
+        const load_row total = run();
+        CHECK(total.refused == total.intended);
+        CHECK(total.reasons.at("400 context_length_exceeded") == total.intended);
+    }
+    SUBCASE("what never ends is unfinished, and the run ends all the same")
+    {
+        profile.drain = 0.2;
+        client.postJson("/fault", {{"hang", true}});
+        const load_row total = run();
+        CHECK(total.unfinished == total.intended);
+        CHECK_FALSE(total.total.quantile(0.01));
+    }
+    SUBCASE("answers of other requests are wrong")
+    {
+        client.postJson("/fault", {{"cross_answers", 6}});
+        CHECK(run().wrong == 6);
+    }
+    SUBCASE("closed loop")
+    {
+        const load_row total = runClosedLoop(profile, 4, 2).statistics.total();
+        CHECK(total.whole > 0);
+        CHECK(total.whole == total.intended);
+    }
+}
+
 TEST_CASE("plain service: every execution is on record")
 {
     standin_process process("plain");
--- a/tests/standins/engine/engine_options.hpp
+++ b/tests/standins/engine/engine_options.hpp
@@ -30,6 +30,7 @@
     double failShare = 0; // share of requests that answer 500, 0 to 1
     std::uint32_t cutStreamAfter = 0; // tokens
     std::uint64_t cutStreams = 0; // streams that are cut after cutStreamAfter tokens
+    std::uint64_t crossAnswers = 0; // answers that are those of another prompt
     std::string crashOn; // the process exits on a prompt with this text; empty for none
 };
 
--- a/tests/standins/engine/engine_service.cpp
+++ b/tests/standins/engine/engine_service.cpp
@@ -18,6 +18,7 @@
 constexpr std::chrono::milliseconds GoneCheckPeriod{20}; // for closed connections
 constexpr std::string_view PoisonWord = "POISON"; // a prompt with it always fails
 constexpr std::string_view UndoableWord = "UNDOABLE"; // a prompt with it is always refused
+constexpr std::string_view OtherPromptSuffix = " other"; // makes a crossed answer's prompt
 constexpr int CrashStatus = 70;
 
 } // namespace
@@ -58,7 +59,7 @@
 
 void engine_service::complete(http_exchange &exchange, bool chat)
 {
-    const auto request = parseEngineRequest(exchange.request().body, chat);
+    auto request = parseEngineRequest(exchange.request().body, chat);
     if (!request.ok())
         return respondError(exchange, 400, "invalid_request",
                             std::string(request.status().message()));
@@ -67,6 +68,10 @@
     const std::uint64_t number = m_executions.begin(exchange.request(), *request);
     if (applyFaults(exchange, *request, number))
         return;
+    if (m_faults.crossAnswers > 0) {
+        --m_faults.crossAnswers;
+        request->prompt += OtherPromptSuffix;
+    }
     if (request->stream)
         answerStream(exchange, *request, number);
     else
@@ -318,6 +323,7 @@
         m_faults.cutStreams = 1;
     }
     m_faults.cutStreams = body.value("cut_streams", m_faults.cutStreams);
+    m_faults.crossAnswers = body.value("cross_answers", m_faults.crossAnswers);
     if (body.contains("slow_factor")) {
         m_slowFactor = std::max(0.0, body["slow_factor"].get<double>());
         m_runner.model().setSlowness(m_slowFactor);
@@ -340,6 +346,7 @@
                  {"fail_share", m_faults.failShare},
                  {"cut_stream_after", m_faults.cutStreamAfter},
                  {"cut_streams", m_faults.cutStreams},
+                 {"cross_answers", m_faults.crossAnswers},
                  {"crash_on", m_faults.crashOn},
                  {"slow_factor", m_slowFactor},
                  {"hang", m_runner.hanging()},
