One reader of INI texts: the settings and load profiles use the manifest's

core/ini_text and config/ini_document did the same with two different types of one name (ini_entry), which is undefined across units; the second also lists every fault of syntax.

--- a/src/load/profile_parser.cpp
+++ b/src/load/profile_parser.cpp
@@ -1,5 +1,5 @@
 // One table of keys for each kind of section.
-#include <tamarackglade/core/ini_text.hpp>
+#include <tamarackglade/config/ini_document.hpp>
 #include <tamarackglade/load/profile_parser.hpp>
 
 #include <absl/strings/numbers.h>
@@ -130,22 +130,22 @@
     return sections.back();
 }
 
-std::string setEntry(load_profile &profile, const ini_entry &entry)
+std::string setEntry(load_profile &profile, const std::string &section, const ini_entry &entry)
 {
     const std::pair<std::string, std::string> parts =
-        absl::StrSplit(entry.section, absl::MaxSplits(' ', 1));
+        absl::StrSplit(section, absl::MaxSplits(' ', 1));
     const auto &[kind, name] = parts;
-    if (entry.section == "run")
-        return setInTable(profile, RunKeys, entry.name, entry.value);
+    if (section == "run")
+        return setInTable(profile, RunKeys, entry.key, entry.value);
     if (kind == "target" && !name.empty())
-        return setInTable(sectionNamed(profile.targets, name), TargetKeys, entry.name, entry.value);
+        return setInTable(sectionNamed(profile.targets, name), TargetKeys, entry.key, entry.value);
     if (kind == "customer" && !name.empty())
-        return setInTable(sectionNamed(profile.customers, name), CustomerKeys, entry.name,
+        return setInTable(sectionNamed(profile.customers, name), CustomerKeys, entry.key,
                           entry.value);
     if (kind == "class" && !name.empty())
-        return setInTable(sectionNamed(profile.classes, name), ClassKeys, entry.name, entry.value);
+        return setInTable(sectionNamed(profile.classes, name), ClassKeys, entry.key, entry.value);
     if (kind == "batch" && !name.empty())
-        return setInTable(sectionNamed(profile.batches, name), BatchKeys, entry.name, entry.value);
+        return setInTable(sectionNamed(profile.batches, name), BatchKeys, entry.key, entry.value);
     return "a section [run], [target NAME], [customer NAME], [class NAME] or [batch NAME]";
 }
 
@@ -154,16 +154,18 @@
 parsed_profile parseLoadProfile(const std::string &text)
 {
     parsed_profile parsed;
-    const int badLine = readIniText(text, [&](const ini_entry &entry) {
-        const std::string expected = setEntry(parsed.profile, entry);
-        if (!expected.empty())
-            parsed.faults.push_back(absl::StrCat("line ", entry.line, ": [", entry.section, "] ",
-                                                 entry.name, ": expected ", expected, ", found '",
-                                                 entry.value, "'"));
-    });
-    if (badLine > 0)
-        parsed.faults.push_back(
-            absl::StrCat("line ", badLine, ": expected a section or key = value"));
+    const ini_document document = readIni(text);
+    for (const ini_section &section : document.sections) {
+        for (const ini_entry &entry : section.entries) {
+            const std::string expected = setEntry(parsed.profile, section.header, entry);
+            if (!expected.empty())
+                parsed.faults.push_back(absl::StrCat("line ", entry.line, ": [", section.header,
+                                                     "] ", entry.key, ": expected ", expected,
+                                                     ", found '", entry.value, "'"));
+        }
+    }
+    for (const manifest_fault &fault : document.faults)
+        parsed.faults.push_back(absl::StrCat("line ", fault.line, ": expected ", fault.expected));
     return parsed;
 }
 
--- a/src/settings/load_settings.cpp
+++ b/src/settings/load_settings.cpp
@@ -1,5 +1,5 @@
 // inih for the file, gflags for the command line, both checked against the same table.
-#include <tamarackglade/core/ini_text.hpp>
+#include <tamarackglade/config/ini_document.hpp>
 #include <tamarackglade/settings/load_settings.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -19,18 +19,19 @@
 namespace {
 
 // Applies one entry of the file; seen holds the names that came before.
-void applyEntry(const option_table &table, const std::string &source, const ini_entry &entry,
-                std::set<std::string> &seen, setting_values &values,
+void applyEntry(const option_table &table, const std::string &source, const std::string &section,
+                const ini_entry &entry, std::set<std::string> &seen, setting_values &values,
                 std::vector<setting_fault> &faults)
 {
     const std::string program(table.program);
-    if (entry.section != program)
-        faults.push_back({source, entry.line, entry.name, absl::StrCat("[", entry.section, "]"),
+    const int line = static_cast<int>(entry.line);
+    if (section != program)
+        faults.push_back({source, line, entry.key, absl::StrCat("[", section, "]"),
                           absl::StrCat("section [", program, "]")});
-    else if (!seen.insert(entry.name).second)
-        faults.push_back({source, entry.line, entry.name, entry.value, "each setting once"});
+    else if (!seen.insert(entry.key).second)
+        faults.push_back({source, line, entry.key, entry.value, "each setting once"});
     else
-        values.set(entry.name, entry.value, source, entry.line, faults);
+        values.set(entry.key, entry.value, source, line, faults);
 }
 
 // A gflags string flag for one option; registered once per process.
@@ -104,12 +105,15 @@
 void readSettingsText(const option_table &table, const std::string &text, const std::string &source,
                       setting_values &values, std::vector<setting_fault> &faults)
 {
+    const ini_document document = readIni(text);
     std::set<std::string> seen;
-    const int badLine = readIniText(text, [&](const ini_entry &entry) {
-        applyEntry(table, source, entry, seen, values, faults);
-    });
-    if (badLine > 0)
-        faults.push_back({source, badLine, "syntax", "", "[section] or name = value"});
+    for (const ini_section &section : document.sections) {
+        for (const ini_entry &entry : section.entries)
+            applyEntry(table, source, section.header, entry, seen, values, faults);
+    }
+    for (const manifest_fault &fault : document.faults)
+        faults.push_back(
+            {source, static_cast<int>(fault.line), "syntax", fault.found, fault.expected});
 }
 
 absl::StatusOr<loaded_settings> loadSettings(const option_table &table, int argc, char **argv)
