tamarack-capacity: measures the slopes behind the capacity page

Cause: the capacity page must be worked out from slopes that a committed command measures. Until now two unit tests printed parts of them.

Change: src/report measures configuration, limits, leases, watching, jobs, routing, the VM list, the choice of sides, keys and the gate by size; tamarack-capacity prints tables, least-squares fits and residuals, as text or JSON.

Ruled out: a meter around each limiter call with the clock's own cost subtracted. It gave negative processor times at few requests; the whole virtual run is measured instead, links included, an upper bound.

--- /dev/null
+++ b/include/tamarackglade/report/virtual_limit_fleet.hpp
@@ -0,0 +1,59 @@
+// Limiters of many entries in virtual time, without faults, for the capacity page.
+#pragma once
+
+#include <tamarackglade/limits/fleet_limiter.hpp>
+#include <tamarackglade/report/jobs_slopes.hpp>
+#include <tamarackglade/report/limit_fleet_cost.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief One thread's fleet of limiters. Deterministic but for the processor time.
+class virtual_limit_fleet
+{
+public:
+    /// @param clock the processor time of this thread
+    virtual_limit_fleet(std::size_t entries, std::uint32_t partitions,
+                        std::function<duration()> clock);
+
+    /// @brief Adds customers with equal rates at every entry.
+    void addCustomers(std::size_t customers, customer_rate rate);
+
+    /// @brief Runs on; requests come at random instants, customers and entries.
+    void advance(duration time, double requestsPerSecond = 0);
+
+    void resetCost() { m_cost = {}; }
+    [[nodiscard]] const limit_fleet_cost &cost() const { return m_cost; }
+
+private:
+    using limiter_call = std::function<void(fleet_limiter &)>;
+
+    void runUntil(instant end, double requestsPerSecond);
+    void run(std::size_t entry, const limiter_call &call);
+    void perform(std::size_t entry, const limit_action &action);
+    void deliver(std::size_t from, const send_limit_message &message);
+    void append(const schema::home_claimed_message &claim);
+    void tickAll();
+    void offer();
+
+    std::function<duration()> m_clock;
+    std::mt19937_64 m_random{1};
+    instant m_now{std::chrono::hours(1)};
+    instant m_nextTick = m_now;
+    std::multimap<instant, std::function<void()>> m_events;
+    std::vector<std::unique_ptr<fleet_limiter>> m_limiters;
+    std::vector<vm_id> m_names;
+    std::unordered_map<vm_id, std::size_t> m_indexes;
+    std::vector<customer_id> m_customers;
+    std::uint64_t m_lastTicket = 0;
+    std::uint64_t m_lastOffset = 0;
+    limit_fleet_cost m_cost;
+};
+
+} // namespace tamarack
--- a/src/report/virtual_config_fleet.cpp
+++ b/src/report/virtual_config_fleet.cpp
@@ -1,4 +1,5 @@
 // A fleet of configuration spreads in virtual time.
+#include <tamarackglade/report/frame_size.hpp>
 #include <tamarackglade/report/virtual_config_fleet.hpp>
 
 #include <algorithm>
@@ -16,16 +17,6 @@
 // The length before each frame.
 constexpr std::size_t LengthBytes = 4;
 
-template <class Message>
-std::size_t frameBytes(const Message &message)
-{
-    schema::frame_message frame;
-    frame.body.Set(Message(message));
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(schema::frame::Pack(builder, &frame));
-    return LengthBytes + builder.GetSize();
-}
-
 // Deep copies a message by its bytes: its object form is not copyable.
 std::size_t snapshotBytes(const schema::config_snapshot_message &message)
 {
@@ -165,12 +156,12 @@
 {
     for (config_action &action : actions) {
         if (const auto *offer = std::get_if<send_config_offer>(&action)) {
-            send(node, offer->peer, frameBytes(offer->message),
+            send(node, offer->peer, frameSize(offer->message),
                  [message = offer->message, this](config_spread &to, const vm_id &from) {
                      return to.onOffer(m_now, from, message);
                  });
         } else if (const auto *fetch = std::get_if<send_config_fetch>(&action)) {
-            send(node, fetch->peer, frameBytes(fetch->message),
+            send(node, fetch->peer, frameSize(fetch->message),
                  [message = fetch->message, this](config_spread &to, const vm_id &from) {
                      return to.onFetch(m_now, from, message);
                  });
