Limits: an entry's watch over partitions no longer grows with the fleet

Change: the rank is computed only for a vacant partition, and the list is indexed by VM. Decisions are the same.

--- a/include/tamarackglade/limits/entry_view.hpp
+++ b/include/tamarackglade/limits/entry_view.hpp
@@ -24,7 +24,7 @@
 
     /// @return whether the process has certainly ended: a newer generation runs on its VM, or an
     /// answer that came a whole list's lag after knownSince and after the VM was last shown lacks
-    /// it. Answers may contradict each other within the lag.
+    /// it. Answers may contradict each other within the lag. Complexity O(1) on average.
     [[nodiscard]] bool isGone(const live_entry &entry, instant knownSince) const;
 
     /// @return the best successor for a partition, by rendezvous hash; never self nor excluded
@@ -40,6 +40,8 @@
     live_entry m_self;
     duration m_vmListLag;
     std::vector<live_entry> m_entries;
+    // Invariant: the generations of m_entries by VM; of a VM listed twice, the first.
+    std::unordered_map<vm_id, incarnation> m_listed;
     std::optional<instant> m_lastUpdate;
     std::unordered_map<vm_id, instant> m_lastShown; // the last answer that showed each VM
     std::unordered_map<vm_id, instant> m_suspects; // end of each suspicion
--- a/src/limits/entry_view.cpp
+++ b/src/limits/entry_view.cpp
@@ -25,8 +25,11 @@
 {
     m_entries = entries;
     m_lastUpdate = now;
-    for (const auto &entry : entries)
+    m_listed.clear();
+    for (const auto &entry : entries) {
+        m_listed.emplace(entry.vm, entry.generation);
         m_lastShown[entry.vm] = now;
+    }
 }
 
 void entry_view::suspect(const vm_id &vm, instant until)
@@ -40,10 +43,9 @@
         return entry.generation.value() < m_self.generation.value();
     if (!m_lastUpdate)
         return false;
-    const auto found = std::find_if(m_entries.begin(), m_entries.end(),
-                                    [&](const live_entry &other) { return other.vm == entry.vm; });
-    if (found != m_entries.end())
-        return found->generation.value() > entry.generation.value();
+    const auto found = m_listed.find(entry.vm);
+    if (found != m_listed.end())
+        return found->second.value() > entry.generation.value();
     const auto shown = m_lastShown.find(entry.vm);
     const instant since =
         shown == m_lastShown.end() ? knownSince : std::max(knownSince, shown->second);
--- a/src/limits/partition_home.cpp
+++ b/src/limits/partition_home.cpp
@@ -143,8 +143,9 @@
         !m_record
         || (view.isGone(m_record->home, m_recordRead)
             && (!m_record->hasSuccessor() || view.isGone(m_record->successor, m_recordRead)));
-    const auto rank = view.rank(m_partition);
-    if (!vacant || !rank) {
+    // The rank costs a hash of each entry: it is asked only when it matters.
+    const auto rank = vacant ? view.rank(m_partition) : std::nullopt;
+    if (!rank) {
         m_vacantSince.reset();
         return;
     }
