Limits: test of the hourly claims past the log's retention

Cause: that homes claim again before the log drops their record was only written down.

Change: the virtual fleet's log drops records for entries that start. An entry started after 3 h with a retention of 90 min must be served within the rate and not admit above it; without the renewal this must fail.

Tried first: the same without earlier moves of the home. It did not fail without the renewal, since the stray first claim met the low epoch in force and was taken as the next one. With an over-rate load the count of refusals within the rate says nothing, so the load stays within it first.

--- a/tests/support/limits_fleet.cpp
+++ b/tests/support/limits_fleet.cpp
@@ -200,7 +200,7 @@
     auto &node = m_nodes[entry];
     ++node.generation;
     ++node.life;
-    node.logRead = 0;
+    node.logRead = expiredRecords();
     node.logCut = false;
     node.handedOver = false;
     node.tickAt = true_time::max();
@@ -359,6 +359,7 @@
     const auto claim = action.claim;
     const auto effect = [=, this] {
         m_log.push_back(claim);
+        m_logTimes.push_back(m_now);
         for (std::size_t i = 0; i < m_nodes.size(); ++i)
             at(m_now + random(m_network.logDelay / 2, m_network.logDelay),
                [=, this] { readLog(i); });
@@ -412,6 +413,14 @@
     }
 }
 
+std::size_t limits_fleet::expiredRecords() const
+{
+    const auto isExpired = [this](true_time appended) {
+        return m_now - appended >= m_network.logRetention;
+    };
+    return static_cast<std::size_t>(std::count_if(m_logTimes.begin(), m_logTimes.end(), isExpired));
+}
+
 void limits_fleet::publishList()
 {
     std::vector<live_entry> live;
--- a/tests/support/limits_fleet.hpp
+++ b/tests/support/limits_fleet.hpp
@@ -43,6 +43,7 @@
     double duplicates = 0; // share of messages that arrive twice
     true_time logDelay = 10ms;
     true_time listLag = 2s;
+    true_time logRetention = true_time::max(); // entries that start read only what is younger
 };
 
 /// @brief Entries, the log and the VM list, driven by one queue of events.
@@ -145,6 +146,7 @@
     void carryOut(std::size_t index, const append_claim &action);
     void scheduleTick(std::size_t index);
     void readLog(std::size_t index);
+    [[nodiscard]] std::size_t expiredRecords() const;
     void publishList();
     void readLists();
     void applyRate(std::size_t index, const customer_id &customer, customer_rate rate);
@@ -171,6 +173,7 @@
     std::set<std::pair<std::size_t, std::size_t>> m_cuts;
     bool m_logUp = true;
     std::vector<schema::home_claimed_message> m_log;
+    std::vector<true_time> m_logTimes; // when each record was appended
     std::vector<std::function<void()>> m_hungAppends; // take effect when the log is back
     std::vector<std::pair<true_time, std::vector<live_entry>>> m_lists; // by time
     std::unordered_map<customer_id, customer_rate> m_rates; // the newest
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -431,6 +431,57 @@
     CHECK(fleet.overAdmitted() == 0);
 }
 
+namespace {
+
+/// @brief An entry starts when the log has dropped what is older than its retention.
+/// @param offset of the entry that starts, counted from the home
+/// @return whether it keeps to the limit, and 99 of 100 requests within the rate are admitted
+bool newcomerIsServed(duration renewInterval, std::size_t offset)
+{
+    constexpr int HomesLost = 4;
+    fleet_network network;
+    network.logRetention = 90min;
+    auto options = onePartition();
+    options.renewInterval = renewInterval;
+    limits_fleet fleet(3, options, 20261203, network);
+    fleet.setRate(Large, {50, 50});
+    fleet.advance(10s);
+    // Homes move, so that the epoch in force is far above that of a first claim.
+    for (int i = 0; i < HomesLost; ++i) {
+        REQUIRE(fleet.homeOf(Large) < fleet.entries());
+        fleet.restart(fleet.homeOf(Large));
+        fleet.advance(10s);
+    }
+    fleet.advance(2 * network.logRetention);
+    const std::size_t home = fleet.homeOf(Large);
+    REQUIRE(home < fleet.entries());
+    const std::size_t newcomer = (home + offset) % fleet.entries();
+    fleet.restart(newcomer);
+    fleet.advance(10s);
+    std::vector<double> weights(fleet.entries(), 0);
+    weights[newcomer] = weights[home] = 1;
+    fleet.loadWithin(Large, 45, weights, fleet.now() + 30s);
+    fleet.advance(31s);
+    const customer_counts within = fleet.counts().at(Large);
+    fleet.load(Large, 200, weights, fleet.now() + 30s);
+    fleet.advance(31s);
+    MESSAGE("offset " << offset << ": " << within.refusedWithin << " of " << within.within
+                      << " refused, " << fleet.overAdmitted() << " too many");
+    return fleet.overAdmitted() == 0 && within.refusedWithin * 100 < within.within;
+}
+
+} // namespace
+
+TEST_CASE("homes claim again before the log drops their record")
+{
+    const duration renewInterval = limit_options{}.renewInterval;
+    CHECK(newcomerIsServed(renewInterval, 1));
+    CHECK(newcomerIsServed(renewInterval, 2));
+    // Without renewal the stream is empty when an entry that has no part in it reads it. The start
+    // of the successor makes the home claim again.
+    CHECK_FALSE((newcomerIsServed(24h, 1) && newcomerIsServed(24h, 2)));
+}
+
 TEST_CASE("a planned stop of the home refuses next to nothing")
 {
     limits_fleet fleet(3, limit_options{}, 20261203);
