--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,266 @@
+#!/usr/bin/env python3
+"""Starts a small fleet for each example manifest, asks a streamed question and runs a batch.
+
+Everything that it starts is a child of this script and is ended by it. With --keep the last fleet
+stays up until Ctrl-C.
+"""
+
+import argparse
+import http.client
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import uuid
+
+from fleet import Fleet, http_call, wait_until
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+BATCH_TIMEOUT_S = 120
+POLL_S = 0.5
+
+
+class Scene:
+    """One example: its manifest, what runs beside it, and what is asked."""
+
+    def __init__(self, name, region, groups, asker, batcher, question, items):
+        self.name = name
+        self.manifest = ROOT / "examples" / f"{name}.ini"
+        self.region = region
+        self.groups = groups  # (group, kind, upstreams)
+        self.asker = asker  # (customer, model)
+        self.batcher = batcher  # (customer, model)
+        self.question = question
+        self.items = items  # [(custom_id, prompt)]
+
+
+def plow_logs():
+    """The batch items made of the example's plow logs."""
+    lines = (ROOT / "examples" / "plow-logs.jsonl").read_text().splitlines()
+    logs = [json.loads(line) for line in lines]
+    return [(log["log"], "Write a closure notice from this plow log: " + json.dumps(log))
+            for log in logs]
+
+
+def scenes():
+    """Both examples."""
+    trenches = [(f"route-{number}", f"Check trench route {number} against heritage records")
+                for number in range(1, 9)]
+    return [
+        Scene("permit-assistant", "wa-south",
+              [("permit-engines", "engine", 2), ("record-services", "service", 1)],
+              ("trench-crews", "permit-drafter"), ("heat-planning", "permit-drafter"),
+              "Draft a street closure notice for a trench on Hannan Street.", trenches),
+        Scene("closure-advisories", "blue-ridge",
+              [("advisory-engines", "engine", 2), ("pass-services", "service", 1)],
+              ("driver-app", "advisory-short"), ("plow-crews-north", "notice-writer"),
+              "Is the gap road open right now?", plow_logs()),
+    ]
+
+
+def say(text):
+    """Prints a step of the demo."""
+    print(f"\n== {text}", flush=True)
+
+
+def start(scene, bin_dir, work_dir):
+    """Starts the scene's fleet and publishes its manifest."""
+    zones = tuple(f"{scene.region}-{number}" for number in (1, 2, 3))
+    fleet = Fleet(bin_dir, work_dir, zones=zones, region=scene.region)
+    try:
+        for group, kind, count in scene.groups:
+            for _ in range(count):
+                fleet.add_upstream(group, kind)
+        for _ in range(2):
+            fleet.add_entry()
+        print(fleet.publish(scene.manifest).stdout.strip())
+        fleet.wait_ready()
+    except BaseException:
+        fleet.stop()
+        raise
+    return fleet
+
+
+def key_headers(key):
+    return {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+
+
+def checked(entry, method, path, body, headers):
+    """Sends a request that has to succeed; returns its body."""
+    status, _, answer = http_call(entry.http, method, path, body, headers)
+    if status != 200:
+        raise RuntimeError(f"{method} {path}: {status} {answer.decode(errors='replace')}")
+    return answer
+
+
+def wait_for_engines(entry, key, model):
+    """Waits until the entry knows an upstream of the model."""
+    body = json.dumps({"model": model, "max_tokens": 1,
+                       "messages": [{"role": "user", "content": "ready?"}]})
+    wait_until(lambda: http_call(entry.http, "POST", "/v1/chat/completions", body,
+                                 key_headers(key))[0] == 200, "a first answer")
+
+
+def print_event(line):
+    """Prints the text of one server-sent event. Returns whether it is the end."""
+    data = line[len("data: "):].strip()
+    if data == "[DONE]":
+        return True
+    event = json.loads(data)
+    if "error" in event:
+        raise RuntimeError(f"the answer broke off: {data}")
+    for choice in event.get("choices", []):
+        print(choice.get("delta", {}).get("content") or "", end="", flush=True)
+    return False
+
+
+def ask_streamed(entry, key, model, question):
+    """Asks one question and prints the answer as it comes."""
+    host, port = entry.http.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=60)
+    body = {"model": model, "stream": True, "max_tokens": 40,
+            "messages": [{"role": "user", "content": question}]}
+    connection.request("POST", "/v1/chat/completions", json.dumps(body), key_headers(key))
+    response = connection.getresponse()
+    if response.status != 200:
+        raise RuntimeError(f"{response.status} {response.read().decode(errors='replace')}")
+    ended = False
+    for line in response:
+        text = line.decode()
+        if text.startswith("data: "):
+            ended = print_event(text)
+    connection.close()
+    print(flush=True)
+    if not ended:
+        raise RuntimeError("the answer ended without [DONE]")
+
+
+def batch_input(model, items):
+    """The JSON Lines of a batch job."""
+    return "".join(json.dumps({
+        "custom_id": custom_id, "method": "POST", "url": "/v1/chat/completions",
+        "body": {"model": model, "max_tokens": 24,
+                 "messages": [{"role": "user", "content": prompt}]}}) + "\n"
+        for custom_id, prompt in items)
+
+
+def upload(entry, key, content):
+    """Uploads an input file; returns its id."""
+    boundary = uuid.uuid4().hex
+    body = (f"--{boundary}\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n"
+            f"--{boundary}\r\nContent-Disposition: form-data; name=\"file\"; "
+            f"filename=\"items.jsonl\"\r\n\r\n{content}\r\n--{boundary}--\r\n").encode()
+    headers = {**key_headers(key), "Content-Type": f"multipart/form-data; boundary={boundary}"}
+    return json.loads(checked(entry, "POST", "/v1/files", body, headers))["id"]
+
+
+def run_batch(entries, key, model, items):
+    """Submits a job at one entry, waits for it at the other, and prints its results."""
+    headers = key_headers(key)
+    file_id = upload(entries[0], key, batch_input(model, items))
+    job = json.loads(checked(entries[0], "POST", "/v1/batches", json.dumps(
+        {"input_file_id": file_id, "endpoint": "/v1/chat/completions",
+         "completion_window": "24h"}), headers))
+    print(f"job {job['id']} accepted", flush=True)
+    deadline = time.monotonic() + BATCH_TIMEOUT_S
+    while job["status"] not in ("completed", "failed", "cancelled", "expired"):
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"the job did not end within {BATCH_TIMEOUT_S} s: {job}")
+        time.sleep(POLL_S)
+        job = json.loads(checked(entries[1], "GET", f"/v1/batches/{job['id']}", None, headers))
+    print(f"job {job['status']}: {job['request_counts']}")
+    for field in ("output_file_id", "error_file_id"):
+        if job.get(field):
+            text = checked(entries[1], "GET", f"/v1/files/{job[field]}/content", None, headers)
+            print_results(text.decode())
+    if job["request_counts"]["completed"] != len(items):
+        raise RuntimeError("the batch has items without a result")
+
+
+def print_results(text):
+    """Prints one line for each result of a job."""
+    for line in text.splitlines():
+        result = json.loads(line)
+        if result.get("error"):
+            print(f"  {result['custom_id']}: error {result['error']['code']}")
+        else:
+            message = result["response"]["body"]["choices"][0]["message"]["content"]
+            print(f"  {result['custom_id']}: {message[:70]}")
+
+
+def print_burn(fleet):
+    """Prints the burn report, if this build's tamarackctl has it."""
+    if "burn" not in fleet.ctl("--help", check=False).stdout:
+        print("this build's tamarackctl has no burn report")
+        return
+    print(fleet.ctl("burn").stdout)
+
+
+def play(scene, fleet):
+    """Asks and runs the scene's batch; returns the asker's key."""
+    asker, model = scene.asker
+    batcher, batch_model = scene.batcher
+    key = fleet.issue_key(asker)
+    batch_key = fleet.issue_key(batcher)
+    for entry in fleet.entries:
+        wait_for_engines(entry, key, model)
+        wait_for_engines(entry, batch_key, batch_model)
+    say(f"{asker} asks {model}: {scene.question}")
+    ask_streamed(fleet.entries[0], key, model, scene.question)
+    say(f"{batcher} sends a batch of {len(scene.items)} items to {batch_model}")
+    run_batch(fleet.entries, batch_key, batch_model, scene.items)
+    say("burn report")
+    print_burn(fleet)
+    return key
+
+
+def keep_up(scene, fleet, key):
+    """Says how to play with the fleet, and waits for Ctrl-C."""
+    entry = fleet.entries[0]
+    body = json.dumps({"model": scene.asker[1], "stream": True,
+                       "messages": [{"role": "user", "content": scene.question}]})
+    say("the fleet stays up; Ctrl-C ends it")
+    print(f"curl -N http://{entry.http}/v1/chat/completions -H 'Authorization: Bearer {key}' \\\n"
+          f"  -d '{body}'\n"
+          f"curl http://{entry.admin}/metrics\n"
+          f"{fleet.bin}/tamarackctl --platform={fleet.platform} "
+          f"--fleet_secret_file={fleet.secret} key list\n"
+          f"logs and settings: {fleet.dir}", flush=True)
+    signal.pause()
+
+
+def run_scene(scene, arguments, keep):
+    with tempfile.TemporaryDirectory(prefix="tamarack-demo-") as folder:
+        say(f"{scene.name}: starting")
+        fleet = start(scene, arguments.bin, folder)
+        try:
+            key = play(scene, fleet)
+            if keep:
+                keep_up(scene, fleet, key)
+        finally:
+            fleet.stop()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", default=str(ROOT / "build" / "bin"), help="folder of the programs")
+    parser.add_argument("--example", help="play only this example of examples/")
+    parser.add_argument("--keep", action="store_true", help="leave the last fleet up until Ctrl-C")
+    arguments = parser.parse_args()
+    chosen = [s for s in scenes() if arguments.example in (None, s.name)]
+    if not chosen:
+        parser.error(f"no example '{arguments.example}'")
+    for scene in chosen:
+        run_scene(scene, arguments, arguments.keep and scene is chosen[-1])
+    return 0
+
+
+if __name__ == "__main__":
+    # SIGTERM ends the fleet as Ctrl-C does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        print("\nstopped")
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds the programs, and plays the examples; see scripts/demo.py --help.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install-packages.sh
+cmake --preset release >/dev/null
+cmake --build --preset release --target tamarack-entry tamarack-side tamarackctl \
+    standin-platform standin-engine standin-plain
+exec python3 scripts/demo.py "$@"
