io_thread::run no longer notifies through a promise that is gone

Cause: the promise lived in the waiting fiber's scope. set_value wakes that fiber before it has finished notifying; the fiber, on another thread, went on and destroyed the promise's state under it. An entry crashed in boost::fibers::wait_queue::notify_all (seen with gdb) on a batch request, which crosses threads.

The promise is now shared with the sending fiber.

Test: shell-runtime, 20 fibers with 2,000 runs each.

--- a/src/runtime/io_thread.cpp
+++ b/src/runtime/io_thread.cpp
@@ -29,11 +29,12 @@
 
 void io_thread::run(std::function<void()> body)
 {
-    boost::fibers::promise<void> done;
-    auto future = done.get_future();
-    spawn([&] {
+    // Shared: the caller may go on, and end this scope, while set_value still notifies.
+    const auto done = std::make_shared<boost::fibers::promise<void>>();
+    auto future = done->get_future();
+    spawn([&body, done] {
         body();
-        done.set_value();
+        done->set_value();
     });
     future.get();
 }
--- a/tests/shell-runtime.cpp
+++ b/tests/shell-runtime.cpp
@@ -1,6 +1,7 @@
 // Tests of fibers over Asio.
 #include <tamarackglade/runtime/asio_scheduler.hpp>
 #include <tamarackglade/runtime/fiber_token.hpp>
+#include <tamarackglade/runtime/io_thread.hpp>
 #include <tamarackglade/runtime/tcp_stream.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +9,7 @@
 #include <boost/fiber/operations.hpp>
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <string>
 #include <thread>
 
@@ -65,3 +67,23 @@
     CHECK_FALSE(parseEndpoint("127.0.0.1:70000").ok());
     CHECK(parseEndpoint("[::1]:80").ok());
 }
+
+TEST_CASE("fibers of one thread wait for work on another, many times")
+{
+    constexpr int Fibers = 20;
+    constexpr int RunsEach = 2'000;
+    std::atomic<int> done = 0;
+    io_thread worker;
+    {
+        io_thread callers;
+        for (int i = 0; i < Fibers; ++i) {
+            callers.spawn([&] {
+                for (int run = 0; run < RunsEach; ++run)
+                    worker.run([&] { ++done; });
+            });
+        }
+        // The first fibers have begun before the thread is asked to end.
+        callers.run([] {});
+    }
+    CHECK(done == Fibers * RunsEach);
+}
