--- a/src/settings/load_settings.cpp
+++ b/src/settings/load_settings.cpp
@@ -33,7 +33,8 @@
         values.set(entry.name, entry.value, source, entry.line, faults);
 }
 
-// A gflags string flag for one option; registered once per process.
+// A gflags string flag for one option; registered once per process, also if settings are loaded
+// again.
 struct option_flag
 {
     std::string name;
@@ -59,6 +60,9 @@
 void registerFlags(const option_table &table)
 {
     for (const setting_option &option : table.options) {
+        gflags::CommandLineFlagInfo known;
+        if (gflags::GetCommandLineFlagInfo(flagName(option.name).c_str(), &known))
+            continue;
         option_flag &flag = optionFlags().emplace_back();
         flag.name = flagName(option.name);
         flag.help = std::string(option.help);
