HTTP: slow senders are told, HEAD has no chunks, a header's time is for the whole of it

Reads of plain connections are now cancelled by a timer of their own. TLS connections still end without a 408. - header-timeout began anew with each read: a byte at a time kept a connection for ever. - A streamed answer to HEAD had chunks, which broke the next answer on the connection. - A refusal of malformed bytes after a HEAD had no body, since the request before it was still there. - 'Expect: 100-Continue' in another case was not answered.

--- a/include/tamarackglade/http/detail/http_session.hpp
+++ b/include/tamarackglade/http/detail/http_session.hpp
@@ -10,6 +10,8 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
+#include <chrono>
+#include <optional>
 
 namespace tamarack::detail {
 
@@ -39,11 +41,14 @@
     bool readRequest();
     bool readHeader(request_parser &parser);
     bool readBody(request_parser &parser, std::size_t limit);
+    bool setReadTimeout(std::optional<std::chrono::steady_clock::time_point> deadline,
+                        const std::string &lateMessage);
     void refuse(unsigned status, const std::string &code, const std::string &message);
     void refuseReadError(const boost::system::error_code &error);
     void fillRequestHead(const request_parser::value_type &message);
     bool writeAll(std::string_view data);
     void discardRest();
+    [[nodiscard]] bool isHead() const { return m_request.method == "HEAD"; }
     [[nodiscard]] std::string headText(const http_response &response) const;
 
     byte_stream &m_stream;
--- a/include/tamarackglade/runtime/tcp_stream.hpp
+++ b/include/tamarackglade/runtime/tcp_stream.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/runtime/byte_stream.hpp>
+#include <tamarackglade/runtime/read_timeout.hpp>
 
 #include <absl/status/statusor.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,7 +12,8 @@
 
 namespace tamarack {
 
-/// @brief A byte_stream over beast::tcp_stream, which enforces the timeouts.
+/// @brief A byte_stream over beast::tcp_stream. A write that times out closes the connection; a
+/// read that does leaves it open, so that the peer can be told.
 class tcp_stream final : public byte_stream
 {
 public:
@@ -40,6 +42,7 @@
     void armTimeout();
 
     boost::beast::tcp_stream m_stream;
+    read_timeout m_readTimeout; // of m_stream's socket
     std::chrono::milliseconds m_timeout{0};
 };
 
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -75,9 +75,15 @@
 bool http_session::readHeader(request_parser &parser)
 {
     boost::system::error_code error;
-    m_stream.setTimeout(m_buffer.size() > 0 ? m_options.headerTimeout : m_options.idleTimeout);
     // The first byte may take the idle timeout, the rest of the header the header timeout.
+    std::optional<std::chrono::steady_clock::time_point> deadline;
+    m_request = http_request{};
     while (!parser.is_header_done()) {
+        const bool begun = parser.got_some() || m_buffer.size() > 0;
+        if (begun && !deadline)
+            deadline = std::chrono::steady_clock::now() + m_options.headerTimeout;
+        if (!setReadTimeout(deadline, "the header was sent too slowly"))
+            return false;
         http::read_some(m_stream, m_buffer, parser, error);
         if (error) {
             const bool nothingSent = !parser.got_some() && m_buffer.size() == 0;
@@ -85,13 +91,30 @@
                 refuseReadError(error);
             return false;
         }
-        m_stream.setTimeout(m_options.headerTimeout);
     }
     m_keepAlive = parser.get().keep_alive();
     m_chunked = parser.get().version() >= 11;
     return true;
 }
 
+// Without a deadline the idle timeout holds. Returns false after refusing if it has passed.
+bool http_session::setReadTimeout(std::optional<std::chrono::steady_clock::time_point> deadline,
+                                  const std::string &lateMessage)
+{
+    if (!deadline) {
+        m_stream.setTimeout(m_options.idleTimeout);
+        return true;
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        *deadline - std::chrono::steady_clock::now());
+    if (left.count() <= 0) {
+        refuse(408, "request_timeout", lateMessage);
+        return false;
+    }
+    m_stream.setTimeout(left);
+    return true;
+}
+
 bool http_session::readBody(request_parser &parser, std::size_t limit)
 {
     const auto declared = parser.content_length();
@@ -100,18 +123,13 @@
         return false;
     }
     parser.body_limit(limit);
-    if (m_request.header("expect") == "100-continue" && !parser.is_done())
+    if (boost::beast::iequals(m_request.header("expect"), "100-continue") && !parser.is_done())
         writeAll("HTTP/1.1 100 Continue\r\n\r\n");
     const auto deadline = std::chrono::steady_clock::now() + m_options.bodyTimeout;
     boost::system::error_code error;
     while (!parser.is_done()) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            deadline - std::chrono::steady_clock::now());
-        if (left.count() <= 0) {
-            refuse(408, "request_timeout", "the body was sent too slowly");
+        if (!setReadTimeout(deadline, "the body was sent too slowly"))
             return false;
-        }
-        m_stream.setTimeout(left);
         http::read_some(m_stream, m_buffer, parser, error);
         if (error) {
             refuseReadError(error);
@@ -184,7 +202,7 @@
     m_stream.setTimeout(m_options.writeTimeout);
     std::string text = headText(response);
     absl::StrAppend(&text, "Content-Length: ", response.body.size(), "\r\n\r\n");
-    if (m_request.method != "HEAD")
+    if (!isHead())
         text += response.body;
     writeAll(text);
 }
@@ -206,7 +224,7 @@
 
 bool http_session::writeChunk(std::string_view data)
 {
-    if (data.empty() || m_broken)
+    if (data.empty() || m_broken || isHead())
         return !m_broken;
     if (!m_chunked)
         return writeAll(data);
@@ -216,7 +234,7 @@
 
 void http_session::endStream()
 {
-    if (m_chunked)
+    if (m_chunked && !isHead())
         writeAll("0\r\n\r\n");
 }
 
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <boost/beast/core/error.hpp>
 #include <sys/socket.h>
 
 namespace tamarack {
@@ -26,7 +27,8 @@
     return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
-tcp_stream::tcp_stream(boost::beast::tcp_stream stream) : m_stream(std::move(stream))
+tcp_stream::tcp_stream(boost::beast::tcp_stream stream)
+    : m_stream(std::move(stream)), m_readTimeout(m_stream.socket())
 {
     boost::system::error_code ignored;
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -50,9 +52,9 @@
 
 std::size_t tcp_stream::readSome(asio::mutable_buffer buffer, boost::system::error_code &error)
 {
-    armTimeout();
-    const auto result = m_stream.async_read_some(buffer, FiberToken);
-    error = result.error;
+    m_readTimeout.arm(m_timeout);
+    const auto result = m_stream.socket().async_read_some(buffer, FiberToken);
+    error = m_readTimeout.disarm() && result.error ? boost::beast::error::timeout : result.error;
     return result.value;
 }
 
