Wire: bytes read together with the end of the hello are not lost

The connector's hello read ahead into a buffer of its own. Frames that the acceptor sent at once were dropped with it, or cut in two, which closed the connection. The bytes now go on to the connection.

A trial in which the link drops the bytes again fails the case 'frames sent by the acceptor right after the hello are not lost'.

--- a/include/tamarackglade/wire/detail/wire_connection.hpp
+++ b/include/tamarackglade/wire/detail/wire_connection.hpp
@@ -22,7 +22,8 @@
                     peer_identity peer, const wire_settings &settings, wire_handler &handler);
 
     /// @brief Reads frames in the calling fiber until the connection ends.
-    void run();
+    /// @param readAhead bytes that were read after the hello
+    void run(std::string readAhead);
 
     [[nodiscard]] const peer_identity &identity() const override { return m_peer; }
     [[nodiscard]] std::uint64_t connectionId() const override { return m_connectionId; }
--- a/src/wire/hello.cpp
+++ b/src/wire/hello.cpp
@@ -59,11 +59,11 @@
 
 } // namespace
 
-absl::StatusOr<peer_identity> helloAsConnector(byte_stream &stream, const wire_settings &settings)
+absl::StatusOr<peer_identity> helloAsConnector(byte_stream &stream, const wire_settings &settings,
+                                               std::string &readAhead)
 {
     stream.setTimeout(settings.helloTimeout);
-    std::string buffer;
-    auto first = detail::readFrame(stream, buffer, MaxHelloBytes);
+    auto first = detail::readFrame(stream, readAhead, MaxHelloBytes);
     if (!first.ok())
         return first.status();
     const auto *challenge = first->body.Ashello_challenge();
@@ -82,7 +82,7 @@
     if (!sent.ok())
         return sent;
 
-    auto second = detail::readFrame(stream, buffer, MaxHelloBytes);
+    auto second = detail::readFrame(stream, readAhead, MaxHelloBytes);
     if (!second.ok())
         return second.status();
     const auto *accepted = second->body.Ashello_accepted();
@@ -99,7 +99,8 @@
     return peer;
 }
 
-absl::StatusOr<peer_identity> helloAsAcceptor(byte_stream &stream, const wire_settings &settings)
+absl::StatusOr<peer_identity> helloAsAcceptor(byte_stream &stream, const wire_settings &settings,
+                                              std::string &readAhead)
 {
     stream.setTimeout(settings.helloTimeout);
     schema::hello_challenge_message challenge;
@@ -108,8 +109,7 @@
     if (!sent.ok())
         return sent;
 
-    std::string buffer;
-    auto answer = detail::readFrame(stream, buffer, MaxHelloBytes);
+    auto answer = detail::readFrame(stream, readAhead, MaxHelloBytes);
     if (!answer.ok())
         return answer.status();
     const auto *proof = answer->body.Ashello_proof();
--- a/src/wire/wire_connection.cpp
+++ b/src/wire/wire_connection.cpp
@@ -35,15 +35,14 @@
 {
 }
 
-void wire_connection::run()
+void wire_connection::run(std::string readAhead)
 {
     const auto self = shared_from_this();
     m_stream->setTimeout(m_settings.silenceLimit);
     boost::fibers::fiber writer([self] { self->writeLoop(); });
     m_handler.onConnected(self);
-    std::string buffer;
     for (;;) {
-        auto frame = readFrame(*m_stream, buffer, MaxFrameBytes);
+        auto frame = readFrame(*m_stream, readAhead, MaxFrameBytes);
         if (!frame.ok())
             break;
         if (frame->body.type != schema::frame_body::keepalive)
--- a/src/wire/wire_link.cpp
+++ b/src/wire/wire_link.cpp
@@ -55,14 +55,15 @@
         while (!state->closed) {
             auto stream = tcp_stream::connect(thread.io(), target, ConnectTimeout);
             if (stream.ok()) {
-                auto peer = helloAsConnector(**stream, settings);
+                std::string readAhead;
+                auto peer = helloAsConnector(**stream, settings, readAhead);
                 if (peer.ok()) {
                     pause = FirstPause;
                     auto connection = std::make_shared<detail::wire_connection>(
                         thread.io(), std::move(*stream), std::move(*peer), settings, handler);
                     state->setConnection(connection);
                     if (!state->closed)
-                        connection->run();
+                        connection->run(std::move(readAhead));
                     state->setConnection(nullptr);
                 }
             }
--- a/src/wire/wire_server.cpp
+++ b/src/wire/wire_server.cpp
@@ -11,7 +11,8 @@
 wire_server::wire_server(io_thread &thread, const wire_settings &settings, wire_handler &handler)
     : m_listener(thread, [&thread, &settings, &handler](boost::beast::tcp_stream socket) {
           auto stream = std::make_unique<tcp_stream>(std::move(socket));
-          auto peer = helloAsAcceptor(*stream, settings);
+          std::string readAhead;
+          auto peer = helloAsAcceptor(*stream, settings, readAhead);
           if (!peer.ok()) {
               LOG(WARNING) << "refused a wire connection from " << stream->peerAddress() << ": "
                            << peer.status().message();
@@ -20,7 +21,7 @@
           }
           std::make_shared<detail::wire_connection>(thread.io(), std::move(stream),
                                                     std::move(*peer), settings, handler)
-              ->run();
+              ->run(std::move(readAhead));
       })
 {
 }
