JSON from outside is read with bounded depth; upstreams' errors may have any shape

nlohmann/json writes a value recursively. Stopping in a SAX parser of our own was ruled out as more code.

An upstream's error whose message was no string threw in the entry's fiber; upstreamMessage checks it.

--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -1,9 +1,9 @@
 // One loop over the answer's events; between them the caller, its key and the deadline are checked.
 #include <tamarackglade/entry/answer_relay.hpp>
+#include <tamarackglade/entry/upstream_message.hpp>
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
 
 namespace tamarack {
 
@@ -53,15 +53,6 @@
     return error;
 }
 
-// The upstream's own message, if its body has one in the usual shape.
-std::string upstreamMessage(const std::string &body)
-{
-    const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (json.is_object() && json.contains("error") && json["error"].is_object())
-        return json["error"].value("message", "the upstream refused the request");
-    return "the upstream refused the request";
-}
-
 } // namespace
 
 answer_relay::answer_relay(entry_context &context, const caller_request &request)
--- a/src/entry/batches_api.cpp
+++ b/src/entry/batches_api.cpp
@@ -1,4 +1,5 @@
 // Batch jobs over HTTP.
+#include <tamarackglade/core/json_text.hpp>
 #include <tamarackglade/entry/answer_json.hpp>
 #include <tamarackglade/entry/batches_api.hpp>
 
@@ -19,7 +20,7 @@
 
 wish_result parseWish(const http_request &http)
 {
-    const auto body = nlohmann::json::parse(http.body, nullptr, false);
+    const auto body = parseJson(http.body);
     if (!body.is_object())
         return invalidRequest("malformed_json", "the body must be a JSON object");
     batch_wish wish;
--- a/src/entry/completion_request.cpp
+++ b/src/entry/completion_request.cpp
@@ -1,5 +1,6 @@
 // Checks of a completion's JSON.
 #include <tamarackglade/core/hash.hpp>
+#include <tamarackglade/core/json_text.hpp>
 #include <tamarackglade/entry/completion_request.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -76,7 +77,7 @@
                                                                    const manifest &manifest,
                                                                    const customer_id &customer)
 {
-    json body = json::parse(text, nullptr, false);
+    json body = parseJson(text);
     if (body.is_discarded())
         return invalidRequest("malformed_json", "the body is not valid JSON");
     if (!body.is_object())
--- a/src/entry/partition_runner.cpp
+++ b/src/entry/partition_runner.cpp
@@ -1,4 +1,5 @@
 // Reading a partition's stream, claiming it, and carrying out its owner's actions.
+#include <tamarackglade/core/json_text.hpp>
 #include <tamarackglade/core/partition.hpp>
 #include <tamarackglade/entry/partition_runner.hpp>
 #include <tamarackglade/jobs/job_submission.hpp>
@@ -40,7 +41,7 @@
     json response;
     response["status_code"] = answer.status;
     response["request_id"] = requestId;
-    response["body"] = json::parse(answer.body, nullptr, false);
+    response["body"] = parseJson(answer.body);
     if (response["body"].is_discarded())
         response["body"] = answer.body;
     return response.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -363,7 +364,7 @@
 {
     const auto config = m_services.config.current();
     const auto *job = m_fold->job(action.item.job);
-    const json item = json::parse(line, nullptr, false);
+    const json item = parseJson(line);
     const std::string customId = item.is_object() ? item.value("custom_id", "") : "";
     const model_options *model = job == nullptr ? nullptr : config->inForce->model(job->model);
     if (model == nullptr || !item.is_object() || !item.contains("body")) {
--- /dev/null
+++ b/src/entry/upstream_message.cpp
@@ -0,0 +1,18 @@
+// Takes nothing for granted about an upstream's error.
+#include <tamarackglade/core/json_text.hpp>
+#include <tamarackglade/entry/upstream_message.hpp>
+
+namespace tamarack {
+
+std::string upstreamMessage(const std::string &body)
+{
+    const auto json = parseJson(body);
+    if (json.is_object() && json.contains("error") && json["error"].is_object()) {
+        const auto &error = json["error"];
+        if (error.contains("message") && error["message"].is_string())
+            return error["message"].get<std::string>();
+    }
+    return "the upstream refused the request";
+}
+
+} // namespace tamarack
--- a/src/jobs/input_check.cpp
+++ b/src/jobs/input_check.cpp
@@ -1,4 +1,5 @@
 // The check of a JSON Lines input file.
+#include <tamarackglade/core/json_text.hpp>
 #include <tamarackglade/jobs/job_submission.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -48,7 +49,7 @@
 
     void checkLine(std::string_view line)
     {
-        const auto value = nlohmann::json::parse(line, nullptr, false);
+        const auto value = parseJson(line);
         if (!value.is_object()) {
             addFault("not a JSON object");
             return;
