--- a/tests/shell-settings.cpp
+++ b/tests/shell-settings.cpp
@@ -124,12 +124,12 @@
                                         "vm = entry-2\n"
                                         "[other]\n"
                                         "zone = a\n");
+    const std::string headerLimitFault = "entry.ini:5: header-limit: expected a whole number from "
+                                         "1024 to 1048576 bytes, found '5'";
     CHECK(result.faults
           == std::vector<std::string>{
               "entry.ini:3: threads: expected a whole number from 1 to 64 threads, found 'none'",
-              "entry.ini:4: colour: expected a known setting, found 'red'",
-              "entry.ini:5: header-limit: expected a whole number from 1024 to 1048576 bytes, "
-              "found '5'",
+              "entry.ini:4: colour: expected a known setting, found 'red'", headerLimitFault,
               "entry.ini:6: platform: expected ip:port, separated by commas, found 'localhost'",
               "entry.ini:7: vm: expected each setting once, found 'entry-2'",
               "entry.ini:9: zone: expected section [tamarack-entry], found '[other]'",
