--- a/src/runtime/io_thread.cpp
+++ b/src/runtime/io_thread.cpp
@@ -29,10 +29,10 @@
 
 void io_thread::run(std::function<void()> body)
 {
-    // Shared: the caller may go on, and end this scope, while set_value still notifies.
-    const auto done = std::make_shared<boost::fibers::promise<void>>();
+    // Shared with the fiber: the waiting side may return while set_value is still at work.
+    auto done = std::make_shared<boost::fibers::promise<void>>();
     auto future = done->get_future();
-    spawn([&body, done] {
+    spawn([done, body = std::move(body)] {
         body();
         done->set_value();
     });
