Burn report: counts, windows, budgets and whose refusals count

Cause: the objectives of the manifest had no report. The decision code counts good and bad events per customer, class and objective, folds every entry's intervals once, and sums them over 5 min, 1 h, 6 h and 3 days.

Whether a refusal for the rate was the customer's own excess can't be told by one entry. Ruled out: charging all refusals, or none; a shadow bucket in each entry, which doesn't see the others' requests. Instead the fleet's seconds are replayed on one bucket with the customer's rate and burst.

Three seeded faults (own excess counted, repeats counted, windows ignored) each fail the same checks.

--- /dev/null
+++ b/include/tamarackglade/report/burn_count.hpp
@@ -0,0 +1,24 @@
+// Good and bad events.
+#pragma once
+
+#include <cstdint>
+
+namespace tamarack {
+
+struct burn_count
+{
+    std::uint64_t good = 0;
+    std::uint64_t bad = 0;
+
+    [[nodiscard]] std::uint64_t total() const { return good + bad; }
+
+    burn_count &operator+=(const burn_count &other)
+    {
+        good += other.good;
+        bad += other.bad;
+        return *this;
+    }
+    friend bool operator==(const burn_count &, const burn_count &) = default;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/report/burn_interval.hpp
@@ -0,0 +1,37 @@
+// What one VM counted in one interval.
+#pragma once
+
+#include <tamarackglade/report/burn_count.hpp>
+#include <tamarackglade/report/burn_key.hpp>
+#include <tamarackglade/report/burn_second.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+/// @brief The content of a burn_counts record.
+struct burn_interval
+{
+    std::map<burn_key, burn_count> counts;
+    // By customer and second since the Unix epoch. Only of customers that were refused for their
+    // rate in the interval; for these, all seconds with a request.
+    std::map<customer_id, std::map<std::uint64_t, burn_second>> seconds;
+
+    [[nodiscard]] bool isEmpty() const { return counts.empty() && seconds.empty(); }
+
+    /// @brief Takes over the counts of another interval.
+    void merge(burn_interval other);
+
+    /// @return the record's JSON text
+    [[nodiscard]] std::string toJson() const;
+    /// @return the interval, or InvalidArgument
+    static absl::StatusOr<burn_interval> fromJson(std::string_view text);
+
+    friend bool operator==(const burn_interval &, const burn_interval &) = default;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/report/burn_key.hpp
@@ -0,0 +1,21 @@
+// What a count of the burn report is kept for.
+#pragma once
+
+#include <tamarackglade/config/objective_class.hpp>
+#include <tamarackglade/core/ids.hpp>
+
+#include <string>
+
+namespace tamarack {
+
+/// @brief One customer's requests of one class, judged by one objective of the manifest.
+struct burn_key
+{
+    customer_id customer;
+    objective_class requests = objective_class::Online; // never All
+    std::string objective; // its name in the manifest
+
+    friend auto operator<=>(const burn_key &, const burn_key &) = default;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/src/report/burn_fold.cpp
@@ -0,0 +1,27 @@
+// Records by VM, incarnation and sequence.
+#include <tamarackglade/report/burn_fold.hpp>
+
+#include <utility>
+
+namespace tamarack {
+
+void burn_fold::apply(const schema::log_batch_message &batch)
+{
+    for (const auto &record : batch.records) {
+        const auto *counts = record->body.Asburn_counts();
+        if (counts == nullptr)
+            continue;
+        auto interval = burn_interval::fromJson(counts->counts_json);
+        if (!interval.ok()) {
+            ++m_malformed;
+            continue;
+        }
+        const bool isNew = m_seen.emplace(counts->vm, counts->incarnation, counts->sequence).second;
+        if (!isNew && m_mutation != burn_mutation::CountRepeats)
+            continue;
+        m_entries.push_back({counts->interval_start_s,
+                             counts->interval_start_s + counts->interval_s, std::move(*interval)});
+    }
+}
+
+} // namespace tamarack
