tamarackctl: status, watch, jobs, burn; status page; entries append burn counts

Cause: operators couldn't see when a configuration is in force, nor the jobs, nor the objectives' burn.

Processes answer status_request on the wire, to the role Control only, with the JSON of their admin page /status. watch asks each listed process until all have the offset in force (exit 0), else exits 5. Ruled out: admin addresses in the VM list (the platform's, not ours), and trusting gossip, which doesn't prove each process.

Entries count requests per objective and append at most one record of stream burn every 30 s, and one at a planned stop.

--- a/apps/tamarack-side.cpp
+++ b/apps/tamarack-side.cpp
@@ -2,14 +2,17 @@
 #include <tamarackglade/http/admin_server.hpp>
 #include <tamarackglade/logging/init_logging.hpp>
 #include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/node/process_status.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 #include <tamarackglade/settings/load_settings.hpp>
 #include <tamarackglade/side/side_server.hpp>
 #include <tamarackglade/wire/load_wire_settings.hpp>
+#include <tamarackglade/wire/status_handler.hpp>
 #include <tamarackglade/wire/wire_server.hpp>
 
 #include <boost/fiber/operations.hpp>
 
+#include <atomic>
 #include <iostream>
 
 using namespace tamarack;
@@ -45,8 +48,24 @@
     metric_registry metrics;
     io_thread thread;
     side_server server(thread, optionsOf(values));
-    wire_server listener(thread, wire, server);
+    std::atomic<bool> draining{false};
+    const auto status = [&] {
+        process_status now;
+        now.self = wire.self;
+        now.draining = draining;
+        now.serving = !draining;
+        now.requests = server.activeCalls();
+        return now.toJson();
+    };
+    status_handler handler(server, status);
+    wire_server listener(thread, wire, handler);
     admin_server admin(thread, metrics);
+    admin.addPage("/status", [&](const http_request &) {
+        http_response response;
+        response.contentType = "application/json";
+        response.body = status();
+        return response;
+    });
     const auto wirePort = listener.listen(values.text("wire-listen"));
     const auto adminPort = admin.listen(values.text("admin-listen"));
     if (!wirePort.ok() || !adminPort.ok()) {
@@ -61,6 +80,7 @@
     runUntilStopped(
         thread,
         [&] {
+            draining = true;
             admin.setReady(false, "draining");
             drainSide(server, values.milliseconds("drain-limit"));
         },
--- a/apps/tamarackctl.cpp
+++ b/apps/tamarackctl.cpp
@@ -1,13 +1,19 @@
 // The operators' client.
 #include <tamarackglade/ctl/config_commands.hpp>
 #include <tamarackglade/ctl/exit_code.hpp>
+#include <tamarackglade/ctl/fleet_commands.hpp>
+#include <tamarackglade/ctl/report_commands.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 DEFINE_string(platform, "", "addresses of the platform's service, ip:port, separated by commas");
 DEFINE_string(output, "text", "text or json");
@@ -29,24 +35,44 @@
 
 constexpr ctl_command Commands[] = {
     {"check", "check FILE", "list every fault of a manifest", false, &runCheck},
-    {"publish", "publish FILE [--base=OFFSET]",
+    {"publish", "publish FILE [--base=OFFSET] [--operator_name=NAME]",
      "append a manifest to the log and say whether it was accepted", true, &runPublish},
+    {"watch", "watch [--offset=N] [--timeout=SECONDS]",
+     "wait until a configuration is in force in every listed process", true, &runWatch},
+    {"status", "status", "show every listed process", true, &runStatus},
     {"key", "key issue CUSTOMER | key withdraw ID | key list", "manage callers' keys", true,
      &runKey},
-    {"drain", "drain VM", "tell the fleet that a VM is leaving", true, &runDrain},
+    {"jobs", "jobs list [CUSTOMER] | jobs show ID | jobs cancel ID", "see and cancel batch jobs",
+     true, &runJobs},
+    {"drain", "drain VM [--wait] [--timeout=SECONDS]", "give a VM no new work", true, &runDrain},
+    {"burn", "burn [--html=FILE]", "report how the objectives' budgets burn", true, &runBurn},
 };
 
+constexpr std::string_view ExitCodes =
+    "Exit codes: 0 done\n"
+    "            1 the platform or a process could not be reached\n"
+    "            2 wrong arguments, or faults in a file\n"
+    "            3 another publish won\n"
+    "            4 whether it took effect is not known\n"
+    "            5 what was waited for did not happen in time\n";
+
 std::string usageText()
 {
     std::string text = "tamarackctl [--platform=IP:PORT] [--output=json] COMMAND\n\nCommands:\n";
     for (const ctl_command &command : Commands)
         absl::StrAppend(&text, "  ", std::string(command.usage), "\n      ",
                         std::string(command.help), "\n");
-    absl::StrAppend(&text, "\nExit codes: 0 done, 1 failed, 2 wrong arguments or faults in a file,",
-                    "\n            3 another publish won, 4 whether it took effect is unknown\n");
+    absl::StrAppend(&text, "\nOptions: --platform=IP:PORT,... --fleet_secret_file=FILE ",
+                    "--output=text|json\n\n", std::string(ExitCodes));
     return text;
 }
 
+std::string helpOf(const ctl_command &command)
+{
+    return absl::StrCat("usage: tamarackctl ", std::string(command.usage), "\n\n",
+                        std::string(command.help), "\n\n", std::string(ExitCodes));
+}
+
 const ctl_command *findCommand(std::string_view name)
 {
     for (const ctl_command &command : Commands) {
@@ -56,6 +82,28 @@
     return nullptr;
 }
 
+// Prints the help of all commands, or of the one that is named beside --help.
+int printHelp(const std::vector<std::string> &arguments)
+{
+    for (const std::string &argument : arguments) {
+        if (const ctl_command *command = findCommand(argument)) {
+            std::cout << helpOf(*command);
+            return ExitDone;
+        }
+    }
+    std::cout << usageText();
+    return ExitDone;
+}
+
+// The fleet secret, or nothing if no file was named.
+std::string readSecret()
+{
+    std::ostringstream content;
+    if (!FLAGS_fleet_secret_file.empty())
+        content << std::ifstream(FLAGS_fleet_secret_file).rdbuf();
+    return std::string(absl::StripAsciiWhitespace(content.str()));
+}
+
 int runCommand(const ctl_command &command, std::vector<std::string> arguments)
 {
     ctl_output output(FLAGS_output == "json");
@@ -69,7 +117,7 @@
     int code = ExitFailed;
     thread.run([&] {
         platform_client platform(thread, addresses);
-        ctl_context context{thread, platform, output, std::move(arguments)};
+        ctl_context context{thread, platform, output, std::move(arguments), readSecret()};
         code = command.run(context);
     });
     return code;
@@ -79,6 +127,9 @@
 
 int main(int argc, char **argv)
 {
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (std::find(words.begin(), words.end(), "--help") != words.end())
+        return printHelp(words);
     gflags::SetUsageMessage(usageText());
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const ctl_command *command = argc > 1 ? findCommand(argv[1]) : nullptr;
--- a/include/tamarackglade/ctl/ctl_context.hpp
+++ b/include/tamarackglade/ctl/ctl_context.hpp
@@ -17,6 +17,7 @@
     platform_client &platform;
     ctl_output &output;
     std::vector<std::string> arguments; // after the command's name
+    std::string fleetSecret; // empty if no file was named
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/ctl/ctl_output.hpp
+++ b/include/tamarackglade/ctl/ctl_output.hpp
@@ -14,6 +14,8 @@
 public:
     explicit ctl_output(bool json) : m_json(json) { }
 
+    [[nodiscard]] bool isJson() const { return m_json; }
+
     /// @brief Prints the result: the object if JSON was asked for, else the text.
     void result(const nlohmann::ordered_json &object, const std::string &text);
     /// @brief Prints rows as a table, or as a JSON array of objects with the columns as names.
--- a/include/tamarackglade/ctl/exit_code.hpp
+++ b/include/tamarackglade/ctl/exit_code.hpp
@@ -9,6 +9,7 @@
     ExitUsage = 2, // wrong arguments, or faults in a file
     ExitLost = 3, // another publish won
     ExitUnknown = 4, // whether it took effect is not known
+    ExitTimeout = 5, // what was waited for did not happen in time
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/entry/answer_relay.hpp
+++ b/include/tamarackglade/entry/answer_relay.hpp
@@ -35,6 +35,8 @@
     void finishStream();
     void fail(const api_error &error);
     void observeFirstByte();
+    void observeGap();
+    void countRequest();
 
     entry_context &m_context;
     const caller_request &m_request;
@@ -48,6 +50,8 @@
     bool m_firstByteSeen = false;
     answer_head m_head;
     std::string m_body; // of an answer that isn't streamed
+    burn_event m_burn; // what the request means for the objectives
+    clock::time_point m_lastData; // when the last part of the stream came
     std::string m_tail; // the last bytes of a stream, to recognize [DONE]
 };
 
--- a/include/tamarackglade/entry/entry_context.hpp
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -1,6 +1,7 @@
 // What the request handlers of an entry share.
 #pragma once
 
+#include <tamarackglade/entry/burn_service.hpp>
 #include <tamarackglade/entry/call_board.hpp>
 #include <tamarackglade/entry/limit_service.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
@@ -17,6 +18,7 @@
     call_board &calls;
     limit_service &limits;
     metric_registry &metrics;
+    burn_service &burn;
     std::chrono::milliseconds requestTimeout{120'000};
 };
 
--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -10,8 +10,11 @@
 #include <tamarackglade/http/http_server.hpp>
 #include <tamarackglade/http/tls_context.hpp>
 #include <tamarackglade/node/config_service.hpp>
+#include <tamarackglade/node/process_status.hpp>
+#include <tamarackglade/node/side_board.hpp>
 #include <tamarackglade/node/vm_watch.hpp>
 #include <tamarackglade/settings/setting_values.hpp>
+#include <tamarackglade/wire/status_handler.hpp>
 #include <tamarackglade/wire/wire_server.hpp>
 
 #include <absl/status/status.h>
@@ -49,6 +52,7 @@
     void reloadTlsLoop();
     void drain();
     std::size_t activeRequests() const;
+    process_status status();
 
     const setting_values &m_settings;
     const wire_settings &m_wire;
@@ -58,10 +62,13 @@
     call_board m_calls;
     std::optional<tls_context> m_tls;
     std::atomic<bool> m_endNow{false}; // a second signal came
+    std::atomic<bool> m_draining{false};
+    side_board m_sideBoard;
 
     io_thread m_control;
     platform_client m_platform;
     limit_service m_limits;
+    burn_service m_burn;
     batch_board m_batchBoard;
     job_service m_jobs;
     job_desk m_desk;
@@ -69,6 +76,7 @@
     request_front m_front;
     config_service m_configService;
     vm_watch m_vmWatch;
+    status_handler m_statusHandler;
     wire_server m_wireServer;
     admin_server m_admin;
     std::vector<std::unique_ptr<io_thread>> m_threads;
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -2,11 +2,14 @@
 #include <tamarackglade/config/parse_manifest.hpp>
 #include <tamarackglade/ctl/config_commands.hpp>
 #include <tamarackglade/ctl/config_reader.hpp>
+#include <tamarackglade/ctl/ctl_failure.hpp>
 #include <tamarackglade/ctl/exit_code.hpp>
+#include <tamarackglade/ctl/fleet_commands.hpp>
 #include <tamarackglade/keys/issued_key.hpp>
 #include <tamarackglade/runtime/random_bytes.hpp>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 #include <gflags/gflags.h>
 
 #include <fstream>
@@ -15,6 +18,7 @@
 DEFINE_int64(base, -1,
              "publish: offset of the manifest that the file was built on; -1 takes the "
              "one in force");
+DEFINE_bool(wait, false, "drain: wait until the VM takes no work and has none");
 DEFINE_string(operator_name, "operator", "publish: who publishes, shown to those who lose a race");
 
 namespace tamarack {
@@ -31,26 +35,37 @@
     return text.str();
 }
 
-int wrongArguments(ctl_context &context, const std::string &usage)
+// "FILE:LINE: [section] key: found X, expected Y"; a fault of the whole file has no line.
+std::string faultText(const std::string &path, manifest_fault fault)
 {
-    context.output.error(absl::StrCat("usage: tamarackctl ", usage));
-    return ExitUsage;
+    const std::string line = fault.line == 0 ? "" : absl::StrCat(":", fault.line);
+    fault.line = 0;
+    return absl::StrCat(path, line, ": ",
+                        std::string(absl::StripPrefix(fault.toString(), "manifest: ")));
 }
 
-int failed(ctl_context &context, const absl::Status &status)
+nlohmann::ordered_json faultJson(const std::string &path, const manifest_fault &fault)
 {
-    context.output.error(std::string(status.message()));
-    if (!absl::IsUnknown(status))
-        return ExitFailed;
-    context.output.error("whether it took effect is not known: look with 'status' and try again");
-    return ExitUnknown;
+    nlohmann::ordered_json object;
+    object["file"] = path;
+    object["line"] = fault.line;
+    object["section"] = fault.section;
+    object["key"] = fault.key;
+    object["found"] = fault.found;
+    object["expected"] = fault.expected;
+    return object;
 }
 
 // Prints every fault; returns whether there was none.
 bool reportFaults(ctl_context &context, const std::string &path, const manifest_result &result)
 {
-    for (const manifest_fault &fault : result.faults)
-        context.output.error(absl::StrCat(path, ": ", fault.toString()));
+    auto faults = nlohmann::ordered_json::array();
+    for (const manifest_fault &fault : result.faults) {
+        context.output.error(faultText(path, fault));
+        faults.push_back(faultJson(path, fault));
+    }
+    if (!result.ok() && context.output.isJson())
+        context.output.result({{"faults", faults}}, "");
     return result.ok();
 }
 
@@ -229,7 +244,7 @@
 int runDrain(ctl_context &context)
 {
     if (context.arguments.size() != 1)
-        return wrongArguments(context, "drain VM");
+        return wrongArguments(context, "drain VM [--wait] [--timeout=SECONDS]");
     schema::vm_drained_message record;
     record.vm = context.arguments[0];
     schema::log_batch_message batch = newBatch();
@@ -237,11 +252,18 @@
     const auto stored = appendConfig(context.platform, batch);
     if (!stored.ok())
         return failed(context, stored.status());
+    if (FLAGS_wait) {
+        const int code = waitDrained(context, record.vm, *stored);
+        if (code != ExitDone)
+            return code;
+    }
     nlohmann::ordered_json object;
     object["vm"] = record.vm;
     object["offset"] = stored->value();
+    object["drained"] = FLAGS_wait;
     context.output.result(object,
-                          absl::StrCat(record.vm, " is draining since offset ", stored->value()));
+                          absl::StrCat(record.vm, FLAGS_wait ? " is drained" : " is draining",
+                                       " since offset ", stored->value()));
     return ExitDone;
 }
 
--- /dev/null
+++ b/src/ctl/ctl_failure.cpp
@@ -0,0 +1,24 @@
+// Messages and exit codes of failures.
+#include <tamarackglade/ctl/ctl_failure.hpp>
+#include <tamarackglade/ctl/exit_code.hpp>
+
+#include <absl/strings/str_cat.h>
+
+namespace tamarack {
+
+int wrongArguments(ctl_context &context, const std::string &usage)
+{
+    context.output.error(absl::StrCat("usage: tamarackctl ", usage));
+    return ExitUsage;
+}
+
+int failed(ctl_context &context, const absl::Status &status)
+{
+    context.output.error(std::string(status.message()));
+    if (!absl::IsUnknown(status))
+        return ExitFailed;
+    context.output.error("whether it took effect is not known: look with 'status' and try again");
+    return ExitUnknown;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/ctl/vm_status.cpp
@@ -0,0 +1,29 @@
+// Members of a status answer.
+#include <tamarackglade/ctl/vm_status.hpp>
+
+namespace tamarack {
+
+std::optional<std::uint64_t> vm_status::number(const char *member) const
+{
+    if (!answer.is_object() || !answer.contains(member) || !answer[member].is_number_unsigned())
+        return std::nullopt;
+    return answer[member].get<std::uint64_t>();
+}
+
+bool vm_status::flag(const char *member) const
+{
+    return answer.is_object() && answer.contains(member) && answer[member].is_boolean()
+           && answer[member].get<bool>();
+}
+
+bool vm_status::hasInForce(log_offset offset) const
+{
+    if (!isReached())
+        return false;
+    const auto held = number("config_offset");
+    if (!held)
+        return listed.role == vm_role::Side;
+    return *held >= offset.value() && (flag("serving") || flag("draining"));
+}
+
+} // namespace tamarack
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -53,6 +53,13 @@
     return error;
 }
 
+burn_result burnResultOf(const api_error &error)
+{
+    if (error.status < ServerErrorStatus)
+        return burn_result::NotCounted;
+    return error.ran == executed::No ? burn_result::Refused : burn_result::Failed;
+}
+
 // The upstream's own message, if its body has one in the usual shape.
 std::string upstreamMessage(const std::string &body)
 {
@@ -73,6 +80,9 @@
 void answer_relay::run(const call_request &call)
 {
     m_deadline = m_started + call.timeout;
+    m_burn.streamed = call.streamed;
+    m_burn.gaps = burn_counter::gapsFor(*m_request.config->inForce, m_request.from.customer,
+                                        objective_class::Online);
     const attempt_id attempt = m_context.calls.start(call, m_channel);
     while (!m_finished) {
         answer_event event;
@@ -93,8 +103,11 @@
             fail(timeoutError());
         else
             m_request.exchange.abortStream();
+        if (waited != wait_result::TimedOut)
+            m_burn.result = burn_result::NotCounted;
         m_finished = true;
     }
+    countRequest();
 }
 
 answer_relay::wait_result answer_relay::waitForEvent(answer_event &event)
@@ -150,6 +163,7 @@
         m_tail = (m_tail + bytes);
         if (m_tail.size() > TailBytes)
             m_tail.erase(0, m_tail.size() - TailBytes);
+        observeGap();
         m_request.exchange.writeChunk(bytes);
     }
     if (next)
@@ -209,6 +223,7 @@
 
 void answer_relay::fail(const api_error &error)
 {
+    m_burn.result = burnResultOf(error);
     m_context.metrics.add(absl::StrCat("tamarack_errors_total{code=\"", error.code, "\"}"));
     if (!m_streaming) {
         m_request.refuse(error);
@@ -230,4 +245,22 @@
     m_context.metrics.observeSeconds("tamarack_first_byte_seconds", "", waited.count());
 }
 
+void answer_relay::observeGap()
+{
+    const auto now = clock::now();
+    if (m_burn.firstToken) {
+        for (burn_gap &gap : m_burn.gaps)
+            gap.add(now - m_lastData);
+    } else {
+        m_burn.firstToken = now - m_started;
+    }
+    m_lastData = now;
+}
+
+void answer_relay::countRequest()
+{
+    m_burn.customer = m_request.from.customer;
+    m_context.burn.onEvent(*m_request.config, m_burn);
+}
+
 } // namespace tamarack
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::milliseconds DrainPoll{20};
 constexpr std::chrono::seconds TlsReloadPeriod{1};
+constexpr std::chrono::seconds BurnInterval{30}; // the most that a lost VM takes with it
 
 http_response serverError(unsigned status, const std::string &code, const std::string &message)
 {
@@ -24,19 +25,30 @@
     return errorResponse(error, randomId("req_"));
 }
 
+http_response jsonResponse(std::string text)
+{
+    http_response response;
+    response.contentType = "application/json";
+    response.body = std::move(text);
+    return response;
+}
+
 } // namespace
 
 entry_process::entry_process(const setting_values &settings, const wire_settings &wire)
     : m_settings(settings), m_wire(wire), m_platform(m_control, settings.list("platform")),
-      m_limits(m_control, m_platform, m_peers, m_metrics, wire.self), m_batchBoard(wire.self),
+      m_limits(m_control, m_platform, m_peers, m_metrics, wire.self),
+      m_burn(m_control, m_platform, m_metrics, wire.self, BurnInterval), m_batchBoard(wire.self),
       m_jobs({m_control, m_platform, m_peers, m_batchBoard, m_config, m_metrics, wire.self}),
       m_desk(m_jobs, m_config, submission_limits{}),
-      m_context{m_config, m_calls, m_limits, m_metrics, settings.milliseconds("request-timeout")},
+      m_context{m_config,  m_calls, m_limits,
+                m_metrics, m_burn,  settings.milliseconds("request-timeout")},
       m_front(m_context, m_control, m_desk),
       m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
       m_vmWatch(m_control, m_platform, wire, region_id(settings.text("region")), *this,
                 [this](const vm_list &list) { onVmList(list); }),
-      m_wireServer(m_control, wire, *this), m_admin(m_control, m_metrics)
+      m_statusHandler(*this, [this] { return status().toJson(); }),
+      m_wireServer(m_control, wire, m_statusHandler), m_admin(m_control, m_metrics)
 {
 }
 
@@ -48,6 +60,8 @@
     const auto wirePort = m_wireServer.listen(m_settings.text("wire-listen"));
     if (!wirePort.ok())
         return wirePort.status();
+    m_admin.addPage("/status",
+                    [this](const http_request &) { return jsonResponse(this->status().toJson()); });
     const auto adminPort = m_admin.listen(m_settings.text("admin-listen"));
     if (!adminPort.ok())
         return adminPort.status();
@@ -55,6 +69,7 @@
                                        bool serving) { onConfig(*state, serving); });
     m_configService.start();
     m_vmWatch.start();
+    m_burn.start();
     return startServing();
 }
 
@@ -130,6 +145,8 @@
     if (peer->identity().role != schema::vm_role::Side)
         return;
     const auto *report = frame.body.Asload_report();
+    if (report != nullptr)
+        m_sideBoard.onReport(*peer, *report);
     if (report != nullptr && report->state == schema::upstream_state::Leaving)
         m_vmWatch.onLeaving(peer->identity());
     if (!m_batchBoard.onFrame(peer, frame))
@@ -141,6 +158,7 @@
     m_peers.remove(peer);
     if (peer->identity().role != schema::vm_role::Side)
         return;
+    m_sideBoard.onClosed(*peer);
     m_batchBoard.onClosed(peer);
     m_calls.onClosed(peer);
 }
@@ -150,7 +168,10 @@
     m_limits.onConfig(state);
     m_vmWatch.onConfig(state);
     m_jobs.onConfig(state);
-    m_admin.setReady(serving, serving ? "" : "no configuration is confirmed");
+    if (state.isDrained(m_wire.self.vm, m_wire.self.incarnation))
+        m_admin.setReady(false, "drained by an operator");
+    else
+        m_admin.setReady(serving, serving ? "" : "no configuration is confirmed");
 }
 
 void entry_process::onVmList(const vm_list &list)
@@ -175,6 +196,7 @@
 
 void entry_process::drain()
 {
+    m_draining = true;
     m_admin.setReady(false, "draining");
     boost::this_fiber::sleep_for(m_settings.milliseconds("drain-notice"));
     for (const auto &server : m_servers)
@@ -185,6 +207,7 @@
     while ((activeRequests() > 0 || !m_jobs.isReleased()) && !m_endNow
            && std::chrono::steady_clock::now() < deadline)
         boost::this_fiber::sleep_for(DrainPoll);
+    m_burn.flush();
     log_event(log_level::Info, "stopped").with("requests_cut", activeRequests());
 }
 
@@ -196,4 +219,20 @@
     return active;
 }
 
+process_status entry_process::status()
+{
+    process_status status;
+    status.self = m_wire.self;
+    const auto config = m_config.current();
+    status.configOffset = config ? config->offset : log_offset(0);
+    status.manifestOffset = config ? config->manifestOffset : log_offset(0);
+    status.draining =
+        m_draining || (config && config->isDrained(m_wire.self.vm, m_wire.self.incarnation));
+    status.serving = m_configService.readiness() == config_readiness::Serving && !status.draining;
+    status.partitionsOwned = m_jobs.ownedCount();
+    status.requests = activeRequests();
+    status.sides = m_sideBoard.sides();
+    return status;
+}
+
 } // namespace tamarack
--- a/src/entry/request_front.cpp
+++ b/src/entry/request_front.cpp
@@ -85,6 +85,7 @@
     if (from.customer.value().empty())
         return std::nullopt;
     const limit_verdict verdict = m_context.limits.admit(from.customer);
+    m_context.burn.onAdmission(*m_context.config.current(), from.customer, verdict.admitted);
     if (verdict.admitted)
         return std::nullopt;
     return api_error{429,
--- /dev/null
+++ b/src/node/process_status.cpp
@@ -0,0 +1,77 @@
+// The JSON of a process's status.
+#include <tamarackglade/node/process_status.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace tamarack {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+const char *roleName(schema::vm_role role)
+{
+    switch (role) {
+    case schema::vm_role::Entry:
+        return "entry";
+    case schema::vm_role::Side:
+        return "side";
+    case schema::vm_role::Control:
+        return "control";
+    }
+    return "";
+}
+
+const char *stateName(schema::upstream_state state)
+{
+    switch (state) {
+    case schema::upstream_state::Serving:
+        return "serving";
+    case schema::upstream_state::Leaving:
+        return "leaving";
+    case schema::upstream_state::Down:
+        return "down";
+    }
+    return "";
+}
+
+json offsetOrNull(const std::optional<log_offset> &offset)
+{
+    return offset ? json(offset->value()) : json(nullptr);
+}
+
+json sideJson(const side_status &side)
+{
+    json object;
+    object["vm"] = side.vm.value();
+    object["group"] = side.report.group;
+    object["state"] = stateName(side.report.state);
+    object["model_version"] = side.report.model_version;
+    object["online_active"] = side.report.online_active;
+    object["batch_active"] = side.report.batch_active;
+    object["queued"] = side.report.queued;
+    return object;
+}
+
+} // namespace
+
+std::string process_status::toJson() const
+{
+    json object;
+    object["vm"] = self.vm.value();
+    object["role"] = roleName(self.role);
+    object["incarnation"] = self.incarnation.value();
+    object["zone"] = self.zone.value();
+    object["config_offset"] = offsetOrNull(configOffset);
+    object["manifest_offset"] = offsetOrNull(manifestOffset);
+    object["serving"] = serving;
+    object["draining"] = draining;
+    object["partitions_owned"] = partitionsOwned;
+    object["requests"] = requests;
+    object["sides"] = json::array();
+    for (const side_status &side : sides)
+        object["sides"].push_back(sideJson(side));
+    return object.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+} // namespace tamarack
