--- a/include/tamarackglade/side/side_process.hpp
+++ b/include/tamarackglade/side/side_process.hpp
@@ -3,8 +3,10 @@
 
 #include <tamarackglade/http/admin_server.hpp>
 #include <tamarackglade/node/config_service.hpp>
+#include <tamarackglade/node/process_status.hpp>
 #include <tamarackglade/settings/setting_values.hpp>
 #include <tamarackglade/side/side_server.hpp>
+#include <tamarackglade/wire/status_handler.hpp>
 #include <tamarackglade/wire/wire_server.hpp>
 
 #include <absl/status/status.h>
@@ -31,6 +33,7 @@
     void onConfig(const config_state &state);
     void updatePeers();
     void drain();
+    process_status status() const;
 
     const setting_values &m_settings;
     const wire_settings &m_wire;
@@ -38,10 +41,12 @@
     config_store m_config;
     peer_directory m_peers;
     bool m_endNow = false; // a second signal came
+    bool m_draining = false;
     io_thread m_thread;
     platform_client m_platform;
     config_service m_configService;
     side_server m_server;
+    status_handler m_statusHandler;
     wire_server m_wireServer;
     admin_server m_admin;
 };
--- a/src/side/side_process.cpp
+++ b/src/side/side_process.cpp
@@ -29,7 +29,8 @@
     : m_settings(settings), m_wire(wire), m_platform(m_thread, settings.list("platform")),
       m_configService(m_thread, m_platform, m_peers, m_config, wire.self.vm),
       m_server(m_thread, m_metrics, optionsOf(settings), wire.self.incarnation),
-      m_wireServer(m_thread, wire, *this), m_admin(m_thread, m_metrics)
+      m_statusHandler(*this, [this] { return status().toJson(); }),
+      m_wireServer(m_thread, wire, m_statusHandler), m_admin(m_thread, m_metrics)
 {
 }
 
@@ -38,6 +39,11 @@
     const auto wirePort = m_wireServer.listen(m_settings.text("wire-listen"));
     if (!wirePort.ok())
         return wirePort.status();
+    m_admin.addPage("/status", [this](const http_request &) {
+        http_response response;
+        response.body = status().toJson();
+        return response;
+    });
     const auto adminPort = m_admin.listen(m_settings.text("admin-listen"));
     if (!adminPort.ok())
         return adminPort.status();
@@ -86,10 +92,25 @@
         m_server.setOnlineProtection(state.inForce->batch.onlineProtection / Percent);
     if (!state.isDrained(m_wire.self.vm, m_wire.self.incarnation))
         return;
+    m_draining = true;
     m_admin.setReady(false, "drained by an operator");
     m_server.drain();
 }
 
+process_status side_process::status() const
+{
+    process_status status;
+    status.self = m_wire.self;
+    if (const auto config = m_config.current()) {
+        status.configOffset = config->offset;
+        status.manifestOffset = config->manifestOffset;
+    }
+    status.draining = m_draining;
+    status.serving = !m_draining;
+    status.requests = m_server.activeCalls();
+    return status;
+}
+
 // A side gossips with the entries that are connected to it.
 void side_process::updatePeers()
 {
@@ -101,6 +122,7 @@
 
 void side_process::drain()
 {
+    m_draining = true;
     m_admin.setReady(false, "draining");
     m_server.drain();
     const auto limit = m_settings.milliseconds("drain-limit");
