--- a/tests/shell-fuzz-parsers.cpp
+++ b/tests/shell-fuzz-parsers.cpp
@@ -92,7 +92,7 @@
 bool isSound(const std::variant<completion_request, api_error> &result)
 {
     if (const auto *error = std::get_if<api_error>(&result))
-        return error->status >= 400 && error->status < 500 && error->ran == executed::No;
+        return error->status >= 400 && error->status < 500 && error->ran == execution::No;
     return nlohmann::json::accept(std::get<completion_request>(result).body);
 }
 
