--- a/src/wire/wire_connection.cpp
+++ b/src/wire/wire_connection.cpp
@@ -21,8 +21,8 @@
 
 const std::string &encodedKeepalive()
 {
-    static const std::string bytes = encodeFrame(frameBody(schema::keepalive_message{}));
-    return bytes;
+    static const std::string Bytes = encodeFrame(frameBody(schema::keepalive_message{}));
+    return Bytes;
 }
 
 } // namespace
