--- /dev/null
+++ b/tests/e2e/scenario.py
@@ -0,0 +1,456 @@
+"""Interpreter of the scenario language: one statement a line, run over real processes.
+
+A statement is a sentence of fixed form; `Scenario.STATEMENTS` lists every form. Comments start with
+`#`. A line of no known form is a `ScenarioError` with file and line, found before anything starts;
+an expectation that does not hold is an AssertionError that names its line.
+"""
+
+import collections
+import http.client
+import json
+import pathlib
+import re
+import signal
+import threading
+import time
+
+from support import MANIFEST, Fleet, http_call, wait_until
+from test_batch import items, multipart
+
+CALL_TIMEOUT_S = 60
+POLL_S = 0.05
+RATES = {"shire": (1000, 1000), "depot": (2, 3)}  # requests/s and burst in the manifest
+
+
+class ScenarioError(Exception):
+    """A malformed line; the text starts with file:line."""
+
+
+Answer = collections.namedtuple("Answer", "status headers body")
+Statement = collections.namedtuple("Statement", "number text method arguments")
+
+
+class Job:
+    """A batch job as its caller knows it."""
+
+    def __init__(self, customer, count, content, key):
+        self.customer = customer
+        self.count = count
+        self.content = content
+        self.key = key
+        self.answer = None
+        self.results = None
+
+    @property
+    def id(self):
+        return json.loads(self.answer.body)["id"]
+
+
+STATEMENTS = []
+
+
+def statement(pattern):
+    """Registers a method as the meaning of a sentence."""
+    def register(method):
+        STATEMENTS.append((re.compile(pattern + r"\Z"), method))
+        return method
+    return register
+
+
+def parse(path):
+    """Reads a scenario file; raises ScenarioError for the first malformed line."""
+    path = pathlib.Path(path)
+    program = []
+    for number, line in enumerate(path.read_text().splitlines(), 1):
+        text = line.split("#", 1)[0].strip()
+        if text:
+            program.append(_parse_line(path, number, text))
+    if not program:
+        raise ScenarioError(f"{path.name}:1: no statement")
+    return program
+
+
+def _parse_line(path, number, text):
+    for pattern, method in STATEMENTS:
+        match = pattern.match(text)
+        if match:
+            return Statement(number, text, method, match.groups())
+    raise ScenarioError(f"{path.name}:{number}: unknown statement: {text}")
+
+
+class Scenario:
+    """State of one run: the fleet, and what callers have sent and received under their names."""
+
+    def __init__(self, path, bin_dir, work_dir):
+        self.path = pathlib.Path(path)
+        self.program = parse(path)
+        self.dir = pathlib.Path(work_dir)
+        self.fleet = Fleet(bin_dir, self.dir)
+        self.keys = {}
+        self.answers = {}
+        self.jobs = {}
+        self.pending = {}
+        self.admitted = []  # (time sent, time answered) of admitted calls of a flood
+        self.faults = {}  # upstream name -> switches, given again after a restart
+        self.ended = threading.Event()
+        self.supervisor = None
+
+    def run(self):
+        """Runs every statement in order."""
+        for step in self.program:
+            try:
+                step.method(self, *step.arguments)
+            except Exception as error:
+                place = f"{self.path.name}:{step.number}: {step.text}"
+                raise AssertionError(f"{place}\n{type(error).__name__}: {error}") from error
+
+    def close(self):
+        """Ends every process of the run."""
+        self.ended.set()
+        if self.supervisor:
+            self.supervisor.join()
+        self.fleet.stop()
+
+    # -- names ------------------------------------------------------------------------------
+
+    def vm(self, name):
+        for vm in self.fleet.entries + self.fleet.sides:
+            if vm.name == name:
+                return vm
+        raise ValueError(f"no VM {name}")
+
+    def process(self, name):
+        """A VM's process, or with `the upstream of NAME` the one beside it."""
+        if name.startswith("the upstream of "):
+            return self.fleet.upstreams[name.removeprefix("the upstream of ")]
+        return self.vm(name).process
+
+    def headers(self, customer, key=None):
+        return {"Authorization": f"Bearer {key or self.keys[customer]}",
+                "Content-Type": "application/json"}
+
+    def call(self, entry, method, path, body=None, headers=None):
+        """One request; a connection that ends without an answer gives status 0."""
+        try:
+            return Answer(*http_call(self.vm(entry).http, method, path, body, headers,
+                                     CALL_TIMEOUT_S))
+        except (OSError, EOFError, ValueError, http.client.HTTPException):
+            return Answer(0, {}, b"")
+
+    def chat(self, entry, customer, prompt="gap road", key=None):
+        body = {"model": "drafter", "max_tokens": 8,
+                "messages": [{"role": "user", "content": prompt}]}
+        return self.call(entry, "POST", "/v1/chat/completions", json.dumps(body),
+                         self.headers(customer, key))
+
+    # -- starting ---------------------------------------------------------------------------
+
+    @statement(r"start (\d+) entr(?:y|ies)")
+    def start_entries(self, count):
+        for _ in range(int(count)):
+            self.fleet.add_entry()
+
+    @statement(r"start (\d+) engines?(?: with (.+))?")
+    def start_engines(self, count, flags):
+        for _ in range(int(count)):
+            self.fleet.add_upstream("engines", flags=[f"--{f}" for f in (flags or "").split()])
+
+    @statement(r"start a plain service")
+    def start_service(self):
+        self.fleet.add_upstream("records", kind="service")
+
+    @statement(r"start an entry that cannot reach the log")
+    def start_cut_entry(self):
+        self.fleet.add_entry(extra={"platform": "127.0.0.1:1"})
+
+    @statement(r"publish the manifest")
+    def publish(self):
+        path = self.dir / "manifest.ini"
+        path.write_text(MANIFEST)
+        self.fleet.publish(path)
+        self.keys = {name: self.fleet.issue_key(name) for name in RATES}
+
+    @statement(r"wait until (?:all VMs|(\S+)) (?:are|is) ready(?: within (\d+) s)?")
+    def wait_ready(self, name, seconds):
+        vms = [self.vm(name)] if name else self.fleet.entries + self.fleet.sides
+        for vm in vms:
+            wait_until(lambda v=vm: http_call(v.admin, "GET", "/readyz")[0] == 200,
+                       f"{vm.name} ready", int(seconds or 60))
+        for vm in vms:
+            if vm.http:
+                wait_until(lambda v=vm: self.chat(v.name, "shire").status == 200,
+                           f"a first answer of {vm.name}")
+
+    @statement(r"restart (the upstream of \S+|\S+)")
+    def restart(self, name):
+        self.process(name).start()
+
+    @statement(r"restart crashed upstreams from now on")
+    def supervise(self):
+        def watch():
+            while not self.ended.wait(POLL_S):
+                for vm in self.fleet.sides:
+                    upstream = self.fleet.upstreams[vm.name]
+                    if upstream.child.poll() is not None:
+                        upstream.start()
+                        switches = self.faults.get(vm.name)
+                        if switches:
+                            wait_until(lambda v=vm, s=switches: self.fleet.fault(v.upstream, **s)
+                                       or True, f"{vm.name} up again")
+        self.supervisor = threading.Thread(target=watch)
+        self.supervisor.start()
+
+    # -- faults -----------------------------------------------------------------------------
+
+    @statement(r"kill (the upstream of \S+|\S+)")
+    def kill(self, name):
+        self.process(name).kill()
+
+    @statement(r"kill every entry and side")
+    def kill_all(self):
+        for vm in self.fleet.entries + self.fleet.sides:
+            vm.process.kill()
+
+    @statement(r"restart every entry and side")
+    def restart_all(self):
+        for vm in self.fleet.entries + self.fleet.sides:
+            vm.process.start()
+
+    @statement(r"pause (the upstream of \S+|\S+)")
+    def pause(self, name):
+        self.process(name).signal(signal.SIGSTOP)
+
+    @statement(r"resume (the upstream of \S+|\S+)")
+    def resume(self, name):
+        self.process(name).signal(signal.SIGCONT)
+
+    @statement(r"drop (\S+) from the VM list")
+    def drop(self, name):
+        self.fleet.unregister(name)
+
+    @statement(r"the log goes (down|up)")
+    def log_state(self, state):
+        self.fleet.fault(self.fleet.platform, log=state)
+
+    @statement(r"the log loses its next (\d+) answers?")
+    def lose_answers(self, count):
+        self.fleet.fault(self.fleet.platform, lose_next_answers=int(count))
+
+    @statement(r"fault (\S+) (\w+)=(\S+)")
+    def fault(self, name, switch, value):
+        self.faults.setdefault(name, {})[switch] = int(value) if value.isdigit() else value
+        self.fleet.fault(self.vm(name).upstream, **self.faults[name])
+
+    @statement(r"wait (\d+) s")
+    def wait(self, seconds):
+        time.sleep(int(seconds))
+
+    # -- requests ---------------------------------------------------------------------------
+
+    @statement(r"send chat of (\w+) to (\S+) as (\w+)")
+    def send_chat(self, customer, entry, name):
+        self.answers[name] = self.chat(entry, customer)
+
+    @statement(r"send POST (\S+) of (\w+) to (\S+) as (\w+)")
+    def send_post(self, path, customer, entry, name):
+        self.answers[name] = self.call(entry, "POST", path, b"{}", self.headers(customer))
+
+    @statement(r"begin POST (\S+) of (\w+) to (\S+) as (\w+)")
+    def begin_post(self, path, customer, entry, name):
+        def work():
+            self.send_post(path, customer, entry, name)
+        self.pending[name] = threading.Thread(target=work)
+        self.pending[name].start()
+
+    @statement(r"wait for (\w+)")
+    def wait_for(self, name):
+        self.pending.pop(name).join(CALL_TIMEOUT_S)
+
+    @statement(r"flood chats of (\w+) at every entry for (\d+) s")
+    def flood(self, customer, seconds):
+        """Callers at every entry send as fast as answers come; refused connections count not."""
+        deadline = time.monotonic() + int(seconds)
+
+        def work(entry):
+            while time.monotonic() < deadline:
+                sent = time.monotonic()
+                status = self.chat(entry, customer).status
+                if status == 200:
+                    self.admitted.append((sent, time.monotonic()))
+                elif status == 0:
+                    time.sleep(POLL_S)
+        for vm in self.fleet.entries:
+            thread = threading.Thread(target=work, args=(vm.name,))
+            self.pending[f"flood {vm.name}"] = thread
+            thread.start()
+
+    @statement(r"wait for the flood")
+    def wait_flood(self):
+        for name in [name for name in self.pending if name.startswith("flood ")]:
+            self.pending.pop(name).join(CALL_TIMEOUT_S)
+
+    @statement(r"issue key (\w+) of (\w+)")
+    def issue_key(self, name, customer):
+        self.keys[name] = self.fleet.issue_key(customer)
+        for vm in self.fleet.entries:
+            wait_until(lambda v=vm: self.chat(v.name, name).status == 200, f"the key at {vm.name}")
+
+    @statement(r"withdraw key (\w+)")
+    def withdraw_key(self, name):
+        self.fleet.ctl("key", "withdraw", self.keys[name].split("_")[1])
+
+    # -- jobs -------------------------------------------------------------------------------
+
+    @statement(r"send job (\w+) of (\w+) with (\d+) items(?: of (\d+) tokens)?(?:, (\d+) POISON,)?"
+               r" to (\S+)")
+    def send_job(self, name, customer, count, tokens, poison, entry):
+        content = items(int(count), prefix=name, max_tokens=int(tokens or 6))
+        if poison:
+            content = content.replace(f"check {name} ", f"POISON {name} ", int(poison))
+        self.jobs[name] = Job(customer, int(count), content, f"key-{name}")
+        self.resend(name, entry)
+
+    @statement(r"resend job (\w+) to (\S+)")
+    def resend(self, name, entry):
+        job = self.jobs[name]
+        headers, body = multipart(job.content)
+        upload = self.call(entry, "POST", "/v1/files", body,
+                           {**self.headers(job.customer), **headers})
+        if upload.status != 200:
+            job.answer = upload
+            return
+        request = {"input_file_id": json.loads(upload.body)["id"],
+                   "endpoint": "/v1/chat/completions", "completion_window": "24h"}
+        job.answer = self.call(entry, "POST", "/v1/batches", json.dumps(request),
+                               {**self.headers(job.customer), "Idempotency-Key": job.key})
+
+    @statement(r"resend job (\w+) to (\S+), expect the same job")
+    def resend_same(self, name, entry):
+        before = self.jobs[name].id
+        self.resend(name, entry)
+        assert self.jobs[name].answer.status == 200, self.jobs[name].answer
+        assert self.jobs[name].id == before, (self.jobs[name].id, before)
+
+    @statement(r"expect job (\w+) accepted")
+    def job_accepted(self, name):
+        assert self.jobs[name].answer.status == 200, self.jobs[name].answer
+
+    @statement(r"expect job (\w+) refused at once, not run, with Retry-After")
+    def job_refused(self, name):
+        self._refused(self.jobs[name].answer)
+
+    @statement(r"expect job (\w+) accepted or of unknown outcome")
+    def job_known(self, name):
+        answer = self.jobs[name].answer
+        if answer.status != 200:
+            assert json.loads(answer.body)["error"]["executed"] == "unknown", answer
+
+    @statement(r"expect one job of (\w+) at (\S+)")
+    def one_job(self, customer, entry):
+        answer = self.call(entry, "GET", "/v1/batches?limit=100", None, self.headers(customer))
+        assert len(json.loads(answer.body)["data"]) == 1, answer.body
+
+    @statement(r"expect job (\w+) completed at (\S+) within (\d+) s")
+    def job_completed(self, name, entry, seconds):
+        job = self.jobs[name]
+
+        def ended():
+            answer = self.call(entry, "GET", f"/v1/batches/{job.id}", None,
+                               self.headers(job.customer))
+            return answer.status == 200 and json.loads(answer.body)["status"] == "completed"
+        wait_until(ended, f"the end of job {name}", int(seconds))
+        job.results = self._results(job, entry)
+
+    @statement(r"expect every item of (\w+) once")
+    def items_once(self, name):
+        job = self.jobs[name]
+        ids = sorted(line["custom_id"] for line in job.results)
+        assert ids == sorted(f"{name}-{n}" for n in range(job.count)), ids
+
+    @statement(r"expect (\d+) failed items? of (\w+)")
+    def failed_items(self, count, name):
+        failed = [line["custom_id"] for line in self.jobs[name].results if line.get("error")]
+        assert len(failed) == int(count), failed
+
+    @statement(r"expect the results of (\w+) unchanged at (\S+)")
+    def unchanged(self, name, entry):
+        job = self.jobs[name]
+        assert self._results(job, entry) == job.results
+
+    def _results(self, job, entry):
+        headers = self.headers(job.customer)
+        view = json.loads(self.call(entry, "GET", f"/v1/batches/{job.id}", None, headers).body)
+        lines = []
+        for field in ("output_file_id", "error_file_id"):
+            if view.get(field):
+                answer = self.call(entry, "GET", f"/v1/files/{view[field]}/content", None, headers)
+                assert answer.status == 200, answer
+                lines += [json.loads(line) for line in answer.body.decode().splitlines()]
+        return lines
+
+    # -- expectations -----------------------------------------------------------------------
+
+    def _refused(self, answer):
+        assert answer.status in (429, 503), answer
+        assert json.loads(answer.body)["error"]["executed"] == "no", answer.body
+        assert int(answer.headers["Retry-After"]) >= 1, answer.headers
+
+    @statement(r"expect (\w+) answered")
+    def answered(self, name):
+        assert self.answers[name].status == 200, self.answers[name]
+
+    @statement(r"expect (\w+) refused with (\d+), not run, with Retry-After")
+    def refused(self, name, status):
+        assert self.answers[name].status == int(status), self.answers[name]
+        self._refused(self.answers[name])
+
+    @statement(r"expect (\w+) not said to be not run")
+    def not_denied(self, name):
+        answer = self.answers[name]
+        assert answer.status != 200, answer
+        if answer.status:
+            assert json.loads(answer.body)["error"]["executed"] != "no", answer.body
+
+    @statement(r"expect (\S+) ran (exactly|at most) (\d+) times?")
+    def ran(self, path, bound, times):
+        runs = sum(run["path"] == path for side in self.fleet.sides
+                   if side.name.startswith("records")
+                   for run in self.fleet.executions(side)["executions"])
+        assert runs == int(times) or (bound == "at most" and runs < int(times)), runs
+
+    @statement(r"wait until (\S+) began")
+    def began(self, path):
+        side = next(s for s in self.fleet.sides if s.name.startswith("records"))
+        wait_until(lambda: any(run["path"] == path
+                               for run in self.fleet.executions(side)["executions"]), path)
+
+    @statement(r"expect key (\w+) refused at (\S+) within (\d+) s")
+    def key_refused(self, name, entry, seconds):
+        wait_until(lambda: self.chat(entry, name).status == 401, f"{name} refused at {entry}",
+                   int(seconds))
+
+    @statement(r"expect chats of (\w+) to be answered at (\S+) within (\d+) s")
+    def served(self, customer, entry, seconds):
+        wait_until(lambda: self.chat(entry, customer).status == 200, f"an answer at {entry}",
+                   int(seconds))
+
+    @statement(r"expect (?:job creation) accepted at (\S+) within (\d+) s as job (\w+)")
+    def job_creation_back(self, entry, seconds, name):
+        def accepted():
+            self.resend(name, entry)
+            return self.jobs[name].answer.status == 200
+        wait_until(accepted, f"job {name} accepted", int(seconds))
+
+    @statement(r"expect the admitted chats of (\w+) within rate and burst")
+    def within_rate(self, customer):
+        """Every window: calls sent and answered inside it were surely admitted inside it."""
+        rate, burst = RATES[customer]
+        assert self.admitted, "nothing was admitted"
+        for first, _ in self.admitted:
+            for _, last in self.admitted:
+                inside = sum(first <= sent and done <= last for sent, done in self.admitted)
+                assert inside <= rate * (last - first) + burst, (inside, last - first)
+
+    @statement(r"expect at least (\d+) admitted chats")
+    def admitted_at_least(self, count):
+        assert len(self.admitted) >= int(count), len(self.admitted)
