--- a/tests/e2e/scenario.py
+++ b/tests/e2e/scenario.py
@@ -19,6 +19,7 @@
 
 CALL_TIMEOUT_S = 60
 POLL_S = 0.05
+MIN_RETRY_AFTER_S = 1
 RATES = {"shire": (1000, 1000), "depot": (2, 3)}  # requests/s and burst in the manifest
 
 
@@ -38,7 +39,9 @@
         self.count = count
         self.content = content
         self.key = key
+        self.file = None
         self.answer = None
+        self.seconds = None  # from creation to its answer
         self.results = None
 
     @property
@@ -310,19 +313,39 @@
         self.jobs[name] = Job(customer, int(count), content, f"key-{name}")
         self.resend(name, entry)
 
+    @statement(r"upload the file of job (\w+) of (\w+) with (\d+) items to (\S+)")
+    def upload_job(self, name, customer, count, entry):
+        self.jobs[name] = Job(customer, int(count), items(int(count), prefix=name), f"key-{name}")
+        upload = self.upload(self.jobs[name], entry)
+        assert upload.status == 200, upload
+        self.jobs[name].file = json.loads(upload.body)["id"]
+
+    @statement(r"create job (\w+) at (\S+)")
+    def create_job(self, name, entry):
+        job = self.jobs[name]
+        sent = time.monotonic()
+        job.answer = self.create(job, job.file, entry)
+        job.seconds = time.monotonic() - sent
+
     @statement(r"resend job (\w+) to (\S+)")
     def resend(self, name, entry):
         job = self.jobs[name]
-        headers, body = multipart(job.content)
-        upload = self.call(entry, "POST", "/v1/files", body,
-                           {**self.headers(job.customer), **headers})
+        upload = self.upload(job, entry)
         if upload.status != 200:
             job.answer = upload
             return
-        request = {"input_file_id": json.loads(upload.body)["id"],
-                   "endpoint": "/v1/chat/completions", "completion_window": "24h"}
-        job.answer = self.call(entry, "POST", "/v1/batches", json.dumps(request),
-                               {**self.headers(job.customer), "Idempotency-Key": job.key})
+        job.answer = self.create(job, json.loads(upload.body)["id"], entry)
+
+    def upload(self, job, entry):
+        headers, body = multipart(job.content)
+        return self.call(entry, "POST", "/v1/files", body,
+                         {**self.headers(job.customer), **headers})
+
+    def create(self, job, file_id, entry):
+        request = {"input_file_id": file_id, "endpoint": "/v1/chat/completions",
+                   "completion_window": "24h"}
+        return self.call(entry, "POST", "/v1/batches", json.dumps(request),
+                         {**self.headers(job.customer), "Idempotency-Key": job.key})
 
     @statement(r"resend job (\w+) to (\S+), expect the same job")
     def resend_same(self, name, entry):
@@ -337,7 +360,9 @@
 
     @statement(r"expect job (\w+) refused at once, not run, with Retry-After")
     def job_refused(self, name):
+        """At once: sooner than the shortest time after which Retry-After lets a caller return."""
         self._refused(self.jobs[name].answer)
+        assert self.jobs[name].seconds < MIN_RETRY_AFTER_S, self.jobs[name].seconds
 
     @statement(r"expect job (\w+) accepted or of unknown outcome")
     def job_known(self, name):
@@ -439,7 +464,10 @@
         def accepted():
             self.resend(name, entry)
             return self.jobs[name].answer.status == 200
-        wait_until(accepted, f"job {name} accepted", int(seconds))
+        try:
+            wait_until(accepted, f"job {name} accepted", int(seconds))
+        except TimeoutError as late:
+            raise AssertionError(f"{late}; last answer: {self.jobs[name].answer}") from late
 
     @statement(r"expect the admitted chats of (\w+) within rate and burst")
     def within_rate(self, customer):
@@ -447,7 +475,7 @@
         rate, burst = RATES[customer]
         assert self.admitted, "nothing was admitted"
         for first, _ in self.admitted:
-            for _, last in self.admitted:
+            for last in (done for _, done in self.admitted if done >= first):
                 inside = sum(first <= sent and done <= last for sent, done in self.admitted)
                 assert inside <= rate * (last - first) + burst, (inside, last - first)
 
