--- a/src/ctl/fleet_status.cpp
+++ b/src/ctl/fleet_status.cpp
@@ -27,9 +27,8 @@
     return settings;
 }
 
-absl::StatusOr<std::string> readAnswer(byte_stream &stream)
+absl::StatusOr<std::string> readAnswer(byte_stream &stream, std::string buffer)
 {
-    std::string buffer;
     for (;;) {
         auto frame = detail::readFrame(stream, buffer, MaxAnswerBytes);
         if (!frame.ok())
@@ -45,7 +44,8 @@
     auto stream = tcp_stream::connect(thread.io(), vm.address, AskTimeout);
     if (!stream.ok())
         return stream.status();
-    const auto peer = helloAsConnector(**stream, settings);
+    std::string readAhead;
+    const auto peer = helloAsConnector(**stream, settings, readAhead);
     if (!peer.ok())
         return peer.status();
     if (peer->vm != vm.vm)
@@ -55,7 +55,7 @@
         detail::writeBytes(**stream, encodeFrame(frameBody(schema::status_request_message{})));
     if (!sent.ok())
         return sent;
-    auto answer = readAnswer(**stream);
+    auto answer = readAnswer(**stream, std::move(readAhead));
     (*stream)->close();
     return answer;
 }
