A starting entry takes its configuration from peers while the log is down

A shared_ptr was put into a frame's union: FlatBuffers accepts any type there and sends an empty frame. Connected processes count as gossip peers, so that an entry without the platform has some. A job whose appends all certainly failed is refused after 0.5 s, not 10 s.

--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -49,6 +49,7 @@
     http_server_options serverOptions();
     void onConfig(const config_state &state, bool serving);
     void onVmList(const vm_list &list);
+    void updateConfigPeers();
     void callTickLoop();
     void reloadTlsLoop();
     void drain();
--- a/include/tamarackglade/jobs/submission_tracker.hpp
+++ b/include/tamarackglade/jobs/submission_tracker.hpp
@@ -22,6 +22,8 @@
     {
         duration retryDelay = std::chrono::milliseconds(300);
         duration appendTimeout = std::chrono::seconds(2);
+        // Appends that all certainly failed for so long end the submission as NotWritten.
+        duration refuseAfter = std::chrono::milliseconds(500);
         duration answerWithin = std::chrono::seconds(10); // then Unknown or NotWritten
     };
 
@@ -41,6 +43,7 @@
     times m_times;
     schema::log_batch_message m_batch;
     submission_outcome m_outcome;
+    instant m_startedAt;
     instant m_answerBy;
     std::optional<instant> m_sendAgainAt;
     bool m_inFlight = false;
--- a/include/tamarackglade/report/burn_interval.hpp
+++ b/include/tamarackglade/report/burn_interval.hpp
@@ -24,7 +24,7 @@
     [[nodiscard]] bool isEmpty() const { return counts.empty() && seconds.empty(); }
 
     /// @brief Takes over the counts of another interval.
-    void merge(burn_interval other);
+    void merge(const burn_interval &other);
 
     /// @return the record's JSON text
     [[nodiscard]] std::string toJson() const;
--- a/include/tamarackglade/report/burn_key.hpp
+++ b/include/tamarackglade/report/burn_key.hpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/core/ids.hpp>
 
 #include <string>
+#include <tuple>
 
 namespace tamarack {
 
@@ -15,7 +16,12 @@
     objective_class requests = objective_class::Online; // never All
     std::string objective; // its name in the manifest
 
-    friend auto operator<=>(const burn_key &, const burn_key &) = default;
+    friend bool operator==(const burn_key &, const burn_key &) = default;
+    friend bool operator<(const burn_key &left, const burn_key &right)
+    {
+        return std::tie(left.customer, left.requests, left.objective)
+               < std::tie(right.customer, right.requests, right.objective);
+    }
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/schema/records.hpp
+++ b/include/tamarackglade/schema/records.hpp
@@ -21,6 +21,8 @@
 template <class Message>
 void addRecord(schema::log_batch_message &batch, Message message)
 {
+    static_assert(schema::record_bodyUnionTraits<Message>::enum_value
+                  != schema::record_body::NONE);
     auto record = std::make_unique<schema::log_record_message>();
     record->body.Set(std::move(message));
     batch.records.push_back(std::move(record));
--- a/include/tamarackglade/wire/frame_codec.hpp
+++ b/include/tamarackglade/wire/frame_codec.hpp
@@ -30,6 +30,8 @@
 template <class Message>
 schema::frame_bodyUnion frameBody(Message message)
 {
+    // FlatBuffers takes any type and sends an empty frame for those that it doesn't know.
+    static_assert(schema::frame_bodyUnionTraits<Message>::enum_value != schema::frame_body::NONE);
     schema::frame_bodyUnion body;
     body.Set(std::move(message));
     return body;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
+
 namespace tamarack {
 
 namespace {
@@ -143,6 +145,7 @@
         return;
     }
     m_peers.add(peer);
+    updateConfigPeers();
     if (peer->identity().role != schema::vm_role::Side)
         return;
     m_batchBoard.onConnected(peer);
@@ -189,12 +192,25 @@
 
 void entry_process::onVmList(const vm_list &list)
 {
-    m_configService.setPeers(m_vmWatch.processes());
+    updateConfigPeers();
     m_limits.onVmList(list);
     m_calls.setSides(sidesOf(list), m_vmWatch.workingSides());
     m_jobs.onEntries(m_vmWatch.entries());
 }
 
+// Connected processes count too: without the platform there is no VM list.
+void entry_process::updateConfigPeers()
+{
+    std::vector<vm_id> peers = m_vmWatch.processes();
+    for (const auto role : {schema::vm_role::Entry, schema::vm_role::Side}) {
+        for (const auto &peer : m_peers.withRole(role)) {
+            if (std::find(peers.begin(), peers.end(), peer->identity().vm) == peers.end())
+                peers.push_back(peer->identity().vm);
+        }
+    }
+    m_configService.setPeers(peers);
+}
+
 void entry_process::callTickLoop()
 {
     for (;;) {
--- a/src/entry/job_desk.cpp
+++ b/src/entry/job_desk.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds PollPause{5};
 constexpr std::chrono::seconds FoldPatience{10};
 constexpr std::chrono::milliseconds RetryLater{2'000};
-constexpr int AppendTries = 4;
+constexpr int AppendTries = 3;
 constexpr std::size_t PartBytes = 256 * 1024; // of results read at a time
 
 api_error unavailable(std::string code, std::string message)
--- a/src/jobs/submission_tracker.cpp
+++ b/src/jobs/submission_tracker.cpp
@@ -9,7 +9,7 @@
 submission_tracker::submission_tracker(const partition_fold &fold, job_request request,
                                        times limits, instant now)
     : m_request(std::move(request)), m_times(limits), m_batch(acceptBatch(m_request)),
-      m_answerBy(now + limits.answerWithin)
+      m_startedAt(now), m_answerBy(now + limits.answerWithin)
 {
     const auto *same = fold.jobByDigest(m_request.customer, m_request.idempotencyDigest);
     if (same)
@@ -34,6 +34,9 @@
         m_mayBeWritten = true;
     if (outcome != append_outcome::Ok)
         m_sendAgainAt = now + m_times.retryDelay;
+    const bool isHopeless = !m_mayBeWritten && now - m_startedAt >= m_times.refuseAfter;
+    if (m_outcome.state == submission_state::Waiting && isHopeless)
+        m_outcome.state = submission_state::NotWritten;
 }
 
 void submission_tracker::onFolded(const fold_changes &changes)
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -127,7 +127,7 @@
     } else if (const auto *fetch = std::get_if<send_config_fetch>(&action)) {
         m_peers.send(fetch->peer, frameBody(fetch->message));
     } else if (const auto *snapshot = std::get_if<send_config_snapshot>(&action)) {
-        m_peers.send(snapshot->peer, frameBody(snapshot->message));
+        m_peers.send(snapshot->peer, frameBody(*snapshot->message));
     } else if (const auto *append = std::get_if<append_config_snapshot>(&action)) {
         m_thread.spawn([this, payload = append->payload] {
             // A lost append only delays the snapshot: the retention rule tries again.
--- a/src/report/burn_interval.cpp
+++ b/src/report/burn_interval.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-void burn_interval::merge(burn_interval other)
+void burn_interval::merge(const burn_interval &other)
 {
     for (const auto &[key, count] : other.counts)
         counts[key] += count;
--- a/src/settings/option_table.cpp
+++ b/src/settings/option_table.cpp
@@ -48,7 +48,6 @@
     case Text:
         return "text";
     case Integer:
-        return "integer";
     case Milliseconds:
         return "integer";
     case Flag:
--- a/tests/unit-jobs-submission.cpp
+++ b/tests/unit-jobs-submission.cpp
@@ -178,6 +178,13 @@
         tracker.tick(now + 10s);
         CHECK(tracker.outcome().state == submission_state::NotWritten);
     }
+    SUBCASE("appends that keep failing end it within a second")
+    {
+        tracker.onAppendResult(append_outcome::Failed, now);
+        REQUIRE(tracker.next(now + 600ms));
+        tracker.onAppendResult(append_outcome::Failed, now + 600ms);
+        CHECK(tracker.outcome().state == submission_state::NotWritten);
+    }
     SUBCASE("gives the earlier job to a resend")
     {
         stream.land(*sent);
