--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -144,11 +144,14 @@
         return;
     if (peer->identity().role != schema::vm_role::Side)
         return;
-    const auto *report = frame.body.Asload_report();
-    if (report != nullptr)
+    if (auto *report = frame.body.Asload_report()) {
         m_sideBoard.onReport(*peer, *report);
-    if (report != nullptr && report->state == schema::upstream_state::Leaving)
-        m_vmWatch.onLeaving(peer->identity());
+        if (report->state == schema::upstream_state::Leaving)
+            m_vmWatch.onLeaving(peer->identity());
+        // What the list or an operator says of a side counts as much as its own word.
+        if (!m_vmWatch.takesWork(from))
+            report->state = schema::upstream_state::Leaving;
+    }
     if (!m_batchBoard.onFrame(peer, frame))
         m_calls.onFrame(peer, std::move(frame));
 }
