--- a/include/tamarackglade/ctl/vm_status.hpp
+++ b/include/tamarackglade/ctl/vm_status.hpp
@@ -24,8 +24,7 @@
     /// @return a yes or no of the answer; false if it is absent
     [[nodiscard]] bool flag(const char *member) const;
 
-    /// @return whether the process surely serves with the configuration of an offset. A process
-    /// that holds no configuration needs only to answer.
+    /// @return whether the process surely serves, or drains, with the configuration of an offset
     [[nodiscard]] bool hasInForce(log_offset offset) const;
 };
 
--- a/include/tamarackglade/node/process_status.hpp
+++ b/include/tamarackglade/node/process_status.hpp
@@ -4,7 +4,6 @@
 #include <tamarackglade/node/side_status.hpp>
 #include <tamarackglade/wire/peer_identity.hpp>
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,9 +13,8 @@
 struct process_status
 {
     peer_identity self;
-    // Both offsets are absent in a process that holds no configuration, as sides do.
-    std::optional<log_offset> configOffset;
-    std::optional<log_offset> manifestOffset;
+    log_offset configOffset; // 0: none yet
+    log_offset manifestOffset; // 0: none yet
     bool serving = false;
     bool draining = false;
     std::size_t partitionsOwned = 0;
--- a/include/tamarackglade/report/rate_replay.hpp
+++ b/include/tamarackglade/report/rate_replay.hpp
@@ -14,8 +14,9 @@
 /// with the customer's rate and burst. A second that the bucket could have served further has
 /// refusals within the rate.
 ///
-/// The bucket is full before the first second and after each gap of unknown seconds, which can
-/// only charge the fleet with more refusals, never fewer.
+/// The bucket is full before the first second and after each gap of unknown seconds, and a second's
+/// tokens are there from its beginning. Both can only charge the fleet with more refusals, never
+/// fewer; the latter with less than two seconds of the rate for each excess.
 /// @return the refusals within the rate by second; seconds without one are left out. Complexity
 /// O(seconds).
 std::map<std::uint64_t, std::uint64_t>
--- a/src/ctl/fleet_status.cpp
+++ b/src/ctl/fleet_status.cpp
@@ -27,9 +27,9 @@
     return settings;
 }
 
-absl::StatusOr<std::string> readAnswer(byte_stream &stream)
+// buffer holds what was read together with the hello.
+absl::StatusOr<std::string> readAnswer(byte_stream &stream, std::string &buffer)
 {
-    std::string buffer;
     for (;;) {
         auto frame = detail::readFrame(stream, buffer, MaxAnswerBytes);
         if (!frame.ok())
@@ -45,7 +45,8 @@
     auto stream = tcp_stream::connect(thread.io(), vm.address, AskTimeout);
     if (!stream.ok())
         return stream.status();
-    const auto peer = helloAsConnector(**stream, settings);
+    std::string buffer;
+    const auto peer = helloAsConnector(**stream, settings, buffer);
     if (!peer.ok())
         return peer.status();
     if (peer->vm != vm.vm)
@@ -55,7 +56,7 @@
         detail::writeBytes(**stream, encodeFrame(frameBody(schema::status_request_message{})));
     if (!sent.ok())
         return sent;
-    auto answer = readAnswer(**stream);
+    auto answer = readAnswer(**stream, buffer);
     (*stream)->close();
     return answer;
 }
--- a/src/ctl/vm_status.cpp
+++ b/src/ctl/vm_status.cpp
@@ -21,9 +21,7 @@
     if (!isReached())
         return false;
     const auto held = number("config_offset");
-    if (!held)
-        return listed.role == vm_role::Side;
-    return *held >= offset.value() && (flag("serving") || flag("draining"));
+    return held && *held >= offset.value() && (flag("serving") || flag("draining"));
 }
 
 } // namespace tamarack
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -1,16 +1,15 @@
 // One loop over the answer's events; between them the caller, its key and the deadline are checked.
 #include <tamarackglade/entry/answer_relay.hpp>
+#include <tamarackglade/entry/upstream_message.hpp>
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
 
 namespace tamarack {
 
 namespace {
 
 constexpr std::chrono::milliseconds CheckPeriod{250};
-constexpr std::chrono::milliseconds RetryPause{1'000};
 constexpr std::string_view StreamEnd = "data: [DONE]";
 constexpr std::size_t TailBytes = 64;
 constexpr unsigned ServerErrorStatus = 500;
@@ -21,7 +20,7 @@
             "authentication_error",
             "key_withdrawn",
             "the key was withdrawn",
-            executed::Unknown,
+            execution::Unknown,
             std::nullopt};
 }
 
@@ -31,42 +30,15 @@
             "timeout_error",
             "deadline_exceeded",
             "the answer took too long",
-            executed::Unknown,
+            execution::Unknown,
             std::nullopt};
 }
 
-api_error brokenAnswerError(const answer_end &end, bool begun)
-{
-    api_error error;
-    error.type = "upstream_error";
-    error.code = end.code.empty() ? "upstream_failed" : end.code;
-    error.message = end.message;
-    if (end.outcome == schema::call_outcome::NotStarted && !begun) {
-        error.status = 503;
-        error.ran = executed::No;
-        error.retryAfter =
-            end.retryAfterMs > 0 ? std::chrono::milliseconds(end.retryAfterMs) : RetryPause;
-    } else {
-        error.status = 502;
-        error.ran = executed::Unknown;
-    }
-    return error;
-}
-
 burn_result burnResultOf(const api_error &error)
 {
     if (error.status < ServerErrorStatus)
         return burn_result::NotCounted;
-    return error.ran == executed::No ? burn_result::Refused : burn_result::Failed;
-}
-
-// The upstream's own message, if its body has one in the usual shape.
-std::string upstreamMessage(const std::string &body)
-{
-    const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (json.is_object() && json.contains("error") && json["error"].is_object())
-        return json["error"].value("message", "the upstream refused the request");
-    return "the upstream refused the request";
+    return error.ran == execution::No ? burn_result::Refused : burn_result::Failed;
 }
 
 } // namespace
@@ -83,7 +55,7 @@
     m_burn.streamed = call.streamed;
     m_burn.gaps = burn_counter::gapsFor(*m_request.config->inForce, m_request.from.customer,
                                         objective_class::Online);
-    const attempt_id attempt = m_context.calls.start(call, m_channel);
+    m_context.calls.start(call, m_channel);
     while (!m_finished) {
         answer_event event;
         const wait_result waited = waitForEvent(event);
@@ -96,7 +68,7 @@
                 relayEnd(std::get<answer_end>(event));
             continue;
         }
-        m_context.calls.cancel(attempt);
+        m_context.calls.cancel(call.id);
         if (waited == wait_result::KeyWithdrawn)
             fail(withdrawnKeyError());
         else if (waited == wait_result::TimedOut)
@@ -185,8 +157,8 @@
 void answer_relay::relayEnd(const answer_end &end)
 {
     m_finished = true;
-    if (end.outcome != schema::call_outcome::Complete) {
-        fail(brokenAnswerError(end, m_firstByteSeen));
+    if (end.error) {
+        fail(*end.error);
         return;
     }
     if (m_streaming) {
@@ -194,13 +166,13 @@
         return;
     }
     if (m_head.status >= ServerErrorStatus) {
-        fail({502, "upstream_error", "upstream_failed", upstreamMessage(m_body), executed::Unknown,
+        fail({502, "upstream_error", "upstream_failed", upstreamMessage(m_body), execution::Unknown,
               std::nullopt});
         return;
     }
     if (m_head.status >= 400) {
-        fail({m_head.status, "invalid_request_error", "upstream_refused", upstreamMessage(m_body),
-              executed::Unknown, std::nullopt});
+        fail({static_cast<std::uint16_t>(m_head.status), "invalid_request_error",
+              "upstream_refused", upstreamMessage(m_body), execution::Unknown, std::nullopt});
         return;
     }
     http_response response;
@@ -218,7 +190,7 @@
         m_request.exchange.endStream();
     else
         fail({502, "upstream_error", "stream_broken", "the upstream's stream ended early",
-              executed::Unknown, std::nullopt});
+              execution::Unknown, std::nullopt});
 }
 
 void answer_relay::fail(const api_error &error)
@@ -233,7 +205,7 @@
         m_request.exchange.abortStream();
         return;
     }
-    const std::string json = errorJson(error, m_request.id.value());
+    const std::string json = error.toJson(m_request.id);
     m_request.exchange.writeChunk(absl::StrCat("data: ", json, "\n\n"));
     m_request.exchange.endStream();
 }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds CallTickPeriod{20};
 constexpr std::chrono::milliseconds DrainPoll{20};
 constexpr std::chrono::seconds TlsReloadPeriod{1};
 constexpr std::chrono::seconds BurnInterval{30}; // the most that a lost VM takes with it
@@ -17,26 +18,29 @@
 http_response serverError(unsigned status, const std::string &code, const std::string &message)
 {
     api_error error = invalidRequest(code, message);
-    error.status = status;
+    error.status = static_cast<std::uint16_t>(status);
     if (status >= 500) {
         error.type = "server_error";
-        error.ran = executed::Unknown;
+        error.ran = execution::Unknown;
     }
-    return errorResponse(error, randomId("req_"));
+    return errorResponse(error, request_id(randomId("req_")));
 }
 
-http_response jsonResponse(std::string text)
+std::vector<listed_vm> sidesOf(const vm_list &list)
 {
-    http_response response;
-    response.contentType = "application/json";
-    response.body = std::move(text);
-    return response;
+    std::vector<listed_vm> sides;
+    for (const listed_vm &vm : list) {
+        if (vm.role == vm_role::Side)
+            sides.push_back(vm);
+    }
+    return sides;
 }
 
 } // namespace
 
 entry_process::entry_process(const setting_values &settings, const wire_settings &wire)
-    : m_settings(settings), m_wire(wire), m_platform(m_control, settings.list("platform")),
+    : m_settings(settings), m_wire(wire), m_calls(wire.self),
+      m_platform(m_control, settings.list("platform")),
       m_limits(m_control, m_platform, m_peers, m_metrics, wire.self),
       m_burn(m_control, m_platform, m_metrics, wire.self, BurnInterval), m_batchBoard(wire.self),
       m_jobs({m_control, m_platform, m_peers, m_batchBoard, m_config, m_metrics, wire.self}),
@@ -60,8 +64,11 @@
     const auto wirePort = m_wireServer.listen(m_settings.text("wire-listen"));
     if (!wirePort.ok())
         return wirePort.status();
-    m_admin.addPage("/status",
-                    [this](const http_request &) { return jsonResponse(this->status().toJson()); });
+    m_admin.addPage("/status", [this](const http_request &) {
+        http_response response;
+        response.body = this->status().toJson();
+        return response;
+    });
     const auto adminPort = m_admin.listen(m_settings.text("admin-listen"));
     if (!adminPort.ok())
         return adminPort.status();
@@ -70,6 +77,7 @@
     m_configService.start();
     m_vmWatch.start();
     m_burn.start();
+    m_control.spawn([this] { callTickLoop(); });
     return startServing();
 }
 
@@ -144,16 +152,13 @@
         return;
     if (peer->identity().role != schema::vm_role::Side)
         return;
-    if (auto *report = frame.body.Asload_report()) {
+    if (const auto *report = frame.body.Asload_report()) {
         m_sideBoard.onReport(*peer, *report);
         if (report->state == schema::upstream_state::Leaving)
             m_vmWatch.onLeaving(peer->identity());
-        // What the list or an operator says of a side counts as much as its own word.
-        if (!m_vmWatch.takesWork(from))
-            report->state = schema::upstream_state::Leaving;
     }
     if (!m_batchBoard.onFrame(peer, frame))
-        m_calls.onFrame(peer, std::move(frame));
+        m_calls.onFrame(peer, frame);
 }
 
 void entry_process::onClosed(const std::shared_ptr<wire_peer> &peer)
@@ -181,9 +186,18 @@
 {
     m_configService.setPeers(m_vmWatch.processes());
     m_limits.onVmList(list);
+    m_calls.setSides(sidesOf(list), m_vmWatch.workingSides());
     m_jobs.onEntries(m_vmWatch.entries());
 }
 
+void entry_process::callTickLoop()
+{
+    for (;;) {
+        boost::this_fiber::sleep_for(CallTickPeriod);
+        m_calls.tick();
+    }
+}
+
 void entry_process::reloadTlsLoop()
 {
     for (;;) {
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -187,13 +187,13 @@
 
     def test_burn_after_requests_and_a_planned_stop(self):
         answered = refused = 0
-        started = time.monotonic()
+        started = int(time.time())
         for number in range(12):
             status = self.call_model(self.fleet.entries[1], f"burn {number}", "depot")[0]
             answered += status == 200
             refused += status == 429
         self.assertGreater(refused, 0)
-        seconds = time.monotonic() - started
+        seconds = int(time.time()) - started + 1  # that the requests touched
         by_stopped, by_other = 5, 7
         for number in range(by_stopped):
             self.assertEqual(self.call_model(self.fleet.entries[1], f"b {number}")[0], 200)
@@ -203,10 +203,10 @@
         self.assertEqual(self.fleet.entries[1].process.stop(), 0)
         rows = self.rows()
         self.assertEqual(rows["availability", "depot"]["good"], answered)
-        # Rate 2, burst 3: what the rate gave and the fleet did not admit is charged to the fleet,
-        # and of the customer's own excess at most one second of the rate more.
+        # Rate 2, burst 3: the burst and the rate of each second with a request, as far as the fleet
+        # did not admit it, is charged to the fleet; the rest is the customer's own excess.
         charged = rows["refusals", "depot"]["bad"]
-        self.assertLessEqual(charged, 3 + 2 * (seconds + 1) - answered)
+        self.assertLessEqual(charged, 3 + 2 * seconds - answered)
         self.assertGreaterEqual(charged, min(refused, 3 - answered))
         self.assertLess(charged, refused)
         self.assertGreaterEqual(rows["availability", "shire"]["good"], by_stopped)
