--- a/include/tamarackglade/entry/batch_board.hpp
+++ b/include/tamarackglade/entry/batch_board.hpp
@@ -27,7 +27,7 @@
 class batch_board
 {
 public:
-    using answer_callback = std::function<void(batch_answer)>;
+    using answer_callback = std::function<void(const batch_answer &)>;
 
     /// @param self names this process in attempt ids
     explicit batch_board(const peer_identity &self);
--- a/include/tamarackglade/entry/partition_runner.hpp
+++ b/include/tamarackglade/entry/partition_runner.hpp
@@ -81,11 +81,12 @@
     void updateOwner();
     void claim(const need_claim &wanted);
     void heartbeat();
-    void perform(owner_actions actions);
+    void perform(const owner_actions &actions);
     void startItem(const start_item &action);
     absl::StatusOr<std::string> inputLine(const input_reference &input);
     void runItem(const start_item &action, const std::string &line);
-    void onAnswer(const attempt_id &attempt, const std::string &customId, batch_answer answer);
+    void onAnswer(const attempt_id &attempt, const std::string &customId,
+                  const batch_answer &answer);
     void endAttempt(const attempt_id &attempt, attempt_outcome outcome, const std::string &data,
                     const std::string &customId);
     void sendAppend(const append_batch &action);
--- a/src/ctl/fleet_commands.cpp
+++ b/src/ctl/fleet_commands.cpp
@@ -187,13 +187,14 @@
     return pollFleet(context, [&](const std::vector<vm_status> &rows, std::string &waitingFor) {
         for (const vm_status &row : rows) {
             const std::string &name = row.listed.vm.value();
-            if (row.listed.role == vm_role::Entry && !row.hasInForce(offset))
+            const bool mustKnow = row.listed.role == vm_role::Entry || name == vm;
+            const bool knows = row.hasInForce(offset);
+            if (mustKnow && !knows && row.isReached())
                 waitingFor = absl::StrCat(name, " does not know of the drain yet");
-            else if (name != vm)
-                continue;
-            else if (!row.isReached())
+            else if (mustKnow && !knows)
                 waitingFor = absl::StrCat(name, " ", row.fault);
-            else if (row.number("requests") != 0 || row.number("partitions_owned") != 0)
+            else if (name == vm
+                     && (row.number("requests") != 0 || row.number("partitions_owned") != 0))
                 waitingFor =
                     absl::StrCat(name, " has ", numberText(row, "requests"), " requests and ",
                                  numberText(row, "partitions_owned"), " partitions under way");
--- a/src/entry/batch_board.cpp
+++ b/src/entry/batch_board.cpp
@@ -142,7 +142,7 @@
         --side->second.offer.running;
     item.answer.outcome = outcome;
     item.answer.code = std::move(code);
-    item.callback(std::move(item.answer));
+    item.callback(item.answer);
 }
 
 } // namespace tamarack
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -38,14 +38,6 @@
     return sides;
 }
 
-http_response jsonResponse(std::string text)
-{
-    http_response response;
-    response.contentType = "application/json";
-    response.body = std::move(text);
-    return response;
-}
-
 } // namespace
 
 entry_process::entry_process(const setting_values &settings, const wire_settings &wire)
@@ -74,8 +66,11 @@
     const auto wirePort = m_wireServer.listen(m_settings.text("wire-listen"));
     if (!wirePort.ok())
         return wirePort.status();
-    m_admin.addPage("/status",
-                    [this](const http_request &) { return jsonResponse(this->status().toJson()); });
+    m_admin.addPage("/status", [this](const http_request &) {
+        http_response response;
+        response.body = this->status().toJson();
+        return response;
+    });
     const auto adminPort = m_admin.listen(m_settings.text("admin-listen"));
     if (!adminPort.ok())
         return adminPort.status();
@@ -160,11 +155,11 @@
         return;
     if (peer->identity().role != schema::vm_role::Side)
         return;
-    const auto *report = frame.body.Asload_report();
-    if (report != nullptr)
+    if (const auto *report = frame.body.Asload_report()) {
         m_sideBoard.onReport(*peer, *report);
-    if (report != nullptr && report->state == schema::upstream_state::Leaving)
-        m_vmWatch.onLeaving(peer->identity());
+        if (report->state == schema::upstream_state::Leaving)
+            m_vmWatch.onLeaving(peer->identity());
+    }
     if (!m_batchBoard.onFrame(peer, frame))
         m_calls.onFrame(peer, frame);
 }
--- a/src/entry/partition_runner.cpp
+++ b/src/entry/partition_runner.cpp
@@ -139,7 +139,7 @@
     owner_actions actions;
     const upstream_id upstream(absl::StrCat(side.value(), "|", model.value()));
     m_owner->onCredits(upstream, model, items, steadyNow(), actions);
-    perform(std::move(actions));
+    perform(actions);
 }
 
 void partition_runner::onWeights(const manifest &manifest)
@@ -164,7 +164,7 @@
     }
     owner_actions actions;
     m_owner->tick(steadyNow(), wallSeconds(), actions);
-    perform(std::move(actions));
+    perform(actions);
     workOnRetention();
 }
 
@@ -175,7 +175,7 @@
         return;
     owner_actions actions;
     m_owner->beginHandover(steadyNow(), actions);
-    perform(std::move(actions));
+    perform(actions);
 }
 
 // Reads the stream's beginning, or its newest snapshot, until that succeeds.
@@ -251,7 +251,7 @@
         return;
     owner_actions actions;
     m_owner->onTailConfirmed(steadyNow(), actions);
-    perform(std::move(actions));
+    perform(actions);
 }
 
 void partition_runner::applyEntry(const log_entry &entry)
@@ -267,7 +267,7 @@
     if (m_owner) {
         owner_actions actions;
         m_owner->onFolded(changes, steadyNow(), actions);
-        perform(std::move(actions));
+        perform(actions);
     }
     // A listener may remove itself.
     const auto listeners = m_listeners;
@@ -300,7 +300,7 @@
         onWeights(*config->inForce);
     owner_actions actions;
     m_owner->onTailConfirmed(steadyNow(), actions);
-    perform(std::move(actions));
+    perform(actions);
 }
 
 void partition_runner::claim(const need_claim &wanted)
@@ -320,7 +320,7 @@
         m_claims.onOwnerAlive(steadyNow());
 }
 
-void partition_runner::perform(owner_actions actions)
+void partition_runner::perform(const owner_actions &actions)
 {
     for (const owner_action &action : actions) {
         if (const auto *start = std::get_if<start_item>(&action)) {
@@ -388,8 +388,9 @@
     const std::string &upstream = action.upstream.value();
     const vm_id side(upstream.substr(0, upstream.find('|')));
     const auto wire = m_services.board.start(
-        side, call, action.alone, [this, attempt = action.attempt, customId](batch_answer answer) {
-            onAnswer(attempt, customId, std::move(answer));
+        side, call, action.alone,
+        [this, attempt = action.attempt, customId](const batch_answer &answer) {
+            onAnswer(attempt, customId, answer);
         });
     if (wire)
         m_wireAttempts[action.attempt] = *wire;
@@ -398,7 +399,7 @@
 }
 
 void partition_runner::onAnswer(const attempt_id &attempt, const std::string &customId,
-                                batch_answer answer)
+                                const batch_answer &answer)
 {
     const attempt_outcome outcome = outcomeOf(answer);
     m_services.metrics.add(
@@ -415,7 +416,7 @@
     owner_actions actions;
     m_owner->onAttemptResult(attempt, outcome, {data.begin(), data.end()}, customId, steadyNow(),
                              actions);
-    perform(std::move(actions));
+    perform(actions);
 }
 
 void partition_runner::sendAppend(const append_batch &action)
@@ -429,7 +430,7 @@
             return;
         owner_actions actions;
         m_owner->onAppendResult(id, outcome, steadyNow(), actions);
-        perform(std::move(actions));
+        perform(actions);
     });
 }
 
@@ -458,7 +459,7 @@
     }
     owner_actions actions;
     m_owner->enqueue(std::get<retention_planner::append_copy>(*action).batch, steadyNow(), actions);
-    perform(std::move(actions));
+    perform(actions);
 }
 
 // Records that have used up half of the log's retention are behind the horizon.
--- a/src/node/process_status.cpp
+++ b/src/node/process_status.cpp
@@ -35,11 +35,6 @@
     return "";
 }
 
-json offsetOrNull(const std::optional<log_offset> &offset)
-{
-    return offset ? json(offset->value()) : json(nullptr);
-}
-
 json sideJson(const side_status &side)
 {
     json object;
@@ -62,8 +57,8 @@
     object["role"] = roleName(self.role);
     object["incarnation"] = self.incarnation.value();
     object["zone"] = self.zone.value();
-    object["config_offset"] = offsetOrNull(configOffset);
-    object["manifest_offset"] = offsetOrNull(manifestOffset);
+    object["config_offset"] = configOffset.value();
+    object["manifest_offset"] = manifestOffset.value();
     object["serving"] = serving;
     object["draining"] = draining;
     object["partitions_owned"] = partitionsOwned;
--- a/tests/unit-burn.cpp
+++ b/tests/unit-burn.cpp
@@ -295,6 +295,14 @@
     CHECK(within.at(NowS + 60) == 5); // 20 saved and 10 new, 25 given
 }
 
+TEST_CASE("a short excess across two seconds is overcharged by two seconds of the rate at most")
+{
+    const manifest manifest = burnManifest();
+    const customer_options &shire = *manifest.customer(customer_id("shire"));
+    const auto within = refusalsWithinRate({{NowS, {20, 30}}, {NowS + 1, {0, 30}}}, shire);
+    CHECK(within == std::map<std::uint64_t, std::uint64_t>{{NowS, 10}, {NowS + 1, 10}});
+}
+
 TEST_CASE("the counter judges requests by the objectives that cover them")
 {
     const manifest manifest = burnManifest();
