--- a/include/tamarackglade/entry/limit_service.hpp
+++ b/include/tamarackglade/entry/limit_service.hpp
@@ -53,7 +53,7 @@
     void applyRates(const config_state &state);
     void onHomesRead(const log_read &read);
     void tickLoop();
-    void perform(std::vector<limit_action> actions);
+    void perform(const std::vector<limit_action> &actions);
     void settle(std::uint64_t ticket, const limit_verdict &verdict);
     void sendMessage(const send_limit_message &message);
     void appendClaim(const schema::home_claimed_message &claim);
--- a/include/tamarackglade/node/config_service.hpp
+++ b/include/tamarackglade/node/config_service.hpp
@@ -47,7 +47,7 @@
     void onRead(const log_read &read);
     void onLogDown();
     void tickLoop();
-    void perform(config_actions actions);
+    void perform(const config_actions &actions);
     void performOne(const config_action &action);
 
     io_thread &m_thread;
--- a/include/tamarackglade/side/side_server.hpp
+++ b/include/tamarackglade/side/side_server.hpp
@@ -47,7 +47,7 @@
     class run_events;
 
     void tickLoop();
-    void perform(gate_actions actions);
+    void perform(const gate_actions &actions);
     void open(const open_upstream &action);
     void send(const send_frame &action);
     void finishRun(const upstream_run &run);
--- a/src/ctl/fleet_commands.cpp
+++ b/src/ctl/fleet_commands.cpp
@@ -74,6 +74,7 @@
         return;
     }
     std::vector<std::vector<std::string>> cells;
+    cells.reserve(rows.size());
     for (const vm_status &row : rows)
         cells.push_back({row.listed.vm.value(), roleName(row.listed.role), row.listed.zone.value(),
                          stateText(row), numberText(row, "config_offset"),
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -89,7 +89,7 @@
     if (certificate.empty())
         return absl::OkStatus();
     m_tls.emplace(certificate, m_settings.text("tls-key"));
-    const absl::Status loaded = m_tls->reload();
+    absl::Status loaded = m_tls->reload();
     if (loaded.ok())
         m_control.spawn([this] { reloadTlsLoop(); });
     return loaded;
--- a/src/entry/limit_service.cpp
+++ b/src/entry/limit_service.cpp
@@ -41,7 +41,7 @@
         applyRates(state);
         actions = m_limiter->takeActions();
     }
-    perform(std::move(actions));
+    perform(actions);
     if (!first)
         return;
     tail_handler handler;
@@ -79,7 +79,7 @@
         m_limiter->onEntries(m_entries, steadyNow());
         actions = m_limiter->takeActions();
     }
-    perform(std::move(actions));
+    perform(actions);
 }
 
 bool limit_service::onFrame(const vm_id &from, const schema::frame_message &frame)
@@ -106,7 +106,7 @@
             m_limiter->onLeaseAck(from, *ack, now);
         actions = m_limiter->takeActions();
     }
-    perform(std::move(actions));
+    perform(actions);
     return true;
 }
 
@@ -123,7 +123,7 @@
         m_limiter->admit(customer, ticket, steadyNow());
         actions = m_limiter->takeActions();
     }
-    perform(std::move(actions));
+    perform(actions);
     return verdict.get();
 }
 
@@ -137,7 +137,7 @@
         m_limiter->handOver(steadyNow());
         actions = m_limiter->takeActions();
     }
-    perform(std::move(actions));
+    perform(actions);
 }
 
 void limit_service::begin(std::uint32_t partitions)
@@ -185,7 +185,7 @@
         }
         actions = m_limiter->takeActions();
     }
-    perform(std::move(actions));
+    perform(actions);
 }
 
 void limit_service::tickLoop()
@@ -198,11 +198,11 @@
             m_limiter->tick(steadyNow());
             actions = m_limiter->takeActions();
         }
-        perform(std::move(actions));
+        perform(actions);
     }
 }
 
-void limit_service::perform(std::vector<limit_action> actions)
+void limit_service::perform(const std::vector<limit_action> &actions)
 {
     for (const limit_action &action : actions) {
         if (const auto *admitted = std::get_if<admit_ticket>(&action))
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -70,7 +70,7 @@
         else
             return false;
     }
-    perform(std::move(actions));
+    perform(actions);
     return true;
 }
 
@@ -88,7 +88,7 @@
         actions = m_spread.onLogRecords(steadyNow(), read.askedAt, read.entries,
                                         log_offset(read.next.value() - 1));
     }
-    perform(std::move(actions));
+    perform(actions);
 }
 
 void config_service::onLogDown()
@@ -98,7 +98,7 @@
         const std::lock_guard lock(m_mutex);
         actions = m_spread.onLogDown(steadyNow());
     }
-    perform(std::move(actions));
+    perform(actions);
 }
 
 void config_service::tickLoop()
@@ -110,11 +110,11 @@
             const std::lock_guard lock(m_mutex);
             actions = m_spread.tick(steadyNow(), wallSeconds());
         }
-        perform(std::move(actions));
+        perform(actions);
     }
 }
 
-void config_service::perform(config_actions actions)
+void config_service::perform(const config_actions &actions)
 {
     for (const config_action &action : actions)
         performOne(action);
--- a/src/side/side_server.cpp
+++ b/src/side/side_server.cpp
@@ -137,7 +137,7 @@
     }
 }
 
-void side_server::perform(gate_actions actions)
+void side_server::perform(const gate_actions &actions)
 {
     for (const gate_action &action : actions) {
         if (const auto *opened = std::get_if<open_upstream>(&action)) {
