--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -142,10 +142,10 @@
         http_call(self.platform, "DELETE", f"/v1/vms/{vm}")
 
     def _settings(self, program, vm, zone, wire, admin, extra):
-        lines = [f"[{program}]", f"vm = {vm}", f"zone = {zone}", f"region = {self.region}",
-                 f"platform = {self.platform}", f"fleet-secret-file = {self.secret}",
-                 f"wire-listen = {wire}", f"admin-listen = {admin}",
-                 *[f"{key} = {value}" for key, value in extra.items()]]
+        values = {"vm": vm, "zone": zone, "region": self.region, "platform": self.platform,
+                  "fleet-secret-file": self.secret, "wire-listen": wire, "admin-listen": admin,
+                  **extra}
+        lines = [f"[{program}]", *[f"{key} = {value}" for key, value in values.items()]]
         path = self.dir / f"{vm}.ini"
         path.write_text("\n".join(lines) + "\n")
         return path
