Limits: a home without a successor hands over to any listed entry

Cause: at the fleet's start an entry knows others by the VM list's incarnation, not yet by their hello; the process named as successor does not answer, is suspected for 10 s, and the home goes on alone. Stopped as planned then, it handed over to nobody, and nobody else may take over before the VM list drops it. Ruled out: the suspicion alone (lifting it when the process is new changed nothing by itself, 2 of 2 red). Change: the heir is the successor or else any listed entry, and a VM whose process is new is no longer suspected. Before: 429 for all 12 s watched after the stop; after: 429 at first, 200 from 1.2 s on but for one 429 at 11.1 s, when the stopped entry is tried as successor again. unit-limits (169 assertions) and fuzz-limits (68) pass; e2e-test_rate_after_stop stays red for the first second.

--- a/include/tamarackglade/limits/entry_view.hpp
+++ b/include/tamarackglade/limits/entry_view.hpp
@@ -31,6 +31,9 @@
     [[nodiscard]] std::optional<live_entry>
     chooseSuccessor(partition_id partition, const vm_id &excluded, instant now) const;
 
+    /// @return the best listed entry to hand a partition to, suspect or not; never self
+    [[nodiscard]] std::optional<live_entry> chooseHeir(partition_id partition) const;
+
     /// @return this entry's place in the partition's rendezvous order; none without a list
     [[nodiscard]] std::optional<std::size_t> rank(partition_id partition) const;
 
--- a/src/limits/entry_view.cpp
+++ b/src/limits/entry_view.cpp
@@ -23,6 +23,12 @@
 
 void entry_view::update(const std::vector<live_entry> &entries, instant now)
 {
+    // Another process than the silent one runs there: it deserves its own chance.
+    for (const auto &entry : entries) {
+        const auto known = m_listed.find(entry.vm);
+        if (known != m_listed.end() && known->second != entry.generation)
+            m_suspects.erase(entry.vm);
+    }
     m_entries = entries;
     m_lastUpdate = now;
     m_listed.clear();
@@ -68,6 +74,17 @@
     return best;
 }
 
+std::optional<live_entry> entry_view::chooseHeir(partition_id partition) const
+{
+    std::optional<live_entry> best;
+    for (const auto &entry : m_entries) {
+        const bool isBetter = !best || score(entry.vm, partition) > score(best->vm, partition);
+        if (entry.vm != m_self.vm && isBetter)
+            best = entry;
+    }
+    return best;
+}
+
 std::optional<std::size_t> entry_view::rank(partition_id partition) const
 {
     if (m_entries.empty())
--- a/src/limits/partition_home.cpp
+++ b/src/limits/partition_home.cpp
@@ -163,10 +163,12 @@
     }
     const bool lending = mayLend(now);
     m_handedOver = true;
-    if (!m_record->hasSuccessor())
+    // Nobody else may take over from a home without a successor: even a suspect is a better heir.
+    const auto heir = m_record->hasSuccessor() ? std::optional(m_record->successor)
+                                               : view.chooseHeir(m_partition);
+    if (!heir)
         return;
-    const auto &heir = m_record->successor;
-    auto message = makeClaim(heir, view.chooseSuccessor(m_partition, heir.vm, now));
+    auto message = makeClaim(*heir, view.chooseSuccessor(m_partition, heir->vm, now));
     message.handed_over = lending;
     out.emplace_back(append_claim{std::move(message)});
 }
