--- a/apps/tamarack-entry.cpp
+++ b/apps/tamarack-entry.cpp
@@ -1,41 +1,9 @@
 // The entry process: serves callers on an entry VM.
 #include <tamarackglade/entry/entry_process.hpp>
-#include <tamarackglade/logging/init_logging.hpp>
-#include <tamarackglade/runtime/stop_signal.hpp>
-#include <tamarackglade/settings/load_settings.hpp>
-#include <tamarackglade/wire/load_wire_settings.hpp>
-
-#include <iostream>
-
-using namespace tamarack;
-
-namespace {
-
-constexpr int ExitFailure = 1;
-constexpr int ExitUsage = 2;
-
-} // namespace
+#include <tamarackglade/node/run_daemon.hpp>
 
 int main(int argc, char **argv)
 {
-    const auto settings = loadSettings(entryOptions(), argc, argv);
-    if (!settings.ok()) {
-        std::cerr << settings.status().message() << "\n";
-        return ExitUsage;
-    }
-    const auto wire = loadWireSettings(settings->values, schema::vm_role::Entry);
-    const auto logging = initLogging("tamarack-entry", settings->values.text("log-level"));
-    if (!wire.ok() || !logging.ok()) {
-        std::cerr << wire.status().message() << logging.message() << "\n";
-        return ExitUsage;
-    }
-    if (settings->checkOnly)
-        return 0;
-    entry_process process(settings->values, *wire);
-    const absl::Status started = process.start();
-    if (!started.ok()) {
-        std::cerr << started.message() << "\n";
-        exitProcess(ExitFailure);
-    }
-    process.runUntilStopped();
+    using namespace tamarack;
+    return runDaemon<entry_process>(entryOptions(), schema::vm_role::Entry, argc, argv);
 }
--- a/src/ctl/config_reader.cpp
+++ b/src/ctl/config_reader.cpp
@@ -1,13 +1,11 @@
 // The config stream as one read after another.
 #include <tamarackglade/ctl/config_reader.hpp>
-
-#include <absl/strings/numbers.h>
+#include <tamarackglade/ctl/read_stream.hpp>
 
 namespace tamarack {
 
 namespace {
 
-constexpr std::size_t ReadLimit = 500; // records of one read
 constexpr int AppendTries = 3;
 
 } // namespace
@@ -15,25 +13,12 @@
 absl::StatusOr<config_fold> readConfig(platform_client &platform)
 {
     config_fold fold;
-    log_offset next(1);
-    for (;;) {
-        const auto read =
-            platform.read(std::string(ConfigStream), next, ReadLimit, std::chrono::milliseconds(0));
-        std::uint64_t firstRetained = 0;
-        if (absl::IsOutOfRange(read.status())
-            && absl::SimpleAtoi(read.status().message(), &firstRetained)) {
-            next = log_offset(firstRetained);
-            continue;
-        }
-        if (!read.ok())
-            return read.status();
-        for (const log_entry &entry : read->entries)
-            fold.apply(entry.offset, entry.payload);
-        if (!read->entries.empty())
-            next = log_offset(read->entries.back().offset.value() + 1);
-        if (next >= read->next)
-            return fold;
-    }
+    const auto read =
+        readStream(platform, std::string(ConfigStream), log_offset(1),
+                   [&fold](const log_entry &entry) { fold.apply(entry.offset, entry.payload); });
+    if (!read.ok())
+        return read.status();
+    return fold;
 }
 
 absl::StatusOr<log_offset> appendConfig(platform_client &platform,
