VM watch: without a question that nobody asks

takesWork() was left behind when the call board took its sides from workingSides(). The build, clang-tidy on the unit and the 17 online end-to-end tests pass.

--- a/include/tamarackglade/node/vm_watch.hpp
+++ b/include/tamarackglade/node/vm_watch.hpp
@@ -39,8 +39,6 @@
     /// @brief Takes the drained VMs of a new configuration.
     void onConfig(const config_state &state);
 
-    /// @return whether new work may go to a VM
-    [[nodiscard]] bool takesWork(const vm_id &vm);
     /// @return listed entries that take work, with their newest known processes
     [[nodiscard]] std::vector<listed_vm> entries();
     /// @return listed sides that take work
--- a/src/node/vm_watch.cpp
+++ b/src/node/vm_watch.cpp
@@ -45,12 +45,6 @@
     m_view.onDrained(state.drained);
 }
 
-bool vm_watch::takesWork(const vm_id &vm)
-{
-    const std::lock_guard lock(m_mutex);
-    return m_view.takesWork(vm);
-}
-
 std::vector<listed_vm> vm_watch::entries()
 {
     const std::lock_guard lock(m_mutex);
