--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -48,7 +48,8 @@
     absl::Status startServing();
     http_server_options serverOptions();
     void onConfig(const config_state &state, bool serving);
-    void onVmList(const vm_list &list);
+    void onVmList(const vm_list &list, instant readAt);
+    void updatePeers();
     void updateConfigPeers();
     void callTickLoop();
     void reloadTlsLoop();
--- a/include/tamarackglade/entry/limit_service.hpp
+++ b/include/tamarackglade/entry/limit_service.hpp
@@ -36,20 +36,27 @@
     /// @brief Takes a new configuration; the first one starts the service.
     void onConfig(const config_state &state);
     /// @brief Takes the platform's VM list.
-    void onVmList(const vm_list &list);
+    /// @param readAt when it was read
+    void onVmList(const vm_list &list, instant readAt);
+    /// @brief Learns that entries came, went or stopped taking work.
+    /// @param takingWork names of the entries that take work
+    void onPeersChanged(const std::vector<vm_id> &takingWork);
     /// @return whether the frame was one of the limits' protocol
     bool onFrame(const vm_id &from, const schema::frame_message &frame);
 
     /// @brief Asks for a token of the customer; the calling fiber waits for the answer.
     limit_verdict admit(const customer_id &customer);
 
-    /// @brief Gives this entry's homes to their successors, for a planned stop.
+    /// @brief Begins to give this entry's homes to others, for a planned stop.
     void handOver();
+    /// @return whether no home is left that another entry could take while the log is there
+    bool isReleased();
 
 private:
     using verdict_promise = boost::fibers::promise<limit_verdict>;
 
     void begin(std::uint32_t partitions);
+    void updateEntries();
     void applyRates(const config_state &state);
     void onHomesRead(const log_read &read);
     void tickLoop();
@@ -68,7 +75,10 @@
     std::mutex m_mutex; // guards the members below
     std::unique_ptr<fleet_limiter> m_limiter; // null until the first configuration
     std::map<customer_id, customer_rate> m_rates; // as the limiter has them
-    std::vector<live_entry> m_entries; // the latest VM list
+    std::vector<live_entry> m_entries; // the latest VM list, as read
+    instant m_entriesReadAt{};
+    std::vector<vm_id> m_takingWork; // of the connected entries
+    bool m_logReachable = true;
     std::uint64_t m_lastTicket = 0;
     std::map<std::uint64_t, verdict_promise> m_waiting; // by ticket
 };
--- a/include/tamarackglade/limits/entry_view.hpp
+++ b/include/tamarackglade/limits/entry_view.hpp
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace tamarack {
@@ -19,6 +20,16 @@
     /// @brief Takes a fresh answer of the VM list.
     void update(const std::vector<live_entry> &entries, instant now);
 
+    /// @brief Sets the VMs that a successor is chosen from: connected entries that take work.
+    /// Until the first call, all listed entries are.
+    void setCandidates(std::unordered_set<vm_id> candidates);
+
+    /// @return whether a VM may be chosen as a successor
+    [[nodiscard]] bool isCandidate(const vm_id &vm) const
+    {
+        return !m_candidates || m_candidates->contains(vm);
+    }
+
     /// @brief Leaves a VM out of the choice of successors until an instant.
     void suspect(const vm_id &vm, instant until);
 
@@ -31,7 +42,8 @@
     [[nodiscard]] std::optional<live_entry>
     chooseSuccessor(partition_id partition, const vm_id &excluded, instant now) const;
 
-    /// @return the best listed entry to hand a partition to, suspect or not; never self
+    /// @return the best entry to hand a partition to: a candidate, or else any listed one, suspect
+    /// or not; never self
     [[nodiscard]] std::optional<live_entry> chooseHeir(partition_id partition) const;
 
     /// @return this entry's place in the partition's rendezvous order; none without a list
@@ -48,6 +60,7 @@
     std::optional<instant> m_lastUpdate;
     std::unordered_map<vm_id, instant> m_lastShown; // the last answer that showed each VM
     std::unordered_map<vm_id, instant> m_suspects; // end of each suspicion
+    std::optional<std::unordered_set<vm_id>> m_candidates;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/limits/fleet_limiter.hpp
+++ b/include/tamarackglade/limits/fleet_limiter.hpp
@@ -40,11 +40,19 @@
     /// @brief Forgets a request that waits; no action follows for it.
     void cancelTicket(const customer_id &customer, std::uint64_t ticket);
 
+    /// @brief Takes any message of another entry's limiter.
+    void onMessage(const vm_id &from, const limit_message &message, instant now);
+
     void onLoanRequest(const vm_id &from, const schema::loan_request_message &request, instant now);
     void onLoanGrant(const vm_id &from, const schema::loan_grant_message &grant, instant now);
     void onLeasePing(const vm_id &from, const schema::lease_ping_message &ping, instant now);
     void onLeaseAck(const vm_id &from, const schema::lease_ack_message &ack, instant now);
 
+    /// @brief Answers with the homes if the asker knows others.
+    void onHomesRequest(const vm_id &from, const schema::homes_request_message &request);
+    /// @brief Takes the homes that a peer folded.
+    void onHomesSnapshot(const schema::homes_snapshot_message &snapshot, instant now);
+
     /// @brief Folds the next record of the stream "homes". Repeats are ignored by their offset.
     void onHomeRecord(log_offset offset, const schema::home_claimed_message &claim, instant now);
 
@@ -54,7 +62,11 @@
     /// @brief Takes a fresh answer of the VM list: the entry VMs, live or leaving.
     void onEntries(const std::vector<live_entry> &entries, instant now);
 
-    /// @brief While the log can't be reached, nothing is claimed.
+    /// @brief Sets the entries that are connected and take work: whom to choose as a successor, and
+    /// whom to ask for the homes. Until the first call, every listed entry may be a successor.
+    void onPeers(const std::vector<vm_id> &peers);
+
+    /// @brief While the log can't be reached, nothing is claimed, and peers tell of the homes.
     void onLogReachable(bool reachable) { m_logReachable = reachable; }
 
     void tick(instant now) { m_timers.advance(now); }
@@ -63,17 +75,26 @@
     /// @brief For a planned stop: gives every home of this entry to its successor.
     void handOver(instant now);
 
+    /// @return whether this entry still has homes that another one could take
+    [[nodiscard]] bool mustHandOver() const;
+
     /// @return the actions since the last call, in order
     std::vector<limit_action> takeActions();
 
     /// @return whether this entry may lend for the customer's partition now
     [[nodiscard]] bool isLending(const customer_id &customer, instant now) const;
 
+    /// @return the home of the customer's partition as folded
+    [[nodiscard]] const std::optional<home_record> &homeRecord(const customer_id &customer) const;
+
     /// @return an estimate of the memory that the customers' state takes, in bytes
     [[nodiscard]] std::size_t stateBytes() const;
 
 private:
     void poll(instant now);
+    void askForHomes(instant now);
+    void onHomeChanged(partition_id partition, instant now);
+    [[nodiscard]] std::uint64_t homesDigest() const;
     void serve(const customer_id &customer, customer_limit &state, instant now);
     void serveFromBucket(const customer_id &customer, customer_limit &state, instant now);
     void serveFromWallet(const customer_id &customer, customer_limit &state, instant now);
@@ -96,6 +117,8 @@
     entry_view m_view;
     std::mt19937_64 m_random;
     bool m_logReachable = true;
+    std::vector<vm_id> m_peers; // connected entries that take work
+    instant m_nextHomesAsk{};
     log_offset m_lastOffset;
     // Of loan requests. One count for all customers, so that a customer that was removed and came
     // back never takes a grant of its earlier life for a new one.
--- a/include/tamarackglade/limits/limit_mutation.hpp
+++ b/include/tamarackglade/limits/limit_mutation.hpp
@@ -12,6 +12,7 @@
     NewHomeStartsFull, ///< a new home's bucket is full and usable at once
     HomeIgnoresLease, ///< a home lends although its lease has lapsed
     ExpiryFromReceipt, ///< a loan's lifetime starts when the grant arrives
+    PeerHomeKeepsBuckets, ///< a home named by a peer keeps buckets of before another home's time
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/limits/limit_options.hpp
+++ b/include/tamarackglade/limits/limit_options.hpp
@@ -38,6 +38,8 @@
     duration claimStagger = std::chrono::milliseconds(300);
     /// A home claims again this often, so that its record outlives the log's retention.
     duration renewInterval = std::chrono::hours(1);
+    /// While the log can't be read, a peer is asked for the homes this often.
+    duration homesAskInterval = std::chrono::milliseconds(500);
     /// A live VM is in the VM list at most this long after its start.
     duration vmListLag = std::chrono::seconds(60);
     /// Interval of the checks of leases and claims.
--- a/include/tamarackglade/limits/partition_home.hpp
+++ b/include/tamarackglade/limits/partition_home.hpp
@@ -23,6 +23,10 @@
     /// @return whether the claim counts
     bool onClaim(const schema::home_claimed_message &claim, const entry_view &view, instant now);
 
+    /// @brief Takes a record that a peer folded; it may be any number of claims ahead.
+    /// @return whether the record counts
+    bool onPeerRecord(const home_record &record, const entry_view &view, instant now);
+
     /// @return the acknowledgement, if this entry is the successor that the ping needs
     std::optional<schema::lease_ack_message> onPing(const vm_id &from,
                                                     const schema::lease_ping_message &ping,
@@ -36,9 +40,12 @@
     /// @brief Sends pings and claims that are due.
     void poll(entry_view &view, bool logReachable, instant now, std::vector<limit_action> &out);
 
-    /// @brief Stops lending for good and names the successor as home.
+    /// @brief Stops lending for good. While this entry is home, it names another one as home.
     void handOver(const entry_view &view, instant now, std::vector<limit_action> &out);
 
+    /// @return whether this entry is still home and another one could be
+    [[nodiscard]] bool mustHandOver(const entry_view &view) const;
+
     /// @return whether this entry may admit and lend from its buckets at this instant
     [[nodiscard]] bool mayLend(instant now) const;
 
@@ -58,11 +65,14 @@
     [[nodiscard]] bool startedAnew() const { return m_startedAnew; }
 
 private:
+    void fold(home_record record, const entry_view &view, instant now);
     void startAsHome(instant now);
     void pingIfDue(instant now, std::vector<limit_action> &out);
     void pollAsHome(entry_view &view, instant now, std::vector<limit_action> &out);
+    void pollAsLeaving(const entry_view &view, instant now, std::vector<limit_action> &out);
     void pollAsSuccessor(entry_view &view, instant now, std::vector<limit_action> &out);
     void pollAsOther(const entry_view &view, instant now, std::vector<limit_action> &out);
+    [[nodiscard]] std::optional<live_entry> heir(const entry_view &view) const;
     void claim(const live_entry &home, const std::optional<live_entry> &successor, instant now,
                std::vector<limit_action> &out);
     [[nodiscard]] schema::home_claimed_message
@@ -75,7 +85,10 @@
     instant m_recordRead; // when m_record was folded; before that, when this object began
     bool m_isHome = false;
     bool m_startedAnew = false;
-    bool m_handedOver = false;
+    bool m_leaving = false; // this entry lends no more
+    // As home that leaves, in the epochs without another home since:
+    bool m_stoppedLending = false; // it was lending when it began to leave
+    bool m_stoppedSettled = false; // and no loan of an earlier home could be unexpired then
     instant m_lendingStart;
     instant m_settledAt;
     home_lease m_lease;
--- a/include/tamarackglade/limits/send_limit_message.hpp
+++ b/include/tamarackglade/limits/send_limit_message.hpp
@@ -10,7 +10,8 @@
 
 /// The messages between the limiters of two entries.
 using limit_message = std::variant<schema::loan_request_message, schema::loan_grant_message,
-                                   schema::lease_ping_message, schema::lease_ack_message>;
+                                   schema::lease_ping_message, schema::lease_ack_message,
+                                   schema::homes_request_message, schema::homes_snapshot_message>;
 
 /// @brief Send body as one frame; it may be lost, doubled, delayed or overtaken.
 struct send_limit_message
--- a/include/tamarackglade/membership/membership_view.hpp
+++ b/include/tamarackglade/membership/membership_view.hpp
@@ -42,6 +42,9 @@
     /// VM. Silence is never a proof.
     [[nodiscard]] bool isGone(const vm_id &vm, incarnation process) const;
 
+    /// @return whether a VM's newest process is known to leave
+    [[nodiscard]] bool isLeaving(const vm_id &vm) const;
+
     /// @return the newest incarnation of a VM; 0 if it was never seen
     [[nodiscard]] incarnation newest(const vm_id &vm) const;
 
--- a/include/tamarackglade/node/vm_watch.hpp
+++ b/include/tamarackglade/node/vm_watch.hpp
@@ -7,12 +7,14 @@
 #include <tamarackglade/membership/vm_list.hpp>
 #include <tamarackglade/platform/platform_client.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
+#include <tamarackglade/wire/peer_directory.hpp>
 #include <tamarackglade/wire/wire_link.hpp>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -23,11 +25,12 @@
 class vm_watch
 {
 public:
-    /// Told of each list that was read.
-    using list_listener = std::function<void(const vm_list &)>;
+    /// Told of each list, and of when the platform was asked for it.
+    using list_listener = std::function<void(const vm_list &, instant readAt)>;
 
-    vm_watch(io_thread &thread, platform_client &platform, const wire_settings &settings,
-             region_id region, wire_handler &handler, list_listener listener);
+    vm_watch(io_thread &thread, platform_client &platform, peer_directory &peers,
+             const wire_settings &settings, region_id region, wire_handler &handler,
+             list_listener listener);
 
     /// @brief Begins to poll.
     void start();
@@ -36,6 +39,9 @@
     bool onHello(const peer_identity &peer);
     /// @brief Takes a process's own announcement that it is leaving.
     void onLeaving(const peer_identity &peer);
+    /// @brief Takes a frame by which entries tell each other the VM list. On the thread only.
+    /// @return whether it was one
+    bool onFrame(const vm_id &from, const schema::frame_message &frame);
     /// @brief Takes the drained VMs of a new configuration.
     void onConfig(const config_state &state);
 
@@ -43,21 +49,33 @@
     [[nodiscard]] std::vector<listed_vm> entries();
     /// @return listed sides that take work
     [[nodiscard]] std::vector<listed_vm> workingSides();
+    /// @return whether a VM is known to leave
+    [[nodiscard]] bool isLeaving(const vm_id &vm);
     /// @return the names of all listed processes
     [[nodiscard]] std::vector<vm_id> processes();
 
 private:
     void pollLoop();
+    void askPeer();
+    void answer(const vm_id &from, const schema::vm_list_request_message &request);
+    void onAnswer(const schema::vm_list_answer_message &answer);
+    absl::Status take(const std::string &text, instant readAt);
     void apply(const vm_list &list);
     std::vector<listed_vm> wantedLinks(const vm_list &list);
 
     io_thread &m_thread;
     platform_client &m_platform;
+    peer_directory &m_peers;
     const wire_settings &m_settings;
     region_id m_region;
     wire_handler &m_handler;
     list_listener m_listener;
     std::map<std::string, std::unique_ptr<wire_link>> m_links; // by address
+    std::string m_text; // the newest list, from the platform or a peer; empty before the first
+    instant m_readAt{}; // when the platform was asked for m_text
+    std::uint64_t m_lastSequence = 0; // of questions to peers
+    instant m_peerAskedAt{};
+    std::mt19937_64 m_random{std::random_device{}()};
     std::mutex m_mutex; // guards m_view
     membership_view m_view;
 };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -51,8 +51,8 @@
                 m_metrics, m_burn,  settings.milliseconds("request-timeout")},
       m_front(m_context, m_control, m_desk),
       m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
-      m_vmWatch(m_control, m_platform, wire, region_id(settings.text("region")), *this,
-                [this](const vm_list &list) { onVmList(list); }),
+      m_vmWatch(m_control, m_platform, m_peers, wire, region_id(settings.text("region")), *this,
+                [this](const vm_list &list, instant readAt) { onVmList(list, readAt); }),
       m_statusHandler(*this, [this] { return status().toJson(); }),
       m_wireServer(m_control, wire, m_statusHandler), m_admin(m_control, m_metrics)
 {
@@ -140,7 +140,7 @@
         return;
     }
     m_peers.add(peer);
-    updateConfigPeers();
+    updatePeers();
     if (peer->identity().role != schema::vm_role::Side)
         return;
     m_batchBoard.onConnected(peer);
@@ -151,7 +151,7 @@
 {
     const vm_id &from = peer->identity().vm;
     if (m_configService.onFrame(from, frame) || m_limits.onFrame(from, frame)
-        || m_jobs.onFrame(frame))
+        || m_vmWatch.onFrame(from, frame) || m_jobs.onFrame(frame))
         return;
     if (peer->identity().role != schema::vm_role::Side)
         return;
@@ -167,6 +167,7 @@
 void entry_process::onClosed(const std::shared_ptr<wire_peer> &peer)
 {
     m_peers.remove(peer);
+    updatePeers();
     if (peer->identity().role != schema::vm_role::Side)
         return;
     m_sideBoard.onClosed(*peer);
@@ -179,20 +180,36 @@
     m_limits.onConfig(state);
     m_vmWatch.onConfig(state);
     m_jobs.onConfig(state);
-    if (state.isDrained(m_wire.self.vm, m_wire.self.incarnation))
-        m_admin.setReady(false, "drained by an operator");
-    else
+    updatePeers();
+    if (!state.isDrained(m_wire.self.vm, m_wire.self.incarnation)) {
         m_admin.setReady(serving, serving ? "" : "no configuration is confirmed");
+        return;
+    }
+    m_admin.setReady(false, "drained by an operator");
+    m_limits.handOver();
+    m_jobs.beginHandover();
 }
 
-void entry_process::onVmList(const vm_list &list)
+void entry_process::onVmList(const vm_list &list, instant readAt)
 {
-    updateConfigPeers();
-    m_limits.onVmList(list);
+    updatePeers();
+    m_limits.onVmList(list, readAt);
     m_calls.setSides(sidesOf(list), m_vmWatch.workingSides());
     m_jobs.onEntries(m_vmWatch.entries());
 }
 
+void entry_process::updatePeers()
+{
+    std::vector<vm_id> takingWork;
+    for (const auto &peer : m_peers.withRole(schema::vm_role::Entry)) {
+        const vm_id &vm = peer->identity().vm;
+        if (!m_vmWatch.isLeaving(vm))
+            takingWork.push_back(vm);
+    }
+    m_limits.onPeersChanged(takingWork);
+    updateConfigPeers();
+}
+
 // Connected processes count too: without the platform there is no VM list.
 void entry_process::updateConfigPeers()
 {
@@ -237,7 +254,7 @@
     m_limits.handOver();
     m_jobs.beginHandover();
     const auto deadline = std::chrono::steady_clock::now() + m_settings.milliseconds("drain-limit");
-    while ((activeRequests() > 0 || !m_jobs.isReleased()) && !m_endNow
+    while ((activeRequests() > 0 || !m_jobs.isReleased() || !m_limits.isReleased()) && !m_endNow
            && std::chrono::steady_clock::now() < deadline)
         boost::this_fiber::sleep_for(DrainPoll);
     m_burn.flush();
--- a/src/entry/limit_service.cpp
+++ b/src/entry/limit_service.cpp
@@ -19,6 +19,33 @@
 constexpr std::chrono::milliseconds TickPeriod{10};
 constexpr std::chrono::milliseconds NoLimiterPause{1'000};
 
+template <class Message>
+std::optional<limit_message> copyOf(const Message *message)
+{
+    return message == nullptr ? std::nullopt : std::optional<limit_message>(*message);
+}
+
+// None for a frame of another protocol.
+std::optional<limit_message> limitMessage(const schema::frame_message &frame)
+{
+    switch (frame.body.type) {
+    case schema::frame_body::loan_request:
+        return copyOf(frame.body.Asloan_request());
+    case schema::frame_body::loan_grant:
+        return copyOf(frame.body.Asloan_grant());
+    case schema::frame_body::lease_ping:
+        return copyOf(frame.body.Aslease_ping());
+    case schema::frame_body::lease_ack:
+        return copyOf(frame.body.Aslease_ack());
+    case schema::frame_body::homes_request:
+        return copyOf(frame.body.Ashomes_request());
+    case schema::frame_body::homes_snapshot:
+        return copyOf(frame.body.Ashomes_snapshot());
+    default:
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 limit_service::limit_service(io_thread &thread, platform_client &platform, peer_directory &peers,
@@ -49,6 +76,7 @@
     handler.onGap = [](log_offset) {};
     handler.onReachable = [this](bool reachable) {
         const std::lock_guard lock(m_mutex);
+        m_logReachable = reachable;
         m_limiter->onLogReachable(reachable);
     };
     m_tailer = std::make_unique<log_tailer>(m_thread, m_platform, std::string(HomesStream),
@@ -56,54 +84,54 @@
     m_thread.spawn([this] { tickLoop(); });
 }
 
-void limit_service::onVmList(const vm_list &list)
+void limit_service::onVmList(const vm_list &list, instant readAt)
 {
-    std::vector<live_entry> entries;
+    const std::lock_guard lock(m_mutex);
+    m_entriesReadAt = readAt;
+    m_entries.clear();
     for (const listed_vm &record : list) {
-        if (record.role != vm_role::Entry)
-            continue;
-        // A process that said hello is known better than its VM's row.
-        live_entry entry{record.vm, record.process};
-        if (record.vm == m_self.vm)
+        if (record.role == vm_role::Entry)
+            m_entries.push_back({record.vm, record.process});
+    }
+    updateEntries();
+}
+
+void limit_service::onPeersChanged(const std::vector<vm_id> &takingWork)
+{
+    const std::lock_guard lock(m_mutex);
+    m_takingWork = takingWork;
+    updateEntries();
+}
+
+// A process that said hello is known better than its VM's row.
+void limit_service::updateEntries()
+{
+    if (!m_limiter)
+        return;
+    m_limiter->onPeers(m_takingWork);
+    if (m_entries.empty())
+        return;
+    std::vector<live_entry> entries = m_entries;
+    for (live_entry &entry : entries) {
+        if (entry.vm == m_self.vm)
             entry.generation = m_self.incarnation;
-        else if (const auto peer = m_peers.find(record.vm))
+        else if (const auto peer = m_peers.find(entry.vm))
             entry.generation = peer->identity().incarnation;
-        entries.push_back(std::move(entry));
-    }
-    std::vector<limit_action> actions;
-    {
-        const std::lock_guard lock(m_mutex);
-        m_entries = std::move(entries);
-        if (!m_limiter)
-            return;
-        m_limiter->onEntries(m_entries, steadyNow());
-        actions = m_limiter->takeActions();
     }
-    perform(actions);
+    m_limiter->onEntries(entries, m_entriesReadAt);
 }
 
 bool limit_service::onFrame(const vm_id &from, const schema::frame_message &frame)
 {
-    const instant now = steadyNow();
+    const auto message = limitMessage(frame);
+    if (!message)
+        return false;
     std::vector<limit_action> actions;
     {
         const std::lock_guard lock(m_mutex);
-        const auto *request = frame.body.Asloan_request();
-        const auto *grant = frame.body.Asloan_grant();
-        const auto *ping = frame.body.Aslease_ping();
-        const auto *ack = frame.body.Aslease_ack();
-        if (request == nullptr && grant == nullptr && ping == nullptr && ack == nullptr)
-            return false;
         if (!m_limiter)
             return true;
-        if (request != nullptr)
-            m_limiter->onLoanRequest(from, *request, now);
-        else if (grant != nullptr)
-            m_limiter->onLoanGrant(from, *grant, now);
-        else if (ping != nullptr)
-            m_limiter->onLeasePing(from, *ping, now);
-        else
-            m_limiter->onLeaseAck(from, *ack, now);
+        m_limiter->onMessage(from, *message, steadyNow());
         actions = m_limiter->takeActions();
     }
     perform(actions);
@@ -140,6 +168,12 @@
     perform(actions);
 }
 
+bool limit_service::isReleased()
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_limiter || !m_logReachable || !m_limiter->mustHandOver();
+}
+
 void limit_service::begin(std::uint32_t partitions)
 {
     limit_options options;
@@ -147,8 +181,7 @@
     m_limiter =
         std::make_unique<fleet_limiter>(options, m_self.vm, m_self.incarnation,
                                         std::mt19937_64(std::random_device{}()), steadyNow());
-    if (!m_entries.empty())
-        m_limiter->onEntries(m_entries, steadyNow());
+    updateEntries();
 }
 
 void limit_service::applyRates(const config_state &state)
--- a/src/limits/entry_view.cpp
+++ b/src/limits/entry_view.cpp
@@ -38,6 +38,11 @@
     }
 }
 
+void entry_view::setCandidates(std::unordered_set<vm_id> candidates)
+{
+    m_candidates = std::move(candidates);
+}
+
 void entry_view::suspect(const vm_id &vm, instant until)
 {
     m_suspects[vm] = until;
@@ -63,7 +68,7 @@
 {
     std::optional<live_entry> best;
     for (const auto &entry : m_entries) {
-        if (entry.vm == m_self.vm || entry.vm == excluded)
+        if (entry.vm == m_self.vm || entry.vm == excluded || !isCandidate(entry.vm))
             continue;
         const auto suspicion = m_suspects.find(entry.vm);
         if (suspicion != m_suspects.end() && now < suspicion->second)
@@ -76,9 +81,12 @@
 
 std::optional<live_entry> entry_view::chooseHeir(partition_id partition) const
 {
+    const auto order = [&](const live_entry &entry) {
+        return std::pair(isCandidate(entry.vm), score(entry.vm, partition));
+    };
     std::optional<live_entry> best;
     for (const auto &entry : m_entries) {
-        const bool isBetter = !best || score(entry.vm, partition) > score(best->vm, partition);
+        const bool isBetter = !best || order(entry) > order(*best);
         if (entry.vm != m_self.vm && isBetter)
             best = entry;
     }
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -1,7 +1,11 @@
 // The rate limits of one entry process.
+#include <tamarackglade/core/hash.hpp>
+#include <tamarackglade/core/overloaded.hpp>
 #include <tamarackglade/core/partition.hpp>
 #include <tamarackglade/limits/fleet_limiter.hpp>
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -94,6 +98,21 @@
                   [&](const waiting_ticket &waiting) { return waiting.ticket == ticket; });
 }
 
+void fleet_limiter::onMessage(const vm_id &from, const limit_message &message, instant now)
+{
+    std::visit(
+        overloaded{
+            [&](const schema::loan_request_message &request) { onLoanRequest(from, request, now); },
+            [&](const schema::loan_grant_message &grant) { onLoanGrant(from, grant, now); },
+            [&](const schema::lease_ping_message &ping) { onLeasePing(from, ping, now); },
+            [&](const schema::lease_ack_message &ack) { onLeaseAck(from, ack, now); },
+            [&](const schema::homes_request_message &request) { onHomesRequest(from, request); },
+            [&](const schema::homes_snapshot_message &snapshot) {
+                onHomesSnapshot(snapshot, now);
+            }},
+        message);
+}
+
 void fleet_limiter::onLoanRequest(const vm_id &from, const schema::loan_request_message &request,
                                   instant now)
 {
@@ -162,6 +181,30 @@
         m_partitions[ack.partition].onAck(from, ack);
 }
 
+void fleet_limiter::onHomesRequest(const vm_id &from, const schema::homes_request_message &request)
+{
+    if (request.digest == homesDigest())
+        return;
+    schema::homes_snapshot_message snapshot;
+    for (std::uint32_t i = 0; i < m_partitions.size(); ++i) {
+        if (const auto &record = m_partitions[i].record())
+            snapshot.homes.push_back(
+                std::make_unique<schema::known_home_message>(record->toPeer(partition_id(i))));
+    }
+    send(from, std::move(snapshot));
+}
+
+void fleet_limiter::onHomesSnapshot(const schema::homes_snapshot_message &snapshot, instant now)
+{
+    for (const auto &known : snapshot.homes) {
+        if (known->partition >= m_partitions.size())
+            continue;
+        auto &partition = m_partitions[known->partition];
+        if (partition.onPeerRecord(home_record::fromPeer(*known), m_view, now))
+            onHomeChanged(partition_id(known->partition), now);
+    }
+}
+
 void fleet_limiter::onHomeRecord(log_offset offset, const schema::home_claimed_message &claim,
                                  instant now)
 {
@@ -170,11 +213,15 @@
     m_lastOffset = offset;
     if (claim.partition >= m_partitions.size())
         return;
-    auto &partition = m_partitions[claim.partition];
-    if (!partition.onClaim(claim, m_view, now))
-        return;
+    if (m_partitions[claim.partition].onClaim(claim, m_view, now))
+        onHomeChanged(partition_id(claim.partition), now);
+}
+
+void fleet_limiter::onHomeChanged(partition_id changed, instant now)
+{
+    auto &partition = m_partitions[changed.value()];
     for (auto &[customer, state] : m_customers) {
-        if (state.partition != partition_id(claim.partition))
+        if (state.partition != changed)
             continue;
         if (!partition.isHome())
             state.bucket.reset();
@@ -200,6 +247,18 @@
     m_view.update(entries, now);
 }
 
+void fleet_limiter::onPeers(const std::vector<vm_id> &peers)
+{
+    m_peers = peers;
+    m_view.setCandidates({peers.begin(), peers.end()});
+}
+
+bool fleet_limiter::mustHandOver() const
+{
+    return std::any_of(m_partitions.begin(), m_partitions.end(),
+                       [&](const auto &partition) { return partition.mustHandOver(m_view); });
+}
+
 void fleet_limiter::handOver(instant now)
 {
     for (auto &partition : m_partitions)
@@ -216,6 +275,11 @@
     return m_partitions[partitionOf(customer, m_options.partitions).value()].mayLend(now);
 }
 
+const std::optional<home_record> &fleet_limiter::homeRecord(const customer_id &customer) const
+{
+    return m_partitions[partitionOf(customer, m_options.partitions).value()].record();
+}
+
 std::size_t fleet_limiter::stateBytes() const
 {
     // A map's node adds about four pointers to its value.
@@ -234,6 +298,29 @@
 {
     for (auto &partition : m_partitions)
         partition.poll(m_view, m_logReachable, now, m_actions);
+    if (!m_logReachable && now >= m_nextHomesAsk)
+        askForHomes(now);
+}
+
+void fleet_limiter::askForHomes(instant now)
+{
+    if (m_peers.empty())
+        return;
+    m_nextHomesAsk = now + m_options.homesAskInterval;
+    schema::homes_request_message request;
+    request.digest = homesDigest();
+    send(m_peers[m_random() % m_peers.size()], std::move(request));
+}
+
+std::uint64_t fleet_limiter::homesDigest() const
+{
+    std::string folded;
+    for (const auto &partition : m_partitions) {
+        const auto &record = partition.record();
+        absl::StrAppend(&folded, record ? record->generation.value() : 0, ",",
+                        record && record->chained, ";");
+    }
+    return stableHash(folded);
 }
 
 void fleet_limiter::serve(const customer_id &customer, customer_limit &state, instant now)
--- a/src/limits/partition_home.cpp
+++ b/src/limits/partition_home.cpp
@@ -17,9 +17,34 @@
 {
     if (m_record && claim.epoch != m_record->generation.value() + 1)
         return false;
-    const bool chained = m_record || claim.epoch == 1;
-    const auto before = std::exchange(m_record, home_record::fromClaim(claim, chained));
-    const bool wasHome = std::exchange(m_isHome, chained && m_record->home == view.self());
+    fold(home_record::fromClaim(claim, m_record || claim.epoch == 1), view, now);
+    return true;
+}
+
+bool partition_home::onPeerRecord(const home_record &record, const entry_view &view, instant now)
+{
+    const bool ahead = !m_record || record.generation > m_record->generation;
+    const bool sameChained =
+        m_record && record.generation == m_record->generation && !m_record->chained;
+    // A record without its chain may be of a claim that lost: it is better than none only.
+    if (m_record && !(record.chained && (ahead || sameChained)))
+        return false;
+    const bool isNext = m_record && record.generation.value() == m_record->generation.value() + 1;
+    if (!isNext && m_options->mutation != limit_mutation::PeerHomeKeepsBuckets) {
+        // Another entry may have been home in the claims between.
+        m_isHome = false;
+        m_lastAck.reset();
+        m_ackedSettled = false;
+    }
+    fold(record, view, now);
+    return true;
+}
+
+void partition_home::fold(home_record record, const entry_view &view, instant now)
+{
+    const auto before = std::exchange(m_record, std::move(record));
+    const bool isSelf = m_record->chained && m_record->home == view.self();
+    const bool wasHome = std::exchange(m_isHome, isSelf);
     m_startedAnew = m_isHome && !wasHome;
     if (m_startedAnew)
         startAsHome(now);
@@ -31,7 +56,6 @@
     m_lastAck.reset();
     m_ackedSettled = false;
     m_vacantSince.reset();
-    return true;
 }
 
 void partition_home::startAsHome(instant now)
@@ -44,7 +68,10 @@
     const instant stopped = clean ? now : std::max(now, m_lastAck.value_or(now) + lapse);
     m_settledAt = first ? now : stopped + loans;
     // Only a settled home's loans are known to be at most half the burst.
-    m_lendingStart = m_ackedSettled ? stopped : m_settledAt;
+    const bool wasSettled = m_ackedSettled || (m_record->handedOver && m_record->settled);
+    m_lendingStart = wasSettled ? stopped : m_settledAt;
+    m_stoppedLending = false;
+    m_stoppedSettled = false;
     if (m_options->mutation == limit_mutation::NewHomeStartsFull)
         m_lendingStart = m_settledAt = now;
 }
@@ -53,8 +80,8 @@
 partition_home::onPing(const vm_id &from, const schema::lease_ping_message &ping,
                        const entry_view &view, instant now)
 {
-    if (m_handedOver || !m_record || m_record->generation != epoch(ping.epoch)
-        || m_record->home.vm != from || !isSuccessor(view))
+    if (!m_record || m_record->generation != epoch(ping.epoch) || m_record->home.vm != from
+        || !isSuccessor(view))
         return std::nullopt;
     m_lastAck = now;
     m_ackedSettled = m_ackedSettled || ping.settled;
@@ -84,13 +111,13 @@
 void partition_home::poll(entry_view &view, bool logReachable, instant now,
                           std::vector<limit_action> &out)
 {
-    if (m_handedOver)
-        return;
-    if (m_isHome)
+    if (m_isHome && !m_leaving)
         pingIfDue(now, out);
     if (!logReachable)
         return;
-    if (m_isHome)
+    if (m_leaving)
+        pollAsLeaving(view, now, out);
+    else if (m_isHome)
         pollAsHome(view, now, out);
     else if (isSuccessor(view))
         pollAsSuccessor(view, now, out);
@@ -117,6 +144,8 @@
         const auto candidate = view.chooseSuccessor(m_partition, successor, now);
         if (candidate)
             claim(view.self(), candidate, now, out);
+    } else if (!view.isCandidate(successor)) {
+        claim(view.self(), view.chooseSuccessor(m_partition, successor, now), now, out);
     } else if (m_lease.successorSilent(now) || view.isGone(m_record->successor, m_recordRead)) {
         view.suspect(successor, now + m_options->suspectFor);
         claim(view.self(), view.chooseSuccessor(m_partition, successor, now), now, out);
@@ -157,25 +186,48 @@
 
 void partition_home::handOver(const entry_view &view, instant now, std::vector<limit_action> &out)
 {
-    if (!m_isHome || m_handedOver) {
-        m_handedOver = true;
+    if (m_leaving)
         return;
-    }
-    const bool lending = mayLend(now);
-    m_handedOver = true;
-    // Nobody else may take over from a home without a successor: even a suspect is a better heir.
-    const auto heir = m_record->hasSuccessor() ? std::optional(m_record->successor)
-                                               : view.chooseHeir(m_partition);
-    if (!heir)
+    m_stoppedLending = mayLend(now);
+    m_stoppedSettled = m_stoppedLending && now >= m_settledAt;
+    m_leaving = true;
+    m_nextClaim = now;
+    m_claimBackoff = m_options->claimBackoff;
+    pollAsLeaving(view, now, out);
+}
+
+bool partition_home::mustHandOver(const entry_view &view) const
+{
+    return m_isHome && heir(view);
+}
+
+void partition_home::pollAsLeaving(const entry_view &view, instant now,
+                                   std::vector<limit_action> &out)
+{
+    if (!m_isHome || now < m_nextClaim)
+        return;
+    const auto next = heir(view);
+    if (!next)
         return;
-    auto message = makeClaim(*heir, view.chooseSuccessor(m_partition, heir->vm, now));
-    message.handed_over = lending;
+    m_nextClaim = now + m_claimBackoff;
+    m_claimBackoff = std::min(m_claimBackoff * 2, m_options->maxClaimBackoff);
+    auto message = makeClaim(*next, view.chooseSuccessor(m_partition, next->vm, now));
+    message.handed_over = m_stoppedLending;
+    message.settled = m_stoppedSettled;
     out.emplace_back(append_claim{std::move(message)});
 }
 
+// Nobody else may take over from a home without a successor: even a suspect is a better heir.
+std::optional<live_entry> partition_home::heir(const entry_view &view) const
+{
+    if (m_record->hasSuccessor() && view.isCandidate(m_record->successor.vm))
+        return m_record->successor;
+    return view.chooseHeir(m_partition);
+}
+
 bool partition_home::mayLend(instant now) const
 {
-    if (!m_isHome || m_handedOver || now < m_lendingStart)
+    if (!m_isHome || m_leaving || now < m_lendingStart)
         return false;
     return !m_record->hasSuccessor() || m_lease.isHeld(now)
            || m_options->mutation == limit_mutation::HomeIgnoresLease;
--- a/src/membership/membership_view.cpp
+++ b/src/membership/membership_view.cpp
@@ -66,6 +66,12 @@
     return wasListed && !known.onList;
 }
 
+bool membership_view::isLeaving(const vm_id &vm) const
+{
+    const auto found = m_members.find(vm);
+    return found != m_members.end() && found->second.leaving();
+}
+
 incarnation membership_view::newest(const vm_id &vm) const
 {
     const auto found = m_members.find(vm);
--- a/src/node/vm_watch.cpp
+++ b/src/node/vm_watch.cpp
@@ -2,6 +2,8 @@
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/membership/select_sides.hpp>
 #include <tamarackglade/node/vm_watch.hpp>
+#include <tamarackglade/runtime/steady_now.hpp>
+#include <tamarackglade/wire/frame_codec.hpp>
 
 #include <boost/fiber/operations.hpp>
 
@@ -15,10 +17,11 @@
 
 } // namespace
 
-vm_watch::vm_watch(io_thread &thread, platform_client &platform, const wire_settings &settings,
-                   region_id region, wire_handler &handler, list_listener listener)
-    : m_thread(thread), m_platform(platform), m_settings(settings), m_region(std::move(region)),
-      m_handler(handler), m_listener(std::move(listener))
+vm_watch::vm_watch(io_thread &thread, platform_client &platform, peer_directory &peers,
+                   const wire_settings &settings, region_id region, wire_handler &handler,
+                   list_listener listener)
+    : m_thread(thread), m_platform(platform), m_peers(peers), m_settings(settings),
+      m_region(std::move(region)), m_handler(handler), m_listener(std::move(listener))
 {
 }
 
@@ -60,6 +63,12 @@
     return m_view.takingWork(vm_role::Side);
 }
 
+bool vm_watch::isLeaving(const vm_id &vm)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_view.isLeaving(vm);
+}
+
 std::vector<vm_id> vm_watch::processes()
 {
     const std::lock_guard lock(m_mutex);
@@ -69,17 +78,77 @@
 void vm_watch::pollLoop()
 {
     for (;;) {
+        const instant askedAt = steadyNow();
         const auto text = m_platform.vmListText();
-        const auto list = text.ok() ? parseVmList(*text) : text.status();
-        if (list.ok())
-            apply(*list);
-        else
+        const absl::Status taken = text.ok() ? take(*text, askedAt) : text.status();
+        if (!taken.ok()) {
             log_event(log_level::Warning, "VM list not read")
-                .with("reason", std::string(list.status().message()));
+                .with("reason", std::string(taken.message()));
+            askPeer();
+        }
         boost::this_fiber::sleep_for(PollPeriod);
     }
 }
 
+void vm_watch::askPeer()
+{
+    const auto peers = m_peers.withRole(schema::vm_role::Entry);
+    if (peers.empty())
+        return;
+    m_peerAskedAt = steadyNow();
+    schema::vm_list_request_message request;
+    request.sequence = ++m_lastSequence;
+    peers[m_random() % peers.size()]->send(frameBody(request));
+}
+
+bool vm_watch::onFrame(const vm_id &from, const schema::frame_message &frame)
+{
+    if (const auto *request = frame.body.Asvm_list_request())
+        answer(from, *request);
+    else if (const auto *received = frame.body.Asvm_list_answer())
+        onAnswer(*received);
+    else
+        return false;
+    return true;
+}
+
+void vm_watch::answer(const vm_id &from, const schema::vm_list_request_message &request)
+{
+    if (m_text.empty())
+        return;
+    schema::vm_list_answer_message answer;
+    answer.sequence = request.sequence;
+    const auto age = std::chrono::ceil<std::chrono::milliseconds>(steadyNow() - m_readAt);
+    answer.age_ms = static_cast<std::uint64_t>(age.count());
+    answer.text = m_text;
+    m_peers.send(from, frameBody(answer));
+}
+
+// The list is at least as new as the question less its age.
+void vm_watch::onAnswer(const schema::vm_list_answer_message &answer)
+{
+    if (answer.sequence != m_lastSequence)
+        return;
+    const instant readAt = m_peerAskedAt - std::chrono::milliseconds(answer.age_ms);
+    if (!m_text.empty() && readAt <= m_readAt)
+        return;
+    const absl::Status taken = take(answer.text, readAt);
+    if (!taken.ok())
+        log_event(log_level::Warning, "VM list of a peer not read")
+            .with("reason", std::string(taken.message()));
+}
+
+absl::Status vm_watch::take(const std::string &text, instant readAt)
+{
+    const auto list = parseVmList(text);
+    if (!list.ok())
+        return list.status();
+    m_text = text;
+    m_readAt = readAt;
+    apply(*list);
+    return absl::OkStatus();
+}
+
 void vm_watch::apply(const vm_list &list)
 {
     std::vector<listed_vm> wanted;
@@ -97,7 +166,7 @@
             m_links[address] =
                 std::make_unique<wire_link>(m_thread, m_settings, m_handler, address);
     }
-    m_listener(list);
+    m_listener(list, m_readAt);
 }
 
 // Entries connect to a choice of sides of their region and to all entries; sides to none.
--- a/src/report/virtual_limit_fleet.cpp
+++ b/src/report/virtual_limit_fleet.cpp
@@ -1,4 +1,5 @@
 // Limiters, links and the log of homes in virtual time.
+#include <tamarackglade/core/overloaded.hpp>
 #include <tamarackglade/report/frame_size.hpp>
 #include <tamarackglade/report/virtual_limit_fleet.hpp>
 
@@ -14,14 +15,6 @@
 constexpr duration LogDelay = std::chrono::milliseconds(20);
 constexpr duration TickPeriod = std::chrono::milliseconds(10); // as in the entry process
 
-template <class... Calls>
-struct overloaded : Calls...
-{
-    using Calls::operator()...;
-};
-template <class... Calls>
-overloaded(Calls...) -> overloaded<Calls...>;
-
 } // namespace
 
 virtual_limit_fleet::virtual_limit_fleet(std::size_t entries, std::uint32_t partitions,
@@ -117,21 +110,8 @@
     m_cost.bytes += std::visit([](const auto &body) { return frameSize(body); }, message.body);
     m_events.emplace(m_now + LinkDelay, [this, from, message] {
         const vm_id &sender = m_names[from];
-        run(m_indexes.at(message.to), [&](fleet_limiter &limiter) {
-            std::visit(overloaded{[&](const schema::loan_request_message &body) {
-                                      limiter.onLoanRequest(sender, body, m_now);
-                                  },
-                                  [&](const schema::loan_grant_message &body) {
-                                      limiter.onLoanGrant(sender, body, m_now);
-                                  },
-                                  [&](const schema::lease_ping_message &body) {
-                                      limiter.onLeasePing(sender, body, m_now);
-                                  },
-                                  [&](const schema::lease_ack_message &body) {
-                                      limiter.onLeaseAck(sender, body, m_now);
-                                  }},
-                       message.body);
-        });
+        run(m_indexes.at(message.to),
+            [&](fleet_limiter &limiter) { limiter.onMessage(sender, message.body, m_now); });
     });
 }
 
--- a/tests/fuzz-limits.cpp
+++ b/tests/fuzz-limits.cpp
@@ -83,7 +83,7 @@
         limit_mutation mutation;
         std::uint64_t seed;
     };
-    for (const auto &fault : {seeded_fault{limit_mutation::LenderIgnoresLoans, 13},
+    for (const auto &fault : {seeded_fault{limit_mutation::LenderIgnoresLoans, 14},
                               seeded_fault{limit_mutation::NewHomeStartsFull, 10},
                               seeded_fault{limit_mutation::HomeIgnoresLease, 20}}) {
         INFO("mutation " << static_cast<int>(fault.mutation) << ", seed " << fault.seed);
--- a/tests/support/limits_fleet.cpp
+++ b/tests/support/limits_fleet.cpp
@@ -20,6 +20,8 @@
 
 /// How long a lowered burst may still show in loans.
 constexpr true_time BurstMemory = 500ms;
+/// How often entries learn whom they are connected to.
+constexpr true_time ConnectionPoll = 200ms;
 
 } // namespace
 
@@ -36,6 +38,7 @@
         restart(i);
     }
     readLists();
+    readConnections();
 }
 
 void limits_fleet::setRate(const customer_id &customer, customer_rate rate, true_time spread)
@@ -213,6 +216,7 @@
     scheduleTick(entry);
     at(m_now + m_network.logDelay, [=, this] { readLog(entry); });
     publishList();
+    tellOfLog(entry);
 }
 
 void limits_fleet::pause(std::size_t entry, true_time time)
@@ -245,13 +249,32 @@
     m_cuts.clear();
     for (auto &node : m_nodes)
         node.logCut = false;
-    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         readLog(i);
+        tellOfLog(i);
+    }
+}
+
+void limits_fleet::cutLog(std::size_t entry)
+{
+    m_nodes[entry].logCut = true;
+    tellOfLog(entry);
+}
+
+// An entry learns late whether it reaches the log.
+void limits_fleet::tellOfLog(std::size_t index)
+{
+    atNode(m_now + random(0ms, 2 * ConnectionPoll), index,
+           [=, this](fleet_limiter &limiter, instant) {
+               limiter.onLogReachable(m_logUp && !m_nodes[index].logCut);
+           });
 }
 
 void limits_fleet::setLog(bool up)
 {
     m_logUp = up;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        tellOfLog(i);
     if (!up)
         return;
     for (const auto &append : std::exchange(m_hungAppends, {}))
@@ -269,6 +292,15 @@
     return m_nodes.size();
 }
 
+std::size_t limits_fleet::successorOf(const customer_id &customer)
+{
+    const std::size_t home = homeOf(customer);
+    if (home == m_nodes.size())
+        return home;
+    const auto &record = m_nodes[home].limiter->homeRecord(customer);
+    return record && record->hasSuccessor() ? vmIndex(record->successor.vm) : m_nodes.size();
+}
+
 std::uint64_t limits_fleet::overAdmitted() const
 {
     std::uint64_t sum = 0;
@@ -338,14 +370,7 @@
         return;
     const auto from = vmName(index);
     const auto deliver = [from, body = action.body](fleet_limiter &limiter, instant now) {
-        if (const auto *request = std::get_if<schema::loan_request_message>(&body))
-            limiter.onLoanRequest(from, *request, now);
-        else if (const auto *grant = std::get_if<schema::loan_grant_message>(&body))
-            limiter.onLoanGrant(from, *grant, now);
-        else if (const auto *ping = std::get_if<schema::lease_ping_message>(&body))
-            limiter.onLeasePing(from, *ping, now);
-        else
-            limiter.onLeaseAck(from, std::get<schema::lease_ack_message>(body), now);
+        limiter.onMessage(from, body, now);
     };
     const auto extra = extraDelay ? extraDelay(action.body) : 0ns;
     atNode(m_now + random(m_network.minDelay, m_network.maxDelay) + extra, to, deliver);
@@ -446,6 +471,22 @@
     at(m_now + 500ms, [this] { readLists(); });
 }
 
+void limits_fleet::readConnections()
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (!alive(i))
+            continue;
+        std::vector<vm_id> connected;
+        for (std::size_t j = 0; j < m_nodes.size(); ++j) {
+            const bool isCut = m_cuts.contains({i, j}) || m_cuts.contains({j, i});
+            if (j != i && alive(j) && !isCut)
+                connected.push_back(vmName(j));
+        }
+        atNode(m_now, i, [=](fleet_limiter &limiter, instant) { limiter.onPeers(connected); });
+    }
+    at(m_now + ConnectionPoll, [this] { readConnections(); });
+}
+
 instant limits_fleet::local(const sim_entry &entry) const
 {
     const auto elapsed = static_cast<double>(m_now.count()) * (1 + entry.clockError);
--- a/tests/support/limits_fleet.hpp
+++ b/tests/support/limits_fleet.hpp
@@ -71,10 +71,12 @@
     void cut(std::size_t from, std::size_t to) { m_cuts.insert({from, to}); }
     void healAll();
     void setLog(bool up);
-    void cutLog(std::size_t entry) { m_nodes[entry].logCut = true; }
+    void cutLog(std::size_t entry);
 
     /// The entry that may lend for a customer now; entries() if none.
     std::size_t homeOf(const customer_id &customer);
+    /// The entry that is successor of a customer's home by the home's fold; entries() if none.
+    std::size_t successorOf(const customer_id &customer);
     fleet_network &network() { return m_network; }
     [[nodiscard]] std::size_t entries() const { return m_nodes.size(); }
     [[nodiscard]] bool alive(std::size_t entry) const { return m_nodes[entry].limiter != nullptr; }
@@ -149,6 +151,8 @@
     [[nodiscard]] std::size_t expiredRecords() const;
     void publishList();
     void readLists();
+    void readConnections();
+    void tellOfLog(std::size_t index);
     void applyRate(std::size_t index, const customer_id &customer, customer_rate rate);
     void updateBound(const customer_id &customer);
     struct arrivals
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -308,6 +308,97 @@
         CHECK_FALSE(claims[0].claim.handed_over); // it was not lending yet
         CHECK_FALSE(home.mayLend(Start));
     }
+    SUBCASE("an entry that leaves hands over a home that it gets only then, until that counts")
+    {
+        REQUIRE(home.onClaim(claimOf(1, "a", "b"), view, Start));
+        home.handOver(view, Start, out);
+        CHECK(out.empty());
+        CHECK_FALSE(home.mustHandOver(view));
+        REQUIRE(home.onClaim(claimOf(2, "b", "a"), view, Start));
+        CHECK(home.mustHandOver(view));
+        home.poll(view, true, Start, out);
+        home.poll(view, true, Start + options.claimBackoff, out);
+        CHECK(actionsOf<append_claim>(out).size() == 2);
+        CHECK(actionsOf<send_limit_message>(out).empty());
+        REQUIRE(home.onClaim(claimOf(3, "a", ""), view, Start + 1s));
+        CHECK_FALSE(home.mustHandOver(view));
+    }
+    SUBCASE("after a planned stop of a settled home, the next one lends at once")
+    {
+        auto claim = claimOf(2, "b", "");
+        claim.handed_over = true;
+        REQUIRE(home.onClaim(claimOf(1, "a", ""), view, Start));
+        SUBCASE("if the claim says settled")
+        {
+            claim.settled = true;
+            REQUIRE(home.onClaim(claim, view, Start));
+            CHECK(home.mayLend(Start));
+        }
+        SUBCASE("else when the loans have expired")
+        {
+            REQUIRE(home.onClaim(claim, view, Start));
+            CHECK_FALSE(home.mayLend(Start + loans - 1ms));
+            CHECK(home.mayLend(Start + loans));
+        }
+    }
+    SUBCASE("a successor that is not connected is replaced at once, and never chosen")
+    {
+        REQUIRE(home.onClaim(claimOf(1, "b", "a"), view, Start));
+        view.setCandidates({vm_id("c")});
+        home.poll(view, true, Start, out);
+        const auto claims = actionsOf<append_claim>(out);
+        REQUIRE(claims.size() == 1);
+        CHECK(claims[0].claim.successor == "c");
+        view.setCandidates({});
+        CHECK_FALSE(view.chooseSuccessor(partition_id(0), vm_id(), Start));
+    }
+    SUBCASE("a peer's record")
+    {
+        const auto fromPeer = [&](std::uint64_t generation, const std::string &vm, bool chained) {
+            return home.onPeerRecord(home_record::fromClaim(claimOf(generation, vm, ""), chained),
+                                     view, Start);
+        };
+        SUBCASE("names the home, and gives a role if the peer saw the chain")
+        {
+            CHECK(fromPeer(7, "b", true));
+            CHECK(home.isHome());
+            CHECK_FALSE(home.mayLend(Start + lapse + loans - 1ms));
+            CHECK(home.mayLend(Start + lapse + loans));
+        }
+        SUBCASE("gives no role without the chain, and yields to a record with it")
+        {
+            CHECK(fromPeer(7, "b", false));
+            CHECK_FALSE(home.isHome());
+            CHECK_FALSE(fromPeer(8, "a", false));
+            CHECK(fromPeer(7, "c", true));
+            CHECK(home.record()->home.vm == vm_id("c"));
+        }
+        SUBCASE("never takes the fold back")
+        {
+            CHECK(home.onClaim(claimOf(1, "a", "c"), view, Start));
+            CHECK_FALSE(fromPeer(1, "b", true));
+            CHECK(fromPeer(3, "c", true));
+            CHECK_FALSE(fromPeer(2, "b", true));
+            CHECK_FALSE(home.onClaim(claimOf(2, "b", ""), view, Start));
+            CHECK(home.onClaim(claimOf(4, "b", ""), view, Start));
+        }
+        SUBCASE("makes buckets new when another entry may have been home in between")
+        {
+            REQUIRE(home.onClaim(claimOf(1, "b", ""), view, Start));
+            REQUIRE(home.mayLend(Start));
+            CHECK(fromPeer(3, "b", true));
+            CHECK(home.startedAnew());
+            CHECK_FALSE(home.mayLend(Start));
+        }
+        SUBCASE("with the seeded fault, an entry lends from buckets of before that time")
+        {
+            options.mutation = limit_mutation::PeerHomeKeepsBuckets;
+            REQUIRE(home.onClaim(claimOf(1, "b", ""), view, Start));
+            CHECK(fromPeer(3, "b", true));
+            CHECK_FALSE(home.startedAnew());
+            CHECK(home.mayLend(Start));
+        }
+    }
 }
 
 TEST_CASE("fleet limiter")
@@ -497,6 +588,60 @@
     CHECK(fleet.overAdmitted() == 0);
 }
 
+TEST_CASE("an entry stops as planned and stays on the VM list")
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+        limits_fleet fleet(2, limit_options{}, seed);
+        fleet.network().listLag = 60s;
+        fleet.setRate(Large, {1000, 1000});
+        fleet.advance(1s); // soon after the start
+        fleet.handOver(1);
+        fleet.advance(300ms);
+        fleet.kill(1);
+        fleet.loadWithin(Large, 200, {1, 0}, fleet.now() + 45s);
+        fleet.advance(46s);
+        const auto &counts = fleet.counts().at(Large);
+        MESSAGE("seed " << seed << ": " << counts.refused << " of " << counts.offered
+                        << " refused");
+        CHECK(counts.refused == 0);
+        CHECK(fleet.overAdmitted() == 0);
+    }
+}
+
+TEST_CASE("an entry that starts while it can't read the log is served by its peers")
+{
+    limits_fleet fleet(3, limit_options{}, 20261203);
+    fleet.setRate(Large, {100, 100});
+    fleet.advance(15s);
+    const std::size_t newcomer = (fleet.homeOf(Large) + 1) % fleet.entries();
+    SUBCASE("the log is down, and the newcomer had no part in the customer's home")
+    {
+        // Its earlier process was no successor either, so that no claim is needed.
+        const std::size_t other = (fleet.homeOf(Large) + 2) % fleet.entries();
+        const std::size_t bystander = fleet.successorOf(Large) == newcomer ? other : newcomer;
+        fleet.setLog(false);
+        fleet.restart(bystander);
+        fleet.advance(2s);
+        std::vector<double> weights(fleet.entries(), 0);
+        weights[bystander] = 1;
+        fleet.loadWithin(Large, 80, weights, fleet.now() + 30s);
+        fleet.advance(31s);
+        CHECK(fleet.counts().at(Large).refused == 0);
+    }
+    SUBCASE("only the newcomer is cut off from the log")
+    {
+        fleet.restart(newcomer);
+        fleet.cutLog(newcomer);
+        fleet.advance(5s);
+        std::vector<double> weights(fleet.entries(), 0);
+        weights[newcomer] = 1;
+        fleet.loadWithin(Large, 80, weights, fleet.now() + 30s);
+        fleet.advance(31s);
+        CHECK(fleet.counts().at(Large).refused == 0);
+    }
+    CHECK(fleet.overAdmitted() == 0);
+}
+
 TEST_CASE("a restart of all entries")
 {
     limits_fleet fleet(4, limit_options{}, 20261203);
