Gate: a batch item that must run alone runs without other batch items

Cause: the owner of a partition sends an item whose worker died with alone set, but the side ran it beside the items of other partitions' owners, so that one poison item could end their work again.

Ruled out: refusing the item until the side happens to be empty (busy sides never are).

Change: the gate takes it, parks it without having opened it, resumes what yielded before, and takes and offers no other batch call until it has ended. If it waits too long it ends as not started, with proof.

--- a/include/tamarackglade/gate/gate_mutation.hpp
+++ b/include/tamarackglade/gate/gate_mutation.hpp
@@ -8,7 +8,8 @@
     NoTombstone, // a refused attempt may still start
     NoDedupe, // a repeated start_call runs again
     BatchBeforeOnline, // online requests wait for batch streams to end
-    IgnoreLeaving // a leaving upstream still gets new calls
+    IgnoreLeaving, // a leaving upstream still gets new calls
+    IgnoreAlone // other batch calls run beside one that must run alone
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gate/gated_call.hpp
+++ b/include/tamarackglade/gate/gated_call.hpp
@@ -17,6 +17,8 @@
     enum class phase { Queued, Running, Parked };
 
     [[nodiscard]] bool isBatch() const { return call.call_class == schema::call_class::Batch; }
+    [[nodiscard]] bool isAlone() const { return isBatch() && call.alone; }
+    [[nodiscard]] bool wasOpened() const { return runNumber > 0; }
     [[nodiscard]] upstream_run run() const { return {attempt_id(call.attempt), runNumber}; }
 
     schema::start_call_message call;
--- a/include/tamarackglade/gate/side_gate.hpp
+++ b/include/tamarackglade/gate/side_gate.hpp
@@ -23,8 +23,9 @@
 /// @brief Decides what runs at one upstream and when.
 /// Online calls wait in a fair, bounded queue and never behind batch; batch streams yield as soon
 /// as an online call needs their room, and resume where they stopped. Every start_call gets one
-/// call_end, but for duplicates. Events return the actions that follow, in order. Events cost
-/// O(log calls) but where batch yields, which is linear in the calls held.
+/// call_end, but for duplicates. A batch call that must run alone waits, parked, until no other one
+/// runs; until it ends, no other batch call is taken. Events return the actions that follow, in
+/// order. Events cost O(log calls) but where batch yields, which is linear in the calls held.
 class side_gate
 {
 public:
@@ -88,6 +89,8 @@
                    connection_id from, instant now);
     void queueOnline(const gated_call &held, instant now);
     void startBatch(const gated_call &held, instant now);
+    void parkUnopened(gated_call held, instant now);
+    [[nodiscard]] bool mayOpenParked(const gated_call &held) const;
     [[nodiscard]] bool takesNew() const;
     [[nodiscard]] std::size_t batchRoom() const;
     [[nodiscard]] std::size_t onlineLimit() const;
@@ -129,6 +132,8 @@
     std::size_t m_onlineRunning = 0;
     std::size_t m_batchRunning = 0;
     std::size_t m_parked = 0;
+    // The attempt of the one held call that must run alone; empty without one.
+    std::string m_alone;
     std::uint64_t m_lastOrder = 0;
     schema::upstream_state m_state = schema::upstream_state::Serving;
     bool m_draining = false;
--- a/src/gate/side_gate.cpp
+++ b/src/gate/side_gate.cpp
@@ -67,10 +67,10 @@
     const auto name = call_attempt_name::parse(attempt);
     answer.never_started = name && m_ledger.proveNeverStarted(*name, now);
     const auto found = m_calls.find(attempt.value());
-    const bool queued =
-        found != m_calls.end() && found->second.current == gated_call::phase::Queued;
-    if (answer.never_started && queued) {
-        m_queue.remove(attempt.value());
+    const bool waiting = found != m_calls.end() && !found->second.wasOpened();
+    if (answer.never_started && waiting) {
+        if (found->second.current == gated_call::phase::Queued)
+            m_queue.remove(attempt.value());
         removeCall(found->second);
     }
     send(from, std::move(answer));
@@ -240,12 +240,28 @@
 
 void side_gate::startBatch(const gated_call &held, instant now)
 {
-    const bool room = m_batchRunning + m_parked < batchRoom();
-    if (!room || !m_queue.empty() || !m_pacer.mayGrow(now)) {
+    const bool honoured = m_options.mutation != gate_mutation::IgnoreAlone;
+    const bool waitsForOthers = honoured && held.isAlone() && m_batchRunning + m_parked > 0;
+    const bool room = waitsForOthers || m_batchRunning + m_parked < batchRoom();
+    if (!m_alone.empty() || !room || !m_queue.empty() || !m_pacer.mayGrow(now)) {
         endNotStarted(held, "no_batch_slot", m_options.batchGrowthHold, now);
         return;
     }
-    open(m_calls.emplace(held.call.attempt, held).first->second);
+    if (honoured && held.isAlone())
+        m_alone = held.call.attempt;
+    if (waitsForOthers)
+        parkUnopened(held, now);
+    else
+        open(m_calls.emplace(held.call.attempt, held).first->second);
+}
+
+void side_gate::parkUnopened(gated_call held, instant now)
+{
+    held.current = gated_call::phase::Parked;
+    held.parkedUntil = now + m_options.maxParked;
+    held.order = ++m_lastOrder;
+    ++m_parked;
+    m_calls.emplace(held.call.attempt, std::move(held));
 }
 
 bool side_gate::takesNew() const
--- a/src/gate/side_gate_pump.cpp
+++ b/src/gate/side_gate_pump.cpp
@@ -45,8 +45,21 @@
 {
     if (!m_queue.empty() || !m_pacer.mayGrow(now))
         return;
-    while (m_parked > 0 && m_batchRunning < batchRoom())
-        open(*oldestParked());
+    while (m_parked > 0 && m_batchRunning < batchRoom()) {
+        gated_call *oldest = oldestParked();
+        if (!mayOpenParked(*oldest))
+            return;
+        open(*oldest);
+    }
+}
+
+bool side_gate::mayOpenParked(const gated_call &held) const
+{
+    if (m_alone.empty() || m_batchRunning == 0)
+        return true;
+    const auto alone = m_calls.find(m_alone);
+    const bool aloneRuns = alone->second.current == gated_call::phase::Running;
+    return !aloneRuns && held.call.attempt != m_alone;
 }
 
 void side_gate::expireParked(instant now)
@@ -58,7 +71,7 @@
     }
     std::sort(expired.begin(), expired.end());
     for (const auto &id : expired)
-        endStarted(m_calls.at(id), schema::call_outcome::Cancelled, "yielded", "", now);
+        giveUp(m_calls.at(id), "yielded", now);
 }
 
 void side_gate::open(gated_call &held)
@@ -145,7 +158,10 @@
         abortRun(held);
         break;
     case gated_call::phase::Parked:
-        break;
+        if (held.wasOpened())
+            break;
+        endNotStarted(held, code, duration::zero(), now);
+        return;
     }
     endStarted(held, schema::call_outcome::Cancelled, code, "", now);
 }
@@ -169,6 +185,8 @@
         countRunning(found->second, false);
     if (found->second.current == gated_call::phase::Parked)
         --m_parked;
+    if (found->first == m_alone)
+        m_alone.clear();
     m_calls.erase(found);
 }
 
@@ -231,7 +249,8 @@
 {
     const auto used = m_batchRunning + m_parked;
     const auto room = batchRoom();
-    if (!takesNew() || !m_queue.empty() || !m_pacer.mayGrow(now) || room <= used)
+    const bool full = room <= used || !m_alone.empty();
+    if (!takesNew() || !m_queue.empty() || !m_pacer.mayGrow(now) || full)
         return 0;
     const auto interested = [&](const auto &entry) {
         return entry.second && *entry.second + m_options.interestWindow > now;
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -309,7 +309,7 @@
     m_nextHomesAsk = now + m_options.homesAskInterval;
     schema::homes_request_message request;
     request.digest = homesDigest();
-    send(m_peers[m_random() % m_peers.size()], std::move(request));
+    send(m_peers[m_random() % m_peers.size()], request);
 }
 
 std::uint64_t fleet_limiter::homesDigest() const
--- a/tests/unit-gate.cpp
+++ b/tests/unit-gate.cpp
@@ -247,6 +247,81 @@
     }
 }
 
+namespace {
+
+schema::start_call_message aloneCall(std::uint64_t sequence)
+{
+    auto call = callOf(sequence, schema::call_class::Batch);
+    call.alone = true;
+    return call;
+}
+
+/// @return how many batch calls run when one that must be alone is started beside two others
+std::size_t runningBesideAlone(gate_mutation mutation)
+{
+    gate_options options;
+    options.maxStreams = 8;
+    options.mutation = mutation;
+    side_gate gate(options, incarnation(9));
+    gate.onConnected(Entry, Start);
+    instant now = Start;
+    for (const auto &call : {callOf(1, schema::call_class::Batch),
+                             callOf(2, schema::call_class::Batch), aloneCall(3)}) {
+        gate.onStart(call, Entry, now);
+        now += options.batchGrowthHold;
+        gate.tick(now);
+    }
+    return gate.batchRunning();
+}
+
+} // namespace
+
+TEST_CASE("gate: a batch call that must run alone")
+{
+    auto gate = makeGate(8);
+    const instant later = Start + gate_options{}.batchGrowthHold;
+    const upstream_run first{nameOf(1).format(), 1};
+    SUBCASE("waits until the others have ended, and none is taken before it ends")
+    {
+        gate.onStart(callOf(1, schema::call_class::Batch), Entry, Start);
+        CHECK(only<open_upstream>(gate.onStart(aloneCall(2), Entry, later)).empty());
+        CHECK(endsOf(gate.onStart(callOf(3, schema::call_class::Batch), Entry, later)).size() == 1);
+        const auto opened = only<open_upstream>(gate.onUpstreamEnd(first, later));
+        REQUIRE(opened.size() == 1);
+        CHECK(opened[0].call.attempt == nameOf(2).format().value());
+        CHECK(endsOf(gate.onStart(callOf(4, schema::call_class::Batch), Entry, later)).size() == 1);
+        gate.onUpstreamEnd(opened[0].run, later);
+        const auto next = gate.onStart(callOf(5, schema::call_class::Batch), Entry, later);
+        CHECK(only<open_upstream>(next).size() == 1);
+    }
+    SUBCASE("runs beside online calls")
+    {
+        gate.onStart(callOf(1, schema::call_class::Online), Entry, Start);
+        CHECK(only<open_upstream>(gate.onStart(aloneCall(2), Entry, later)).size() == 1);
+    }
+    SUBCASE("that waits too long was not started")
+    {
+        gate.onStart(callOf(1, schema::call_class::Batch), Entry, Start);
+        gate.onStart(aloneCall(2), Entry, later);
+        const auto ends = endsOf(gate.tick(later + gate_options{}.maxParked));
+        REQUIRE(ends.size() == 1);
+        CHECK(ends[0].outcome == schema::call_outcome::NotStarted);
+    }
+    SUBCASE("that waits can be proved never to start")
+    {
+        gate.onStart(callOf(1, schema::call_class::Batch), Entry, Start);
+        gate.onStart(aloneCall(2), Entry, later);
+        gate.onRefuseAttempt(nameOf(2).format(), Entry, later);
+        CHECK(gate.batchParked() == 0);
+        CHECK(only<open_upstream>(gate.onUpstreamEnd(first, later)).empty());
+    }
+    SUBCASE("and its seeded fault")
+    {
+        CHECK(runningBesideAlone(gate_mutation::None) == 2);
+        CHECK(runningBesideAlone(gate_mutation::IgnoreAlone) == 3);
+    }
+}
+
 TEST_CASE("gate: leaving, drain and proof")
 {
     auto gate = makeGate(1);
