Sides resume batch items that yielded to online work

Cause: the gate parks a batch run and asks for it again with the frames already passed on, but items were asked for whole, so the side held nothing of an aborted run: every yield began the item anew.

Change: the side asks engines for batch completions as a stream, keeps the text over runs, resumes by the engine's resume_from from the token before the last, and passes on the whole answer. Requests for more than one choice's text are asked for whole as before.

--- a/include/tamarackglade/gate/side_gate.hpp
+++ b/include/tamarackglade/gate/side_gate.hpp
@@ -77,6 +77,15 @@
     /// @return when tick has something to do next
     [[nodiscard]] instant nextDeadline(instant now) const;
 
+    /// @return whether the attempt is queued, running or parked
+    [[nodiscard]] bool holds(const attempt_id &attempt) const
+    {
+        return m_calls.contains(attempt.value());
+    }
+
+    /// @return whether the run goes on: it wasn't ended, given up or parked
+    [[nodiscard]] bool isRunning(const upstream_run &run) const;
+
     [[nodiscard]] std::size_t onlineRunning() const { return m_onlineRunning; }
     [[nodiscard]] std::size_t batchRunning() const { return m_batchRunning; }
     [[nodiscard]] std::size_t onlineQueued() const { return m_queue.size(); }
--- a/include/tamarackglade/side/side_server.hpp
+++ b/include/tamarackglade/side/side_server.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/gate/side_gate.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
+#include <tamarackglade/side/resumable_answer.hpp>
 #include <tamarackglade/side/upstream_call.hpp>
 #include <tamarackglade/wire/wire_handler.hpp>
 
@@ -51,6 +52,8 @@
     void open(const open_upstream &action);
     void send(const send_frame &action);
     void finishRun(const upstream_run &run);
+    std::shared_ptr<resumable_answer> answerOf(const schema::start_call_message &call);
+    void forgetAnswers();
 
     io_thread &m_thread;
     metric_registry &m_metrics;
@@ -59,6 +62,8 @@
     bool m_draining = false;
     std::map<connection_id, std::shared_ptr<wire_peer>> m_peers;
     std::map<upstream_run, std::shared_ptr<upstream_call>> m_running;
+    // Of batch calls that can be resumed, by attempt; those that the gate dropped go with a tick.
+    std::map<std::string, std::shared_ptr<resumable_answer>> m_answers;
 };
 
 } // namespace tamarack
--- a/src/gate/side_gate_pump.cpp
+++ b/src/gate/side_gate_pump.cpp
@@ -122,12 +122,16 @@
     return oldest;
 }
 
-gated_call *side_gate::runningCall(const upstream_run &run)
+bool side_gate::isRunning(const upstream_run &run) const
 {
     const auto found = m_calls.find(run.attempt.value());
-    if (found == m_calls.end() || found->second.current != gated_call::phase::Running)
-        return nullptr;
-    return found->second.runNumber == run.number ? &found->second : nullptr;
+    return found != m_calls.end() && found->second.current == gated_call::phase::Running
+           && found->second.runNumber == run.number;
+}
+
+gated_call *side_gate::runningCall(const upstream_run &run)
+{
+    return isRunning(run) ? &m_calls.at(run.attempt.value()) : nullptr;
 }
 
 void side_gate::endNotStarted(const gated_call &held, const std::string &code, duration retryAfter,
--- a/src/side/side_server.cpp
+++ b/src/side/side_server.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickPeriod{5};
+constexpr unsigned StatusOk = 200;
+constexpr std::string_view EventStream = "text/event-stream";
 
 connection_id idOf(const std::shared_ptr<wire_peer> &peer)
 {
@@ -25,8 +27,10 @@
 class side_server::run_events final : public upstream_events
 {
 public:
-    run_events(side_server &server, upstream_run run, bool streamed)
-        : m_server(server), m_run(std::move(run)), m_streamed(streamed)
+    /// @param answer of a batch call that can be resumed; null for others
+    run_events(side_server &server, upstream_run run, bool streamed,
+               std::shared_ptr<resumable_answer> answer)
+        : m_server(server), m_run(std::move(run)), m_streamed(streamed), m_answer(std::move(answer))
     {
     }
 
@@ -36,18 +40,31 @@
         m_contentType = contentType;
         if (m_streamed)
             passHead();
+        // A refusal to resume is no answer to the call: its run fails. Without a stream, the answer
+        // is passed on as it is.
+        if (m_answer && m_answer->tokens() > 0 && status != StatusOk)
+            return;
+        if (status != StatusOk || !contentType.starts_with(EventStream))
+            m_answer.reset();
     }
     void onData(std::string data) override
     {
         if (m_streamed)
             passData(data);
-        else
+        else if (!m_answer)
             m_held += data;
+        else if (m_server.m_gate.isRunning(m_run))
+            m_answer->onData(data);
     }
     void onEnd(upstream_end end, const std::string &message) override
     {
         m_server.finishRun(m_run);
+        if (end == upstream_end::Complete && m_answer && !m_answer->isComplete()) {
+            failIncomplete();
+            return;
+        }
         if (end == upstream_end::Complete) {
+            gatherAnswer();
             passHeld();
             m_server.perform(m_server.m_gate.onUpstreamEnd(m_run, steadyNow()));
             return;
@@ -67,6 +84,19 @@
         m_server.perform(
             m_server.m_gate.onUpstreamData(m_run, {data.begin(), data.end()}, steadyNow()));
     }
+    void failIncomplete()
+    {
+        const std::string &failure = m_answer->failure();
+        const std::string reason = failure.empty() ? "the stream ended too early" : failure;
+        m_server.perform(m_server.m_gate.onUpstreamFailed(m_run, false, reason, steadyNow()));
+    }
+    void gatherAnswer()
+    {
+        if (!m_answer)
+            return;
+        m_contentType = "application/json";
+        m_held = m_answer->whole();
+    }
     void passHeld()
     {
         if (m_streamed)
@@ -82,6 +112,7 @@
     std::uint16_t m_status = 0;
     std::string m_contentType;
     std::string m_held; // the body of an answer that isn't streamed
+    std::shared_ptr<resumable_answer> m_answer;
 };
 
 side_server::side_server(io_thread &thread, metric_registry &metrics, side_options options,
@@ -131,6 +162,7 @@
     for (;;) {
         boost::this_fiber::sleep_for(TickPeriod);
         perform(m_gate.tick(steadyNow()));
+        forgetAnswers();
         m_metrics.set("tamarack_side_online_running", static_cast<double>(m_gate.onlineRunning()));
         m_metrics.set("tamarack_side_batch_running", static_cast<double>(m_gate.batchRunning()));
         m_metrics.set("tamarack_side_online_queued", static_cast<double>(m_gate.onlineQueued()));
@@ -162,7 +194,14 @@
     request.body.assign(call.body.begin(), call.body.end());
     request.requestId = call.request_id;
     request.timeout = std::chrono::milliseconds(call.deadline_ms);
-    auto events = std::make_shared<run_events>(*this, action.run, call.streamed);
+    const auto answer = answerOf(call);
+    if (answer) {
+        if (answer->tokens() > 0)
+            m_metrics.add("tamarack_side_resumed_tokens_total",
+                          static_cast<double>(answer->tokens()));
+        request.body = answer->beginRun();
+    }
+    auto events = std::make_shared<run_events>(*this, action.run, call.streamed, answer);
     auto running = std::make_shared<upstream_call>(m_thread, m_options.upstreamAddress,
                                                    std::move(request), std::move(events));
     m_running[action.run] = running;
@@ -178,6 +217,28 @@
     std::visit([&](const auto &message) { peer->second->send(frameBody(message)); }, action.frame);
 }
 
+std::shared_ptr<resumable_answer> side_server::answerOf(const schema::start_call_message &call)
+{
+    const bool isBatch = call.call_class == schema::call_class::Batch;
+    if (!isBatch || call.streamed || m_options.gate.kind != schema::upstream_kind::Engine)
+        return nullptr;
+    if (const auto known = m_answers.find(call.attempt); known != m_answers.end())
+        return known->second;
+    const std::string_view body(reinterpret_cast<const char *>(call.body.data()), call.body.size());
+    auto answer = resumable_answer::of(call.target, body);
+    if (!answer)
+        return nullptr;
+    auto kept = std::make_shared<resumable_answer>(std::move(*answer));
+    m_answers[call.attempt] = kept;
+    return kept;
+}
+
+void side_server::forgetAnswers()
+{
+    std::erase_if(m_answers,
+                  [&](const auto &entry) { return !m_gate.holds(attempt_id(entry.first)); });
+}
+
 void side_server::finishRun(const upstream_run &run)
 {
     m_running.erase(run);
--- a/tests/e2e/support.py
+++ b/tests/e2e/support.py
@@ -77,6 +77,7 @@
     engines = 2
     entries = 2
     engine_flags = ()
+    side_extra = None
     platform_flags = ()
 
     @classmethod
@@ -92,7 +93,8 @@
     @classmethod
     def start_fleet(cls):
         for _ in range(cls.engines):
-            cls.fleet.add_upstream("engines", flags=cls.engine_flags)
+            cls.fleet.add_upstream("engines", flags=cls.engine_flags,
+                                   side_extra=cls.side_extra)
         cls.fleet.add_upstream("records", kind="service")
         for _ in range(cls.entries):
             cls.fleet.add_entry()
--- a/tests/e2e/test_batch.py
+++ b/tests/e2e/test_batch.py
@@ -68,6 +68,41 @@
         return [json.loads(line) for line in text.decode().splitlines()]
 
 
+class YieldTest(BatchTestCase):
+    """One engine with room for two streams."""
+
+    engines = 1
+    entries = 1
+    side_extra = {"max-streams": 2}
+
+    def test_an_item_that_yields_goes_on_where_it_stopped(self):
+        side, entry, tokens = self.fleet.sides[0], self.fleet.entries[0], 300
+        first = self.fleet.executions(side)["begun"] + 1
+        _, job = self.create(self.upload(items(1, prefix="yield", max_tokens=tokens)))
+        request_id = f"batch_req_{job['id']}_"
+
+        def runs():
+            shown = self.fleet.executions(side)["executions"]
+            return [run for run in shown if run["number"] >= first
+                    and run["request_id"].startswith(request_id)]
+
+        wait_until(lambda: any(run["tokens_written"] > 20 for run in runs()), "the item's run")
+        streams = [self.open_stream(entry, f"burst {n}", max_tokens=40)[1] for n in range(2)]
+        for stream in streams:
+            self.assertTrue(stream.read().rstrip().endswith(b"data: [DONE]"))
+        ended = self.wait_ended(job["id"])
+        self.assertEqual(ended["request_counts"], {"total": 1, "completed": 1, "failed": 0})
+        done = self.lines_of(ended["output_file_id"])[0]["response"]["body"]
+        direct = json.loads(self.direct("check yield 0", max_tokens=tokens)[2])
+        self.assertEqual(done["choices"], direct["choices"])
+        self.assertEqual(done["usage"], direct["usage"])
+        self.assertGreater(len(runs()), 1)
+        # A run that was aborted may have made tokens that never arrived, and repeats one.
+        lost = sum(run["tokens_written"] for run in runs()) - tokens
+        self.assertLess(lost, 10 * (len(runs()) - 1))
+        self.assertGreater(runs()[-1]["first_token"], 10)
+
+
 class BatchTest(BatchTestCase):
     """Jobs without process faults."""
 
--- /dev/null
+++ b/tests/shell-side.cpp
@@ -0,0 +1,115 @@
+// Tests of the side's parts: answers of batch calls that are resumed.
+#include <tamarackglade/side/resumable_answer.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace tamarack;
+using nlohmann::json;
+
+namespace {
+
+const std::string ChatTarget = "/v1/chat/completions";
+const std::string Request = R"({"model":"drafter","max_tokens":3,"messages":[]})";
+
+std::string chatEvent(const std::string &token)
+{
+    const json event{{"id", "chatcmpl-1"},
+                     {"created", 5},
+                     {"model", "drafter"},
+                     {"choices", {{{"index", 0}, {"delta", {{"content", token}}}}}}};
+    return "data: " + event.dump() + "\n\n";
+}
+
+const std::string ChatEnd =
+    R"(data: {"choices":[{"index":0,"delta":{},"finish_reason":"length"}]})"
+    "\n\n"
+    R"(data: {"choices":[],"usage":{"prompt_tokens":4,"completion_tokens":1}})"
+    "\n\ndata: [DONE]\n\n";
+
+} // namespace
+
+TEST_CASE("resumable answer")
+{
+    auto answer = resumable_answer::of(ChatTarget, Request);
+    REQUIRE(answer);
+    SUBCASE("asks for a stream with usage")
+    {
+        const json first = json::parse(answer->beginRun());
+        CHECK(first["stream"] == true);
+        CHECK(first["stream_options"]["include_usage"] == true);
+        CHECK(first["max_tokens"] == 3);
+        CHECK_FALSE(first.contains("resume_from"));
+    }
+    SUBCASE("makes the answer of one run, however the stream is cut into parts")
+    {
+        const std::string stream = chatEvent("a ") + chatEvent("b ") + chatEvent("c") + ChatEnd;
+        for (const std::size_t size : {1UL, 7UL, stream.size()}) {
+            auto cut = resumable_answer::of(ChatTarget, Request);
+            cut->beginRun();
+            for (std::size_t i = 0; i < stream.size(); i += size)
+                cut->onData(std::string_view(stream).substr(i, size));
+            REQUIRE(cut->isComplete());
+            const json whole = json::parse(cut->whole());
+            CHECK(whole["id"] == "chatcmpl-1");
+            CHECK(whole["object"] == "chat.completion");
+            CHECK(whole["choices"][0]["message"]["content"] == "a b c");
+            CHECK(whole["choices"][0]["finish_reason"] == "length");
+            CHECK(whole["usage"]["completion_tokens"] == 3);
+            CHECK(whole["usage"]["prompt_tokens"] == 4);
+        }
+    }
+    SUBCASE("goes on after an aborted run, from the token before the last one")
+    {
+        answer->beginRun();
+        answer->onData(chatEvent("a ") + chatEvent("b ") + "data: {\"cho");
+        const json second = json::parse(answer->beginRun());
+        CHECK(second["resume_from"] == 1);
+        answer->onData(chatEvent("b ") + chatEvent("c") + ChatEnd);
+        REQUIRE(answer->isComplete());
+        const json whole = json::parse(answer->whole());
+        CHECK(whole["choices"][0]["message"]["content"] == "a b c");
+        CHECK(whole["usage"]["completion_tokens"] == 3);
+        CHECK(whole["usage"]["total_tokens"] == 7);
+    }
+    SUBCASE("runs that bring nothing don't go back further")
+    {
+        answer->beginRun();
+        answer->onData(chatEvent("a ") + chatEvent("b "));
+        answer->beginRun();
+        CHECK(json::parse(answer->beginRun())["resume_from"] == 1);
+    }
+    SUBCASE("an error in the stream is no complete answer")
+    {
+        answer->beginRun();
+        answer->onData(chatEvent("a ") + "data: {\"error\":{\"message\":\"lost\"}}\n\n");
+        CHECK_FALSE(answer->isComplete());
+        CHECK(answer->failure().find("lost") != std::string::npos);
+    }
+    SUBCASE("a malformed event is a failure")
+    {
+        answer->beginRun();
+        answer->onData("data: nonsense\n\n");
+        CHECK_FALSE(answer->failure().empty());
+    }
+}
+
+TEST_CASE("requests that can't be resumed")
+{
+    CHECK_FALSE(resumable_answer::of("/v1/embeddings", Request));
+    CHECK_FALSE(resumable_answer::of(ChatTarget, "not JSON"));
+    CHECK_FALSE(resumable_answer::of(ChatTarget, R"({"n":2})"));
+    CHECK_FALSE(resumable_answer::of(ChatTarget, R"({"tools":[]})"));
+    CHECK(resumable_answer::of(ChatTarget, R"({"n":1})"));
+    CHECK(resumable_answer::of("/v1/completions", R"({"prompt":"x"})"));
+}
+
+TEST_CASE("resumable answer of a text completion")
+{
+    auto answer = resumable_answer::of("/v1/completions", R"({"prompt":"x"})");
+    answer->beginRun();
+    answer->onData(
+        "data: {\"id\":\"cmpl-1\",\"choices\":[{\"text\":\"a\",\"finish_reason\":null}]}\r\n"
+        "\r\ndata: [DONE]\r\n");
+    REQUIRE(answer->isComplete());
+    CHECK(json::parse(answer->whole())["choices"][0]["text"] == "a");
+}
