Keyed calls: claims that lost are released, and retention can't split the holders

Cause: the index ignored a claim that came while another one held the key. An entry that trimmed the holder later or earlier than another one, or started with a log that no longer had it, saw another holder, so two calls of a key could run within the log's retention. A unit test shows it: of two indexes that saw the same retained records, one said c and the other b.

Ruled out: trimming at the same offset everywhere; the log says at each read what it keeps, and entries read at different times.

Change: the index keeps all claims of a key in offset order; the first one that is retained and not released holds the key. A desk whose claim lost releases it. The index knows the offset of the kept answer, and trimming costs only what it forgets. New: the check of keys, the digest of a request, and the partition and stream of a key.

--- a/include/tamarackglade/calls/idempotency_index.hpp
+++ b/include/tamarackglade/calls/idempotency_index.hpp
@@ -8,20 +8,24 @@
 #include <cstddef>
 #include <map>
 #include <string>
-#include <unordered_map>
+#include <unordered_set>
 #include <utility>
+#include <vector>
 
 namespace tamarack {
 
-/// @brief The first call_started of a key in offset order holds it; all processes agree on it.
-/// Records are applied in offset order, each offset once. All operations cost O(log keys).
+/// @brief The first call_started of a key that the log retains and that no call_finished released
+/// holds the key. The state follows from the retained records alone, so that processes that trim at
+/// different offsets never let two calls of a key run within the retention.
+/// Records are applied in offset order, each offset once. apply and find cost O(log keys).
 class idempotency_index
 {
 public:
     void apply(const schema::call_started_message &record, log_offset offset);
     void apply(const schema::call_finished_message &record, log_offset offset);
 
-    /// @brief Forgets what was started before an offset that the log no longer keeps; linear.
+    /// @brief Forgets what was started before an offset that the log no longer keeps; costs
+    /// O(log keys) for each claim and release that it forgets.
     void trim(log_offset firstKept);
 
     /// @return the state of a customer's key, or null if it is free
@@ -32,10 +36,16 @@
 
 private:
     using customer_key = std::pair<std::string, std::string>;
+    using claims = std::vector<keyed_call_state>;
 
-    std::map<customer_key, keyed_call_state> m_keys;
-    // Calls that were released before their call_started came, with the release's offset.
-    std::unordered_map<std::string, log_offset> m_released;
+    static claims::iterator findClaim(claims &of, const std::string &callId);
+
+    // Invariant: no list is empty; each is in offset order and names a call once. The first holds.
+    std::map<customer_key, claims> m_keys;
+    std::multimap<log_offset, customer_key> m_claimOrder; // of the claims in m_keys, and ended ones
+    // Calls that never start, also if their call_started comes yet.
+    std::unordered_set<std::string> m_released;
+    std::multimap<log_offset, std::string> m_releaseOrder; // of m_released
 };
 
 } // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/calls/idempotency_key.hpp
@@ -0,0 +1,24 @@
+// What an Idempotency-Key may be, and what tells one request under a key from another.
+#pragma once
+
+#include <tamarackglade/calls/call_error.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+constexpr std::size_t MaxIdempotencyKeyBytes = 256;
+
+/// @return the error that a request with the key gets, or nothing if the key is fine: from 1 to
+/// MaxIdempotencyKeyBytes printable ASCII characters
+std::optional<call_error> faultOfIdempotencyKey(std::string_view key);
+
+/// @return a hash that is equal on every VM for the same method, target and body
+std::uint64_t digestOfRequest(const std::string &method, const std::string &target,
+                              const std::string &body);
+
+} // namespace tamarack
--- a/include/tamarackglade/calls/keyed_call_state.hpp
+++ b/include/tamarackglade/calls/keyed_call_state.hpp
@@ -16,6 +16,7 @@
     log_offset startedAt;
     bool finished = false;
     // Meaningful if finished. A status of 0 means that the answer was not kept.
+    log_offset finishedAt;
     std::uint16_t status = 0;
     std::string contentType;
     std::vector<std::uint8_t> body;
--- a/src/calls/keyed_call_desk.cpp
+++ b/src/calls/keyed_call_desk.cpp
@@ -74,6 +74,8 @@
             m_running.insert(std::move(node));
         } else {
             actions.push_back(*answerFromIndex(call.request));
+            // Else the claim would hold the key once the holder's is past the log's retention.
+            actions.emplace_back(append_finished{finishedRecord(call, execution::No)});
         }
     }
     return actions;
--- a/tests/unit-calls.cpp
+++ b/tests/unit-calls.cpp
@@ -1,6 +1,7 @@
 // Tests of calls at the entry: attempts, retries, proofs, keys and error bodies.
 #include <tamarackglade/calls/call_tracker.hpp>
 #include <tamarackglade/calls/error_of_call.hpp>
+#include <tamarackglade/calls/idempotency_key.hpp>
 #include <tamarackglade/calls/keyed_call_desk.hpp>
 
 #include <doctest/doctest.h>
@@ -296,7 +297,12 @@
         theirs.request_digest = 7;
         theirs.call_id = "other/1";
         index.apply(theirs, log_offset(1));
-        CHECK(std::get<caller_end>(desk.onFolded(Start).at(0)).error->status == 409);
+        const auto lost = desk.onFolded(Start);
+        CHECK(std::get<caller_end>(lost.at(0)).error->status == 409);
+        // Else its claim would hold the key once the winner's is past the retention.
+        const auto &release = std::get<append_finished>(lost.at(1)).record;
+        CHECK(release.call_id == "e/1/1");
+        CHECK(release.execution == schema::call_execution::No);
     }
     SUBCASE("a claim that comes too late stays without effect")
     {
@@ -325,3 +331,86 @@
     bad.message = "\xff";
     CHECK(nlohmann::json::parse(bad.toJson(request_id("r"))).is_object());
 }
+
+TEST_CASE("keyed claims and the log's retention")
+{
+    const auto claimOf = [](const std::string &callId) {
+        schema::call_started_message record;
+        record.customer = "c";
+        record.key = "k";
+        record.call_id = callId;
+        return record;
+    };
+    const auto releaseOf = [](const std::string &callId) {
+        schema::call_finished_message record;
+        record.customer = "c";
+        record.key = "k";
+        record.call_id = callId;
+        record.execution = schema::call_execution::No;
+        return record;
+    };
+    idempotency_index index;
+    index.apply(claimOf("a"), log_offset(1));
+    index.apply(claimOf("b"), log_offset(2));
+    CHECK(index.find(customer_id("c"), "k")->callId == "a");
+
+    SUBCASE("an index that trims late agrees with one that never saw the first claim")
+    {
+        idempotency_index late;
+        late.apply(claimOf("b"), log_offset(2));
+        index.trim(log_offset(2));
+        for (auto *each : {&index, &late}) {
+            each->apply(claimOf("c"), log_offset(3));
+            REQUIRE(each->find(customer_id("c"), "k") != nullptr);
+            CHECK(each->find(customer_id("c"), "k")->callId == "b");
+        }
+    }
+    SUBCASE("a released claim holds nothing, in whatever order the claims go")
+    {
+        index.apply(releaseOf("b"), log_offset(3));
+        index.apply(releaseOf("a"), log_offset(4));
+        CHECK(index.size() == 0);
+    }
+    SUBCASE("a claim that is appended twice counts once")
+    {
+        index.apply(claimOf("a"), log_offset(3));
+        index.apply(releaseOf("b"), log_offset(4));
+        index.apply(releaseOf("a"), log_offset(5));
+        CHECK(index.size() == 0);
+    }
+    SUBCASE("the offset of the kept answer is known")
+    {
+        auto finished = releaseOf("a");
+        finished.execution = schema::call_execution::Yes;
+        finished.status = 200;
+        index.apply(finished, log_offset(3));
+        CHECK(index.find(customer_id("c"), "k")->finishedAt == log_offset(3));
+    }
+}
+
+TEST_CASE("Idempotency-Keys")
+{
+    const auto codeOf = [](const std::string &key) {
+        const auto fault = faultOfIdempotencyKey(key);
+        return fault ? fault->code : "";
+    };
+    CHECK(codeOf("tonight-1").empty());
+    CHECK(codeOf("a key with spaces ~").empty());
+    CHECK(codeOf(std::string(MaxIdempotencyKeyBytes, 'k')).empty());
+    CHECK(codeOf("") == "invalid_idempotency_key");
+    CHECK(codeOf(std::string(MaxIdempotencyKeyBytes + 1, 'k')) == "invalid_idempotency_key");
+    for (const char bad : {'\0', '\t', '\n', '\x1f', '\x7f', '\x80', '\xff'})
+        CHECK(codeOf(std::string("a") + bad) == "invalid_idempotency_key");
+    CHECK(faultOfIdempotencyKey("")->status == 400);
+    CHECK(faultOfIdempotencyKey("")->ran == execution::No);
+}
+
+TEST_CASE("digests of keyed requests")
+{
+    const auto digest = digestOfRequest("POST", "/records/1", "{}");
+    CHECK(digest == digestOfRequest("POST", "/records/1", "{}"));
+    CHECK(digest != digestOfRequest("PUT", "/records/1", "{}"));
+    CHECK(digest != digestOfRequest("POST", "/records/2", "{}"));
+    CHECK(digest != digestOfRequest("POST", "/records/1", "{ }"));
+    CHECK(digestOfRequest("POST", "/a", "b") != digestOfRequest("POST", "/ab", ""));
+}
--- a/tests/unit-core.cpp
+++ b/tests/unit-core.cpp
@@ -68,6 +68,10 @@
     CHECK(partitionOf(customer_id("shire"), 16) == partitionOf(customer_id("shire"), 16));
     CHECK(partitionOf(customer_id("shire"), 16).value() < 16);
     CHECK(jobStreamName(partition_id(3)) == "jobs-3");
+    CHECK(callStreamName(partition_id(2)) == "calls-2");
+    const auto ofKey = partitionOfKey(customer_id("shire"), "notice-1", 4);
+    CHECK(ofKey == partitionOfKey(customer_id("shire"), "notice-1", 4));
+    CHECK(ofKey.value() < 4);
 }
 
 TEST_CASE("log records")
