--- a/include/tamarackglade/entry/answer_relay.hpp
+++ b/include/tamarackglade/entry/answer_relay.hpp
@@ -20,6 +20,9 @@
     /// @brief Runs the call in the calling fiber until the request is answered.
     void run(const call_request &call);
 
+    /// @return whether the call ran, as far as its end told; valid after run
+    [[nodiscard]] execution ran() const { return m_ran; }
+
 private:
     using clock = std::chrono::steady_clock;
 
@@ -47,6 +50,7 @@
     bool m_streaming = false; // the caller's answer is a stream that has begun
     bool m_eventStream = false; // the stream is server-sent events, which end in [DONE]
     bool m_finished = false;
+    execution m_ran = execution::Unknown;
     bool m_firstByteSeen = false;
     answer_head m_head;
     std::string m_body; // of an answer that isn't streamed
--- a/include/tamarackglade/entry/entry_context.hpp
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -3,6 +3,7 @@
 
 #include <tamarackglade/entry/burn_service.hpp>
 #include <tamarackglade/entry/call_board.hpp>
+#include <tamarackglade/entry/keyed_call_service.hpp>
 #include <tamarackglade/entry/limit_service.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/node/config_store.hpp>
@@ -19,6 +20,7 @@
     limit_service &limits;
     metric_registry &metrics;
     burn_service &burn;
+    keyed_call_service &keyed;
     std::chrono::milliseconds requestTimeout{120'000};
 };
 
--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -71,6 +71,7 @@
     platform_client m_platform;
     limit_service m_limits;
     burn_service m_burn;
+    keyed_call_service m_keyed;
     batch_board m_batchBoard;
     job_service m_jobs;
     job_desk m_desk;
--- /dev/null
+++ b/include/tamarackglade/entry/held_exchange.hpp
@@ -0,0 +1,33 @@
+// An exchange whose answer is held back.
+#pragma once
+
+#include <tamarackglade/http/http_exchange.hpp>
+
+namespace tamarack {
+
+/// @brief Keeps the answer that a handler gives, for its owner to send. It lets no caller's leaving
+/// be seen: the answer is worth having for a resend.
+class held_exchange final : public http_exchange
+{
+public:
+    explicit held_exchange(http_exchange &outer) : m_outer(outer) { }
+
+    [[nodiscard]] const http_request &request() const override { return m_outer.request(); }
+    void respond(const http_response &response) override;
+    void beginStream(const http_response &head) override;
+    bool writeChunk(std::string_view data) override;
+    void endStream() override { }
+    void abortStream() override { }
+    bool callerGone() override { return false; }
+    [[nodiscard]] bool started() const override { return m_started; }
+
+    /// @return the answer; valid once the handler has returned
+    [[nodiscard]] const http_response &response() const { return m_response; }
+
+private:
+    http_exchange &m_outer;
+    bool m_started = false;
+    http_response m_response;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/entry/keyed_answer.hpp
@@ -0,0 +1,15 @@
+// How a call with an Idempotency-Key ended.
+#pragma once
+
+#include <tamarackglade/calls/execution.hpp>
+#include <tamarackglade/http/http_response.hpp>
+
+namespace tamarack {
+
+struct keyed_answer
+{
+    execution ran = execution::Unknown;
+    http_response response; // what the caller gets
+};
+
+} // namespace tamarack
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -157,6 +157,7 @@
 void answer_relay::relayEnd(const answer_end &end)
 {
     m_finished = true;
+    m_ran = end.error ? end.error->ran : execution::Yes;
     if (end.error) {
         fail(*end.error);
         return;
--- /dev/null
+++ b/src/entry/held_exchange.cpp
@@ -0,0 +1,29 @@
+// Collects an answer.
+#include <tamarackglade/entry/held_exchange.hpp>
+
+namespace tamarack {
+
+void held_exchange::respond(const http_response &response)
+{
+    if (m_started)
+        return;
+    m_started = true;
+    m_response = response;
+}
+
+void held_exchange::beginStream(const http_response &head)
+{
+    if (m_started)
+        return;
+    m_started = true;
+    m_response = head;
+    m_response.body.clear();
+}
+
+bool held_exchange::writeChunk(std::string_view data)
+{
+    m_response.body += data;
+    return true;
+}
+
+} // namespace tamarack
