--- a/tests/e2e/test_keyed_calls.py
+++ b/tests/e2e/test_keyed_calls.py
@@ -348,5 +348,25 @@
         self.assertEqual(len(self.runs(path)), 1)
 
 
+class ReleaseTest(KeyedCallTestCase):
+    """A call that surely did not run gives its key back."""
+
+    def test_a_call_that_was_not_run_frees_its_key(self):
+        name = self.new_name()
+        path = f"/records/{name}"
+        upstream = self.fleet.upstreams[self.service.name]
+        upstream.kill()
+        first = self.send(self.fleet.entries[0], name, path)
+        self.assertEqual(first[0], 503, first)
+        self.assertEqual(self.error_of(first[2])["executed"], "no")
+        upstream.start()
+        wait_until(lambda: self.send(self.fleet.entries[1], None, path + "/free")[0] == 200,
+                   "the service")
+        for entry in reversed(self.fleet.entries):
+            answer = self.send(entry, name, path)
+            self.assertEqual(answer[0], 200, answer)
+        self.assertEqual(len(self.runs(path)), 1)
+
+
 if __name__ == "__main__":
     main()
