A planned stop waits for the records of keyed calls

Cause: with the log down, an entry that was told to stop left the record of an answered call behind; a resend then got 409 for as long as the key is remembered.

Change: the drain also waits until the appenders of keyed calls are empty, within drain-limit. Tests that lose an entry send again while the rate limit refuses, since homes move first.

--- a/include/tamarackglade/entry/keyed_call_service.hpp
+++ b/include/tamarackglade/entry/keyed_call_service.hpp
@@ -23,6 +23,9 @@
     /// calling fiber waits for the log, but not for long.
     void finish(const keyed_request &request, const keyed_answer &answer);
 
+    /// @return whether everything that the log is to know is there; on the control thread only
+    [[nodiscard]] bool isIdle() const;
+
 private:
     keyed_partition &partitionFor(const keyed_request &request);
     void count(const keyed_verdict &verdict);
--- a/include/tamarackglade/entry/keyed_partition.hpp
+++ b/include/tamarackglade/entry/keyed_partition.hpp
@@ -32,6 +32,9 @@
     /// @brief Stores the end of a call that claim let run; waits for the log, but not for long.
     void finish(const request_id &request, const keyed_answer &answer);
 
+    /// @return whether everything that the log is to know is there
+    [[nodiscard]] bool isIdle() const { return m_appender.isIdle(); }
+
 private:
     using verdict_promise = boost::fibers::promise<keyed_verdict>;
 
--- a/include/tamarackglade/entry/record_appender.hpp
+++ b/include/tamarackglade/entry/record_appender.hpp
@@ -39,6 +39,9 @@
     /// @return whether the record is in the log, after waiting for that at most as long as given
     bool waitUntilStored(std::uint64_t number, std::chrono::milliseconds patience);
 
+    /// @return whether all records are in the log
+    [[nodiscard]] bool isIdle() const { return m_stored == m_added; }
+
 private:
     using record_pointer = std::unique_ptr<schema::log_record_message>;
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -243,7 +243,7 @@
     m_limits.handOver();
     m_jobs.beginHandover();
     const auto deadline = std::chrono::steady_clock::now() + m_settings.milliseconds("drain-limit");
-    while ((activeRequests() > 0 || !m_jobs.isReleased()) && !m_endNow
+    while ((activeRequests() > 0 || !m_jobs.isReleased() || !m_keyed.isIdle()) && !m_endNow
            && std::chrono::steady_clock::now() < deadline)
         boost::this_fiber::sleep_for(DrainPoll);
     m_burn.flush();
--- a/src/entry/keyed_call_service.cpp
+++ b/src/entry/keyed_call_service.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace tamarack {
 
 namespace {
@@ -44,6 +46,12 @@
     m_control.run([&] { partitionFor(request).finish(request.id, answer); });
 }
 
+bool keyed_call_service::isIdle() const
+{
+    return std::all_of(m_partitions.begin(), m_partitions.end(),
+                       [](const auto &partition) { return partition->isIdle(); });
+}
+
 keyed_partition &keyed_call_service::partitionFor(const keyed_request &request)
 {
     const auto partition = partitionOfKey(request.customer, request.key, PartitionCount);
--- a/tests/e2e/test_keyed_calls.py
+++ b/tests/e2e/test_keyed_calls.py
@@ -3,11 +3,14 @@
 import http.client
 import itertools
 import json
+import signal
 import threading
+import time
 
 from support import FleetTestCase, http_call, main, wait_until
 
-LOG_TIMEOUT_S = 30
+CALL_TIMEOUT_S = 30
+LOG_OUTAGE_S = 1.5  # after the order to stop
 
 
 class KeyedCallTestCase(FleetTestCase):
@@ -40,12 +43,19 @@
         if key is not None:
             headers["Idempotency-Key"] = key
         try:
-            answer = http_call(entry.http, method, path, body, headers, LOG_TIMEOUT_S)
+            answer = http_call(entry.http, method, path, body, headers, CALL_TIMEOUT_S)
         except (OSError, http.client.HTTPException):
             answer = (0, {}, b"")
         self.answers.append(answer)
         return answer
 
+    def send_admitted(self, entry, key, path):
+        """As send, again while the rate limit refuses: after an entry's loss, homes move first."""
+        def admitted():
+            answer = self.send(entry, key, path)
+            return answer[0] != 429 and answer
+        return wait_until(admitted, "admission")
+
     def runs(self, path):
         return [run for run in self.fleet.executions(self.service)["executions"]
                 if run["path"] == path]
@@ -335,7 +345,7 @@
         self.fleet.entries[0].process.kill()
         first.join()
         self.assertEqual(self.answers[0][0], 0)
-        status, _, text = self.send(self.fleet.entries[1], name, path)
+        status, _, text = self.send_admitted(self.fleet.entries[1], name, path)
         self.assertEqual(status, 409, text)
         self.assertEqual(self.error_of(text)["executed"], "unknown")
         # The killed entry starts again and knows no more than the log.
@@ -343,7 +353,7 @@
         self.fleet.wait_vm_ready(self.fleet.entries[0])
         wait_until(lambda: self.call_model(self.fleet.entries[0], "warm up")[0] == 200, "an answer")
         for entry in self.fleet.entries:
-            status, _, text = self.send(entry, name, path)
+            status, _, text = self.send_admitted(entry, name, path)
             self.assertEqual(status, 409, text)
         self.assertEqual(len(self.runs(path)), 1)
 
@@ -368,5 +378,27 @@
         self.assertEqual(len(self.runs(path)), 1)
 
 
+class StopTest(KeyedCallTestCase):
+    """A planned stop stores what its entry knows of keyed calls."""
+
+    def test_a_stop_waits_for_the_record_of_an_answer(self):
+        name = self.new_name()
+        path = f"/records/{name}"
+        entry = self.fleet.entries[0]
+        self.fleet.fault(self.service.upstream, delay_ms=500)
+        first = self.begin(entry, name, path)
+        wait_until(lambda: self.runs(path), "the run")
+        self.fleet.fault(self.fleet.platform, log="down")
+        first.join()
+        self.assertEqual(self.answers[0][0], 200)
+        entry.process.signal(signal.SIGTERM)
+        time.sleep(LOG_OUTAGE_S)
+        self.fleet.fault(self.fleet.platform, log="up")
+        self.assertEqual(entry.process.child.wait(CALL_TIMEOUT_S), 0)
+        again = self.send_admitted(self.fleet.entries[1], name, path)
+        self.assertEqual((again[0], again[2]), (200, self.answers[0][2]))
+        self.assertEqual(len(self.runs(path)), 1)
+
+
 if __name__ == "__main__":
     main()
