--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -54,6 +54,7 @@
     void callTickLoop();
     void reloadTlsLoop();
     void drain();
+    bool isReleased();
     std::size_t activeRequests() const;
     process_status status();
 
@@ -72,6 +73,7 @@
     platform_client m_platform;
     limit_service m_limits;
     burn_service m_burn;
+    keyed_call_service m_keyed;
     batch_board m_batchBoard;
     job_service m_jobs;
     job_desk m_desk;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -44,11 +44,17 @@
     : m_settings(settings), m_wire(wire), m_calls(wire.self),
       m_platform(m_control, settings.list("platform")),
       m_limits(m_control, m_platform, m_peers, m_metrics, wire.self),
-      m_burn(m_control, m_platform, m_metrics, wire.self, BurnInterval), m_batchBoard(wire.self),
+      m_burn(m_control, m_platform, m_metrics, wire.self, BurnInterval),
+      m_keyed(m_control, m_platform, m_metrics), m_batchBoard(wire.self),
       m_jobs({m_control, m_platform, m_peers, m_batchBoard, m_config, m_metrics, wire.self}),
       m_desk(m_jobs, m_config, submission_limits{}),
-      m_context{m_config,  m_calls, m_limits,
-                m_metrics, m_burn,  settings.milliseconds("request-timeout")},
+      m_context{m_config,
+                m_calls,
+                m_limits,
+                m_metrics,
+                m_burn,
+                m_keyed,
+                settings.milliseconds("request-timeout")},
       m_front(m_context, m_control, m_desk),
       m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
       m_vmWatch(m_control, m_platform, m_peers, wire, region_id(settings.text("region")), *this,
@@ -254,13 +260,18 @@
     m_limits.handOver();
     m_jobs.beginHandover();
     const auto deadline = std::chrono::steady_clock::now() + m_settings.milliseconds("drain-limit");
-    while ((activeRequests() > 0 || !m_jobs.isReleased() || !m_limits.isReleased()) && !m_endNow
+    while ((activeRequests() > 0 || !isReleased()) && !m_endNow
            && std::chrono::steady_clock::now() < deadline)
         boost::this_fiber::sleep_for(DrainPoll);
     m_burn.flush();
     log_event(log_level::Info, "stopped").with("requests_cut", activeRequests());
 }
 
+bool entry_process::isReleased()
+{
+    return m_jobs.isReleased() && m_limits.isReleased() && m_keyed.isIdle();
+}
+
 std::size_t entry_process::activeRequests() const
 {
     std::size_t active = 0;
