Orders: the log's stream decides, and a side looks again before it gives

Cause: the order desk took orders from frames that no process sent, and there was no record of an order.

Change: record upstream_ordered (end of the union), folded by orders/order_fold; its offset is the fence. The desk gives orders in the order of their fences, one at a time, supersedes waiting ones of a kind, asks the upstream what is in force and reads the stream again for each order, and gives again what the upstream lost. Loads of all VMs take turns by one limiter over the log's order (manifest: load-interval, load-burst). The frames upstream_order and order_answer have no user and are gone from the wire; order_kind moves to the log's schema.

Tests: the desk's interface changed, so its checks are written anew. Kept in a stricter form: old fences end at the desk (with the mutation IgnoreFence), nothing before the log is read, waiting orders are superseded, loads are spaced out and roles are not, repeats are given once. "Refuses more orders than it holds" became "keeps a bounded number, and the newest of each kind": nothing is refused any more for want of room. The manifest check names the two new keys in the list that it compares.

--- a/include/tamarackglade/gate/side_frame.hpp
+++ b/include/tamarackglade/gate/side_frame.hpp
@@ -7,8 +7,8 @@
 
 namespace tamarack {
 
-using side_frame = std::variant<schema::call_head_message, schema::call_data_message,
-                                schema::call_end_message, schema::refuse_answer_message,
-                                schema::load_report_message, schema::order_answer_message>;
+using side_frame =
+    std::variant<schema::call_head_message, schema::call_data_message, schema::call_end_message,
+                 schema::refuse_answer_message, schema::load_report_message>;
 
 } // namespace tamarack
--- a/include/tamarackglade/orders/give_order.hpp
+++ b/include/tamarackglade/orders/give_order.hpp
@@ -1,13 +1,15 @@
-// Action: give the order to the upstream, and report its end to the order desk.
+// Action: give the order to the upstream, and report its answer to the order desk.
 #pragma once
 
-#include <tamarackglade/schema/wire_generated.h>
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/orders/upstream_order.hpp>
 
 namespace tamarack {
 
 struct give_order
 {
-    schema::upstream_order_message order;
+    upstream_order order;
+    instant validUntil; // not sent later: the process may have been paused meanwhile
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/orders/order_action.hpp
+++ b/include/tamarackglade/orders/order_action.hpp
@@ -1,15 +1,14 @@
-// What the order desk asks its shell to do, in order.
+// What the order desk asks its shell to do next.
 #pragma once
 
-#include <tamarackglade/orders/answer_order.hpp>
+#include <tamarackglade/orders/ask_upstream.hpp>
 #include <tamarackglade/orders/give_order.hpp>
+#include <tamarackglade/orders/reread_orders.hpp>
 
 #include <variant>
-#include <vector>
 
 namespace tamarack {
 
-using order_action = std::variant<give_order, answer_order>;
-using order_actions = std::vector<order_action>;
+using order_action = std::variant<ask_upstream, reread_orders, give_order>;
 
 } // namespace tamarack
--- a/include/tamarackglade/orders/order_desk.hpp
+++ b/include/tamarackglade/orders/order_desk.hpp
@@ -1,74 +1,81 @@
-// Gives orders to the upstream: fenced, one at a time, loads spaced out.
+// Gives orders to the upstream: fenced, one at a time, loads at their turn.
 #pragma once
 
 #include <tamarackglade/core/ids.hpp>
 #include <tamarackglade/core/time.hpp>
 #include <tamarackglade/orders/order_action.hpp>
+#include <tamarackglade/orders/order_answer.hpp>
+#include <tamarackglade/orders/order_fold.hpp>
 #include <tamarackglade/orders/order_mutation.hpp>
+#include <tamarackglade/orders/orders_read.hpp>
+#include <tamarackglade/orders/tracked_order.hpp>
+#include <tamarackglade/orders/upstream_state_report.hpp>
 #include <tamarackglade/orders/weight_store_limiter.hpp>
 
 #include <cstddef>
 #include <deque>
 #include <optional>
 #include <string>
-#include <utility>
+#include <vector>
 
 namespace tamarack {
 
 /// @brief The side's fence: some upstreams ignore fencing numbers, so old orders end here.
-/// A fencing number is the log offset of the order's record, written before the order is sent. A
-/// restarted side keeps nothing: it refuses all orders until it has read the log and knows the
-/// highest number recorded for its upstream.
+/// Nothing is kept over a restart: the desk gives no order before it has read the log to its end,
+/// and before the upstream has said which orders are in force. Both must be recent whenever an
+/// order is given, so that a process that was paused looks again first.
+///
+/// The shell performs one action at a time and reports its end before it asks for the next one.
 class order_desk
 {
 public:
-    /// @param maxQueued orders that wait; more are refused
-    order_desk(weight_store_limiter limiter, std::size_t maxQueued,
+    /// @param self the VM whose orders are given; loads of all VMs take turns
+    order_desk(vm_id self, weight_store_limiter limiter,
                order_mutation mutation = order_mutation::None);
 
-    /// @brief Learns the highest fencing number recorded in the log for this upstream.
-    order_actions onFenceLearned(fence_number fence, instant now);
+    /// @brief Refuses all orders: the upstream takes none.
+    void takeNoOrders() { m_takesOrders = false; }
+    /// @brief Changes the weight store's rate, for loads that are ordered from now on.
+    void setLoadRate(duration interval, int burst);
 
-    order_actions onOrder(const schema::upstream_order_message &order, connection_id from,
-                          instant now);
+    void onRead(const orders_read &read, instant now);
+    void onReadFailed(instant now);
+    void onUpstreamState(const upstream_state_report &report, instant askedAt, instant now);
+    void onUpstreamSilent(const std::string &why, instant now);
+    void onAnswer(const order_answer &answer, instant now);
 
-    /// @brief Learns that the upstream carried out the order under way, or refused it.
-    order_actions onDone(const std::string &orderId, bool accepted, const std::string &message,
-                         instant now);
+    /// @return what to do now, if anything
+    std::optional<order_action> next(instant now);
 
-    /// @brief Begins an order that waited for the weight store.
-    order_actions tick(instant now);
-
-    [[nodiscard]] std::optional<instant> nextDeadline(instant now) const;
-
-    /// @return the highest fencing number known, if the log was read
-    [[nodiscard]] std::optional<fence_number> fence() const { return m_fence; }
+    /// @return the latest orders to this upstream, in order of their fences
+    [[nodiscard]] const std::deque<tracked_order> &orders() const { return m_orders; }
 
 private:
-    struct waiting_order
-    {
-        schema::upstream_order_message order;
-        connection_id from;
-    };
-    using done_order = std::pair<std::string, schema::order_answer_message>;
-
-    [[nodiscard]] bool isOld(const schema::upstream_order_message &order) const;
-    [[nodiscard]] bool isHeld(const std::string &orderId) const;
-    void raiseFence(fence_number fence);
-    void beginNext(instant now);
-    void answer(connection_id to, const std::string &orderId, bool accepted,
-                const std::string &message);
-    order_actions takeActions();
+    void take(const folded_order &folded, instant seenAt, instant now);
+    void supersede(schema::order_kind kind);
+    void trim();
+    [[nodiscard]] bool isNewest(const tracked_order &entry) const;
+    [[nodiscard]] instant seenAt(const folded_order &folded, const orders_read &read,
+                                 instant now) const;
+    void compareWithUpstream(instant now);
+    void refuseOvertaken();
+    tracked_order *firstWaiting();
+    tracked_order *underWay();
+    void tryAgain(tracked_order &entry, const order_answer &answer, instant now);
 
-    weight_store_limiter m_limiter;
-    std::size_t m_maxQueued;
+    vm_id m_self;
+    weight_store_limiter m_limiter; // counts the loads of all VMs, in the log's order
     order_mutation m_mutation;
-    std::optional<fence_number> m_fence; // never goes back
-    // Invariant: no order in it has a number below m_fence.
-    std::deque<waiting_order> m_waiting;
-    std::optional<waiting_order> m_underWay;
-    std::deque<done_order> m_done; // the latest answers, for repeated orders
-    order_actions m_actions; // of the event in progress
+    bool m_takesOrders = true;
+    order_fold m_fold;
+    bool m_caughtUp = false; // the log was read to its end once
+    instant m_readAt{}; // when the last read to the end was sent
+    std::optional<instant> m_stateAt; // when the upstream was last asked, if it answered
+    fence_number m_highestSeen; // by the upstream's present process
+    std::vector<std::string> m_inForce; // order ids, as the upstream last said
+    instant m_pauseUntil{}; // after a failure
+    // Invariant: fences rise; at most one is UnderWay; of each kind only the newest is Waiting.
+    std::deque<tracked_order> m_orders;
 };
 
 } // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/orders/order_kind_name.hpp
@@ -0,0 +1,21 @@
+// The names of the kinds of orders.
+#pragma once
+
+#include <tamarackglade/schema/log_generated.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tamarack {
+
+/// @return the name that operators use, such as "load-model"; empty if the kind is unknown
+std::string orderKindName(schema::order_kind kind);
+
+/// @return the kind of a name
+std::optional<schema::order_kind> parseOrderKind(std::string_view name);
+
+/// @return all names, separated by commas
+std::string allOrderKinds();
+
+} // namespace tamarack
--- a/include/tamarackglade/orders/weight_store_limiter.hpp
+++ b/include/tamarackglade/orders/weight_store_limiter.hpp
@@ -17,6 +17,13 @@
     /// @return whether a load may begin now; if so it is counted
     bool tryLoad(instant now);
 
+    /// @brief Counts a load that is asked for at an instant.
+    /// @return when it may begin, at or after that
+    instant reserve(instant askedAt);
+
+    /// @brief Changes the rate; loads that were counted stay counted.
+    void setRate(duration interval, int burst);
+
     /// @return when the next load may begin, at or after now
     [[nodiscard]] instant nextLoad(instant now) const;
 
--- a/src/config/manifest_options.cpp
+++ b/src/config/manifest_options.cpp
@@ -36,6 +36,24 @@
       .help = "How long the log service keeps a record. What is still needed is appended again "
               "at half of it."},
      setOption<&fleet_options::logRetention>},
+    {{.section = "fleet",
+      .key = "load-interval",
+      .type = Duration,
+      .unit = "time",
+      .min = 0.1,
+      .max = Day,
+      .defaultText = "10s",
+      .help = "Time between two ordered loads from the weight store, over the whole fleet."},
+     setOption<&fleet_options::loadInterval>},
+    {{.section = "fleet",
+      .key = "load-burst",
+      .type = Integer,
+      .unit = "loads",
+      .min = 1,
+      .max = 1000,
+      .defaultText = "1",
+      .help = "Ordered loads that may begin at once after a quiet time."},
+     setOption<&fleet_options::loadBurst>},
 };
 
 const section_option<batch_options> BatchOptions[] = {
--- a/src/orders/order_desk.cpp
+++ b/src/orders/order_desk.cpp
@@ -1,136 +1,233 @@
 // Fencing and pacing of orders.
-#include <tamarackglade/gate/by_value.hpp>
 #include <tamarackglade/orders/order_desk.hpp>
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
+#include <chrono>
 
 namespace tamarack {
 
 namespace {
 
-constexpr std::size_t MaxRememberedAnswers = 64;
+using namespace std::chrono_literals;
+
+constexpr std::size_t MaxKept = 32; // orders
+constexpr duration MaxAge = 2s; // of what is known of log and upstream when an order is given
+constexpr duration StatePeriod = 2s; // between two questions to the upstream
+constexpr duration RetryPause = 500ms;
 
-bool readsWeights(const schema::upstream_order_message &order)
+bool isIn(const std::vector<std::string> &ids, const std::string &id)
 {
-    return order.kind != schema::order_kind::ChangeRole;
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
 } // namespace
 
-order_desk::order_desk(weight_store_limiter limiter, std::size_t maxQueued, order_mutation mutation)
-    : m_limiter(limiter), m_maxQueued(maxQueued), m_mutation(mutation)
+order_desk::order_desk(vm_id self, weight_store_limiter limiter, order_mutation mutation)
+    : m_self(std::move(self)), m_limiter(limiter), m_mutation(mutation)
 {
 }
 
-order_actions order_desk::onFenceLearned(fence_number fence, instant /*now*/)
+void order_desk::setLoadRate(duration interval, int burst)
 {
-    raiseFence(fence);
-    return takeActions();
+    m_limiter.setRate(interval, burst);
 }
 
-order_actions order_desk::onOrder(const schema::upstream_order_message &order, connection_id from,
-                                  instant now)
+void order_desk::onRead(const orders_read &read, instant now)
 {
-    const auto done = std::find_if(m_done.begin(), m_done.end(),
-                                   [&](const auto &e) { return e.first == order.order_id; });
-    if (done != m_done.end()) {
-        m_actions.emplace_back(answer_order{from, done->second});
-        return takeActions();
+    for (const log_entry &entry : read.entries) {
+        if (const auto folded = m_fold.apply(entry))
+            take(*folded, seenAt(*folded, read, now), now);
     }
-    if (isHeld(order.order_id))
-        return takeActions();
-    if (!m_fence) {
-        answer(from, order.order_id, false, "fence not known yet");
-    } else if (isOld(order)) {
-        answer(from, order.order_id, false, "old fencing number");
-    } else {
-        raiseFence(fence_number(order.fence));
-        if (m_waiting.size() >= m_maxQueued) {
-            answer(from, order.order_id, false, "too many orders");
-        } else {
-            m_waiting.push_back({order, from});
-            beginNext(now);
-        }
-    }
-    return takeActions();
+    refuseOvertaken();
+    if (!read.atEnd)
+        return;
+    m_caughtUp = true;
+    m_readAt = std::max(m_readAt, read.askedAt);
 }
 
-order_actions order_desk::onDone(const std::string &orderId, bool accepted,
-                                 const std::string &message, instant now)
+void order_desk::onReadFailed(instant now)
 {
-    if (!m_underWay || m_underWay->order.order_id != orderId)
-        return takeActions();
-    answer(m_underWay->from, orderId, accepted, message);
-    m_done.emplace_back(orderId, std::get<answer_order>(m_actions.back()).answer);
-    if (m_done.size() > MaxRememberedAnswers)
-        m_done.pop_front();
-    m_underWay.reset();
-    beginNext(now);
-    return takeActions();
+    m_pauseUntil = now + RetryPause;
 }
 
-order_actions order_desk::tick(instant now)
+void order_desk::onUpstreamState(const upstream_state_report &report, instant askedAt, instant now)
 {
-    beginNext(now);
-    return takeActions();
+    m_stateAt = askedAt;
+    m_highestSeen = report.highestFence;
+    m_inForce = report.inForce;
+    compareWithUpstream(now);
+    refuseOvertaken();
 }
 
-std::optional<instant> order_desk::nextDeadline(instant now) const
+void order_desk::onUpstreamSilent(const std::string &why, instant now)
 {
-    if (m_underWay || m_waiting.empty())
-        return std::nullopt;
-    return m_limiter.nextLoad(now);
+    m_stateAt.reset();
+    m_pauseUntil = now + RetryPause;
+    if (tracked_order *entry = firstWaiting())
+        entry->message = why;
 }
 
-bool order_desk::isOld(const schema::upstream_order_message &order) const
+void order_desk::onAnswer(const order_answer &answer, instant now)
 {
-    return order.fence < m_fence->value() && m_mutation != order_mutation::IgnoreFence;
+    tracked_order *entry = underWay();
+    if (entry == nullptr)
+        return;
+    entry->message = answer.message;
+    switch (answer.outcome) {
+    case order_outcome::Done:
+        entry->state = order_state::Done;
+        return;
+    case order_outcome::Refused:
+        entry->state = order_state::Refused;
+        return;
+    case order_outcome::Busy:
+    case order_outcome::NotSent:
+    case order_outcome::Unknown:
+        tryAgain(*entry, answer, now);
+        return;
+    }
 }
 
-bool order_desk::isHeld(const std::string &orderId) const
+std::optional<order_action> order_desk::next(instant now)
 {
-    if (m_underWay && m_underWay->order.order_id == orderId)
-        return true;
-    return std::any_of(m_waiting.begin(), m_waiting.end(),
-                       [&](const auto &e) { return e.order.order_id == orderId; });
+    if (!m_takesOrders || !m_caughtUp || now < m_pauseUntil || underWay() != nullptr)
+        return std::nullopt;
+    if (!m_stateAt || now - *m_stateAt >= StatePeriod)
+        return ask_upstream{};
+    tracked_order *entry = firstWaiting();
+    if (entry == nullptr || entry->notBefore > now)
+        return std::nullopt;
+    // Looked at anew for each order: the answers at hand may be from before a pause.
+    if (*m_stateAt < entry->notBefore || now - *m_stateAt > MaxAge / 2)
+        return ask_upstream{};
+    // The upstream may hold orders that only a later read shows.
+    if (m_readAt < *m_stateAt)
+        return reread_orders{m_fold.next()};
+    entry->state = order_state::UnderWay;
+    entry->message.clear();
+    m_highestSeen = std::max(m_highestSeen, entry->order.fence);
+    return give_order{entry->order, std::min(*m_stateAt, m_readAt) + MaxAge};
 }
 
-void order_desk::raiseFence(fence_number fence)
+void order_desk::take(const folded_order &folded, instant seenAt, instant now)
 {
-    m_fence = std::max(m_fence.value_or(fence), fence, by_value());
-    if (m_mutation == order_mutation::IgnoreFence)
+    tracked_order entry;
+    entry.order = folded.order;
+    if (isIn(m_inForce, entry.order.id))
+        entry.state = order_state::Done;
+    entry.notBefore = now;
+    if (folded.order.readsWeights())
+        entry.notBefore = std::max(now, m_limiter.reserve(seenAt));
+    if (folded.vm != m_self)
         return;
-    while (!m_waiting.empty() && isOld(m_waiting.front().order)) {
-        answer(m_waiting.front().from, m_waiting.front().order.order_id, false,
-               "old fencing number");
-        m_waiting.pop_front();
+    supersede(folded.order.kind);
+    if (!m_takesOrders) {
+        entry.state = order_state::Refused;
+        entry.message = "the upstream takes no orders";
+    }
+    m_orders.push_back(std::move(entry));
+    trim();
+}
+
+void order_desk::supersede(schema::order_kind kind)
+{
+    for (tracked_order &entry : m_orders) {
+        if (entry.order.kind == kind && entry.state == order_state::Waiting)
+            entry.state = order_state::Superseded;
     }
 }
 
-void order_desk::beginNext(instant now)
+// The newest order of each kind stays, since it is compared with what the upstream says.
+void order_desk::trim()
 {
-    if (m_underWay || m_waiting.empty())
+    if (m_orders.size() <= MaxKept)
         return;
-    if (readsWeights(m_waiting.front().order) && !m_limiter.tryLoad(now))
+    const auto old = std::find_if(m_orders.begin(), m_orders.end(), [&](const auto &entry) {
+        return entry.state != order_state::UnderWay && !isNewest(entry);
+    });
+    if (old != m_orders.end())
+        m_orders.erase(old);
+}
+
+bool order_desk::isNewest(const tracked_order &entry) const
+{
+    return std::none_of(m_orders.begin(), m_orders.end(), [&](const tracked_order &other) {
+        return other.order.kind == entry.order.kind && other.order.fence > entry.order.fence;
+    });
+}
+
+// Sides that follow the log see a record at nearly the same time, whatever the operator's clock
+// says. One that reads the past has only the operator's clock.
+instant order_desk::seenAt(const folded_order &folded, const orders_read &read, instant now) const
+{
+    if (m_caughtUp || folded.writtenAtSeconds >= read.wallSeconds)
+        return now;
+    const auto age = std::min<std::uint64_t>(read.wallSeconds - folded.writtenAtSeconds,
+                                             std::chrono::seconds(24h).count());
+    return now - std::chrono::seconds(age);
+}
+
+void order_desk::compareWithUpstream(instant now)
+{
+    for (tracked_order &entry : m_orders) {
+        if (!isNewest(entry) || entry.state == order_state::Refused)
+            continue;
+        if (isIn(m_inForce, entry.order.id)) {
+            entry.state = order_state::Done;
+            entry.message.clear();
+        } else if (entry.state == order_state::Done) {
+            entry.state = order_state::Waiting;
+            entry.notBefore = now;
+            if (entry.order.readsWeights())
+                entry.notBefore = m_limiter.reserve(now);
+        }
+    }
+}
+
+void order_desk::refuseOvertaken()
+{
+    for (const tracked_order &entry : m_orders) {
+        if (isIn(m_inForce, entry.order.id))
+            m_highestSeen = std::max(m_highestSeen, entry.order.fence);
+    }
+    if (m_mutation == order_mutation::IgnoreFence)
         return;
-    m_underWay = std::move(m_waiting.front());
-    m_waiting.pop_front();
-    m_actions.emplace_back(give_order{m_underWay->order});
+    for (tracked_order &entry : m_orders) {
+        if (entry.state != order_state::Waiting || entry.order.fence >= m_highestSeen)
+            continue;
+        entry.state = order_state::Refused;
+        entry.message = absl::StrCat("the upstream has seen fence ", m_highestSeen.value());
+    }
 }
 
-void order_desk::answer(connection_id to, const std::string &orderId, bool accepted,
-                        const std::string &message)
+tracked_order *order_desk::firstWaiting()
 {
-    schema::order_answer_message reply;
-    reply.order_id = orderId;
-    reply.accepted = accepted;
-    reply.message = message;
-    m_actions.emplace_back(answer_order{to, std::move(reply)});
+    const auto found = std::find_if(m_orders.begin(), m_orders.end(), [](const auto &entry) {
+        return entry.state == order_state::Waiting;
+    });
+    return found == m_orders.end() ? nullptr : &*found;
 }
 
-order_actions order_desk::takeActions()
+tracked_order *order_desk::underWay()
 {
-    return std::exchange(m_actions, {});
+    const auto found = std::find_if(m_orders.begin(), m_orders.end(), [](const auto &entry) {
+        return entry.state == order_state::UnderWay;
+    });
+    return found == m_orders.end() ? nullptr : &*found;
+}
+
+// What the upstream says decides whether the order is given again.
+void order_desk::tryAgain(tracked_order &entry, const order_answer &answer, instant now)
+{
+    m_stateAt.reset();
+    entry.state = isNewest(entry) ? order_state::Waiting : order_state::Superseded;
+    if (answer.outcome == order_outcome::NotSent)
+        return;
+    m_pauseUntil = now + RetryPause;
+    if (entry.order.readsWeights())
+        entry.notBefore = m_limiter.reserve(now);
 }
 
 } // namespace tamarack
--- a/src/orders/weight_store_limiter.cpp
+++ b/src/orders/weight_store_limiter.cpp
@@ -18,6 +18,19 @@
     return true;
 }
 
+instant weight_store_limiter::reserve(instant askedAt)
+{
+    const instant begin = nextLoad(askedAt);
+    m_full = std::max(m_full, begin) + m_interval;
+    return begin;
+}
+
+void weight_store_limiter::setRate(duration interval, int burst)
+{
+    m_interval = interval;
+    m_tolerance = interval * (burst - 1);
+}
+
 instant weight_store_limiter::nextLoad(instant now) const
 {
     return std::max(now, m_full - m_tolerance);
--- /dev/null
+++ b/tests/support/orders_world.hpp
@@ -0,0 +1,132 @@
+// A log of orders, an upstream that ignores fences, and desks between them, in virtual time.
+#pragma once
+
+#include <tamarackglade/orders/order_desk.hpp>
+#include <tamarackglade/schema/records.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief The stream of orders.
+class orders_log
+{
+public:
+    /// @brief Appends an order. @return its fence
+    std::uint64_t append(const std::string &vm, const std::string &id, schema::order_kind kind,
+                         std::uint64_t writtenAt = 0)
+    {
+        schema::upstream_ordered_message record;
+        record.vm = vm;
+        record.order_id = id;
+        record.kind = kind;
+        record.argument = "argument of " + id;
+        record.written_at_s = writtenAt;
+        schema::log_batch_message batch;
+        batch.record_id = id;
+        addRecord(batch, record);
+        return appendBytes(encodeBatch(batch));
+    }
+
+    std::uint64_t appendBytes(std::string payload)
+    {
+        m_entries.push_back({log_offset(m_entries.size() + 1), std::move(payload)});
+        return m_entries.size();
+    }
+
+    [[nodiscard]] orders_read read(log_offset from, instant askedAt,
+                                   std::uint64_t wallSeconds = 0) const
+    {
+        orders_read result;
+        result.atEnd = true;
+        result.askedAt = askedAt;
+        result.wallSeconds = wallSeconds;
+        for (const log_entry &entry : m_entries) {
+            if (entry.offset >= from)
+                result.entries.push_back(entry);
+        }
+        return result;
+    }
+
+private:
+    std::vector<log_entry> m_entries;
+};
+
+/// @brief An upstream that ignores fences: whatever it receives takes effect.
+struct careless_upstream
+{
+    std::vector<std::uint64_t> received; // fences in order of arrival
+    std::map<schema::order_kind, std::string> inForce; // order ids
+    std::uint64_t highestCarriedOut = 0;
+    bool wentBack = false; // an order came after a newer one had been carried out
+
+    void receive(const upstream_order &order, bool carriedOut)
+    {
+        const std::uint64_t fence = order.fence.value();
+        received.push_back(fence);
+        wentBack = wentBack || fence < highestCarriedOut;
+        if (!carriedOut)
+            return;
+        inForce[order.kind] = order.id;
+        highestCarriedOut = std::max(highestCarriedOut, fence);
+    }
+
+    [[nodiscard]] upstream_state_report state() const
+    {
+        upstream_state_report report;
+        for (const auto &[kind, id] : inForce)
+            report.inForce.push_back(id);
+        return report;
+    }
+};
+
+/// @brief A side's process: its desk, and the action that it has begun.
+struct order_process
+{
+    order_desk desk;
+    std::optional<order_action> begun{};
+
+    /// @brief Begins an action, or performs the one that was begun.
+    /// @return whether there was one
+    bool step(const orders_log &log, careless_upstream &upstream, instant now,
+              order_outcome outcome = order_outcome::Done)
+    {
+        if (!begun) {
+            begun = desk.next(now);
+            return begun.has_value();
+        }
+        const order_action action = *std::exchange(begun, std::nullopt);
+        if (const auto *given = std::get_if<give_order>(&action))
+            give(*given, upstream, now, outcome);
+        else if (const auto *reading = std::get_if<reread_orders>(&action))
+            desk.onRead(log.read(reading->from, now), now);
+        else
+            desk.onUpstreamState(upstream.state(), now, now);
+        return true;
+    }
+
+    /// @brief Performs actions at an instant until there are none.
+    void work(const orders_log &log, careless_upstream &upstream, instant now)
+    {
+        while (step(log, upstream, now)) { }
+    }
+
+private:
+    void give(const give_order &action, careless_upstream &upstream, instant now,
+              order_outcome outcome)
+    {
+        if (now > action.validUntil)
+            return desk.onAnswer({order_outcome::NotSent, "too late"}, now);
+        upstream.receive(action.order, outcome == order_outcome::Done);
+        desk.onAnswer({outcome, ""}, now);
+    }
+};
+
+} // namespace tamarack
--- a/tests/unit-manifest.cpp
+++ b/tests/unit-manifest.cpp
@@ -79,9 +79,10 @@
     SUBCASE("unknown key")
     {
         const manifest_fault fault = onlyFault(Fleet + "partitons = 4\n");
-        CHECK(fault
-              == manifest_fault{3, "fleet", "partitons", "an unknown key",
-                                "one of name, partitions, log-retention"});
+        CHECK(
+            fault
+            == manifest_fault{3, "fleet", "partitons", "an unknown key",
+                              "one of name, partitions, log-retention, load-interval, load-burst"});
     }
     SUBCASE("duplicates")
     {
--- a/tests/unit-orders.cpp
+++ b/tests/unit-orders.cpp
@@ -1,48 +1,104 @@
-// Tests of orders to upstreams: fencing and the weight store's rate.
-#include <tamarackglade/orders/order_desk.hpp>
+// Tests of orders to upstreams: fencing, supersession and the weight store's rate.
+#include "support/orders_world.hpp"
 
 #include <doctest/doctest.h>
 
+#include <optional>
+#include <random>
+
 using namespace tamarack;
 using namespace std::chrono_literals;
 
 namespace {
 
-const instant Start{1h};
-const connection_id From(1);
+using schema::order_kind;
+
+const instant Start{100h};
+const std::string Self = "engines-1";
+const std::string Other = "engines-2";
+constexpr std::uint64_t Wall = 1'000'000; // seconds
 
-schema::upstream_order_message orderOf(const std::string &id, std::uint64_t fence,
-                                       schema::order_kind kind = schema::order_kind::LoadModel)
+order_desk makeDesk(order_mutation mutation = order_mutation::None, duration interval = 10s)
 {
-    schema::upstream_order_message order;
-    order.order_id = id;
-    order.fence = fence;
-    order.kind = kind;
-    return order;
+    return {vm_id(Self), weight_store_limiter(interval, 1), mutation};
 }
 
-bool gives(const order_actions &actions)
+/// @brief A desk with its log and upstream.
+struct side_world
 {
-    return !actions.empty() && std::holds_alternative<give_order>(actions.back());
-}
+    orders_log log;
+    careless_upstream upstream;
+    order_process process{makeDesk()};
+    order_desk &desk = process.desk;
+
+    void read(instant now) { desk.onRead(log.read(log_offset(1), now), now); }
+    void work(instant now) { process.work(log, upstream, now); }
+    [[nodiscard]] order_state stateOf(const std::string &id) const
+    {
+        for (const tracked_order &entry : desk.orders()) {
+            if (entry.order.id == id)
+                return entry.state;
+        }
+        FAIL("no order " << id);
+        return {};
+    }
+};
 
-bool refuses(const order_actions &actions)
+/// @return whether an order reaches an upstream that has seen a newer one
+bool givesOldOrder(order_mutation mutation)
 {
-    return actions.size() == 1 && std::holds_alternative<answer_order>(actions[0])
-           && !std::get<answer_order>(actions[0]).answer.accepted;
+    orders_log log;
+    careless_upstream upstream;
+    log.append(Self, "old", order_kind::ChangeRole);
+    log.append(Self, "new", order_kind::LoadModel);
+    order_process process{makeDesk(mutation)};
+    process.desk.onRead(log.read(log_offset(1), Start), Start);
+    upstream.inForce[order_kind::LoadModel] = "new";
+    upstream.highestCarriedOut = 2;
+    process.work(log, upstream, Start);
+    return upstream.wentBack;
 }
 
-order_desk makeDesk(order_mutation mutation = order_mutation::None)
+// Two processes stand beside one upstream, as when a paused one was replaced and wakes. One of them
+// runs while the other is paused amid whatever it does. The upstream refuses some orders.
+bool raceGoesBack(unsigned seed, order_mutation mutation)
 {
-    return {weight_store_limiter(10s, 1), 2, mutation};
+    std::mt19937 random(seed);
+    orders_log log;
+    careless_upstream upstream;
+    order_process processes[] = {{makeDesk(mutation, 1ms)}, {makeDesk(mutation, 1ms)}};
+    instant now = Start;
+    for (order_process &process : processes)
+        process.desk.onRead(log.read(log_offset(1), now), now);
+    int written = 0;
+    unsigned running = 0;
+    for (int step = 0; step < 400; ++step) {
+        const unsigned choice = random() % 12;
+        now += 10ms;
+        if (choice == 0) {
+            running = 1 - running;
+            now += 3s;
+        } else if (choice <= 2) {
+            log.append(Self, "o" + std::to_string(written++),
+                       static_cast<order_kind>(random() % 4));
+        } else if (choice == 3) {
+            order_desk &desk = processes[running].desk;
+            desk.onRead(log.read(log_offset(1), now), now);
+        } else {
+            processes[running].step(log, upstream, now,
+                                    choice == 4 ? order_outcome::Refused : order_outcome::Done);
+        }
+    }
+    return upstream.wentBack;
 }
 
-/// @return whether an order with an old fencing number reaches the upstream
-bool givesOldOrder(order_mutation mutation)
+std::optional<unsigned> firstSeedThatGoesBack(order_mutation mutation)
 {
-    auto desk = makeDesk(mutation);
-    desk.onFenceLearned(fence_number(7), Start);
-    return gives(desk.onOrder(orderOf("old", 6), From, Start));
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        if (raceGoesBack(seed, mutation))
+            return seed;
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -53,55 +109,302 @@
     CHECK(givesOldOrder(order_mutation::IgnoreFence));
 }
 
+TEST_CASE("two processes beside one upstream never give an older order after one in force")
+{
+    CHECK_FALSE(firstSeedThatGoesBack(order_mutation::None));
+    CHECK(firstSeedThatGoesBack(order_mutation::IgnoreFence));
+}
+
 TEST_CASE("order desk")
 {
-    auto desk = makeDesk();
+    side_world world;
 
-    SUBCASE("refuses all orders until it knows the fence")
+    SUBCASE("gives nothing until it has read the log to its end")
+    {
+        world.log.append(Self, "a", order_kind::LoadModel);
+        auto part = world.log.read(log_offset(1), Start);
+        part.atEnd = false;
+        world.desk.onRead(part, Start);
+        CHECK_FALSE(world.desk.next(Start));
+        world.read(Start);
+        world.work(Start);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1});
+        CHECK(world.stateOf("a") == order_state::Done);
+    }
+    SUBCASE("gives nothing until the upstream has told its state")
     {
-        CHECK(refuses(desk.onOrder(orderOf("a", 9), From, Start)));
-        desk.onFenceLearned(fence_number(7), Start);
-        CHECK(gives(desk.onOrder(orderOf("a", 9), From, Start)));
-        CHECK(desk.fence() == fence_number(9));
+        world.log.append(Self, "a", order_kind::ChangeRole);
+        world.read(Start);
+        const auto action = world.desk.next(Start);
+        REQUIRE(action);
+        CHECK(std::holds_alternative<ask_upstream>(*action));
+        world.desk.onUpstreamSilent("refused", Start);
+        CHECK_FALSE(world.desk.next(Start));
+        CHECK(world.desk.orders().back().message == "refused");
+        CHECK(std::holds_alternative<ask_upstream>(*world.desk.next(Start + 1s)));
     }
-    SUBCASE("drops waiting orders when a newer one comes")
+    SUBCASE("leaves other VMs' orders alone")
     {
-        desk.onFenceLearned(fence_number(1), Start);
-        CHECK(gives(desk.onOrder(orderOf("a", 1), From, Start)));
-        CHECK(desk.onOrder(orderOf("b", 1), From, Start).empty());
-        CHECK(refuses(desk.onOrder(orderOf("c", 2), From, Start)));
-        const auto done = desk.onDone("a", true, "", Start);
-        CHECK(done.size() == 1);
-        CHECK(gives(desk.tick(Start + 10s)));
+        world.log.append(Other, "a", order_kind::LoadModel);
+        world.read(Start);
+        world.work(Start);
+        CHECK(world.upstream.received.empty());
+        CHECK(world.desk.orders().empty());
+    }
+    SUBCASE("gives only the newest of the waiting orders of a kind")
+    {
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.log.append(Self, "r", order_kind::ChangeRole);
+        world.log.append(Self, "b", order_kind::LoadModel);
+        world.read(Start);
+        world.work(Start + 10s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{2, 3});
+        CHECK(world.stateOf("a") == order_state::Superseded);
+    }
+    SUBCASE("holds newer orders back while one is under way")
+    {
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.read(Start);
+        while (!std::holds_alternative<give_order>(*world.desk.next(Start)))
+            world.desk.onUpstreamState({}, Start, Start);
+        CHECK(world.stateOf("a") == order_state::UnderWay);
+        world.log.append(Self, "b", order_kind::LoadModel);
+        world.read(Start + 20s);
+        CHECK_FALSE(world.desk.next(Start + 20s));
+        world.desk.onAnswer({order_outcome::Unknown, "cut"}, Start + 20s);
+        CHECK(world.stateOf("a") == order_state::Superseded);
+        world.work(Start + 40s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{2});
     }
     SUBCASE("spaces out loads but not changes of role")
     {
-        desk.onFenceLearned(fence_number(1), Start);
-        desk.onOrder(orderOf("a", 1), From, Start);
-        desk.onDone("a", true, "", Start);
-        CHECK(desk.onOrder(orderOf("b", 1), From, Start + 1s).empty());
-        CHECK(desk.nextDeadline(Start + 1s) > Start + 9s);
-        CHECK(desk.tick(Start + 9s).empty());
-        CHECK(gives(desk.tick(*desk.nextDeadline(Start + 1s))));
-        desk.onDone("b", true, "", Start + 11s);
-        const auto role = orderOf("r", 1, schema::order_kind::ChangeRole);
-        CHECK(gives(desk.onOrder(role, From, Start + 11s)));
-    }
-    SUBCASE("answers a repeated order without giving it again")
-    {
-        desk.onFenceLearned(fence_number(1), Start);
-        desk.onOrder(orderOf("a", 1), From, Start);
-        CHECK(desk.onOrder(orderOf("a", 1), From, Start).empty());
-        desk.onDone("a", true, "", Start);
-        const auto again = desk.onOrder(orderOf("a", 1), connection_id(2), Start);
-        REQUIRE(again.size() == 1);
-        CHECK(std::get<answer_order>(again[0]).answer.accepted);
-    }
-    SUBCASE("refuses more orders than it holds")
-    {
-        desk.onFenceLearned(fence_number(1), Start);
-        for (const auto *id : {"a", "b", "c"})
-            CHECK_FALSE(refuses(desk.onOrder(orderOf(id, 1), From, Start)));
-        CHECK(refuses(desk.onOrder(orderOf("d", 1), From, Start)));
+        world.read(Start);
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.log.append(Self, "b", order_kind::LoadAdapter);
+        world.read(Start);
+        world.work(Start);
+        world.work(Start + 9s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1});
+        world.work(Start + 10s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1, 2});
+        world.log.append(Self, "r", order_kind::ChangeRole);
+        world.read(Start + 11s);
+        world.work(Start + 11s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1, 2, 3});
+    }
+    SUBCASE("a load takes its turn after the loads of other VMs")
+    {
+        world.read(Start);
+        world.log.append(Other, "a", order_kind::LoadModel);
+        world.log.append(Other, "b", order_kind::LoadVersion);
+        world.log.append(Self, "c", order_kind::LoadModel);
+        world.read(Start);
+        world.work(Start + 19s);
+        CHECK(world.upstream.received.empty());
+        world.work(Start + 20s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{3});
+    }
+    SUBCASE("a changed rate counts for loads that are ordered from then on")
+    {
+        world.read(Start);
+        world.desk.setLoadRate(1s, 1);
+        world.log.append(Other, "a", order_kind::LoadModel);
+        world.log.append(Self, "b", order_kind::LoadModel);
+        world.read(Start);
+        world.work(Start + 1s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{2});
+    }
+    SUBCASE("takes a repeated record once, with the first fence")
+    {
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.read(Start);
+        world.work(Start);
+        world.work(Start + 30s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1});
+        CHECK(world.desk.orders().size() == 1);
+    }
+    SUBCASE("ignores bytes and records that are no order")
+    {
+        world.log.appendBytes("not a batch");
+        world.log.append(Self, "", order_kind::LoadModel);
+        world.log.append(Self, "x", static_cast<order_kind>(9));
+        world.read(Start);
+        CHECK(world.desk.orders().empty());
+    }
+    SUBCASE("a refused order is not given again")
+    {
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.read(Start);
+        while (!std::holds_alternative<give_order>(*world.desk.next(Start)))
+            world.desk.onUpstreamState({}, Start, Start);
+        world.desk.onAnswer({order_outcome::Refused, "no such model"}, Start);
+        world.work(Start + 30s);
+        CHECK(world.upstream.received.empty());
+        CHECK(world.stateOf("a") == order_state::Refused);
+        CHECK(world.desk.orders().back().message == "no such model");
+    }
+    SUBCASE("a busy upstream gets the load again at its next turn")
+    {
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.read(Start);
+        while (!std::holds_alternative<give_order>(*world.desk.next(Start)))
+            world.desk.onUpstreamState({}, Start, Start);
+        world.desk.onAnswer({order_outcome::Busy, "busy"}, Start);
+        world.work(Start + 9s);
+        CHECK(world.upstream.received.empty());
+        world.work(Start + 10s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1});
+    }
+    SUBCASE("a process that was paused reads the log again before it gives")
+    {
+        world.read(Start);
+        world.log.append(Other, "x", order_kind::LoadModel);
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.read(Start);
+        world.work(Start);
+        world.log.append(Self, "b", order_kind::LoadModel);
+        world.work(Start + 60s);
+        CHECK(world.stateOf("a") == order_state::Superseded);
+        world.work(Start + 70s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{3});
+    }
+    SUBCASE("a short pause is one too")
+    {
+        world.read(Start);
+        world.work(Start);
+        const instant woken = Start + 500ms;
+        world.log.append(Self, "a", order_kind::ChangeRole);
+        const auto answerFromBefore = world.log.read(log_offset(1), Start + 10ms);
+        world.log.append(Self, "b", order_kind::ChangeRole);
+        world.desk.onRead(answerFromBefore, woken);
+        world.work(woken);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{2});
+    }
+    SUBCASE("an order is valid only shortly")
+    {
+        world.log.append(Self, "r", order_kind::ChangeRole);
+        world.read(Start);
+        world.desk.onUpstreamState({}, Start, Start);
+        const auto action = world.desk.next(Start);
+        REQUIRE(action);
+        CHECK(std::get<give_order>(*action).validUntil <= Start + 2s);
+        world.desk.onAnswer({order_outcome::NotSent, ""}, Start + 60s);
+        CHECK(std::holds_alternative<ask_upstream>(*world.desk.next(Start + 60s)));
+    }
+    SUBCASE("while the log can't be read nothing is given")
+    {
+        world.log.append(Self, "r", order_kind::ChangeRole);
+        world.read(Start);
+        world.desk.onUpstreamState({}, Start + 60s, Start + 60s);
+        CHECK(std::holds_alternative<reread_orders>(*world.desk.next(Start + 60s)));
+        world.desk.onReadFailed(Start + 60s);
+        CHECK_FALSE(world.desk.next(Start + 60s));
+    }
+    SUBCASE("an upstream that takes no orders is given none")
+    {
+        world.desk.takeNoOrders();
+        world.log.append(Self, "a", order_kind::LoadModel);
+        world.read(Start);
+        world.work(Start);
+        CHECK(world.upstream.received.empty());
+        CHECK(world.stateOf("a") == order_state::Refused);
+    }
+    SUBCASE("keeps a bounded number of orders, and the newest of each kind")
+    {
+        world.log.append(Self, "role", order_kind::ChangeRole);
+        for (int number = 0; number < 100; ++number)
+            world.log.append(Self, "a" + std::to_string(number), order_kind::LoadModel);
+        world.read(Start);
+        CHECK(world.desk.orders().size() == 32);
+        CHECK(world.stateOf("role") == order_state::Waiting);
+        CHECK(world.stateOf("a99") == order_state::Waiting);
+    }
+}
+
+TEST_CASE("loads over the fleet keep the store's rate, less the sides' delays in reading")
+{
+    constexpr int Vms = 5;
+    constexpr int Loads = 3 * Vms;
+    constexpr duration Interval = 10s;
+    constexpr duration Step = 10ms;
+    orders_log log;
+    careless_upstream upstreams[Vms];
+    std::vector<order_process> processes;
+    for (int vm = 0; vm < Vms; ++vm) {
+        processes.push_back(
+            {{vm_id("engines-" + std::to_string(vm)), weight_store_limiter(Interval, 1)}});
+        processes.back().desk.onRead(log.read(log_offset(1), Start), Start);
+    }
+    for (int order = 0; order < Loads; ++order) // of other kinds, so that none is superseded
+        log.append("engines-" + std::to_string(order % Vms), "o" + std::to_string(order),
+                   static_cast<order_kind>(order / Vms));
+    std::vector<instant> beginnings;
+    std::size_t given = 0;
+    for (instant now = Start; now < Start + Loads * Interval; now += Step) {
+        for (int vm = 0; vm < Vms; ++vm) {
+            const duration delay = 50ms * vm;
+            if (now - Start == delay)
+                processes[vm].desk.onRead(log.read(log_offset(1), now), now);
+            processes[vm].work(log, upstreams[vm], now);
+        }
+        std::size_t all = 0;
+        for (const careless_upstream &upstream : upstreams)
+            all += upstream.received.size();
+        beginnings.insert(beginnings.end(), all - given, now);
+        given = all;
+    }
+    REQUIRE(beginnings.size() == Loads);
+    for (std::size_t i = 1; i < beginnings.size(); ++i)
+        CHECK(beginnings[i] - beginnings[i - 1] >= Interval - 50ms * (Vms - 1));
+}
+
+TEST_CASE("a restarted side")
+{
+    side_world world;
+    world.log.append(Self, "a", order_kind::LoadModel, Wall);
+    world.log.append(Self, "r", order_kind::ChangeRole, Wall);
+
+    SUBCASE("gives nothing that is in force")
+    {
+        world.upstream.inForce = {{order_kind::LoadModel, "a"}, {order_kind::ChangeRole, "r"}};
+        world.read(Start);
+        world.work(Start + 60s);
+        CHECK(world.upstream.received.empty());
+        CHECK(world.stateOf("a") == order_state::Done);
+        CHECK(world.stateOf("r") == order_state::Done);
+    }
+    SUBCASE("gives what is not in force")
+    {
+        world.upstream.inForce = {{order_kind::LoadModel, "a"}};
+        world.read(Start);
+        world.work(Start + 60s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{2});
+    }
+    SUBCASE("gives everything again to an upstream that restarted, in order")
+    {
+        world.read(Start);
+        world.work(Start);
+        world.upstream = {};
+        world.work(Start + 60s);
+        world.work(Start + 120s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1, 2});
+    }
+    SUBCASE("turns of loads of the past are over")
+    {
+        world.log.append(Self, "v", order_kind::LoadVersion, Wall);
+        world.desk.onRead(world.log.read(log_offset(1), Start, Wall + 3600), Start);
+        world.work(Start);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1, 2, 3});
+    }
+    SUBCASE("an operator's clock that is ahead delays no load")
+    {
+        world.log.append(Other, "f", order_kind::LoadModel, Wall + 1'000'000);
+        world.log.append(Self, "v", order_kind::LoadVersion, Wall);
+        world.desk.onRead(world.log.read(log_offset(1), Start, Wall), Start);
+        world.work(Start);
+        world.work(Start + 10s);
+        world.work(Start + 30s);
+        CHECK(world.upstream.received == std::vector<std::uint64_t>{1, 2, 4});
     }
 }
