Sides give orders to engines; tamarackctl order writes them

A side of a plain service refuses orders. The status of a side lists its latest orders with id, fence and state. `tamarackctl order VM KIND ARGUMENT [--wait]` checks kind and VM, appends, repeats a try of unknown outcome with the same id, and names the first record's offset as the fence. New exit code 6: the upstream refused.

The engine stand-in reports what is in force, names its highest fence only if it checks fences, and loads from the platform stand-in's weight store (--weight_store); a busy store is 503.

Tests: e2e test_orders (racing operators at an engine that ignores fences, paused and killed sides, dead and restarted engines, log down, lost answers, busy store, unknown VM and kind, turns of loads) and orders.scenario with four statements. The help test covers the new command.

--- a/apps/tamarackctl.cpp
+++ b/apps/tamarackctl.cpp
@@ -2,6 +2,7 @@
 #include <tamarackglade/ctl/config_commands.hpp>
 #include <tamarackglade/ctl/exit_code.hpp>
 #include <tamarackglade/ctl/fleet_commands.hpp>
+#include <tamarackglade/ctl/order_command.hpp>
 #include <tamarackglade/ctl/report_commands.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 
@@ -45,6 +46,8 @@
     {"jobs", "jobs list [CUSTOMER] | jobs show ID | jobs cancel ID", "see and cancel batch jobs",
      true, &runJobs},
     {"drain", "drain VM [--wait] [--timeout=SECONDS]", "give a VM no new work", true, &runDrain},
+    {"order", "order VM KIND ARGUMENT [--wait] [--timeout=SECONDS]",
+     "order an engine to load-model, load-adapter, load-version or change-role", true, &runOrder},
     {"burn", "burn [--html=FILE]", "report how the objectives' budgets burn", true, &runBurn},
 };
 
@@ -52,9 +55,10 @@
     "Exit codes: 0 done\n"
     "            1 the platform or a process could not be reached\n"
     "            2 wrong arguments, or faults in a file\n"
-    "            3 another publish won\n"
+    "            3 another publish or a newer order won\n"
     "            4 whether it took effect is not known\n"
-    "            5 what was waited for did not happen in time\n";
+    "            5 what was waited for did not happen in time\n"
+    "            6 the upstream refused the order\n";
 
 std::string usageText()
 {
--- a/include/tamarackglade/node/process_status.hpp
+++ b/include/tamarackglade/node/process_status.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <tamarackglade/node/side_status.hpp>
+#include <tamarackglade/orders/tracked_order.hpp>
 #include <tamarackglade/wire/peer_identity.hpp>
 
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,7 @@
     std::size_t partitionsOwned = 0;
     std::size_t requests = 0; // under way
     std::vector<side_status> sides; // that this process is connected to
+    std::deque<tracked_order> orders; // of a side, in order of their fences
 
     /// @return the JSON text
     [[nodiscard]] std::string toJson() const;
--- a/include/tamarackglade/side/side_process.hpp
+++ b/include/tamarackglade/side/side_process.hpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/node/config_service.hpp>
 #include <tamarackglade/node/process_status.hpp>
 #include <tamarackglade/settings/setting_values.hpp>
+#include <tamarackglade/side/order_service.hpp>
 #include <tamarackglade/side/side_server.hpp>
 #include <tamarackglade/wire/status_handler.hpp>
 #include <tamarackglade/wire/wire_server.hpp>
@@ -46,6 +47,7 @@
     platform_client m_platform;
     config_service m_configService;
     side_server m_server;
+    order_service m_orders;
     status_handler m_statusHandler;
     wire_server m_wireServer;
     admin_server m_admin;
--- a/src/ctl/config_reader.cpp
+++ b/src/ctl/config_reader.cpp
@@ -1,15 +1,10 @@
 // The config stream as one read after another.
+#include <tamarackglade/ctl/append_batch.hpp>
 #include <tamarackglade/ctl/config_reader.hpp>
 #include <tamarackglade/ctl/read_stream.hpp>
 
 namespace tamarack {
 
-namespace {
-
-constexpr int AppendTries = 3;
-
-} // namespace
-
 absl::StatusOr<config_fold> readConfig(platform_client &platform)
 {
     config_fold fold;
@@ -24,18 +19,7 @@
 absl::StatusOr<log_offset> appendConfig(platform_client &platform,
                                         const schema::log_batch_message &batch)
 {
-    const std::string payload = encodeBatch(batch);
-    absl::StatusOr<log_offset> stored;
-    bool mayBeStored = false;
-    for (int tries = 0; tries < AppendTries; ++tries) {
-        stored = platform.append(std::string(ConfigStream), payload);
-        if (stored.ok())
-            return stored;
-        mayBeStored = mayBeStored || absl::IsUnknown(stored.status());
-        if (!mayBeStored)
-            return stored;
-    }
-    return absl::UnknownError(stored.status().message());
+    return appendBatch(platform, std::string(ConfigStream), batch);
 }
 
 } // namespace tamarack
--- a/src/node/process_status.cpp
+++ b/src/node/process_status.cpp
@@ -1,5 +1,6 @@
 // The JSON of a process's status.
 #include <tamarackglade/node/process_status.hpp>
+#include <tamarackglade/orders/order_kind_name.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -48,6 +49,27 @@
     return object;
 }
 
+json orderJson(const tracked_order &entry)
+{
+    json object;
+    object["order_id"] = entry.order.id;
+    object["fence"] = entry.order.fence.value();
+    object["kind"] = orderKindName(entry.order.kind);
+    object["argument"] = entry.order.argument;
+    object["state"] = orderStateName(entry.state);
+    object["message"] = entry.message;
+    return object;
+}
+
+// The last of the list is the latest order.
+json ordersJson(const std::deque<tracked_order> &orders)
+{
+    auto array = json::array();
+    for (const tracked_order &entry : orders)
+        array.push_back(orderJson(entry));
+    return array;
+}
+
 } // namespace
 
 std::string process_status::toJson() const
@@ -66,6 +88,8 @@
     object["sides"] = json::array();
     for (const side_status &side : sides)
         object["sides"].push_back(sideJson(side));
+    if (self.role == schema::vm_role::Side)
+        object["orders"] = ordersJson(orders);
     return object.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
--- /dev/null
+++ b/src/side/order_service.cpp
@@ -0,0 +1,135 @@
+// One fiber that performs the desk's actions in turn, beside the log's tailer.
+#include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/orders/order_kind_name.hpp>
+#include <tamarackglade/runtime/steady_now.hpp>
+#include <tamarackglade/side/order_messages.hpp>
+#include <tamarackglade/side/order_service.hpp>
+
+#include <absl/strings/numbers.h>
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds IdlePause{20};
+constexpr std::chrono::milliseconds StateTimeout{5'000};
+// While the connection stands, an unanswered order may still be read by the upstream: no other one
+// is sent.
+constexpr std::chrono::hours OrderTimeout{1};
+constexpr std::size_t ReadLimit = 500; // records of one read
+constexpr duration FirstInterval = std::chrono::seconds(10); // the manifest's goes before it
+
+} // namespace
+
+order_service::order_service(io_thread &thread, platform_client &platform, metric_registry &metrics,
+                             const vm_id &self, const std::string &upstreamAddress,
+                             bool takesOrders)
+    : m_thread(thread), m_platform(platform), m_metrics(metrics),
+      m_upstream(thread.io(), upstreamAddress), m_desk(self, weight_store_limiter(FirstInterval, 1))
+{
+    if (!takesOrders)
+        m_desk.takeNoOrders();
+}
+
+void order_service::onConfig(const config_state &state)
+{
+    if (!state.inForce)
+        return;
+    const fleet_options &fleet = state.inForce->fleet;
+    m_desk.setLoadRate(fleet.loadInterval, static_cast<int>(fleet.loadBurst));
+    if (!m_tailer)
+        start();
+}
+
+void order_service::start()
+{
+    tail_handler handler;
+    handler.onRead = [this](const log_read &read, bool caughtUp) { onRead(read, caughtUp); };
+    handler.onGap = [](log_offset) {};
+    handler.onReachable = [](bool) {};
+    m_tailer = std::make_unique<log_tailer>(m_thread, m_platform, std::string(OrdersStream),
+                                            log_offset(1), std::move(handler));
+    m_thread.spawn([this] { workLoop(); });
+}
+
+void order_service::workLoop()
+{
+    for (;;) {
+        if (const auto action = m_desk.next(steadyNow()))
+            perform(*action);
+        else
+            boost::this_fiber::sleep_for(IdlePause);
+    }
+}
+
+void order_service::perform(const order_action &action)
+{
+    if (const auto *given = std::get_if<give_order>(&action))
+        give(*given);
+    else if (const auto *reading = std::get_if<reread_orders>(&action))
+        reread(reading->from);
+    else
+        askUpstream();
+}
+
+void order_service::askUpstream()
+{
+    const instant askedAt = steadyNow();
+    http_client_request request;
+    request.target = "/orders";
+    m_upstream.setTimeout(StateTimeout);
+    const auto report = readUpstreamState(m_upstream.fetch(request));
+    if (report.ok())
+        m_desk.onUpstreamState(*report, askedAt, steadyNow());
+    else
+        m_desk.onUpstreamSilent(std::string(report.status().message()), steadyNow());
+}
+
+void order_service::reread(log_offset from)
+{
+    auto read =
+        m_platform.read(std::string(OrdersStream), from, ReadLimit, std::chrono::milliseconds(0));
+    std::uint64_t firstRetained = 0;
+    if (absl::IsOutOfRange(read.status())
+        && absl::SimpleAtoi(read.status().message(), &firstRetained))
+        read = m_platform.read(std::string(OrdersStream), log_offset(firstRetained), ReadLimit,
+                               std::chrono::milliseconds(0));
+    if (!read.ok())
+        return m_desk.onReadFailed(steadyNow());
+    const log_offset end =
+        read->entries.empty() ? from : log_offset(read->entries.back().offset.value() + 1);
+    onRead(*read, end >= read->next);
+}
+
+void order_service::give(const give_order &action)
+{
+    const upstream_order &order = action.order;
+    http_client_request request;
+    request.method = "POST";
+    request.target = "/orders";
+    request.contentType = "application/json";
+    request.body = orderJson(order);
+    m_upstream.setTimeout(OrderTimeout);
+    if (steadyNow() > action.validUntil)
+        return m_desk.onAnswer({order_outcome::NotSent, "looking again before it is given"},
+                               steadyNow());
+    m_metrics.add("tamarack_side_orders_given_total");
+    const order_answer answer = readOrderAnswer(m_upstream.fetch(request));
+    log_event(log_level::Info, "order given")
+        .with("order", order.id)
+        .with("fence", order.fence.value())
+        .with("kind", orderKindName(order.kind))
+        .with("done", answer.outcome == order_outcome::Done)
+        .with("reason", answer.message);
+    m_desk.onAnswer(answer, steadyNow());
+}
+
+void order_service::onRead(const log_read &read, bool atEnd)
+{
+    m_desk.onRead({read.entries, atEnd, read.askedAt, wallSeconds()}, steadyNow());
+}
+
+} // namespace tamarack
--- a/src/side/side_process.cpp
+++ b/src/side/side_process.cpp
@@ -29,6 +29,8 @@
     : m_settings(settings), m_wire(wire), m_platform(m_thread, settings.list("platform")),
       m_configService(m_thread, m_platform, m_peers, m_config, wire.self.vm),
       m_server(m_thread, m_metrics, optionsOf(settings), wire.self.incarnation),
+      m_orders(m_thread, m_platform, m_metrics, wire.self.vm, settings.text("upstream"),
+               settings.text("kind") != "service"),
       m_statusHandler(*this, [this] { return status().toJson(); }),
       m_wireServer(m_thread, wire, m_statusHandler), m_admin(m_thread, m_metrics)
 {
@@ -88,6 +90,7 @@
 
 void side_process::onConfig(const config_state &state)
 {
+    m_orders.onConfig(state);
     if (state.inForce)
         m_server.setOnlineProtection(state.inForce->batch.onlineProtection / Percent);
     if (!state.isDrained(m_wire.self.vm, m_wire.self.incarnation))
@@ -108,6 +111,7 @@
     status.draining = m_draining;
     status.serving = !m_draining;
     status.requests = m_server.activeCalls();
+    status.orders = m_orders.orders();
     return status;
 }
 
--- a/tests/e2e/scenario.py
+++ b/tests/e2e/scenario.py
@@ -93,6 +93,7 @@
         self.answers = {}
         self.jobs = {}
         self.pending = {}
+        self.orders = {}  # name -> what tamarackctl said of the order
         self.admitted = []  # (time sent, time answered) of admitted calls of a flood
         self.faults = {}  # upstream name -> switches, given again after a restart
         self.ended = threading.Event()
@@ -482,3 +483,42 @@
     @statement(r"expect at least (\d+) admitted chats")
     def admitted_at_least(self, count):
         assert len(self.admitted) >= int(count), len(self.admitted)
+
+    # -- orders to upstreams ----------------------------------------------------------------
+
+    @statement(r"order (\S+) ([a-z-]+) (\S+) as (\w+)")
+    def order(self, name, kind, argument, order):
+        done = self.fleet.ctl("--output=json", "order", name, kind, argument)
+        self.orders[order] = json.loads(done.stdout)
+
+    @statement(r"two operators give (\d+) orders each to (\S+)")
+    def race_orders(self, count, name):
+        def operate(operator):
+            for number in range(int(count)):
+                self.fleet.ctl("order", name, "change-role", f"{operator}-{number}")
+        operators = [threading.Thread(target=operate, args=(who,)) for who in ("ada", "ben")]
+        for operator in operators:
+            operator.start()
+        for operator in operators:
+            operator.join()
+
+    def upstream_orders(self, name):
+        return json.loads(http_call(self.vm(name).upstream, "GET", "/orders")[2])
+
+    @statement(r"expect order (\w+) in force within (\d+) s")
+    def order_in_force(self, order, seconds):
+        wanted = self.orders[order]
+        wait_until(lambda: wanted["order_id"] in
+                   [row["order_id"] for row in self.upstream_orders(wanted["vm"])["in_force"]],
+                   f"order {order} in force", int(seconds))
+
+    @statement(r"expect order (\w+) never given")
+    def order_not_given(self, order):
+        wanted = self.orders[order]
+        given = [row["order_id"] for row in self.upstream_orders(wanted["vm"])["orders"]]
+        assert wanted["order_id"] not in given, given
+
+    @statement(r"expect the orders at (\S+) with rising fences")
+    def fences_rise(self, name):
+        fences = [row["fence"] for row in self.upstream_orders(name)["orders"]]
+        assert fences and fences == sorted(set(fences)), fences
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -155,7 +155,8 @@
 
     def test_help_of_every_command(self):
         general = self.fleet.ctl("--help").stdout
-        for command in ("check", "publish", "watch", "status", "key", "jobs", "drain", "burn"):
+        for command in ("check", "publish", "watch", "status", "key", "jobs", "drain", "order",
+                        "burn"):
             self.assertIn(f"\n  {command}", general)
             text = self.fleet.ctl(command, "--help").stdout
             self.assertTrue(text.startswith(f"usage: tamarackctl {command}"), text)
--- a/tests/standins/engine/engine_options.hpp
+++ b/tests/standins/engine/engine_options.hpp
@@ -21,6 +21,7 @@
     std::chrono::milliseconds cacheEventLag{0}; // of GET /cache-events
     std::uint64_t cacheEventGap = 0; // every n-th cache event is lost; 0 for none
     std::chrono::milliseconds orderTime{0}; // to carry an order out
+    std::string weightStore; // ip:port that ordered loads read from; empty for none
 };
 
 /// @brief What POST /fault sets, besides freezes and slowness.
--- a/tests/standins/engine/engine_service.cpp
+++ b/tests/standins/engine/engine_service.cpp
@@ -2,6 +2,7 @@
 #include "engine_service.hpp"
 
 #include "../../support/standins_json.hpp"
+#include <tamarackglade/http/http_client.hpp>
 #include <tamarackglade/load/expected_answer.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
 
@@ -35,7 +36,7 @@
 };
 
 engine_service::engine_service(io_thread &thread, const engine_options &options)
-    : m_options(options), m_runner(thread, options.profile),
+    : m_thread(thread), m_options(options), m_runner(thread, options.profile),
       m_cacheEvents(options.cacheEventLag, options.cacheEventGap), m_orders(options.checkFences),
       m_anyModel(options.models.empty()), m_models(options.models)
 {
@@ -267,6 +268,7 @@
         return;
     engine_order order;
     try {
+        order.id = body->value("order_id", "");
         order.fence = body->at("fence").get<std::uint64_t>();
         order.kind = body->at("kind").get<std::string>();
         order.argument = body->value("argument", "");
@@ -277,10 +279,30 @@
         return respondError(exchange, 409, "stale_fence",
                             absl::StrCat("fence ", m_orders.highestFence(), " was seen"));
     boost::this_fiber::sleep_for(m_options.orderTime);
+    if (!readWeights(order))
+        return respondError(exchange, 503, "weights_busy", "the weight store does not answer");
     carryOut(order);
+    m_orders.carriedOut(order);
     respondJson(exchange, 200, {{"accepted", true}, {"fence", order.fence}});
 }
 
+bool engine_service::readWeights(const engine_order &order)
+{
+    if (m_options.weightStore.empty() || !order.kind.starts_with("load_"))
+        return true;
+    http_client store(m_thread.io(), m_options.weightStore);
+    http_client_request request;
+    request.target = absl::StrCat("/v1/weights/", order.argument);
+    const auto head = store.start(request);
+    if (!head.ok() || head->status != 200)
+        return false;
+    for (;;) {
+        const auto part = store.readSome();
+        if (!part.ok() || part->empty())
+            return part.ok();
+    }
+}
+
 void engine_service::carryOut(const engine_order &order)
 {
     const bool loads = order.kind == "load_model" || order.kind == "load_version";
@@ -296,8 +318,10 @@
 
 void engine_service::showOrders(http_exchange &exchange)
 {
-    respondJson(exchange, 200,
-                {{"highest_fence", m_orders.highestFence()}, {"orders", m_orders.show()}});
+    nlohmann::json shown = {{"orders", m_orders.show()}, {"in_force", m_orders.showInForce()}};
+    if (m_orders.checksFences())
+        shown["highest_fence"] = m_orders.highestFence();
+    respondJson(exchange, 200, shown);
 }
 
 void engine_service::setFaults(http_exchange &exchange)
--- a/tests/standins/engine/engine_service.hpp
+++ b/tests/standins/engine/engine_service.hpp
@@ -55,12 +55,15 @@
     void showCacheEvents(http_exchange &exchange);
     void showExecutions(http_exchange &exchange);
     void giveOrder(http_exchange &exchange);
+    /// @return whether the order's weights came from the weight store, if it needs any
+    bool readWeights(const engine_order &order);
     void carryOut(const engine_order &order);
     void showOrders(http_exchange &exchange);
     void setFaults(http_exchange &exchange);
     void parseFaults(const nlohmann::json &body);
     void showFaults(http_exchange &exchange);
 
+    io_thread &m_thread;
     engine_options m_options;
     engine_faults m_faults;
     freeze_gate m_freeze;
--- a/tests/standins/engine/main.cpp
+++ b/tests/standins/engine/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_uint64(cache_event_lag_ms, 0, "lag of cache events in milliseconds");
 DEFINE_uint64(cache_event_gap, 0, "every n-th cache event is lost; 0 for none");
 DEFINE_uint64(order_ms, 0, "time to carry an order out in milliseconds");
+DEFINE_string(weight_store, "", "ip:port of the weight store of ordered loads; empty for none");
 
 using namespace tamarack;
 
@@ -44,6 +45,7 @@
     options.cacheEventLag = std::chrono::milliseconds(FLAGS_cache_event_lag_ms);
     options.cacheEventGap = FLAGS_cache_event_gap;
     options.orderTime = std::chrono::milliseconds(FLAGS_order_ms);
+    options.weightStore = FLAGS_weight_store;
     return options;
 }
 
--- a/tests/standins/engine/order_book.hpp
+++ b/tests/standins/engine/order_book.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 /// @brief One order, carried out or refused.
 struct engine_order
 {
+    std::string id; // may be empty
     std::uint64_t fence = 0;
     std::string kind; // load_model, unload_model, load_adapter, load_version, change_role
     std::string argument;
@@ -34,6 +36,10 @@
         return order.accepted;
     }
 
+    /// @brief Notes that an order was carried out.
+    void carriedOut(const engine_order &order) { m_inForce[order.kind] = order; }
+
+    [[nodiscard]] bool checksFences() const { return m_checkFences; }
     [[nodiscard]] std::uint64_t highestFence() const { return m_highestFence; }
 
     /// @return all orders, in order of arrival
@@ -41,17 +47,33 @@
     {
         nlohmann::json shown = nlohmann::json::array();
         for (const engine_order &order : m_orders)
-            shown.push_back({{"fence", order.fence},
-                             {"kind", order.kind},
-                             {"argument", order.argument},
-                             {"accepted", order.accepted}});
+            shown.push_back(toJson(order));
+        return shown;
+    }
+
+    /// @return the last order of each kind that was carried out
+    [[nodiscard]] nlohmann::json showInForce() const
+    {
+        nlohmann::json shown = nlohmann::json::array();
+        for (const auto &[kind, order] : m_inForce)
+            shown.push_back(toJson(order));
         return shown;
     }
 
 private:
+    [[nodiscard]] static nlohmann::json toJson(const engine_order &order)
+    {
+        return {{"order_id", order.id},
+                {"fence", order.fence},
+                {"kind", order.kind},
+                {"argument", order.argument},
+                {"accepted", order.accepted}};
+    }
+
     bool m_checkFences;
     std::uint64_t m_highestFence = 0;
     std::vector<engine_order> m_orders;
+    std::map<std::string, engine_order> m_inForce; // by kind
 };
 
 } // namespace tamarack::standins
