Orders: bounded JSON from the upstream, one way to repeat an append

The upstream's JSON was read without the bound on its nesting that outside JSON has; core/json_text reads it now. `jobs cancel` had its own copy of the repeats that appendBatch does. New tests/shell-orders.cpp covers what each answer of the order endpoint means, malformed ones too.

--- a/src/ctl/jobs_commands.cpp
+++ b/src/ctl/jobs_commands.cpp
@@ -1,5 +1,6 @@
 // The operators' view of batch jobs, from the log.
 #include <tamarackglade/core/partition.hpp>
+#include <tamarackglade/ctl/append_batch.hpp>
 #include <tamarackglade/ctl/ctl_failure.hpp>
 #include <tamarackglade/ctl/exit_code.hpp>
 #include <tamarackglade/ctl/jobs_reader.hpp>
@@ -18,7 +19,6 @@
 using json = nlohmann::ordered_json;
 
 constexpr const char *Usage = "jobs list [CUSTOMER] | jobs show ID | jobs cancel ID";
-constexpr int AppendTries = 3;
 
 /// @brief A job and the partition that holds it.
 struct found_job
@@ -103,16 +103,7 @@
 absl::Status appendCancel(ctl_context &context, const found_job &found)
 {
     const auto batch = cancelBatch(found.job->id, randomId("ctl_cancel_"), wallSeconds());
-    const std::string payload = encodeBatch(batch);
-    absl::Status status;
-    bool mayBeStored = false;
-    for (int tries = 0; tries < AppendTries; ++tries) {
-        status = context.platform.append(jobStreamName(found.partition), payload).status();
-        mayBeStored = mayBeStored || absl::IsUnknown(status);
-        if (status.ok() || !mayBeStored)
-            return status;
-    }
-    return absl::UnknownError(status.message());
+    return appendBatch(context.platform, jobStreamName(found.partition), batch).status();
 }
 
 int cancelJob(ctl_context &context, const std::string &id)
--- a/src/side/order_messages.cpp
+++ b/src/side/order_messages.cpp
@@ -18,7 +18,7 @@
 
 std::string failureText(const http_response &response)
 {
-    const auto body = json::parse(response.body, nullptr, false);
+    const auto body = parseJson(response.body);
     const json::json_pointer path("/error/message");
     if (body.is_object() && body.contains(path) && body[path].is_string())
         return body[path].get<std::string>();
@@ -63,7 +63,7 @@
         return response.status();
     if (response->status != 200)
         return absl::UnavailableError(absl::StrCat("the upstream answered ", response->status));
-    const auto body = json::parse(response->body, nullptr, false);
+    const auto body = parseJson(response->body);
     if (!body.is_object() || !body.contains("in_force") || !body["in_force"].is_array())
         return absl::UnavailableError("the upstream's state is not understood");
     upstream_state_report report;
--- /dev/null
+++ b/tests/shell-orders.cpp
@@ -0,0 +1,75 @@
+// Tests of the JSON between a side and its upstream's order endpoint.
+#include <tamarackglade/side/order_messages.hpp>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace tamarack;
+
+namespace {
+
+absl::StatusOr<http_response> answerOf(unsigned status, const std::string &body = "{}")
+{
+    http_response response;
+    response.status = status;
+    response.body = body;
+    return response;
+}
+
+order_outcome outcomeOf(const absl::StatusOr<http_response> &response)
+{
+    return readOrderAnswer(response).outcome;
+}
+
+} // namespace
+
+TEST_CASE("an order as JSON")
+{
+    const upstream_order order{"o1", fence_number(7), schema::order_kind::LoadVersion, "v \"2\""};
+    const auto json = nlohmann::json::parse(orderJson(order));
+    CHECK(json["order_id"] == "o1");
+    CHECK(json["fence"] == 7);
+    CHECK(json["kind"] == "load_version");
+    CHECK(json["argument"] == "v \"2\"");
+}
+
+TEST_CASE("what the upstream's answer to an order means")
+{
+    CHECK(outcomeOf(answerOf(200)) == order_outcome::Done);
+    for (const unsigned status : {400U, 404U, 409U})
+        CHECK(outcomeOf(answerOf(status)) == order_outcome::Refused);
+    for (const unsigned status : {429U, 500U, 503U})
+        CHECK(outcomeOf(answerOf(status)) == order_outcome::Busy);
+    CHECK(outcomeOf(absl::UnavailableError("no connection")) == order_outcome::NotSent);
+    CHECK(outcomeOf(absl::AbortedError("cut")) == order_outcome::Unknown);
+    CHECK(outcomeOf(absl::DeadlineExceededError("late")) == order_outcome::Unknown);
+    CHECK(readOrderAnswer(answerOf(409, R"({"error":{"message":"old"}})")).message == "old");
+    for (const auto *body : {"", "[", "[]", R"({"error":3})", R"({"error":{"message":3}})"})
+        CHECK(readOrderAnswer(answerOf(409, body)).message == "the upstream answered 409");
+}
+
+TEST_CASE("the upstream's state")
+{
+    SUBCASE("with a highest fence")
+    {
+        const auto state = readUpstreamState(answerOf(
+            200, R"({"highest_fence":9,"in_force":[{"order_id":"a"},{"order_id":3},5,{}]})"));
+        REQUIRE(state.ok());
+        CHECK(state->highestFence == fence_number(9));
+        CHECK(state->inForce == std::vector<std::string>{"a"});
+    }
+    SUBCASE("without one")
+    {
+        const auto state = readUpstreamState(answerOf(200, R"({"in_force":[]})"));
+        REQUIRE(state.ok());
+        CHECK(state->highestFence == fence_number(0));
+    }
+    SUBCASE("that can't be used")
+    {
+        for (const auto *body : {"", "{", "[]", "{}", R"({"in_force":{}})"})
+            CHECK_FALSE(readUpstreamState(answerOf(200, body)).ok());
+        CHECK_FALSE(readUpstreamState(answerOf(200, std::string(100'000, '['))).ok());
+        CHECK_FALSE(readUpstreamState(answerOf(404)).ok());
+        CHECK_FALSE(readUpstreamState(absl::UnavailableError("no connection")).ok());
+    }
+}
