--- a/include/tamarackglade/entry/answer_relay.hpp
+++ b/include/tamarackglade/entry/answer_relay.hpp
@@ -18,7 +18,7 @@
     answer_relay(entry_context &context, const caller_request &request);
 
     /// @brief Runs the call in the calling fiber until the request is answered.
-    void run(const call_request &call);
+    void run(call_request call);
 
 private:
     using clock = std::chrono::steady_clock;
--- a/include/tamarackglade/entry/call_board.hpp
+++ b/include/tamarackglade/entry/call_board.hpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/entry/answer_channel.hpp>
 #include <tamarackglade/entry/call_request.hpp>
 #include <tamarackglade/membership/listed_vm.hpp>
+#include <tamarackglade/node/process_mutations.hpp>
 #include <tamarackglade/routing/router.hpp>
 #include <tamarackglade/wire/wire_peer.hpp>
 
@@ -22,7 +23,7 @@
 class call_board
 {
 public:
-    explicit call_board(const peer_identity &self);
+    explicit call_board(const peer_identity &self, const process_mutations &mutations = {});
 
     /// @brief Sends a call to an upstream of its group; the answer comes through the channel.
     void start(const call_request &call, std::shared_ptr<answer_channel> channel);
--- a/include/tamarackglade/entry/entry_context.hpp
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -6,6 +6,7 @@
 #include <tamarackglade/entry/limit_service.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/node/config_store.hpp>
+#include <tamarackglade/node/shell_mutation.hpp>
 
 #include <chrono>
 
@@ -20,6 +21,7 @@
     metric_registry &metrics;
     burn_service &burn;
     std::chrono::milliseconds requestTimeout{120'000};
+    shell_mutation mutation = shell_mutation::None;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -10,6 +10,7 @@
 #include <tamarackglade/http/http_server.hpp>
 #include <tamarackglade/http/tls_context.hpp>
 #include <tamarackglade/node/config_service.hpp>
+#include <tamarackglade/node/process_mutations.hpp>
 #include <tamarackglade/node/process_status.hpp>
 #include <tamarackglade/node/side_board.hpp>
 #include <tamarackglade/node/vm_watch.hpp>
@@ -30,7 +31,8 @@
 class entry_process final : public wire_handler
 {
 public:
-    entry_process(const setting_values &settings, const wire_settings &wire);
+    entry_process(const setting_values &settings, const wire_settings &wire,
+                  const process_mutations &mutations = {});
 
     /// @brief Starts all parts.
     /// @return why a part can't start
@@ -58,6 +60,7 @@
 
     const setting_values &m_settings;
     const wire_settings &m_wire;
+    const process_mutations m_mutations;
     metric_registry m_metrics;
     config_store m_config;
     peer_directory m_peers;
--- a/include/tamarackglade/entry/job_desk.hpp
+++ b/include/tamarackglade/entry/job_desk.hpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/entry/job_service.hpp>
 #include <tamarackglade/jobs/job_request.hpp>
 #include <tamarackglade/jobs/submission_limits.hpp>
+#include <tamarackglade/node/shell_mutation.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -43,7 +44,8 @@
 public:
     using json = nlohmann::ordered_json;
 
-    job_desk(job_service &jobs, config_store &config, submission_limits limits);
+    job_desk(job_service &jobs, config_store &config, submission_limits limits,
+             shell_mutation mutation = shell_mutation::None);
 
     api_result<json> upload(const customer_id &customer, const std::string &filename,
                             std::string_view content);
@@ -74,6 +76,7 @@
     job_service &m_jobs;
     config_store &m_config;
     submission_limits m_limits;
+    const shell_mutation m_mutation;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/entry/limit_service.hpp
+++ b/include/tamarackglade/entry/limit_service.hpp
@@ -31,7 +31,8 @@
 {
 public:
     limit_service(io_thread &thread, platform_client &platform, peer_directory &peers,
-                  metric_registry &metrics, const peer_identity &self);
+                  metric_registry &metrics, const peer_identity &self,
+                  limit_mutation mutation = limit_mutation::None);
 
     /// @brief Takes a new configuration; the first one starts the service.
     void onConfig(const config_state &state);
@@ -63,6 +64,7 @@
     peer_directory &m_peers;
     metric_registry &m_metrics;
     const peer_identity m_self;
+    const limit_mutation m_mutation;
     std::unique_ptr<log_tailer> m_tailer;
 
     std::mutex m_mutex; // guards the members below
--- a/include/tamarackglade/entry/partition_runner.hpp
+++ b/include/tamarackglade/entry/partition_runner.hpp
@@ -32,6 +32,7 @@
     config_store &config;
     metric_registry &metrics;
     peer_identity self;
+    jobs_mutation mutation = jobs_mutation::None;
 };
 
 /// @brief Used on the control thread only; its fibers may interleave at every I/O.
--- a/include/tamarackglade/entry/request_front.hpp
+++ b/include/tamarackglade/entry/request_front.hpp
@@ -55,7 +55,7 @@
     void cancelBatch(const caller_request &request);
 
     static const api_route *findRoute(const http_request &request, bool &pathKnown);
-    static identity identify(const http_request &request, const config_state &config);
+    [[nodiscard]] identity identify(const http_request &request, const config_state &config) const;
     std::optional<api_error> checkRate(const caller &from);
     std::optional<api_error> checkRoute(const http_request &request,
                                         const std::shared_ptr<const config_state> &config,
--- a/include/tamarackglade/jobs/jobs_mutation.hpp
+++ b/include/tamarackglade/jobs/jobs_mutation.hpp
@@ -8,6 +8,7 @@
     None,
     LastResultWins,
     EpochNotChecked,
+    AnyResultWins, // LastResultWins and EpochNotChecked together
     RecordIdNotDeduplicated,
     SnapshotDropped,
     CopyDropped,
--- a/include/tamarackglade/node/config_service.hpp
+++ b/include/tamarackglade/node/config_service.hpp
@@ -25,7 +25,8 @@
 
     /// All references must outlive the thread.
     config_service(io_thread &thread, platform_client &platform, peer_directory &peers,
-                   config_store &store, const vm_id &self);
+                   config_store &store, const vm_id &self,
+                   config_mutation mutation = config_mutation::None);
 
     /// @brief Adds a listener; before start. Called in a fiber of the thread.
     void addListener(change_listener listener);
--- a/include/tamarackglade/node/run_daemon.hpp
+++ b/include/tamarackglade/node/run_daemon.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/logging/init_logging.hpp>
+#include <tamarackglade/node/process_mutations.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 #include <tamarackglade/settings/load_settings.hpp>
 #include <tamarackglade/wire/load_wire_settings.hpp>
@@ -12,10 +13,12 @@
 namespace tamarack {
 
 /// @brief Runs a daemon whose parts Process puts together.
+/// @param mutations planted faults, of test programs only
 /// @return 2 if the settings have faults, 0 if they were only checked; else the process ends
 /// itself, with 1 if a part can't start
 template <class Process>
-int runDaemon(const option_table &table, schema::vm_role role, int argc, char **argv)
+int runDaemon(const option_table &table, schema::vm_role role, int argc, char **argv,
+              const process_mutations &mutations = {})
 {
     constexpr int ExitFailure = 1;
     constexpr int ExitUsage = 2;
@@ -33,7 +36,7 @@
     }
     if (settings->checkOnly)
         return 0;
-    Process process(settings->values, *wire);
+    Process process(settings->values, *wire, mutations);
     const absl::Status started = process.start();
     if (!started.ok()) {
         std::cerr << started.message() << "\n";
--- a/include/tamarackglade/side/side_process.hpp
+++ b/include/tamarackglade/side/side_process.hpp
@@ -3,6 +3,7 @@
 
 #include <tamarackglade/http/admin_server.hpp>
 #include <tamarackglade/node/config_service.hpp>
+#include <tamarackglade/node/process_mutations.hpp>
 #include <tamarackglade/node/process_status.hpp>
 #include <tamarackglade/settings/setting_values.hpp>
 #include <tamarackglade/side/side_server.hpp>
@@ -17,7 +18,8 @@
 class side_process final : public wire_handler
 {
 public:
-    side_process(const setting_values &settings, const wire_settings &wire);
+    side_process(const setting_values &settings, const wire_settings &wire,
+                 const process_mutations &mutations = {});
 
     /// @brief Starts all parts.
     /// @return why a part can't start
@@ -37,6 +39,7 @@
 
     const setting_values &m_settings;
     const wire_settings &m_wire;
+    const process_mutations m_mutations;
     metric_registry m_metrics;
     config_store m_config;
     peer_directory m_peers;
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -124,8 +124,10 @@
     """A fleet of real processes in a folder of its own."""
 
     def __init__(self, bin_dir, work_dir, zones=("zone-1", "zone-2", "zone-3"), region="region-1",
-                 platform_flags=()):
+                 platform_flags=(), daemons=None):
+        """daemons: other commands to start in place of tamarack-entry and tamarack-side."""
         self.bin = pathlib.Path(bin_dir)
+        self.daemons = daemons or {}
         self.dir = pathlib.Path(work_dir)
         self.dir.mkdir(parents=True, exist_ok=True)
         self.zones = zones
@@ -147,6 +149,9 @@
         self.processes.append(process)
         return process
 
+    def _daemon(self, program):
+        return self.daemons.get(program, [program])
+
     def _zone(self, index):
         return self.zones[index % len(self.zones)]
 
@@ -182,7 +187,7 @@
         extra = {"upstream": upstream, "group": group, "kind": kind, "drain-notice": 100,
                  **(side_extra or {})}
         path = self._settings("tamarack-side", name, zone, wire, admin, extra)
-        process = self._spawn(name, ["tamarack-side", f"--settings={path}"])
+        process = self._spawn(name, [*self._daemon("tamarack-side"), f"--settings={path}"])
         vm = Vm(name, process, wire, admin, upstream=upstream)
         self.sides.append(vm)
         self._register(name, "side", zone, wire, group)
@@ -196,7 +201,7 @@
         wire, admin, listen = (f"127.0.0.1:{free_port()}" for _ in range(3))
         path = self._settings("tamarack-entry", name, zone, wire, admin,
                               {"listen": listen, "drain-notice": 100, **(extra or {})})
-        process = self._spawn(name, ["tamarack-entry", f"--settings={path}"])
+        process = self._spawn(name, [*self._daemon("tamarack-entry"), f"--settings={path}"])
         vm = Vm(name, process, wire, admin, http=listen)
         self.entries.append(vm)
         if register:
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -34,6 +34,13 @@
             std::nullopt};
 }
 
+// The same call under another id, for a mutation.
+call_request secondOf(call_request call)
+{
+    call.id = request_id(call.id.value() + "_again");
+    return call;
+}
+
 burn_result burnResultOf(const api_error &error)
 {
     if (error.status < ServerErrorStatus)
@@ -49,8 +56,13 @@
 {
 }
 
-void answer_relay::run(const call_request &call)
+void answer_relay::run(call_request call)
 {
+    if (m_context.mutation == shell_mutation::ForwardKey)
+        call.contentType += "\r\nAuthorization: "
+                            + std::string(m_request.exchange.request().header("authorization"));
+    if (m_context.mutation == shell_mutation::RunTwice)
+        m_context.calls.start(secondOf(call), std::make_shared<answer_channel>());
     m_deadline = m_started + call.timeout;
     m_burn.streamed = call.streamed;
     m_burn.gaps = burn_counter::gapsFor(*m_request.config->inForce, m_request.from.customer,
@@ -101,6 +113,8 @@
 
 bool answer_relay::keyStillValid()
 {
+    if (m_context.mutation == shell_mutation::KeepWithdrawnStream)
+        return true;
     const std::uint64_t version = m_context.config.version();
     if (version == m_configVersion || m_request.from.key.value().empty())
         return true;
@@ -205,8 +219,9 @@
         m_request.exchange.abortStream();
         return;
     }
-    const std::string json = error.toJson(m_request.id);
-    m_request.exchange.writeChunk(absl::StrCat("data: ", json, "\n\n"));
+    const bool isHidden = m_context.mutation == shell_mutation::EndBrokenStream;
+    const std::string last = isHidden ? "[DONE]" : error.toJson(m_request.id);
+    m_request.exchange.writeChunk(absl::StrCat("data: ", last, "\n\n"));
     m_request.exchange.endStream();
 }
 
--- a/src/entry/call_board.cpp
+++ b/src/entry/call_board.cpp
@@ -18,6 +18,13 @@
     return options;
 }
 
+tracker_options trackerOptions(call_mutation mutation)
+{
+    tracker_options options;
+    options.mutation = mutation;
+    return options;
+}
+
 upstream_id upstreamOf(const std::shared_ptr<wire_peer> &peer)
 {
     return upstream_id(peer->identity().vm.value());
@@ -41,9 +48,9 @@
 
 } // namespace
 
-call_board::call_board(const peer_identity &self)
-    : m_router(routingOptions(self), std::mt19937_64(std::random_device{}())),
-      m_tracker(tracker_options{}, self.vm, self.incarnation, m_router)
+call_board::call_board(const peer_identity &self, const process_mutations &mutations)
+    : m_router(routingOptions(self), std::mt19937_64(std::random_device{}()), mutations.routing),
+      m_tracker(trackerOptions(mutations.calls), self.vm, self.incarnation, m_router)
 {
 }
 
--- a/src/entry/completions_api.cpp
+++ b/src/entry/completions_api.cpp
@@ -27,7 +27,7 @@
     call.weight = manifest.customer(call.customer)->weight;
     call.timeout = m_context.requestTimeout;
     call.prefixHash = completion.prefixHash;
-    answer_relay(m_context, request).run(call);
+    answer_relay(m_context, request).run(std::move(call));
 }
 
 } // namespace tamarack
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -40,17 +40,20 @@
 
 } // namespace
 
-entry_process::entry_process(const setting_values &settings, const wire_settings &wire)
-    : m_settings(settings), m_wire(wire), m_calls(wire.self),
+entry_process::entry_process(const setting_values &settings, const wire_settings &wire,
+                             const process_mutations &mutations)
+    : m_settings(settings), m_wire(wire), m_mutations(mutations), m_calls(wire.self, mutations),
       m_platform(m_control, settings.list("platform")),
-      m_limits(m_control, m_platform, m_peers, m_metrics, wire.self),
+      m_limits(m_control, m_platform, m_peers, m_metrics, wire.self, mutations.limits),
       m_burn(m_control, m_platform, m_metrics, wire.self, BurnInterval), m_batchBoard(wire.self),
-      m_jobs({m_control, m_platform, m_peers, m_batchBoard, m_config, m_metrics, wire.self}),
-      m_desk(m_jobs, m_config, submission_limits{}),
-      m_context{m_config,  m_calls, m_limits,
-                m_metrics, m_burn,  settings.milliseconds("request-timeout")},
+      m_jobs({m_control, m_platform, m_peers, m_batchBoard, m_config, m_metrics, wire.self,
+              mutations.jobs}),
+      m_desk(m_jobs, m_config, submission_limits{}, mutations.shell),
+      m_context{m_config,       m_calls, m_limits,
+                m_metrics,      m_burn,  settings.milliseconds("request-timeout"),
+                mutations.shell},
       m_front(m_context, m_control, m_desk),
-      m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm),
+      m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm, mutations.config),
       m_vmWatch(m_control, m_platform, wire, region_id(settings.text("region")), *this,
                 [this](const vm_list &list) { onVmList(list); }),
       m_statusHandler(*this, [this] { return status().toJson(); }),
@@ -229,6 +232,8 @@
 
 void entry_process::drain()
 {
+    if (m_mutations.shell == shell_mutation::StopAtOnce)
+        return;
     m_draining = true;
     m_admin.setReady(false, "draining");
     boost::this_fiber::sleep_for(m_settings.milliseconds("drain-notice"));
--- a/src/entry/job_desk.cpp
+++ b/src/entry/job_desk.cpp
@@ -55,6 +55,14 @@
     return readable ? file : nullptr;
 }
 
+// A mutation's answer.
+job_desk::json unloggedJob(const job_request &request)
+{
+    batch_job job;
+    job.id = request.id;
+    return jobJson(job);
+}
+
 std::size_t openJobs(const partition_fold &fold, const customer_id &customer)
 {
     std::size_t open = 0;
@@ -72,8 +80,9 @@
 
 } // namespace
 
-job_desk::job_desk(job_service &jobs, config_store &config, submission_limits limits)
-    : m_jobs(jobs), m_config(config), m_limits(limits)
+job_desk::job_desk(job_service &jobs, config_store &config, submission_limits limits,
+                   shell_mutation mutation)
+    : m_jobs(jobs), m_config(config), m_limits(limits), m_mutation(mutation)
 {
 }
 
@@ -157,7 +166,10 @@
     auto checked = checkWish(customer, wish, runner);
     if (const auto *error = std::get_if<api_error>(&checked))
         return *error;
-    return submit(runner, std::get<job_request>(checked));
+    const auto &request = std::get<job_request>(checked);
+    if (m_mutation == shell_mutation::AcknowledgeUnlogged)
+        return unloggedJob(request);
+    return submit(runner, request);
 }
 
 api_result<job_desk::json> job_desk::show(const customer_id &customer, const job_id &job)
--- a/src/entry/limit_service.cpp
+++ b/src/entry/limit_service.cpp
@@ -22,8 +22,10 @@
 } // namespace
 
 limit_service::limit_service(io_thread &thread, platform_client &platform, peer_directory &peers,
-                             metric_registry &metrics, const peer_identity &self)
-    : m_thread(thread), m_platform(platform), m_peers(peers), m_metrics(metrics), m_self(self)
+                             metric_registry &metrics, const peer_identity &self,
+                             limit_mutation mutation)
+    : m_thread(thread), m_platform(platform), m_peers(peers), m_metrics(metrics), m_self(self),
+      m_mutation(mutation)
 {
 }
 
@@ -144,6 +146,7 @@
 {
     limit_options options;
     options.partitions = partitions;
+    options.mutation = m_mutation;
     m_limiter =
         std::make_unique<fleet_limiter>(options, m_self.vm, m_self.incarnation,
                                         std::mt19937_64(std::random_device{}()), steadyNow());
--- a/src/entry/partition_runner.cpp
+++ b/src/entry/partition_runner.cpp
@@ -99,7 +99,7 @@
     if (!m_owner || !m_owner->isOwner() || !m_fold)
         return models;
     for (const auto &[id, job] : m_fold->jobs()) {
-        if (!job.isEnded())
+        if (!job.isEnded() || m_services.mutation == jobs_mutation::CancelIgnored)
             models.insert(job.model);
     }
     return models;
@@ -191,14 +191,14 @@
     const auto probe =
         m_services.platform.read(m_stream, log_offset(1), 1, std::chrono::milliseconds(0));
     if (probe.ok()) {
-        m_fold = std::make_unique<partition_fold>(m_partition);
+        m_fold = std::make_unique<partition_fold>(m_partition, m_services.mutation);
         return true;
     }
     std::uint64_t first = 0;
     if (!absl::IsOutOfRange(probe.status()) || !absl::SimpleAtoi(probe.status().message(), &first))
         return false;
     m_firstRetained = log_offset(first);
-    snapshot_finder finder(m_partition, m_firstRetained);
+    snapshot_finder finder(m_partition, m_firstRetained, m_services.mutation);
     log_offset next = m_firstRetained;
     for (;;) {
         const auto read =
@@ -289,6 +289,7 @@
         .with("partition", m_partition.value())
         .with("epoch", m_fold->currentEpoch().value());
     owner_options options;
+    options.mutation = m_services.mutation;
     const auto config = m_services.config.current();
     if (config && config->inForce)
         options.resultRetentionS =
--- a/src/entry/request_front.cpp
+++ b/src/entry/request_front.cpp
@@ -26,6 +26,12 @@
     return {401, "authentication_error", "invalid_api_key", message, execution::No, std::nullopt};
 }
 
+// The one whom mutations let requests run for.
+const customer_id &anyCustomer(const config_state &config)
+{
+    return config.inForce->customers.rbegin()->first;
+}
+
 api_error notFound(const std::string &path)
 {
     return {404,           "invalid_request_error",
@@ -83,7 +89,7 @@
 std::optional<api_error> request_front::checkRate(const caller &from)
 {
     // Open routes belong to no customer.
-    if (from.customer.value().empty())
+    if (from.customer.value().empty() || m_context.mutation == shell_mutation::AdmitAll)
         return std::nullopt;
     const limit_verdict verdict = m_context.limits.admit(from.customer);
     m_context.burn.onAdmission(*m_context.config.current(), from.customer, verdict.admitted);
@@ -177,8 +183,10 @@
 }
 
 request_front::identity request_front::identify(const http_request &request,
-                                                const config_state &config)
+                                                const config_state &config) const
 {
+    if (m_context.mutation == shell_mutation::AcceptAnyKey)
+        return caller{anyCustomer(config), {}};
     const std::string_view header = request.header("authorization");
     if (header.empty())
         return unauthorized("an Authorization header with a key is needed");
@@ -188,6 +196,8 @@
     const auto *accepted = std::get_if<accepted_key>(&check);
     if (accepted == nullptr || config.inForce->customer(accepted->customer) == nullptr)
         return unauthorized("the key is not valid");
+    if (m_context.mutation == shell_mutation::IgnoreCustomer)
+        return caller{anyCustomer(config), accepted->id};
     return caller{accepted->customer, accepted->id};
 }
 
--- a/src/entry/service_api.cpp
+++ b/src/entry/service_api.cpp
@@ -19,7 +19,7 @@
     call.repeatable = route.isRepeatable(http.method);
     call.weight = customer == nullptr ? 1 : customer->weight;
     call.timeout = m_context.requestTimeout;
-    answer_relay(m_context, request).run(call);
+    answer_relay(m_context, request).run(std::move(call));
 }
 
 } // namespace tamarack
--- a/src/jobs/partition_fold.cpp
+++ b/src/jobs/partition_fold.cpp
@@ -76,7 +76,8 @@
 
 bool partition_fold::isCurrent(std::uint64_t recordEpoch) const
 {
-    return m_mutation == jobs_mutation::EpochNotChecked || recordEpoch == m_epoch.value();
+    return m_mutation == jobs_mutation::EpochNotChecked
+           || m_mutation == jobs_mutation::AnyResultWins || recordEpoch == m_epoch.value();
 }
 
 void partition_fold::applyClaim(const record_context &context, const body_union &body)
@@ -201,7 +202,9 @@
     const bool succeeded = result.outcome == schema::item_outcome::Succeeded;
     const record_reference reference(context.reference.offset(), context.reference.index(),
                                      succeeded);
-    if (slot.isSet() && m_mutation == jobs_mutation::LastResultWins)
+    const bool lastWins =
+        m_mutation == jobs_mutation::LastResultWins || m_mutation == jobs_mutation::AnyResultWins;
+    if (slot.isSet() && lastWins)
         slot = reference;
     if (job.cancelled || slot.isSet())
         return;
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -15,6 +15,13 @@
 
 constexpr std::chrono::milliseconds LongestSleep{100};
 
+config_spread_options spreadOptions(config_mutation mutation)
+{
+    config_spread_options options;
+    options.mutation = mutation;
+    return options;
+}
+
 std::mt19937_64 seededGenerator()
 {
     return std::mt19937_64(std::random_device{}());
@@ -23,9 +30,9 @@
 } // namespace
 
 config_service::config_service(io_thread &thread, platform_client &platform, peer_directory &peers,
-                               config_store &store, const vm_id &self)
+                               config_store &store, const vm_id &self, config_mutation mutation)
     : m_thread(thread), m_platform(platform), m_peers(peers), m_store(store),
-      m_spread(self, config_spread_options{}, seededGenerator())
+      m_spread(self, spreadOptions(mutation), seededGenerator())
 {
 }
 
--- a/src/side/side_process.cpp
+++ b/src/side/side_process.cpp
@@ -12,9 +12,10 @@
 constexpr std::chrono::milliseconds DrainPoll{20};
 constexpr double Percent = 100;
 
-side_options optionsOf(const setting_values &values)
+side_options optionsOf(const setting_values &values, gate_mutation mutation)
 {
     side_options options;
+    options.gate.mutation = mutation;
     options.upstreamAddress = values.text("upstream");
     options.gate.group = values.text("group");
     options.gate.kind = values.text("kind") == "service" ? schema::upstream_kind::Service
@@ -25,10 +26,12 @@
 
 } // namespace
 
-side_process::side_process(const setting_values &settings, const wire_settings &wire)
-    : m_settings(settings), m_wire(wire), m_platform(m_thread, settings.list("platform")),
-      m_configService(m_thread, m_platform, m_peers, m_config, wire.self.vm),
-      m_server(m_thread, m_metrics, optionsOf(settings), wire.self.incarnation),
+side_process::side_process(const setting_values &settings, const wire_settings &wire,
+                           const process_mutations &mutations)
+    : m_settings(settings), m_wire(wire), m_mutations(mutations),
+      m_platform(m_thread, settings.list("platform")),
+      m_configService(m_thread, m_platform, m_peers, m_config, wire.self.vm, mutations.config),
+      m_server(m_thread, m_metrics, optionsOf(settings, mutations.gate), wire.self.incarnation),
       m_statusHandler(*this, [this] { return status().toJson(); }),
       m_wireServer(m_thread, wire, m_statusHandler), m_admin(m_thread, m_metrics)
 {
@@ -94,7 +97,8 @@
         return;
     m_draining = true;
     m_admin.setReady(false, "drained by an operator");
-    m_server.drain();
+    if (m_mutations.shell != shell_mutation::IgnoreDrain)
+        m_server.drain();
 }
 
 process_status side_process::status() const
@@ -122,6 +126,8 @@
 
 void side_process::drain()
 {
+    if (m_mutations.shell == shell_mutation::StopAtOnce)
+        return;
     m_draining = true;
     m_admin.setReady(false, "draining");
     m_server.drain();
--- a/tests/e2e/scenario.py
+++ b/tests/e2e/scenario.py
@@ -14,13 +14,15 @@
 import threading
 import time
 
-from support import MANIFEST, Fleet, http_call, wait_until
+from support import MANIFEST, Fleet, daemons, http_call, wait_until
 from test_batch import items, multipart
 
 CALL_TIMEOUT_S = 60
 POLL_S = 0.05
 MIN_RETRY_AFTER_S = 1
-RATES = {"shire": (1000, 1000), "depot": (2, 3)}  # requests/s and burst in the manifest
+ITEM_TOKENS = 6
+# Requests/s and burst in the manifest.
+RATES = {"shire": (1000, 1000), "depot": (2, 3), "ferry": (20, 60)}
 
 
 class ScenarioError(Exception):
@@ -34,11 +36,12 @@
 class Job:
     """A batch job as its caller knows it."""
 
-    def __init__(self, customer, count, content, key):
+    def __init__(self, customer, count, content, key, tokens=ITEM_TOKENS):
         self.customer = customer
         self.count = count
         self.content = content
         self.key = key
+        self.tokens = tokens  # of each item's answer
         self.file = None
         self.answer = None
         self.seconds = None  # from creation to its answer
@@ -88,12 +91,16 @@
         self.path = pathlib.Path(path)
         self.program = parse(path)
         self.dir = pathlib.Path(work_dir)
-        self.fleet = Fleet(bin_dir, self.dir)
+        self.fleet = Fleet(bin_dir, self.dir, daemons=daemons())
         self.keys = {}
         self.answers = {}
         self.jobs = {}
         self.pending = {}
-        self.admitted = []  # (time sent, time answered) of admitted calls of a flood
+        # customer -> (time sent, time answered) of admitted calls of floods
+        self.admitted = collections.defaultdict(list)
+        self.lost_at = None  # when an entry was last killed
+        self.crashes = 0  # of upstreams, as the supervisor counted
+        self.aliases = {}  # of VMs, given in the scenario
         self.faults = {}  # upstream name -> switches, given again after a restart
         self.ended = threading.Event()
         self.supervisor = None
@@ -117,6 +124,7 @@
     # -- names ------------------------------------------------------------------------------
 
     def vm(self, name):
+        name = self.aliases.get(name, name)
         for vm in self.fleet.entries + self.fleet.sides:
             if vm.name == name:
                 return vm
@@ -146,6 +154,9 @@
         return self.call(entry, "POST", "/v1/chat/completions", json.dumps(body),
                          self.headers(customer, key))
 
+    def read_models(self, entry, customer):
+        return self.call(entry, "GET", "/v1/models", None, self.headers(customer))
+
     # -- starting ---------------------------------------------------------------------------
 
     @statement(r"start (\d+) entr(?:y|ies)")
@@ -195,6 +206,7 @@
                 for vm in self.fleet.sides:
                     upstream = self.fleet.upstreams[vm.name]
                     if upstream.child.poll() is not None:
+                        self.crashes += 1
                         upstream.start()
                         switches = self.faults.get(vm.name)
                         if switches:
@@ -208,6 +220,8 @@
     @statement(r"kill (the upstream of \S+|\S+)")
     def kill(self, name):
         self.process(name).kill()
+        if self.process(name) in [vm.process for vm in self.fleet.entries]:
+            self.lost_at = time.monotonic()
 
     @statement(r"kill every entry and side")
     def kill_all(self):
@@ -229,7 +243,7 @@
 
     @statement(r"drop (\S+) from the VM list")
     def drop(self, name):
-        self.fleet.unregister(name)
+        self.fleet.unregister(self.vm(name).name)
 
     @statement(r"the log goes (down|up)")
     def log_state(self, state):
@@ -248,6 +262,32 @@
     def wait(self, seconds):
         time.sleep(int(seconds))
 
+    @statement(r"call the owner of job (\w+) (\w+), another entry (\w+)")
+    def call_owner(self, name, owner, other):
+        """By the log's stream that holds the job, and who said to own the stream's partition."""
+        streams = json.loads(http_call(self.fleet.platform, "GET", "/stats")[2])["streams"]
+        stream = next(s for s in streams if s.startswith("jobs-") and self._holds(s, name))
+        partition = int(stream.removeprefix("jobs-"))
+        found = wait_until(lambda: self._owners(partition), f"an owner of {stream}")
+        self.aliases[owner] = max(found)[1]
+        self.aliases[other] = next(vm.name for vm in self.fleet.entries
+                                   if vm.name != self.aliases[owner])
+
+    def _owners(self, partition):
+        """(epoch, entry) of each time that an entry began to own the partition."""
+        found = []
+        for vm in self.fleet.entries:
+            for line in vm.process.log().splitlines():
+                event = json.loads(line) if line.startswith("{") else {}
+                if (event.get("message"), event.get("partition")) == ("owning a partition",
+                                                                      partition):
+                    found.append((event["epoch"], vm.name))
+        return found
+
+    def _holds(self, stream, name):
+        path = f"/v1/streams/{stream}/records?from=1"
+        return self.jobs[name].id.encode() in http_call(self.fleet.platform, "GET", path)[2]
+
     # -- requests ---------------------------------------------------------------------------
 
     @statement(r"send chat of (\w+) to (\S+) as (\w+)")
@@ -269,22 +309,27 @@
     def wait_for(self, name):
         self.pending.pop(name).join(CALL_TIMEOUT_S)
 
-    @statement(r"flood chats of (\w+) at every entry for (\d+) s")
-    def flood(self, customer, seconds):
-        """Callers at every entry send as fast as answers come; refused connections count not."""
+    @statement(r"flood (chats|reads) of (\w+) at every entry for (\d+) s")
+    def flood(self, kind, customer, seconds):
+        """Callers at every entry send as fast as answers come; refused connections count not.
+
+        Reads are of the list of models, which an entry answers itself, so that an admitted one
+        takes little time and the windows of `within rate and burst` are narrow.
+        """
         deadline = time.monotonic() + int(seconds)
+        send = self.chat if kind == "chats" else self.read_models
 
         def work(entry):
             while time.monotonic() < deadline:
                 sent = time.monotonic()
-                status = self.chat(entry, customer).status
+                status = send(entry, customer).status
                 if status == 200:
-                    self.admitted.append((sent, time.monotonic()))
+                    self.admitted[customer].append((sent, time.monotonic()))
                 elif status == 0:
                     time.sleep(POLL_S)
         for vm in self.fleet.entries:
             thread = threading.Thread(target=work, args=(vm.name,))
-            self.pending[f"flood {vm.name}"] = thread
+            self.pending[f"flood {customer} {vm.name}"] = thread
             thread.start()
 
     @statement(r"wait for the flood")
@@ -307,10 +352,11 @@
     @statement(r"send job (\w+) of (\w+) with (\d+) items(?: of (\d+) tokens)?(?:, (\d+) POISON,)?"
                r" to (\S+)")
     def send_job(self, name, customer, count, tokens, poison, entry):
-        content = items(int(count), prefix=name, max_tokens=int(tokens or 6))
+        content = items(int(count), prefix=name, max_tokens=int(tokens or ITEM_TOKENS))
         if poison:
             content = content.replace(f"check {name} ", f"POISON {name} ", int(poison))
-        self.jobs[name] = Job(customer, int(count), content, f"key-{name}")
+        self.jobs[name] = Job(customer, int(count), content, f"key-{name}",
+                              int(tokens or ITEM_TOKENS))
         self.resend(name, entry)
 
     @statement(r"upload the file of job (\w+) of (\w+) with (\d+) items to (\S+)")
@@ -370,6 +416,16 @@
         if answer.status != 200:
             assert json.loads(answer.body)["error"]["executed"] == "unknown", answer
 
+    @statement(r"expect the first lost answer to be of the append that creates job (\w+)")
+    def lost_answer(self, name):
+        """The record whose answer was lost names the job and its input file."""
+        lost = json.loads(http_call(self.fleet.platform, "GET", "/stats")[2])["lost_answers"]
+        assert lost, "no answer was lost"
+        path = f"/v1/streams/{lost[0]['stream']}/records?from={lost[0]['offset']}&limit=1"
+        stored = http_call(self.fleet.platform, "GET", path)[2]
+        assert self.jobs[name].file.encode() in stored, lost
+        assert b"batch_" in stored, lost
+
     @statement(r"expect one job of (\w+) at (\S+)")
     def one_job(self, customer, entry):
         answer = self.call(entry, "GET", "/v1/batches?limit=100", None, self.headers(customer))
@@ -400,7 +456,7 @@
     @statement(r"expect the results of (\w+) unchanged at (\S+)")
     def unchanged(self, name, entry):
         job = self.jobs[name]
-        assert self._results(job, entry) == job.results
+        assert self._results(job, entry) == job.results, "other results"
 
     def _results(self, job, entry):
         headers = self.headers(job.customer)
@@ -429,6 +485,11 @@
         assert self.answers[name].status == int(status), self.answers[name]
         self._refused(self.answers[name])
 
+    @statement(r"expect (\w+) cut off")
+    def cut_off(self, name):
+        """Its caller got no answer at all."""
+        assert self.answers[name].status == 0, self.answers[name]
+
     @statement(r"expect (\w+) not said to be not run")
     def not_denied(self, name):
         answer = self.answers[name]
@@ -443,17 +504,53 @@
                    for run in self.fleet.executions(side)["executions"])
         assert runs == int(times) or (bound == "at most" and runs < int(times)), runs
 
+    @statement(r"expect (\d+) crash(?:es)? of upstreams")
+    def crash_count(self, count):
+        assert self.crashes == int(count), f"{self.crashes} crashes"
+
+    @statement(r"wait until every engine runs items of (\w+)")
+    def items_running(self, name):
+        for side in self.fleet.sides:
+            if side.name.startswith("engines"):
+                wait_until(lambda s=side: self._items_at(s, name, "running"),
+                           f"items of {name} at {side.name}")
+
+    @statement(r"expect no finished item of (\w+)")
+    def none_finished(self, name):
+        """By the engines, which also know of items whose results aren't in the log yet."""
+        finished = [run for side in self.fleet.sides if side.name.startswith("engines")
+                    for run in self._items_at(side, name, "finished")]
+        assert not finished, f"{len(finished)} items finished"
+
+    def _items_at(self, side, name, state):
+        """A job's items at an engine, known by their number of tokens."""
+        return [run for run in self.fleet.executions(side)["executions"]
+                if run["max_tokens"] == self.jobs[name].tokens and run["state"] == state]
+
     @statement(r"wait until (\S+) began")
     def began(self, path):
-        side = next(s for s in self.fleet.sides if s.name.startswith("records"))
-        wait_until(lambda: any(run["path"] == path
-                               for run in self.fleet.executions(side)["executions"]), path)
+        wait_until(lambda: self._sides_that_ran(path), path)
+
+    @statement(r"call the side that ran (\S+) (\w+)")
+    def call_side(self, path, alias):
+        self.aliases[alias], = self._sides_that_ran(path)
+
+    def _sides_that_ran(self, path):
+        return [side.name for side in self.fleet.sides if side.name.startswith("records")
+                and any(run["path"] == path for run in self.fleet.executions(side)["executions"])]
 
     @statement(r"expect key (\w+) refused at (\S+) within (\d+) s")
     def key_refused(self, name, entry, seconds):
         wait_until(lambda: self.chat(entry, name).status == 401, f"{name} refused at {entry}",
                    int(seconds))
 
+    @statement(r"expect no chat of (\w+) answered at (\S+) for (\d+) s")
+    def not_served(self, customer, entry, seconds):
+        deadline = time.monotonic() + int(seconds)
+        while time.monotonic() < deadline:
+            status = self.chat(entry, customer).status
+            assert status != 200, f"answered {deadline - time.monotonic():.2f} s before the end"
+
     @statement(r"expect chats of (\w+) to be answered at (\S+) within (\d+) s")
     def served(self, customer, entry, seconds):
         wait_until(lambda: self.chat(entry, customer).status == 200, f"an answer at {entry}",
@@ -469,16 +566,22 @@
         except TimeoutError as late:
             raise AssertionError(f"{late}; last answer: {self.jobs[name].answer}") from late
 
-    @statement(r"expect the admitted chats of (\w+) within rate and burst")
+    @statement(r"expect the admitted (?:chats|reads) of (\w+) within rate and burst")
     def within_rate(self, customer):
         """Every window: calls sent and answered inside it were surely admitted inside it."""
         rate, burst = RATES[customer]
-        assert self.admitted, "nothing was admitted"
-        for first, _ in self.admitted:
-            for last in (done for _, done in self.admitted if done >= first):
-                inside = sum(first <= sent and done <= last for sent, done in self.admitted)
-                assert inside <= rate * (last - first) + burst, (inside, last - first)
-
-    @statement(r"expect at least (\d+) admitted chats")
-    def admitted_at_least(self, count):
-        assert len(self.admitted) >= int(count), len(self.admitted)
+        admitted = self.admitted[customer]
+        assert admitted, "nothing was admitted"
+        for first, _ in admitted:
+            answers = sorted(done for sent, done in admitted if sent >= first)
+            for inside, last in enumerate(answers, 1):
+                assert inside <= rate * (last - first) + burst, (
+                    f"over the rate: {inside} in {last - first:.3f} s")
+
+    @statement(r"expect at least (\d+) admitted (?:chats|reads) of (\w+),"
+               r" (\d+) of them after the loss")
+    def admitted_at_least(self, count, customer, later):
+        admitted = self.admitted[customer]
+        after = [sent for sent, _ in admitted if sent > self.lost_at]
+        assert len(admitted) >= int(count), len(admitted)
+        assert len(after) >= int(later), len(after)
--- a/tests/e2e/support.py
+++ b/tests/e2e/support.py
@@ -46,6 +46,11 @@
 weight = 1
 batch = yes
 
+[customer ferry]
+rate-per-second = 20
+burst = 60
+weight = 1
+
 [route records]
 prefix = /records
 group = records
@@ -60,13 +65,22 @@
 
 
 def options():
-    """Parses --bin; the rest goes to unittest."""
+    """Parses --bin and the faults to plant in the daemons; the rest goes to unittest."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--bin", default=str(ROOT / "build" / "bin"))
+    parser.add_argument("--mutate-entry", default="", help="names of tests/mutants")
+    parser.add_argument("--mutate-side", default="", help="names of tests/mutants")
     parsed, rest = parser.parse_known_args()
     return parsed, rest
 
 
+def daemons():
+    """The commands of the mutated daemons, by the program whose place they take."""
+    mutations = {"entry": OPTIONS.mutate_entry, "side": OPTIONS.mutate_side}
+    return {f"tamarack-{role}": [f"mutant-{role}", f"--mutations={names}"]
+            for role, names in mutations.items() if names}
+
+
 OPTIONS, REST = options()
 
 
@@ -82,7 +96,8 @@
     @classmethod
     def setUpClass(cls):
         cls.folder = tempfile.TemporaryDirectory(prefix="tamarack-e2e-")
-        cls.fleet = Fleet(OPTIONS.bin, cls.folder.name, platform_flags=cls.platform_flags)
+        cls.fleet = Fleet(OPTIONS.bin, cls.folder.name, platform_flags=cls.platform_flags,
+                          daemons=daemons())
         try:
             cls.start_fleet()
         except BaseException:
--- a/tests/e2e/test_batch.py
+++ b/tests/e2e/test_batch.py
@@ -123,7 +123,7 @@
             return sum(self.fleet.executions(side)["begun"] for side in self.fleet.sides[:2])
         before = begun()
         time.sleep(1)
-        self.assertEqual(begun(), before)
+        self.assertEqual(begun(), before, "items begun after the cancel")
         self.assertEqual(self.wait_ended(job["id"])["status"], "cancelled")
 
     def test_other_customers_see_nothing(self):
@@ -131,7 +131,7 @@
         _, job = self.create(file_id)
         time.sleep(1)  # the other customer's rate
         status, _ = self.api("GET", f"/v1/batches/{job['id']}", customer="depot")
-        self.assertEqual(status, 404)
+        self.assertEqual(status, 404, "another customer's job")
         status, _ = self.api("GET", f"/v1/files/{file_id}/content", customer="depot")
         self.assertEqual(status, 404)
 
--- a/tests/e2e/test_online.py
+++ b/tests/e2e/test_online.py
@@ -1,5 +1,7 @@
 """Online requests through real processes: whole answers, streams, errors, keys, planned stops."""
 
+import http.client
+import itertools
 import json
 import signal
 import socket
@@ -111,10 +113,13 @@
         self.assertEqual((status, self.error_of(body)["code"]), (405, "method_not_allowed"))
 
     def test_no_upstream_sees_the_key(self):
-        self.call_model(self.entry, "secret check")
-        http_call(self.entry.http, "GET", "/records/7", None, self.headers())
-        for side in self.fleet.sides:
-            seen = json.dumps(self.fleet.executions(side))
+        self.assertEqual(self.call_model(self.entry, "secret check")[0], 200)
+        status, _, _ = http_call(self.entry.http, "GET", "/records/7", None, self.headers())
+        self.assertEqual(status, 200)
+        runs = [self.fleet.executions(side)["executions"] for side in self.fleet.sides]
+        self.assertTrue(runs[0] + runs[1], "no engine ran anything")
+        self.assertIn("/records/7", [run["path"] for run in runs[2]])
+        for seen in map(json.dumps, runs):
             self.assertNotIn(self.keys["shire"], seen)
             self.assertNotIn("Bearer", seen)
 
@@ -154,6 +159,22 @@
         last = [line for line in body.decode().split("\n") if line.startswith("data: ")][-1]
         self.assertIn("error", json.loads(last[len("data: "):]))
 
+    def read_until(self, stream, deadline):
+        """The rest of a stream, which has to end before the deadline."""
+        body = b""
+        while part := stream.read1(65536):
+            body += part
+            self.assertLess(time.monotonic(), deadline, "the stream goes on")
+        self.assertLess(time.monotonic(), deadline)
+        return body
+
+    def read_stopped(self, stream):
+        """The rest of a stream, or what came of it if it was cut."""
+        try:
+            return stream.read()
+        except http.client.IncompleteRead as cut:
+            return cut.partial
+
     def test_withdrawn_key_ends_a_running_stream_everywhere(self):
         key = self.fleet.issue_key("shire")
         key_id = key.split("_")[1]
@@ -166,8 +187,7 @@
         self.fleet.ctl("key", "withdraw", key_id)
         withdrawn_at = time.monotonic()
         for stream in streams:
-            body = stream.read()
-            self.assertLess(time.monotonic() - withdrawn_at, 5)
+            body = self.read_until(stream, withdrawn_at + 5)
             self.assertIn(b"key_withdrawn", body)
             self.assertNotIn(b"[DONE]", body)
         for entry in self.fleet.entries[:2]:
@@ -181,8 +201,8 @@
         _, response = self.open_stream(entry, "goodbye", max_tokens=60)
         first = response.readline()
         entry.process.signal(signal.SIGTERM)
-        body = first + response.read()
-        self.assertTrue(body.rstrip().endswith(b"data: [DONE]"))
+        body = first + self.read_stopped(response)
+        self.assertTrue(body.rstrip().endswith(b"data: [DONE]"), "the entry's stop cut a stream")
         self.assertEqual(stream_text(body), whole["choices"][0]["message"]["content"])
         self.assertEqual(entry.process.child.wait(30), 0)
         self.fleet.unregister(entry.name)
@@ -191,21 +211,34 @@
         side = self.fleet.add_upstream("engines", flags=self.engine_flags)
         self.fleet.wait_vm_ready(side)
         entry = self.fleet.entries[0]
+        numbers = itertools.count()
+        wait_until(lambda: self.call_model(entry, f"side start {next(numbers)}")[0] == 200
+                   and self.fleet.executions(side)["begun"] > 0, "a call at the new side")
         answers = []
 
         def ask(number):
             _, response = self.open_stream(entry, f"side stop {number}", max_tokens=60)
-            answers.append(response.read())
+            answers.append(self.read_stopped(response))
+
+        def running():
+            return [run for run in self.fleet.executions(side)["executions"]
+                    if run["state"] == "running"]
 
         threads = [threading.Thread(target=ask, args=(n,)) for n in range(6)]
         for thread in threads:
             thread.start()
-        time.sleep(0.3)
+        while not running():  # the router may have passed over the new side
+            self.assertLess(len(threads), 60, "no stream at the new side")
+            threads.append(threading.Thread(target=ask, args=(len(threads),)))
+            threads[-1].start()
+            time.sleep(0.05)
         side.process.signal(signal.SIGTERM)
         for thread in threads:
             thread.join()
+        self.assertEqual(len(answers), len(threads))
         for body in answers:
-            self.assertTrue(body.rstrip().endswith(b"data: [DONE]"), body[-300:])
+            self.assertTrue(body.rstrip().endswith(b"data: [DONE]"),
+                            f"the side's stop cut a stream: {body[-300:]}")
         self.assertEqual(side.process.child.wait(30), 0)
         self.fleet.unregister(side.name)
 
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -83,6 +83,9 @@
         self.assertEqual(lost["outcome"], "lost")
         self.assertEqual(lost["in_force_operator"], winner)
         self.assertEqual(lost["in_force"], won["offset"])
+        self.ctl_json("watch", f"--offset={lost['offset']}")
+        in_force = {row["vm"]: row["manifest_offset"] for row in self.ctl_json("status")}
+        self.assertEqual(set(in_force.values()), {won["offset"]}, "the loser's is in force")
 
     def test_watch_ends_only_when_in_force_everywhere(self):
         path = self.write("watch.ini", self.manifest)
@@ -173,7 +176,7 @@
         for number in range(20):
             entry = self.fleet.entries[number % 2]
             self.assertEqual(self.call_model(entry, f"after the drain {number}")[0], 200)
-        self.assertEqual(self.fleet.executions(side)["begun"], before)
+        self.assertEqual(self.fleet.executions(side)["begun"], before, "work after the drain")
 
 
 class BurnTest(FleetTestCase):
--- a/tests/standins/platform/platform_service.cpp
+++ b/tests/standins/platform/platform_service.cpp
@@ -132,6 +132,7 @@
     m_changed[stream].notify_all();
     if (m_faults.loseNextAnswers > 0) {
         --m_faults.loseNextAnswers;
+        m_lostAnswers.push_back({{"stream", stream}, {"offset", offset}});
         return exchange.abortStream();
     }
     respondJson(exchange, 200, {{"offset", offset}});
@@ -302,6 +303,7 @@
     respondJson(exchange, 200,
                 {{"streams", streams},
                  {"refused_appends", m_refusedAppends},
+                 {"lost_answers", m_lostAnswers},
                  {"weight_readers", m_weightReaders}});
 }
 
--- a/tests/standins/platform/platform_service.hpp
+++ b/tests/standins/platform/platform_service.hpp
@@ -50,6 +50,7 @@
     vm_registry m_vms;
     std::size_t m_weightReaders = 0; // now
     std::uint64_t m_refusedAppends = 0; // over the rate
+    nlohmann::json m_lostAnswers = nlohmann::json::array(); // stream and offset of each
     boost::fibers::mutex m_mutex; // for m_changed only
     std::map<std::string, boost::fibers::condition_variable> m_changed; // by stream
 };
