--- a/include/tamarackglade/entry/entry_context.hpp
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -7,6 +7,7 @@
 #include <tamarackglade/entry/limit_service.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/node/config_store.hpp>
+#include <tamarackglade/node/shell_mutation.hpp>
 
 #include <chrono>
 
@@ -22,6 +23,7 @@
     burn_service &burn;
     keyed_call_service &keyed;
     std::chrono::milliseconds requestTimeout{120'000};
+    shell_mutation mutation = shell_mutation::None;
 };
 
 } // namespace tamarack
