Entry: a busy stream's caller that is gone ends its call

Cause: the relay looked for a gone caller only when no event came for 250 ms, and ignored that its writes failed. Ruled out: the side and the gate; a cancel that reaches them does abort the engine's run. Change: a write that fails counts as the caller being gone.

--- a/include/tamarackglade/entry/answer_relay.hpp
+++ b/include/tamarackglade/entry/answer_relay.hpp
@@ -46,6 +46,7 @@
     std::uint64_t m_configVersion;
     bool m_streaming = false; // the caller's answer is a stream that has begun
     bool m_eventStream = false; // the stream is server-sent events, which end in [DONE]
+    bool m_writeFailed = false; // the caller's connection is gone
     bool m_finished = false;
     bool m_firstByteSeen = false;
     answer_head m_head;
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -85,6 +85,9 @@
 answer_relay::wait_result answer_relay::waitForEvent(answer_event &event)
 {
     for (;;) {
+        // Quiet callers are looked at below; a busy stream's caller is known by its writes.
+        if (m_writeFailed)
+            return wait_result::CallerGone;
         auto next = m_channel->pop(CheckPeriod);
         if (!keyStillValid())
             return wait_result::KeyWithdrawn;
@@ -136,7 +139,7 @@
         if (m_tail.size() > TailBytes)
             m_tail.erase(0, m_tail.size() - TailBytes);
         observeGap();
-        m_request.exchange.writeChunk(bytes);
+        m_writeFailed = !m_request.exchange.writeChunk(bytes);
     }
     if (next)
         relayEnd(std::get<answer_end>(*next));
--- a/tests/e2e/test_online.py
+++ b/tests/e2e/test_online.py
@@ -154,6 +154,20 @@
         last = [line for line in body.decode().split("\n") if line.startswith("data: ")][-1]
         self.assertIn("error", json.loads(last[len("data: "):]))
 
+    def test_stream_of_a_gone_caller_is_cancelled_at_the_engine(self):
+        # Tokens come faster than the entry looks after quiet callers.
+        tokens = 1003  # of no other request
+        connection, response = self.open_stream(self.fleet.entries[0], "gone", max_tokens=tokens)
+        response.read(1)
+        response.close()
+        connection.close()
+
+        def ended():
+            return [run["state"] for side in self.fleet.sides[:self.engines]
+                    for run in self.fleet.executions(side)["executions"]
+                    if run["max_tokens"] == tokens and run["state"] != "running"]
+        self.assertEqual(wait_until(ended, "the end at the engine"), ["cancelled"])
+
     def test_withdrawn_key_ends_a_running_stream_everywhere(self):
         key = self.fleet.issue_key("shire")
         key_id = key.split("_")[1]
