Sockets: what can be done at once takes no timer and no change of fibers

Cause: each read and write armed and cancelled a timer, allocated a promise and changed fibers, also when the socket was ready; each wake-up from another thread posted a handler. Change: recv and send are tried first, at most 16 in a row, so that a busy connection doesn't hold up its thread; the read timeout's timer runs on between reads and looks at the present deadline; wake-ups from other threads share one posted handler until it has run. The two new cases of shell-runtime pass with the old code too; they guard what the change could break.

--- a/include/tamarackglade/runtime/asio_scheduler.hpp
+++ b/include/tamarackglade/runtime/asio_scheduler.hpp
@@ -7,6 +7,7 @@
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/scheduler.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 
@@ -31,6 +32,9 @@
     std::shared_ptr<boost::asio::io_context> m_io;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     boost::fibers::scheduler::ready_queue_type m_ready;
+    // Whether a notification is posted and not yet run; further ones add nothing to it. Shared
+    // with the posted handler, which may outlive the algorithm.
+    std::shared_ptr<std::atomic<bool>> m_notified = std::make_shared<std::atomic<bool>>(false);
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/runtime/read_timeout.hpp
+++ b/include/tamarackglade/runtime/read_timeout.hpp
@@ -12,6 +12,9 @@
 
 /// @brief A timer that cancels the socket's pending operations. Beast's own timeout closes the
 /// socket, so that a caller who sends too slowly could not be told.
+///
+/// Reads are far more frequent than timeouts: a running timer is left alone when a read ends, and
+/// looks at the present deadline when it fires.
 class read_timeout
 {
 public:
@@ -29,16 +32,25 @@
     bool disarm();
 
 private:
+    using clock = std::chrono::steady_clock;
+
     struct timer_state
     {
+        explicit timer_state(boost::asio::ip::tcp::socket &read);
+
         boost::asio::ip::tcp::socket *socket; // null once the owner is gone
-        std::uint64_t armed = 0; // number of the current arming; 0 while disarmed
+        boost::asio::steady_timer timer;
+        std::uint64_t starts = 0; // a handler of an earlier start does nothing
+        bool running = false; // the timer will fire, at timer.expiry()
+        bool armed = false;
         bool expired = false;
+        clock::time_point deadline; // while armed
     };
 
-    boost::asio::steady_timer m_timer;
+    static void start(const std::shared_ptr<timer_state> &state);
+    static void onFired(const std::shared_ptr<timer_state> &state);
+
     std::shared_ptr<timer_state> m_state; // shared with the timer's handlers
-    std::uint64_t m_armings = 0;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/runtime/tcp_stream.hpp
+++ b/include/tamarackglade/runtime/tcp_stream.hpp
@@ -14,6 +14,9 @@
 
 /// @brief A byte_stream over beast::tcp_stream. A write that times out closes the connection; a
 /// read that does leaves it open, so that the peer can be told.
+///
+/// What the socket can do at once is done without a timer and without a change of fibers, a
+/// bounded number of times in a row, so that a busy connection doesn't hold up its thread.
 class tcp_stream final : public byte_stream
 {
 public:
@@ -40,10 +43,16 @@
 
 private:
     void armTimeout();
+    /// @return the bytes that were read or written at once; 0 if the operation has to wait or
+    /// failed
+    std::size_t readNow(boost::asio::mutable_buffer buffer);
+    std::size_t writeNow(boost::asio::const_buffer buffer);
+    bool mayBeImmediate();
 
     boost::beast::tcp_stream m_stream;
     read_timeout m_readTimeout; // of m_stream's socket
     std::chrono::milliseconds m_timeout{0};
+    unsigned m_immediate = 0; // operations done at once since the last that waited
 };
 
 /// @brief Splits "ip:port".
--- a/src/runtime/asio_scheduler.cpp
+++ b/src/runtime/asio_scheduler.cpp
@@ -36,7 +36,9 @@
 
 void asio_scheduler::notify() noexcept
 {
-    boost::asio::post(*m_io, [] {});
+    // The fiber scheduler looks at the fibers that other threads made ready after each handler.
+    if (!m_notified->exchange(true))
+        boost::asio::post(*m_io, [notified = m_notified] { notified->store(false); });
 }
 
 } // namespace tamarack
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -11,6 +11,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+// Then one goes through the io_context, which runs what else is ready on the thread.
+constexpr unsigned ImmediateLimit = 16;
+
+} // namespace
+
 absl::StatusOr<asio::ip::tcp::endpoint> parseEndpoint(const std::string &address)
 {
     const auto colon = address.rfind(':');
@@ -52,6 +59,9 @@
 
 std::size_t tcp_stream::readSome(asio::mutable_buffer buffer, boost::system::error_code &error)
 {
+    error = {};
+    if (const std::size_t size = readNow(buffer))
+        return size;
     m_readTimeout.arm(m_timeout);
     const auto result = m_stream.socket().async_read_some(buffer, FiberToken);
     error = m_readTimeout.disarm() && result.error ? boost::beast::error::timeout : result.error;
@@ -60,6 +70,9 @@
 
 std::size_t tcp_stream::writeSome(asio::const_buffer buffer, boost::system::error_code &error)
 {
+    error = {};
+    if (const std::size_t size = writeNow(buffer))
+        return size;
     armTimeout();
     const auto result = m_stream.async_write_some(buffer, FiberToken);
     error = result.error;
@@ -100,6 +113,32 @@
     return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
 }
 
+std::size_t tcp_stream::readNow(asio::mutable_buffer buffer)
+{
+    if (!mayBeImmediate())
+        return 0;
+    const auto size =
+        ::recv(m_stream.socket().native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    return size > 0 ? static_cast<std::size_t>(size) : 0;
+}
+
+std::size_t tcp_stream::writeNow(asio::const_buffer buffer)
+{
+    if (!mayBeImmediate())
+        return 0;
+    const auto size = ::send(m_stream.socket().native_handle(), buffer.data(), buffer.size(),
+                             MSG_DONTWAIT | MSG_NOSIGNAL);
+    return size > 0 ? static_cast<std::size_t>(size) : 0;
+}
+
+bool tcp_stream::mayBeImmediate()
+{
+    if (++m_immediate <= ImmediateLimit)
+        return true;
+    m_immediate = 0;
+    return false;
+}
+
 void tcp_stream::armTimeout()
 {
     if (m_timeout.count() > 0)
--- a/tests/shell-runtime.cpp
+++ b/tests/shell-runtime.cpp
@@ -2,10 +2,13 @@
 #include <tamarackglade/runtime/asio_scheduler.hpp>
 #include <tamarackglade/runtime/fiber_token.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
+#include <tamarackglade/runtime/tcp_listener.hpp>
 #include <tamarackglade/runtime/tcp_stream.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/fiber/fiber.hpp>
+#include <boost/fiber/future.hpp>
 #include <boost/fiber/operations.hpp>
 #include <doctest/doctest.h>
 
@@ -87,3 +90,78 @@
     }
     CHECK(done == Fibers * RunsEach);
 }
+
+TEST_CASE("a read has its own timeout, whatever the one before it had")
+{
+    io_thread thread;
+    boost::fibers::promise<void> asked;
+    boost::fibers::promise<void> ended;
+    tcp_listener listener(thread, [&](boost::beast::tcp_stream accepted) {
+        tcp_stream stream(std::move(accepted));
+        boost::system::error_code error;
+        stream.writeSome(asio::buffer("a", 1), error);
+        asked.get_future().get();
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(150));
+        stream.writeSome(asio::buffer("b", 1), error);
+        ended.get_future().get();
+    });
+    thread.run([&] {
+        const auto port = listener.listen("127.0.0.1:0");
+        REQUIRE(port.ok());
+        auto stream = tcp_stream::connect(thread.io(), "127.0.0.1:" + std::to_string(*port),
+                                          std::chrono::seconds(5));
+        REQUIRE(stream.ok());
+        char byte = 0;
+        boost::system::error_code error;
+        const auto read = [&](std::chrono::milliseconds timeout) {
+            (*stream)->setTimeout(timeout);
+            return (*stream)->readSome(asio::buffer(&byte, 1), error);
+        };
+        CHECK(read(std::chrono::minutes(10)) == 1);
+        CHECK(byte == 'a');
+        // A shorter one after a longer one, whose timer may still run.
+        CHECK(read(std::chrono::milliseconds(20)) == 0);
+        CHECK(error == boost::beast::error::timeout);
+        // A longer one that begins before a shorter one would have ended.
+        CHECK(read(std::chrono::milliseconds(100)) == 0);
+        asked.set_value();
+        CHECK(read(std::chrono::minutes(10)) == 1);
+        CHECK(byte == 'b');
+        CHECK_FALSE(error);
+        ended.set_value();
+        listener.stopAccepting();
+    });
+}
+
+TEST_CASE("a connection that is always ready doesn't hold up its thread")
+{
+    // Both ends write and read without a pause; another fiber of the thread must still end them.
+    io_thread thread;
+    std::atomic<bool> stopped = false;
+    tcp_listener listener(thread, [&](boost::beast::tcp_stream accepted) {
+        tcp_stream stream(std::move(accepted));
+        std::string bytes(64, 'x');
+        boost::system::error_code error;
+        while (!stopped && !error)
+            stream.writeSome(asio::buffer(bytes), error);
+        stream.close();
+    });
+    thread.run([&] {
+        const auto port = listener.listen("127.0.0.1:0");
+        REQUIRE(port.ok());
+        auto stream = tcp_stream::connect(thread.io(), "127.0.0.1:" + std::to_string(*port),
+                                          std::chrono::seconds(5));
+        REQUIRE(stream.ok());
+        boost::fibers::fiber stopper([&] {
+            boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
+            stopped = true;
+        });
+        std::string bytes(64, '\0');
+        boost::system::error_code error;
+        while (!error)
+            (*stream)->readSome(asio::buffer(bytes), error);
+        CHECK(stopped);
+        stopper.join();
+        listener.stopAccepting();
+    });
+}
