--- /dev/null
+++ b/include/tamarackglade/load/load_slice.hpp
@@ -0,0 +1,20 @@
+// What became of the requests that were planned within a short time at one target.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace tamarack {
+
+/// @brief Counts of requests by the instant of their planned arrival.
+struct load_slice
+{
+    std::uint32_t intended = 0;
+    std::uint32_t whole = 0; // at most intended
+    std::map<std::string, std::uint32_t> reasons; // of those that aren't whole
+
+    void merge(const load_slice &other);
+};
+
+} // namespace tamarack
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -93,6 +93,19 @@
     return rows;
 }
 
+nlohmann::json slicesJson(const load_report &report)
+{
+    nlohmann::json slices = nlohmann::json::array();
+    for (const auto &[key, slice] : report.result.statistics.slices())
+        slices.push_back(
+            {{"at_s", static_cast<double>(key.first) * toSeconds(load_statistics::SliceTime)},
+             {"target", report.profile.targets[key.second].name},
+             {"intended", slice.intended},
+             {"whole", slice.whole},
+             {"reasons", slice.reasons}});
+    return slices;
+}
+
 } // namespace
 
 std::string reportText(const load_report &report)
@@ -148,6 +161,7 @@
             {"latest_start_ms", toSeconds(report.result.latestStart) * 1e3},
             {"rows", rows},
             {"all", rowJson(report.result.statistics.total(), seconds)},
+            {"slices", slicesJson(report)},
             {"batches", batches}};
 }
 
--- a/src/load/load_statistics.cpp
+++ b/src/load/load_statistics.cpp
@@ -78,12 +78,26 @@
     row.intendedWithinRate += request.withinRate ? 1 : 0;
     countKind(row, request, outcome);
     addLatencies(row, request, outcome);
+    addToSlice(request, outcome);
+}
+
+void load_statistics::addToSlice(const planned_request &request, const request_outcome &outcome)
+{
+    const auto number = static_cast<std::uint64_t>(request.arrival / SliceTime);
+    load_slice &slice = m_slices[{number, request.target}];
+    ++slice.intended;
+    if (outcome.kind == outcome_kind::Whole)
+        ++slice.whole;
+    else
+        ++slice.reasons[outcome.reason];
 }
 
 void load_statistics::merge(const load_statistics &other)
 {
     for (const auto &[key, row] : other.m_rows)
         m_rows[key].merge(row);
+    for (const auto &[key, slice] : other.m_slices)
+        m_slices[key].merge(slice);
 }
 
 load_row load_statistics::total() const
--- a/tests/shell-load.cpp
+++ b/tests/shell-load.cpp
@@ -504,6 +504,37 @@
     CHECK(absl::StrContains(reportSvg(report), "<polyline"));
 }
 
+TEST_CASE("load statistics: slices count by planned arrival and target")
+{
+    load_profile profile = smallProfile();
+    load_statistics first;
+    load_statistics second;
+    planned_request request;
+    request_outcome whole;
+    whole.kind = outcome_kind::Whole;
+    request_outcome cut;
+    cut.kind = outcome_kind::Cut;
+    cut.reason = "no end";
+    request.arrival = 199ms;
+    first.record(request, whole);
+    second.record(request, cut);
+    request.arrival = 200ms;
+    second.record(request, whole);
+    load_report report{profile, {}, {}};
+    report.result.measuredSeconds = 1;
+    report.result.statistics.merge(first);
+    report.result.statistics.merge(second);
+    const auto slices = reportJson(report)["slices"];
+    REQUIRE(slices.size() == 2);
+    CHECK(slices[0]["at_s"] == doctest::Approx(0.1));
+    CHECK(slices[0]["target"] == profile.targets[0].name);
+    CHECK(slices[0]["intended"] == 2);
+    CHECK(slices[0]["whole"] == 1);
+    CHECK(slices[0]["reasons"]["no end"] == 1);
+    CHECK(slices[1]["at_s"] == doctest::Approx(0.2));
+    CHECK(slices[1]["whole"] == 1);
+}
+
 TEST_CASE("batch results: each item has to be there once, with its own answer")
 {
     load_batch batch;
