Runtime test: a busy connection's case fails when the bound is taken away

The case as first committed let writer and reader take turns on one thread, so that neither was ever ready without end: it passed with the bound on immediate operations removed. Now the peer has its own thread and reads faster.

--- a/tests/shell-runtime.cpp
+++ b/tests/shell-runtime.cpp
@@ -135,33 +135,37 @@
 
 TEST_CASE("a connection that is always ready doesn't hold up its thread")
 {
-    // Both ends write and read without a pause; another fiber of the thread must still end them.
+    // The peer reads faster than the small writes come; another fiber of their thread ends them.
+    io_thread peer;
     io_thread thread;
-    std::atomic<bool> stopped = false;
-    tcp_listener listener(thread, [&](boost::beast::tcp_stream accepted) {
+    tcp_listener listener(peer, [](boost::beast::tcp_stream accepted) {
         tcp_stream stream(std::move(accepted));
-        std::string bytes(64, 'x');
+        std::string bytes(1'000'000, '\0');
         boost::system::error_code error;
-        while (!stopped && !error)
-            stream.writeSome(asio::buffer(bytes), error);
-        stream.close();
+        while (!error)
+            stream.readSome(asio::buffer(bytes), error);
     });
-    thread.run([&] {
+    std::string address;
+    peer.run([&] {
         const auto port = listener.listen("127.0.0.1:0");
         REQUIRE(port.ok());
-        auto stream = tcp_stream::connect(thread.io(), "127.0.0.1:" + std::to_string(*port),
-                                          std::chrono::seconds(5));
+        address = "127.0.0.1:" + std::to_string(*port);
+    });
+    thread.run([&] {
+        auto stream = tcp_stream::connect(thread.io(), address, std::chrono::seconds(5));
         REQUIRE(stream.ok());
+        bool stopped = false;
         boost::fibers::fiber stopper([&] {
             boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
             stopped = true;
         });
-        std::string bytes(64, '\0');
+        const std::string bytes(64, 'x');
         boost::system::error_code error;
-        while (!error)
-            (*stream)->readSome(asio::buffer(bytes), error);
-        CHECK(stopped);
+        while (!stopped && !error)
+            (*stream)->writeSome(asio::buffer(bytes), error);
+        CHECK_FALSE(error);
         stopper.join();
-        listener.stopAccepting();
+        CHECK(stopped);
     });
+    listener.stopAccepting();
 }
