--- a/include/tamarackglade/limits/fleet_limiter.hpp
+++ b/include/tamarackglade/limits/fleet_limiter.hpp
@@ -91,6 +91,11 @@
     [[nodiscard]] std::size_t stateBytes() const;
 
 private:
+    /// Pause before asking again a home that isn't known or doesn't lend.
+    static constexpr duration NoHomeRetry = std::chrono::milliseconds(20);
+    /// Shortest pause that is named to a request that waits for a token.
+    static constexpr duration MinRetry = std::chrono::milliseconds(1);
+
     void poll(instant now);
     void askForHomes(instant now);
     void onHomeChanged(partition_id partition, instant now);
@@ -110,8 +115,7 @@
     void schedule(const customer_id &customer, customer_limit &state);
     [[nodiscard]] std::uint32_t prefetch(customer_limit &state, instant now) const;
     [[nodiscard]] const partition_home &homeOf(const customer_limit &state) const;
-    template <class Message>
-    void send(const vm_id &to, Message message);
+    void send(const vm_id &to, limit_message message);
 
     limit_options m_options;
     entry_view m_view;
--- a/src/entry/batch_board.cpp
+++ b/src/entry/batch_board.cpp
@@ -1,5 +1,6 @@
 // Items by attempt; whole answers only.
 #include <tamarackglade/entry/batch_board.hpp>
+#include <tamarackglade/entry/start_message.hpp>
 #include <tamarackglade/wire/frame_codec.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -8,22 +9,16 @@
 
 namespace {
 
-schema::start_call_message startMessage(const call_request &call, const std::string &attempt,
-                                        bool alone)
+schema::start_call_message itemMessage(const call_request &call, const std::string &attempt,
+                                       bool alone)
 {
-    schema::start_call_message message;
+    schema::start_call_message message = startMessage(call);
     message.attempt = attempt;
     message.call_class = schema::call_class::Batch;
-    message.customer = call.customer.value();
-    message.request_id = call.id.value();
-    message.method = call.method;
-    message.target = call.target;
-    message.content_type = call.contentType;
-    message.body.assign(call.body.begin(), call.body.end());
+    message.streamed = false;
     message.repeatable = true;
     message.alone = alone;
     message.deadline_ms = static_cast<std::uint32_t>(call.timeout.count());
-    message.weight = call.weight;
     return message;
 }
 
@@ -46,7 +41,7 @@
     if (found->second.offer.credits > 0)
         --found->second.offer.credits;
     m_running[attempt] = running_item{side, peer->connectionId(), {}, std::move(callback)};
-    peer->send(frameBody(startMessage(call, attempt, alone)));
+    peer->send(frameBody(itemMessage(call, attempt, alone)));
     return attempt_id(attempt);
 }
 
--- a/src/entry/call_board.cpp
+++ b/src/entry/call_board.cpp
@@ -1,5 +1,6 @@
 // Decisions under the lock, deliveries after it.
 #include <tamarackglade/entry/call_board.hpp>
+#include <tamarackglade/entry/start_message.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
 #include <tamarackglade/wire/frame_codec.hpp>
 
@@ -30,22 +31,6 @@
     return upstream_id(peer->identity().vm.value());
 }
 
-schema::start_call_message startMessage(const call_request &call)
-{
-    schema::start_call_message message;
-    message.call_class = call.callClass;
-    message.customer = call.customer.value();
-    message.request_id = call.id.value();
-    message.method = call.method;
-    message.target = call.target;
-    message.content_type = call.contentType;
-    message.body.assign(call.body.begin(), call.body.end());
-    message.streamed = call.streamed;
-    message.repeatable = call.repeatable;
-    message.weight = call.weight;
-    return message;
-}
-
 } // namespace
 
 call_board::call_board(const peer_identity &self, const process_mutations &mutations)
--- /dev/null
+++ b/src/limits/fleet_limiter_serve.cpp
@@ -0,0 +1,178 @@
+// How the limiter serves what waits: from its bucket, from loans, by asking the home.
+#include <tamarackglade/limits/fleet_limiter.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+/// Share of the burst that may be borrowed ahead of need.
+constexpr std::uint32_t PrefetchShare = 8;
+
+} // namespace
+
+void fleet_limiter::serve(const customer_id &customer, customer_limit &state, instant now)
+{
+    while (!state.waiting.empty() && state.waiting.front().deadline <= now)
+        refuseFront(customer, state, std::max(state.nextAsk - now, m_options.maxHold));
+    if (homeOf(state).isHome())
+        serveFromBucket(customer, state, now);
+    else
+        serveFromWallet(customer, state, now);
+    schedule(customer, state);
+}
+
+void fleet_limiter::serveFromBucket(const customer_id &customer, customer_limit &state, instant now)
+{
+    state.settleAt.reset();
+    if (state.waiting.empty())
+        return;
+    if (!homeOf(state).mayLend(now)) {
+        state.nextAsk = now + NoHomeRetry;
+        return;
+    }
+    while (!state.waiting.empty() && state.bucket->take(now))
+        admitFront(customer, state, now);
+    if (state.waiting.empty())
+        return;
+    const duration wait = std::max(state.bucket->timeToToken(now), MinRetry);
+    state.nextAsk = now + wait;
+    refuseHopeless(customer, state, wait, 0, now);
+}
+
+void fleet_limiter::serveFromWallet(const customer_id &customer, customer_limit &state, instant now)
+{
+    while (!state.waiting.empty() && state.wallet.spend(now)) {
+        admitFront(customer, state, now);
+        state.settleAt = now + m_options.settleDelay;
+    }
+    if (state.askInFlight && now >= state.askedAt + m_options.askTimeout) {
+        state.askInFlight = false;
+        state.settleAt = now + m_options.settleDelay;
+    }
+    if (state.askInFlight)
+        return;
+    if (!state.waiting.empty() && now >= state.nextAsk)
+        ask(customer, state, now);
+    else if (state.settleAt && now >= *state.settleAt)
+        settle(customer, state, now);
+}
+
+void fleet_limiter::admitFront(const customer_id &customer, customer_limit &state, instant now)
+{
+    m_actions.emplace_back(admit_ticket{customer, state.waiting.front().ticket});
+    state.waiting.pop_front();
+    const double elapsed = toSeconds(now - state.recentUseAt);
+    state.recentUse *= std::exp(-elapsed / toSeconds(m_options.prefetchHorizon));
+    state.recentUse += 1;
+    state.recentUseAt = now;
+}
+
+void fleet_limiter::refuseFront(const customer_id &customer, customer_limit &state,
+                                duration retryAfter)
+{
+    m_actions.emplace_back(refuse_ticket{customer, state.waiting.front().ticket, retryAfter});
+    state.waiting.pop_front();
+}
+
+void fleet_limiter::refuseHopeless(const customer_id &customer, customer_limit &state,
+                                   duration wait, std::size_t available, instant now)
+{
+    while (state.waiting.size() > available) {
+        const auto ahead = static_cast<double>(state.waiting.size() - available - 1);
+        const double perSecond = std::max(state.rate.perSecond, 1e-6);
+        const duration expected = wait + fromSeconds(ahead / perSecond);
+        const auto &last = state.waiting.back();
+        if (now + expected <= last.deadline)
+            return;
+        m_actions.emplace_back(refuse_ticket{customer, last.ticket, expected});
+        state.waiting.pop_back();
+    }
+}
+
+void fleet_limiter::ask(const customer_id &customer, customer_limit &state, instant now)
+{
+    if (!homeOf(state).record()) {
+        state.nextAsk = now + NoHomeRetry;
+        return;
+    }
+    const auto wanted = static_cast<std::uint32_t>(state.waiting.size()) + prefetch(state, now);
+    sendRequest(customer, state, wanted, 0, now);
+    state.askInFlight = true;
+    state.askedAt = now;
+}
+
+void fleet_limiter::settle(const customer_id &customer, customer_limit &state, instant now)
+{
+    if (!homeOf(state).record()) {
+        state.settleAt.reset();
+        return;
+    }
+    const std::uint32_t returned = state.wallet.held(now);
+    state.wallet.clear();
+    sendRequest(customer, state, 0, returned, now);
+}
+
+void fleet_limiter::sendRequest(const customer_id &customer, customer_limit &state,
+                                std::uint32_t tokens, std::uint32_t returned, instant now)
+{
+    schema::loan_request_message request;
+    request.customer = customer.value();
+    state.askSequence = ++m_lastSequence;
+    request.sequence = state.askSequence;
+    request.tokens = tokens;
+    request.incarnation = m_view.self().generation.value();
+    request.held = state.wallet.held(now);
+    request.returned = returned;
+    request.received_sequence = state.receivedSequence;
+    state.settleAt.reset();
+    send(homeOf(state).record()->home.vm, std::move(request));
+}
+
+void fleet_limiter::onTimer(const customer_id &customer, instant now)
+{
+    const auto place = m_customers.find(customer);
+    if (place == m_customers.end())
+        return;
+    place->second.timer = 0;
+    serve(customer, place->second, now);
+}
+
+void fleet_limiter::schedule(const customer_id &customer, customer_limit &state)
+{
+    m_timers.cancel(std::exchange(state.timer, 0));
+    std::optional<instant> due = state.settleAt;
+    const auto atLatest = [&due](instant when) { due = std::min(due.value_or(when), when); };
+    if (state.askInFlight)
+        due = state.askedAt + m_options.askTimeout;
+    else if (!state.waiting.empty())
+        atLatest(state.nextAsk);
+    if (!state.waiting.empty())
+        atLatest(state.waiting.front().deadline);
+    if (due)
+        state.timer =
+            m_timers.subscribe(*due, [this, customer](instant t) { onTimer(customer, t); });
+}
+
+std::uint32_t fleet_limiter::prefetch(customer_limit &state, instant now) const
+{
+    const double elapsed = toSeconds(now - state.recentUseAt);
+    const double expected =
+        state.recentUse * std::exp(-elapsed / toSeconds(m_options.prefetchHorizon));
+    return std::min(static_cast<std::uint32_t>(expected), state.rate.burst / PrefetchShare);
+}
+
+const partition_home &fleet_limiter::homeOf(const customer_limit &state) const
+{
+    return m_partitions[state.partition.value()];
+}
+
+void fleet_limiter::send(const vm_id &to, limit_message message)
+{
+    m_actions.emplace_back(send_limit_message{to, std::move(message)});
+}
+
+} // namespace tamarack
