Limits: successors in another availability zone of the home's region

Cause: successors were drawn by hash alone. At the target's size a zone's loss took home and successor of about 4 partitions together, whose customers were then refused until the VM list had lacked both for 60 s.

Before, drawn without places: 33 of 400 successors in the home's zone, 240 in another region. After: 0 and 0 (unit-limits, which also keeps the old count above 0). unit-limits 18 of 18, fuzz-limits 4 of 4.

--- a/include/tamarackglade/limits/entry_view.hpp
+++ b/include/tamarackglade/limits/entry_view.hpp
@@ -38,9 +38,12 @@
     /// it. Answers may contradict each other within the lag. Complexity O(1) on average.
     [[nodiscard]] bool isGone(const live_entry &entry, instant knownSince) const;
 
-    /// @return the best successor for a partition, by rendezvous hash; never self nor excluded
-    [[nodiscard]] std::optional<live_entry>
-    chooseSuccessor(partition_id partition, const vm_id &excluded, instant now) const;
+    /// @return the best successor for a partition's home: rather in the home's region, there rather
+    /// in another availability zone, and then by rendezvous hash; never self, home nor excluded
+    [[nodiscard]] std::optional<live_entry> chooseSuccessor(partition_id partition,
+                                                            const vm_id &home,
+                                                            const vm_id &excluded,
+                                                            instant now) const;
 
     /// @return the best entry to hand a partition to: a candidate, or else any listed one, suspect
     /// or not; never self
@@ -52,6 +55,9 @@
     [[nodiscard]] const live_entry &self() const { return m_self; }
 
 private:
+    [[nodiscard]] live_entry listed(const vm_id &vm) const;
+    [[nodiscard]] bool isSuspect(const vm_id &vm, instant now) const;
+
     live_entry m_self;
     duration m_vmListLag;
     std::vector<live_entry> m_entries;
--- a/src/limits/entry_view.cpp
+++ b/src/limits/entry_view.cpp
@@ -3,6 +3,7 @@
 #include <tamarackglade/limits/entry_view.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace tamarack {
@@ -63,22 +64,38 @@
     return *m_lastUpdate >= since + m_vmListLag;
 }
 
-std::optional<live_entry> entry_view::chooseSuccessor(partition_id partition, const vm_id &excluded,
-                                                      instant now) const
+std::optional<live_entry> entry_view::chooseSuccessor(partition_id partition, const vm_id &home,
+                                                      const vm_id &excluded, instant now) const
 {
+    const live_entry place = listed(home);
+    const auto order = [&](const live_entry &entry) {
+        return std::tuple(entry.region == place.region, entry.zone != place.zone,
+                          score(entry.vm, partition));
+    };
     std::optional<live_entry> best;
     for (const auto &entry : m_entries) {
-        if (entry.vm == m_self.vm || entry.vm == excluded || !isCandidate(entry.vm))
-            continue;
-        const auto suspicion = m_suspects.find(entry.vm);
-        if (suspicion != m_suspects.end() && now < suspicion->second)
+        const bool isBarred = entry.vm == m_self.vm || entry.vm == home || entry.vm == excluded;
+        if (isBarred || !isCandidate(entry.vm) || isSuspect(entry.vm, now))
             continue;
-        if (!best || score(entry.vm, partition) > score(best->vm, partition))
+        if (!best || order(entry) > order(*best))
             best = entry;
     }
     return best;
 }
 
+live_entry entry_view::listed(const vm_id &vm) const
+{
+    const auto found = std::find_if(m_entries.begin(), m_entries.end(),
+                                    [&](const live_entry &entry) { return entry.vm == vm; });
+    return found == m_entries.end() ? live_entry{vm, incarnation(0)} : *found;
+}
+
+bool entry_view::isSuspect(const vm_id &vm, instant now) const
+{
+    const auto suspicion = m_suspects.find(vm);
+    return suspicion != m_suspects.end() && now < suspicion->second;
+}
+
 std::optional<live_entry> entry_view::chooseHeir(partition_id partition) const
 {
     const auto order = [&](const live_entry &entry) {
--- a/src/limits/partition_home.cpp
+++ b/src/limits/partition_home.cpp
@@ -141,14 +141,16 @@
 {
     const vm_id successor = m_record->successor.vm;
     if (!m_record->hasSuccessor()) {
-        const auto candidate = view.chooseSuccessor(m_partition, successor, now);
+        const auto candidate = view.chooseSuccessor(m_partition, view.self().vm, successor, now);
         if (candidate)
             claim(view.self(), candidate, now, out);
     } else if (!view.isCandidate(successor)) {
-        claim(view.self(), view.chooseSuccessor(m_partition, successor, now), now, out);
+        claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, successor, now), now,
+              out);
     } else if (m_lease.successorSilent(now) || view.isGone(m_record->successor, m_recordRead)) {
         view.suspect(successor, now + m_options->suspectFor);
-        claim(view.self(), view.chooseSuccessor(m_partition, successor, now), now, out);
+        claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, successor, now), now,
+              out);
     }
     if (now >= m_recordRead + m_options->renewInterval)
         claim(view.self(), m_record->successor, now, out);
@@ -162,7 +164,7 @@
         return;
     const vm_id former = m_record->home.vm;
     view.suspect(former, now + m_options->suspectFor);
-    claim(view.self(), view.chooseSuccessor(m_partition, former, now), now, out);
+    claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, former, now), now, out);
 }
 
 void partition_home::pollAsOther(const entry_view &view, instant now,
@@ -181,7 +183,8 @@
     if (!m_vacantSince)
         m_vacantSince = now;
     if (now >= *m_vacantSince + m_options->claimStagger * (*rank + 1))
-        claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, now), now, out);
+        claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, vm_id(), now), now,
+              out);
 }
 
 void partition_home::handOver(const entry_view &view, instant now, std::vector<limit_action> &out)
@@ -211,7 +214,7 @@
         return;
     m_nextClaim = now + m_claimBackoff;
     m_claimBackoff = std::min(m_claimBackoff * 2, m_options->maxClaimBackoff);
-    auto message = makeClaim(*next, view.chooseSuccessor(m_partition, next->vm, now));
+    auto message = makeClaim(*next, view.chooseSuccessor(m_partition, next->vm, vm_id(), now));
     message.handed_over = m_stoppedLending;
     message.settled = m_stoppedSettled;
     out.emplace_back(append_claim{std::move(message)});
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 using namespace tamarack;
 using namespace tamarack::test;
 
@@ -185,11 +187,56 @@
     {
         view.update({other}, Start);
         view.suspect(other.vm, Start + 1s);
-        CHECK_FALSE(view.chooseSuccessor(partition_id(0), vm_id(), Start));
-        CHECK(view.chooseSuccessor(partition_id(0), vm_id(), Start + 1s) == other);
+        CHECK_FALSE(view.chooseSuccessor(partition_id(0), vm_id(), vm_id(), Start));
+        CHECK(view.chooseSuccessor(partition_id(0), vm_id(), vm_id(), Start + 1s) == other);
     }
 }
 
+namespace {
+
+/// @return of 400 partitions whose home is self, those whose successor is in self's zone, among 400
+/// entries in 10 availability zones of 3 regions; with how many are in another region
+std::pair<int, int> successorsBesideHome(bool placesKnown)
+{
+    constexpr std::uint32_t Entries = 400;
+    constexpr std::uint32_t Zones = 10;
+    constexpr std::uint32_t Regions = 3;
+    std::vector<live_entry> entries;
+    std::map<vm_id, live_entry> places;
+    for (std::uint32_t i = 0; i < Entries; ++i) {
+        const std::uint32_t zone = i % Zones;
+        live_entry entry{vm_id("entry-" + std::to_string(i)), incarnation(1),
+                         zone_id(std::to_string(zone)), region_id(std::to_string(zone % Regions))};
+        places[entry.vm] = entry;
+        entries.push_back(placesKnown ? entry : live_entry{entry.vm, entry.generation});
+    }
+    entry_view view({vm_id("entry-0"), incarnation(1)}, 60s);
+    view.update(entries, Start);
+    const live_entry &self = places.at(vm_id("entry-0"));
+    std::pair<int, int> beside;
+    for (std::uint32_t i = 0; i < Entries; ++i) {
+        const auto chosen = view.chooseSuccessor(partition_id(i), self.vm, vm_id(), Start);
+        const live_entry &place = places.at(chosen->vm);
+        beside.first += place.zone == self.zone ? 1 : 0;
+        beside.second += place.region == self.region ? 0 : 1;
+    }
+    return beside;
+}
+
+} // namespace
+
+TEST_CASE("a successor is in the home's region, in another availability zone")
+{
+    const auto known = successorsBesideHome(true);
+    const auto unknown = successorsBesideHome(false);
+    MESSAGE("of 400 successors, in the home's zone and in another region: "
+            << known.first << ", " << known.second << "; without places " << unknown.first << ", "
+            << unknown.second);
+    CHECK(known == std::pair(0, 0));
+    CHECK(unknown.first > 0);
+    CHECK(unknown.second > 0);
+}
+
 TEST_CASE("partition home")
 {
     limit_options options;
@@ -350,7 +397,7 @@
         REQUIRE(claims.size() == 1);
         CHECK(claims[0].claim.successor == "c");
         view.setCandidates({});
-        CHECK_FALSE(view.chooseSuccessor(partition_id(0), vm_id(), Start));
+        CHECK_FALSE(view.chooseSuccessor(partition_id(0), vm_id(), vm_id(), Start));
     }
     SUBCASE("a peer's record")
     {
