Limits: suspicion is of a process, not of its VM

Cause: an entry that took over from a lost home suspected the home's VM for 10 s.

Ruled out: erasing the suspicion at the next VM list (as before: it may have come already).

Change: a suspicion names the process's incarnation; a later one is not suspect.

--- a/include/tamarackglade/limits/entry_view.hpp
+++ b/include/tamarackglade/limits/entry_view.hpp
@@ -30,8 +30,9 @@
         return !m_candidates || m_candidates->contains(vm);
     }
 
-    /// @brief Leaves a VM out of the choice of successors until an instant.
-    void suspect(const vm_id &vm, instant until);
+    /// @brief Leaves a process out of the choice of successors until an instant. A later process on
+    /// its VM is not suspect.
+    void suspect(const live_entry &entry, instant until);
 
     /// @return whether the process has certainly ended: a newer generation runs on its VM, or an
     /// answer that came a whole list's lag after knownSince and after the VM was last shown lacks
@@ -56,7 +57,7 @@
 
 private:
     [[nodiscard]] live_entry listed(const vm_id &vm) const;
-    [[nodiscard]] bool isSuspect(const vm_id &vm, instant now) const;
+    [[nodiscard]] bool isSuspect(const live_entry &entry, instant now) const;
 
     live_entry m_self;
     duration m_vmListLag;
@@ -65,7 +66,12 @@
     std::unordered_map<vm_id, incarnation> m_listed;
     std::optional<instant> m_lastUpdate;
     std::unordered_map<vm_id, instant> m_lastShown; // the last answer that showed each VM
-    std::unordered_map<vm_id, instant> m_suspects; // end of each suspicion
+    struct suspicion
+    {
+        incarnation generation;
+        instant until;
+    };
+    std::unordered_map<vm_id, suspicion> m_suspects;
     std::optional<std::unordered_set<vm_id>> m_candidates;
 };
 
--- a/src/limits/entry_view.cpp
+++ b/src/limits/entry_view.cpp
@@ -24,12 +24,6 @@
 
 void entry_view::update(const std::vector<live_entry> &entries, instant now)
 {
-    // Another process than the silent one runs there: it deserves its own chance.
-    for (const auto &entry : entries) {
-        const auto known = m_listed.find(entry.vm);
-        if (known != m_listed.end() && known->second != entry.generation)
-            m_suspects.erase(entry.vm);
-    }
     m_entries = entries;
     m_lastUpdate = now;
     m_listed.clear();
@@ -44,9 +38,9 @@
     m_candidates = std::move(candidates);
 }
 
-void entry_view::suspect(const vm_id &vm, instant until)
+void entry_view::suspect(const live_entry &entry, instant until)
 {
-    m_suspects[vm] = until;
+    m_suspects[entry.vm] = {entry.generation, until};
 }
 
 bool entry_view::isGone(const live_entry &entry, instant knownSince) const
@@ -75,7 +69,7 @@
     std::optional<live_entry> best;
     for (const auto &entry : m_entries) {
         const bool isBarred = entry.vm == m_self.vm || entry.vm == home || entry.vm == excluded;
-        if (isBarred || !isCandidate(entry.vm) || isSuspect(entry.vm, now))
+        if (isBarred || !isCandidate(entry.vm) || isSuspect(entry, now))
             continue;
         if (!best || order(entry) > order(*best))
             best = entry;
@@ -90,10 +84,11 @@
     return found == m_entries.end() ? live_entry{vm, incarnation(0)} : *found;
 }
 
-bool entry_view::isSuspect(const vm_id &vm, instant now) const
+bool entry_view::isSuspect(const live_entry &entry, instant now) const
 {
-    const auto suspicion = m_suspects.find(vm);
-    return suspicion != m_suspects.end() && now < suspicion->second;
+    const auto found = m_suspects.find(entry.vm);
+    return found != m_suspects.end() && now < found->second.until
+           && entry.generation.value() <= found->second.generation.value();
 }
 
 std::optional<live_entry> entry_view::chooseHeir(partition_id partition) const
--- a/src/limits/partition_home.cpp
+++ b/src/limits/partition_home.cpp
@@ -148,7 +148,7 @@
         claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, successor, now), now,
               out);
     } else if (m_lease.successorSilent(now) || view.isGone(m_record->successor, m_recordRead)) {
-        view.suspect(successor, now + m_options->suspectFor);
+        view.suspect(m_record->successor, now + m_options->suspectFor);
         claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, successor, now), now,
               out);
     }
@@ -163,7 +163,7 @@
     if (!lapsed && !view.isGone(m_record->home, m_recordRead))
         return;
     const vm_id former = m_record->home.vm;
-    view.suspect(former, now + m_options->suspectFor);
+    view.suspect(m_record->home, now + m_options->suspectFor);
     claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, former, now), now, out);
 }
 
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -186,10 +186,17 @@
     SUBCASE("chooses no suspect until the suspicion ends")
     {
         view.update({other}, Start);
-        view.suspect(other.vm, Start + 1s);
+        view.suspect(other, Start + 1s);
         CHECK_FALSE(view.chooseSuccessor(partition_id(0), vm_id(), vm_id(), Start));
         CHECK(view.chooseSuccessor(partition_id(0), vm_id(), vm_id(), Start + 1s) == other);
     }
+    SUBCASE("suspects a process, not the next one on its VM")
+    {
+        const live_entry next{vm_id("a"), incarnation(3)};
+        view.update({next}, Start);
+        view.suspect(other, Start + 1s);
+        CHECK(view.chooseSuccessor(partition_id(0), vm_id(), vm_id(), Start) == next);
+    }
 }
 
 namespace {
@@ -655,6 +662,29 @@
     }
 }
 
+TEST_CASE("an entry that restarts at once can take over soon")
+{
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+        limits_fleet fleet(2, limit_options{}, seed);
+        fleet.network().listLag = 0ns; // a hello shows the new process at once
+        fleet.setRate(Large, {100, 100});
+        fleet.advance(15s);
+        const std::size_t first = fleet.homeOf(Large);
+        REQUIRE(first < fleet.entries());
+        fleet.restart(first);
+        fleet.advance(3s);
+        fleet.kill(1 - first);
+        fleet.advance(2s);
+        std::vector<double> weights(fleet.entries(), 0);
+        weights[first] = 1;
+        fleet.loadWithin(Large, 80, weights, fleet.now() + 10s);
+        fleet.advance(11s);
+        INFO("seed " << seed);
+        CHECK(fleet.counts().at(Large).refused == 0);
+        CHECK(fleet.overAdmitted() == 0);
+    }
+}
+
 TEST_CASE("an entry that starts while it can't read the log is served by its peers")
 {
     limits_fleet fleet(3, limit_options{}, 20261203);
