Read-through: one place for claims, for reading one record, for records of homes and for batches of a command

Cause: read-through of the whole change. partition_home built the same claim in five places and counted its back-off in two; keyed_partition read and decoded one record beside log_payloads; home_record filled itself twice field by field; tamarackctl's commands repeated batch, record and append.

Change: beginClaim and claimWithout, readBatch, recordOf, batchOf. A claim's successor is now chosen only when the back-off allows the claim. No change of behaviour; no test was touched.

Ruled out: log_payloads itself for kept answers (it caches 32 batches; grouped answers of 16 KB each would pass an entry's 64 MB).

--- /dev/null
+++ b/include/tamarackglade/entry/read_batch.hpp
@@ -0,0 +1,18 @@
+// Reads one append of a stream.
+#pragma once
+
+#include <tamarackglade/platform/platform_client.hpp>
+#include <tamarackglade/schema/records.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+
+namespace tamarack {
+
+/// @return the batch at an offset; NotFound if it is no longer retained, or isn't a batch; else
+/// why the log can't be read
+absl::StatusOr<schema::log_batch_message> readBatch(platform_client &platform,
+                                                    const std::string &stream, log_offset offset);
+
+} // namespace tamarack
--- a/include/tamarackglade/limits/partition_home.hpp
+++ b/include/tamarackglade/limits/partition_home.hpp
@@ -73,8 +73,11 @@
     void pollAsSuccessor(entry_view &view, instant now, std::vector<limit_action> &out);
     void pollAsOther(const entry_view &view, instant now, std::vector<limit_action> &out);
     [[nodiscard]] std::optional<live_entry> heir(const entry_view &view) const;
-    void claim(const live_entry &home, const std::optional<live_entry> &successor, instant now,
-               std::vector<limit_action> &out);
+    // Counts a claim that is made now, if the back-off allows one.
+    bool beginClaim(instant now);
+    // Claims for this entry, with any successor but the excluded one.
+    void claimWithout(const vm_id &excluded, const entry_view &view, instant now,
+                      std::vector<limit_action> &out);
     [[nodiscard]] schema::home_claimed_message
     makeClaim(const live_entry &home, const std::optional<live_entry> &successor) const;
     [[nodiscard]] bool isSuccessor(const entry_view &view) const;
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -69,10 +69,12 @@
     return result.ok();
 }
 
-schema::log_batch_message newBatch()
+template <class Message>
+schema::log_batch_message batchOf(const Message &record)
 {
     schema::log_batch_message batch;
     batch.record_id = randomId("ctl_");
+    addRecord(batch, record);
     return batch;
 }
 
@@ -135,9 +137,7 @@
     record.key_id = key->id.value();
     record.customer = customer;
     record.hash.assign(key->hash.begin(), key->hash.end());
-    schema::log_batch_message batch = newBatch();
-    addRecord(batch, record);
-    const auto stored = appendConfig(context.platform, batch);
+    const auto stored = appendConfig(context.platform, batchOf(record));
     if (!stored.ok())
         return failed(context, stored.status());
     nlohmann::ordered_json object;
@@ -153,9 +153,7 @@
 {
     schema::key_withdrawn_message record;
     record.key_id = id;
-    schema::log_batch_message batch = newBatch();
-    addRecord(batch, record);
-    const auto stored = appendConfig(context.platform, batch);
+    const auto stored = appendConfig(context.platform, batchOf(record));
     if (!stored.ok())
         return failed(context, stored.status());
     nlohmann::ordered_json object;
@@ -218,8 +216,7 @@
         FLAGS_base >= 0 ? static_cast<std::uint64_t>(FLAGS_base) : before->manifestOffset().value();
     record.text = *text;
     record.operator_name = FLAGS_operator_name;
-    schema::log_batch_message batch = newBatch();
-    addRecord(batch, record);
+    const schema::log_batch_message batch = batchOf(record);
     const auto stored = appendConfig(context.platform, batch);
     if (!stored.ok())
         return failed(context, stored.status());
@@ -247,9 +244,7 @@
         return wrongArguments(context, "drain VM [--wait] [--timeout=SECONDS]");
     schema::vm_drained_message record;
     record.vm = context.arguments[0];
-    schema::log_batch_message batch = newBatch();
-    addRecord(batch, record);
-    const auto stored = appendConfig(context.platform, batch);
+    const auto stored = appendConfig(context.platform, batchOf(record));
     if (!stored.ok())
         return failed(context, stored.status());
     if (FLAGS_wait) {
--- a/src/entry/keyed_partition.cpp
+++ b/src/entry/keyed_partition.cpp
@@ -2,6 +2,7 @@
 #include <tamarackglade/calls/error_of_call.hpp>
 #include <tamarackglade/core/partition.hpp>
 #include <tamarackglade/entry/keyed_partition.hpp>
+#include <tamarackglade/entry/read_batch.hpp>
 #include <tamarackglade/runtime/random_bytes.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
 
@@ -158,11 +159,7 @@
 {
     const auto unreadable =
         errorOfCall(call_failure::LogUnavailable, execution::Yes, LogRetryAfter);
-    const auto read =
-        m_platform.read(m_stream, replay.answered.finishedAt, 1, std::chrono::milliseconds(0));
-    if (!read.ok() || read->entries.empty())
-        return unreadable;
-    const auto batch = decodeBatch(read->entries.front().payload);
+    const auto batch = readBatch(m_platform, m_stream, replay.answered.finishedAt);
     if (!batch.ok())
         return unreadable;
     const auto *finished = findFinished(*batch, replay.answered.callId);
--- a/src/entry/log_payloads.cpp
+++ b/src/entry/log_payloads.cpp
@@ -1,5 +1,6 @@
 // A small cache in front of the log.
 #include <tamarackglade/entry/log_payloads.hpp>
+#include <tamarackglade/entry/read_batch.hpp>
 
 #include <algorithm>
 
@@ -25,16 +26,9 @@
         m_cache.splice(m_cache.begin(), m_cache, found);
         return found->batch;
     }
-    const auto read = m_platform.read(m_stream, offset, 1, std::chrono::milliseconds(0));
-    if (absl::IsOutOfRange(read.status()))
-        return absl::NotFoundError("the record is no longer in the log");
-    if (!read.ok())
-        return read.status();
-    if (read->entries.empty() || read->entries.front().offset != offset)
-        return absl::NotFoundError("the log has no record at the offset");
-    auto batch = decodeBatch(read->entries.front().payload);
+    auto batch = readBatch(m_platform, m_stream, offset);
     if (!batch.ok())
-        return absl::NotFoundError("the record at the offset is malformed");
+        return batch.status();
     auto shared = std::make_shared<const schema::log_batch_message>(std::move(*batch));
     remember(offset, shared);
     return shared;
--- a/src/limits/home_record.cpp
+++ b/src/limits/home_record.cpp
@@ -3,28 +3,32 @@
 
 namespace tamarack {
 
-home_record home_record::fromClaim(const schema::home_claimed_message &claim, bool chained)
+namespace {
+
+// Claims and known homes have the same fields, but for chained.
+template <class Message>
+home_record recordOf(const Message &message, bool chained)
 {
     home_record record;
-    record.generation = epoch(claim.epoch);
-    record.home = {vm_id(claim.vm), incarnation(claim.incarnation)};
-    record.successor = {vm_id(claim.successor), incarnation(claim.successor_incarnation)};
-    record.handedOver = claim.handed_over;
-    record.settled = claim.settled;
+    record.generation = epoch(message.epoch);
+    record.home = {vm_id(message.vm), incarnation(message.incarnation)};
+    record.successor = {vm_id(message.successor), incarnation(message.successor_incarnation)};
+    record.handedOver = message.handed_over;
+    record.settled = message.settled;
     record.chained = chained;
     return record;
 }
 
+} // namespace
+
+home_record home_record::fromClaim(const schema::home_claimed_message &claim, bool chained)
+{
+    return recordOf(claim, chained);
+}
+
 home_record home_record::fromPeer(const schema::known_home_message &known)
 {
-    home_record record;
-    record.generation = epoch(known.epoch);
-    record.home = {vm_id(known.vm), incarnation(known.incarnation)};
-    record.successor = {vm_id(known.successor), incarnation(known.successor_incarnation)};
-    record.handedOver = known.handed_over;
-    record.settled = known.settled;
-    record.chained = known.chained;
-    return record;
+    return recordOf(known, known.chained);
 }
 
 schema::known_home_message home_record::toPeer(partition_id partition) const
--- a/src/limits/partition_home.cpp
+++ b/src/limits/partition_home.cpp
@@ -142,18 +142,16 @@
     const vm_id successor = m_record->successor.vm;
     if (!m_record->hasSuccessor()) {
         const auto candidate = view.chooseSuccessor(m_partition, view.self().vm, successor, now);
-        if (candidate)
-            claim(view.self(), candidate, now, out);
+        if (candidate && beginClaim(now))
+            out.emplace_back(append_claim{makeClaim(view.self(), candidate)});
     } else if (!view.isCandidate(successor)) {
-        claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, successor, now), now,
-              out);
+        claimWithout(successor, view, now, out);
     } else if (m_lease.successorSilent(now) || view.isGone(m_record->successor, m_recordRead)) {
         view.suspect(m_record->successor, now + m_options->suspectFor);
-        claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, successor, now), now,
-              out);
+        claimWithout(successor, view, now, out);
     }
-    if (now >= m_recordRead + m_options->renewInterval)
-        claim(view.self(), m_record->successor, now, out);
+    if (now >= m_recordRead + m_options->renewInterval && beginClaim(now))
+        out.emplace_back(append_claim{makeClaim(view.self(), m_record->successor)});
 }
 
 void partition_home::pollAsSuccessor(entry_view &view, instant now, std::vector<limit_action> &out)
@@ -162,9 +160,8 @@
     const bool lapsed = m_lastAck && now >= *m_lastAck + lapse;
     if (!lapsed && !view.isGone(m_record->home, m_recordRead))
         return;
-    const vm_id former = m_record->home.vm;
     view.suspect(m_record->home, now + m_options->suspectFor);
-    claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, former, now), now, out);
+    claimWithout(m_record->home.vm, view, now, out);
 }
 
 void partition_home::pollAsOther(const entry_view &view, instant now,
@@ -183,8 +180,7 @@
     if (!m_vacantSince)
         m_vacantSince = now;
     if (now >= *m_vacantSince + m_options->claimStagger * (*rank + 1))
-        claim(view.self(), view.chooseSuccessor(m_partition, view.self().vm, vm_id(), now), now,
-              out);
+        claimWithout(vm_id(), view, now, out);
 }
 
 void partition_home::handOver(const entry_view &view, instant now, std::vector<limit_action> &out)
@@ -207,13 +203,11 @@
 void partition_home::pollAsLeaving(const entry_view &view, instant now,
                                    std::vector<limit_action> &out)
 {
-    if (!m_isHome || now < m_nextClaim)
+    if (!m_isHome)
         return;
     const auto next = heir(view);
-    if (!next)
+    if (!next || !beginClaim(now))
         return;
-    m_nextClaim = now + m_claimBackoff;
-    m_claimBackoff = std::min(m_claimBackoff * 2, m_options->maxClaimBackoff);
     auto message = makeClaim(*next, view.chooseSuccessor(m_partition, next->vm, vm_id(), now));
     message.handed_over = m_stoppedLending;
     message.settled = m_stoppedSettled;
@@ -236,14 +230,22 @@
            || m_options->mutation == limit_mutation::HomeIgnoresLease;
 }
 
-void partition_home::claim(const live_entry &home, const std::optional<live_entry> &successor,
-                           instant now, std::vector<limit_action> &out)
+bool partition_home::beginClaim(instant now)
 {
     if (now < m_nextClaim)
-        return;
+        return false;
     m_nextClaim = now + m_claimBackoff;
     m_claimBackoff = std::min(m_claimBackoff * 2, m_options->maxClaimBackoff);
-    out.emplace_back(append_claim{makeClaim(home, successor)});
+    return true;
+}
+
+void partition_home::claimWithout(const vm_id &excluded, const entry_view &view, instant now,
+                                  std::vector<limit_action> &out)
+{
+    if (!beginClaim(now))
+        return;
+    const auto successor = view.chooseSuccessor(m_partition, view.self().vm, excluded, now);
+    out.emplace_back(append_claim{makeClaim(view.self(), successor)});
 }
 
 schema::home_claimed_message
