--- a/apps/tamarack-gateway.cpp
+++ b/apps/tamarack-gateway.cpp
@@ -11,6 +11,7 @@
 int main(int argc, char **argv)
 {
     using namespace tamarack;
+    holdSignals();
     constexpr int ExitFailure = 1;
     constexpr int ExitUsage = 2;
     const auto settings = loadSettings(gatewayOptions(), argc, argv);
--- a/include/tamarackglade/node/run_daemon.hpp
+++ b/include/tamarackglade/node/run_daemon.hpp
@@ -20,6 +20,7 @@
 int runDaemon(const option_table &table, schema::vm_role role, int argc, char **argv,
               const process_mutations &mutations = {})
 {
+    holdSignals();
     constexpr int ExitFailure = 1;
     constexpr int ExitUsage = 2;
     const auto settings = loadSettings(table, argc, argv);
--- a/include/tamarackglade/runtime/stop_signal.hpp
+++ b/include/tamarackglade/runtime/stop_signal.hpp
@@ -1,4 +1,4 @@
-// Waits for the order to stop.
+// Signals: those that come early, and the order to stop.
 #pragma once
 
 #include <tamarackglade/runtime/io_thread.hpp>
@@ -7,6 +7,13 @@
 
 namespace tamarack {
 
+/// @brief Holds SIGHUP, SIGTERM and SIGINT back until releaseSignal, so that one that comes before
+/// its handler stands doesn't end the process. Call first in main, before any thread starts.
+void holdSignals();
+
+/// @brief Lets a held signal through. Call on a thread that lives on, once its handler stands.
+void releaseSignal(int signal);
+
 /// @brief Blocks the calling thread until SIGTERM or SIGINT arrives, then runs drain in a fiber of
 /// the thread and waits for its end.
 /// @param drain finishes what is under way
--- a/src/runtime/stop_signal.cpp
+++ b/src/runtime/stop_signal.cpp
@@ -8,14 +8,40 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <initializer_list>
 
 namespace tamarack {
 
+namespace {
+
+void changeMask(int how, std::initializer_list<int> signals)
+{
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int signal : signals)
+        sigaddset(&set, signal);
+    pthread_sigmask(how, &set, nullptr);
+}
+
+} // namespace
+
+void holdSignals()
+{
+    changeMask(SIG_BLOCK, {SIGHUP, SIGTERM, SIGINT});
+}
+
+void releaseSignal(int signal)
+{
+    changeMask(SIG_UNBLOCK, {signal});
+}
+
 void runUntilStopped(io_thread &thread, const std::function<void()> &drain,
                      const std::function<void()> &onSecondSignal)
 {
     thread.run([&] {
         boost::asio::signal_set signals(thread.io(), SIGTERM, SIGINT);
+        releaseSignal(SIGTERM);
+        releaseSignal(SIGINT);
         signals.async_wait(FiberToken);
         bool drained = false;
         boost::fibers::fiber second([&] {
--- a/src/settings/settings_watch.cpp
+++ b/src/settings/settings_watch.cpp
@@ -1,6 +1,7 @@
 // SIGHUP, and a look at the file now and then.
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/fiber_token.hpp>
+#include <tamarackglade/runtime/stop_signal.hpp>
 #include <tamarackglade/settings/load_settings.hpp>
 #include <tamarackglade/settings/settings_watch.hpp>
 
@@ -34,6 +35,7 @@
 void settings_watch::signalLoop()
 {
     boost::asio::signal_set signals(m_thread.io(), SIGHUP);
+    releaseSignal(SIGHUP);
     for (;;) {
         const auto received = signals.async_wait(FiberToken);
         if (received.error)
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -203,7 +203,7 @@
         engine = self.stand_in
         body = self.body()
         request = {"id": self.headers.get("Request-Id"), "path": self.path, "body": body,
-                   "headers": dict(self.headers.items())}
+                   "headers": dict(self.headers.items()), "at": time.monotonic()}
         engine.arrived.append(request)
         if self.headers.get("Expect-Instance") != engine.id:
             self.answer(421, headers=[("Instance-Id", engine.id)])
@@ -212,8 +212,8 @@
             engine.shed -= 1
             self.answer(503, headers=[("Not-Executed", "1")])
             return
+        status = request["status"] = engine.statuses.get(request["id"], engine.status)
         engine.runs.append(request)
-        status = engine.statuses.get(request["id"], engine.status)
         if status != 200:
             self.answer(status, b"failed", self.identity(request))
             return
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -3,6 +3,7 @@
 import base64
 import http.client
 import json
+import os
 import pathlib
 import signal
 import tempfile
@@ -65,7 +66,9 @@
         return http_call(self.ready_address, "GET", "/tamarackglade/readiness")[0] == 200
 
     def lines(self):
-        return [json.loads(line) for line in self.process.log().splitlines()]
+        text = self.process.log()
+        whole = text[:text.rfind("\n") + 1]  # the last line may be half written
+        return [json.loads(line) for line in whole.splitlines()]
 
     def lines_of(self, message):
         return [line for line in self.lines() if line["message"] == message]
@@ -370,6 +373,27 @@
         self.assertEqual(kept.sock.recv(1), b"")
         self.assertEqual(self.gateway[0].process.child.wait(20), 0)
 
+    def test_signals_before_the_settings_are_read_wait(self):
+        # The process stands in its main function while it waits for the text of a named pipe.
+        for number, code in ((signal.SIGHUP, None), (signal.SIGTERM, 0)):
+            gateway = self.gateway[0]
+            gateway.process.kill()
+            text = gateway.path.read_text()
+            gateway.path.unlink()
+            os.mkfifo(gateway.path)
+            gateway.process.start()
+            with open(gateway.path, "w", encoding="utf-8") as pipe:
+                copy = gateway.path.with_suffix(".copy")
+                copy.write_text(text)
+                copy.replace(gateway.path)
+                gateway.process.signal(number)
+                pipe.write(text)
+            if code is None:
+                wait_until(gateway.ready, "ready after an early signal")
+                self.assertIsNone(gateway.process.child.poll())
+            else:
+                self.assertEqual(gateway.process.child.wait(20), code)
+
     def test_hangup_and_a_changed_file_reload_the_settings(self):
         gateway = self.gateway[0]
         gateway.process.signal(signal.SIGHUP)
--- /dev/null
+++ b/tests/mutants/faulty_protocol.cpp
@@ -0,0 +1,44 @@
+// What each mutation changes of the messages.
+#include "faulty_protocol.hpp"
+
+namespace tamarack {
+
+absl::StatusOr<live_upstream> faulty_protocol::decodeUpstream(const std::string &id,
+                                                              const std::string &text) const
+{
+    auto upstream = http_protocol::decodeUpstream(id, text);
+    if (upstream.ok() && m_mutation == gateway_mutation::IgnoreLeaving)
+        upstream->leaving = false;
+    return upstream;
+}
+
+http_client_request faulty_protocol::encodeCall(const forward_call &call,
+                                                const upstream_attempt &attempt) const
+{
+    upstream_attempt changed = attempt;
+    if (m_mutation == gateway_mutation::KeepCustomerHeader)
+        changed.customer.reset();
+    if (m_mutation == gateway_mutation::ForgetProgress)
+        changed.resumeAfter.reset();
+    http_client_request request = http_protocol::encodeCall(call, changed);
+    if (m_mutation == gateway_mutation::ForwardKey && call.key)
+        request.headers.emplace_back("Authorization", "Bearer " + *call.key);
+    if (m_mutation == gateway_mutation::AnyInstance)
+        std::erase_if(request.headers,
+                      [](const auto &header) { return header.first == "Expect-Instance"; });
+    return request;
+}
+
+answer_facts faulty_protocol::decodeAnswer(const http_response &head) const
+{
+    answer_facts facts = http_protocol::decodeAnswer(head);
+    if (m_mutation == gateway_mutation::ClaimNotRun && head.status >= 500)
+        facts.notRun = true;
+    if (m_mutation == gateway_mutation::AnyAnswer) {
+        facts.answeredRequest.reset();
+        facts.genuine = true;
+    }
+    return facts;
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/mutants/faulty_protocol.hpp
@@ -0,0 +1,25 @@
+// The platform's protocol with a planted fault.
+#pragma once
+
+#include "gateway_mutation.hpp"
+#include <platform/http_protocol.hpp>
+
+namespace tamarack {
+
+/// @brief Translates as the real one does, but for the mutation.
+class faulty_protocol final : public platform::http_protocol
+{
+public:
+    explicit faulty_protocol(gateway_mutation mutation) : m_mutation(mutation) { }
+
+    [[nodiscard]] absl::StatusOr<live_upstream>
+    decodeUpstream(const std::string &id, const std::string &text) const override;
+    [[nodiscard]] http_client_request encodeCall(const forward_call &call,
+                                                 const upstream_attempt &attempt) const override;
+    [[nodiscard]] answer_facts decodeAnswer(const http_response &head) const override;
+
+private:
+    const gateway_mutation m_mutation;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,201 @@
+"""Callers of a soak: streams over kept and new connections, and batch jobs."""
+
+import http.client
+import json
+import random
+import threading
+import time
+
+from ledger import Call, Job
+from deployment import HOST, ROUTES, STEADY_KEYS, job_body
+
+DEADLINE_S = 5.0
+LEAVE_CHANCE = 0.05
+KEPT_CONNECTION_CHANCE = 0.8
+BATCH_ATTEMPT_S = 4.0
+BATCH_PATIENCE_S = 15.0  # of a caller that resends a job
+RESEND_PAUSE_S = 0.3
+END_CHANCE = 0.15
+POISON_CHANCE = 0.05
+LARGE_BODY_CHANCE = 0.05
+LARGE_BODY_BYTES = 200_000
+
+
+class Caller(threading.Thread):
+    """Common parts: connections, and the record of each call."""
+
+    def __init__(self, site, seed, name):
+        super().__init__(daemon=True, name=name)
+        self.site = site
+        self.random = random.Random(f"{seed}-{name}")
+        self.number = 0
+        self.connection = None
+        self.gateway = None
+
+    def run(self):
+        while not self.site.ending and not self.site.quiet:
+            self.step()
+
+    def connect(self, gateway, timeout):
+        host, port = gateway.address.split(":")
+        return http.client.HTTPConnection(host, int(port), timeout=timeout)
+
+    def exchange(self, call, connection, method, headers, leave_after=None):
+        """Sends a call and reads its answer into the record. Returns whether it may go on."""
+        try:
+            connection.request(method, call.path, call.body or None, headers)
+            response = connection.getresponse()
+            call.status = response.status
+            call.signature = response.getheader("Response-Signature")
+            if leave_after is not None:
+                call.answer = response.read(leave_after)
+                call.left = True
+                return False
+            call.answer = response.read()
+            call.whole = True
+            return response.getheader("Connection") != "close"
+        except http.client.IncompleteRead as cut:
+            call.answer = cut.partial
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            call.ended_at = time.monotonic()
+        return False
+
+
+class StreamCaller(Caller):
+    """Sends streams one after the other; some leave early, some use keys that come and go."""
+
+    def __init__(self, site, seed, name, customer, pause_s):
+        super().__init__(site, seed, name)
+        self.customer = customer
+        self.pause_s = pause_s
+
+    def pick_key(self):
+        """A steady key, or one that may be withdrawn already."""
+        churned = self.site.known_keys.get(self.customer, [])
+        if churned and self.random.random() < 0.4:
+            return self.random.choice(churned)
+        return STEADY_KEYS[self.customer]
+
+    def step(self):
+        self.number += 1
+        kind = self.random.choice(["stream", "stream", "once", "open"])
+        key = None if kind == "open" else self.pick_key()
+        kept = self.connection is not None and self.random.random() < KEPT_CONNECTION_CHANCE
+        if not kept:
+            self.close()
+            self.gateway = self.site.pick_gateway(self.random)
+            self.connection = self.connect(self.gateway, DEADLINE_S + 1)
+        body = self.random.randbytes(self.random.randint(1, 2000))
+        call = Call(f"{self.name}-{self.number}", kind,
+                    f"{ROUTES[kind]}{self.random.getrandbits(16):x}?n={self.number}", body,
+                    self.customer if key else None, key, self.gateway.name, time.monotonic())
+        self.site.ledger.add(self.site.ledger.calls, call)
+        headers = {"Host": HOST, "Request-Id": call.id, "Deadline-Ms": str(int(DEADLINE_S * 1000)),
+                   "Tenant": "a caller's own"}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        leaves = self.random.random() < LEAVE_CHANCE + self.site.leave_chance
+        leave_after = self.random.randint(1, 60) if leaves else None
+        if not self.exchange(call, self.connection, "POST", headers, leave_after):
+            self.close()
+        time.sleep(self.random.uniform(0, 2) * self.pause_s / self.site.haste)
+
+    def close(self):
+        if self.connection:
+            self.connection.close()
+        self.connection = None
+
+
+class BatchCaller(Caller):
+    """Submits jobs, resends them until they are accepted, reads results and ends some jobs."""
+
+    def __init__(self, site, seed, name, customer):
+        super().__init__(site, seed, name)
+        self.customer = customer
+        self.open_jobs = []
+
+    def step(self):
+        self.number += 1
+        job = self.new_job()
+        self.site.ledger.add(self.site.ledger.jobs, job)
+        self.submit(job)
+        if job.accepted_at is not None:
+            self.open_jobs.append(job)
+            if self.random.random() < 0.3:
+                self.submit(job)  # once more, at another gateway
+            if self.random.random() < END_CHANCE:
+                self.end(job)
+        for each in self.random.sample(self.open_jobs, min(3, len(self.open_jobs))):
+            self.read(each, self.random.choice([0, len(each.results)]))
+        self.read_body(job)
+        time.sleep(self.random.uniform(0, 0.6))
+
+    def new_job(self):
+        job = f"{self.name}-{self.number}"
+        items = {}
+        for i in range(self.random.randint(1, 8)):
+            item = f"{job}-{i}"
+            large = self.random.random() < LARGE_BODY_CHANCE
+            size = LARGE_BODY_BYTES if large else self.random.randint(1, 3000)
+            items[item] = self.random.randbytes(size)
+            if self.random.random() < POISON_CHANCE:
+                self.site.poison[item] = self.random.choice([422, 500])
+        return Job(job, self.customer, STEADY_KEYS[self.customer], items)
+
+    def call(self, job, kind, path, method, body=b"", request=None, timeout=BATCH_ATTEMPT_S):
+        gateway = self.site.pick_gateway(self.random)
+        call = Call(request or f"{job.id}-{kind}-{self.random.getrandbits(40):x}", kind, path, body,
+                    job.customer, job.key, gateway.name, time.monotonic(), job=job.id)
+        self.site.ledger.add(self.site.ledger.calls, call)
+        headers = {"Host": HOST, "Request-Id": call.id, "Authorization": f"Bearer {job.key}",
+                   "Deadline-Ms": str(int(timeout * 1000))}
+        connection = self.connect(gateway, timeout + 1)
+        self.exchange(call, connection, method, headers)
+        connection.close()
+        return call
+
+    def submit(self, job):
+        give_up_at = time.monotonic() + BATCH_PATIENCE_S
+        while time.monotonic() < give_up_at and not self.site.ending:
+            call = self.call(job, "batch", f"{ROUTES['batch']}x", "POST", job_body(job.items),
+                             job.id)
+            if call.status == 202 and call.whole:
+                if job.accepted_at is None:
+                    job.accepted_at = call.ended_at
+                return
+            time.sleep(RESEND_PAUSE_S)
+
+    def end(self, job):
+        give_up_at = time.monotonic() + BATCH_PATIENCE_S
+        job.end_asked = True
+        while time.monotonic() < give_up_at and not self.site.ending:
+            call = self.call(job, "end", f"/tamarackglade/lots/{job.id}", "DELETE")
+            if call.status == 200 and call.whole:
+                job.ended_at = call.ended_at
+                return
+            time.sleep(RESEND_PAUSE_S)
+
+    def read(self, job, after):
+        """Reads results and compares each with what the position showed before."""
+        call = self.call(job, "read", f"/tamarackglade/lots/{job.id}?after={after}", "GET",
+                         timeout=2.0)
+        if call.status != 200 or not call.whole:
+            return call
+        page = json.loads(call.answer)
+        if page["total"] != len(job.items):
+            self.site.ledger.violate("MIXED", f"{job.id}: total {page['total']}")
+        for place, result in enumerate(page["results"], after):
+            before = job.results.setdefault(place, result)
+            if before != result:
+                self.site.ledger.violate("TWICE", f"{job.id}: position {place} changed")
+        return call
+
+    def read_body(self, job):
+        """Reads one item's body, if the job is open and the item isn't listed."""
+        item = self.random.choice(sorted(job.items))
+        call = self.call(job, "body", f"/tamarackglade/items/{job.id}?id={item}", "GET",
+                         timeout=2.0)
+        if call.status == 200 and call.whole and call.answer != job.items[item]:
+            self.site.ledger.violate("MIXED", f"{item}: another body")
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,203 @@
+"""The promises, checked from what callers, upstreams and the operator saw."""
+
+import bisect
+import collections
+import json
+
+from site_standins import output_text, whole_stream
+from deployment import (ATTEMPTS, CANCEL_S, DRAIN_S, EVENTS, HOST, QUOTA_MOST, QUOTA_WINDOW_S, STABLE_S,
+                  STEADY_KEYS, WITHDRAWN_S)
+
+NOT_RUN = (408, 421, 429, 503)  # statuses that promise that the request has not run and won't
+DENIED = (400, 401, 403, 404, 405, 413, 431)
+
+
+class Checks:
+    """Compares the ledger with what the engines ran. Each check adds its violations."""
+
+    def __init__(self, site):
+        self.site = site
+        self.ledger = site.ledger
+        self.calls = {call.id: call for call in self.ledger.calls if call.kind != "batch"}
+        self.items = {item: job for job in self.ledger.jobs for item in job.items}
+        self.runs = collections.defaultdict(list)  # request id -> runs in the order of arrival
+        for engine in site.all_engines:
+            for run in engine.runs:
+                self.runs[run["id"]].append((run["at"], engine, run))
+        for runs in self.runs.values():
+            runs.sort(key=lambda each: each[0])
+
+    def run_all(self):
+        for check in (self.unasked, self.answers, self.repeats, self.refusals, self.denials,
+                      self.withdrawn_keys, self.quota, self.drains, self.planned_stops,
+                      self.results, self.ended_jobs, self.strangers, self.logs):
+            check()
+
+    def violate(self, rule, text):
+        self.ledger.violate(rule, text)
+
+    def unasked(self):
+        """Engines get what callers sent, under the customer of their key, without the key."""
+        for request, runs in self.runs.items():
+            call = self.calls.get(request)
+            job = self.items.get(request)
+            if call is None and job is None:
+                self.violate("UNASKED", f"{request}: nobody sent it")
+                continue
+            expected = ((call.path, call.body, call.customer) if call
+                        else ("/jobs/x", job.items[request], job.customer))
+            for _, engine, run in runs:
+                seen = (run["path"], run["body"], run["headers"].get("Tenant"))
+                if seen != expected or run["headers"].get("Host") != HOST:
+                    self.violate("UNASKED", f"{request} at {engine.id}: other than sent")
+                if "Authorization" in run["headers"]:
+                    self.violate("UNASKED", f"{request} at {engine.id}: the key was passed on")
+
+    def answers(self):
+        """A success is an engine's whole answer; what was cut doesn't look whole."""
+        for call in self.calls.values():
+            if call.kind not in ("stream", "once", "open") or call.status is None:
+                continue
+            if 200 <= call.status < 300:
+                signatures = {"s-" + engine.id for _, engine, _ in self.runs[call.id]}
+                if call.signature not in signatures:
+                    self.violate("MIXED", f"{call.id}: signature {call.signature}")
+                full = whole_stream(call.id, EVENTS)
+                if call.whole and call.answer != full:
+                    self.violate("ORDER", f"{call.id}: ended as complete, but it isn't whole")
+                if not call.whole and not full.startswith(call.answer):
+                    self.violate("ORDER", f"{call.id}: events are missing or doubled")
+            elif call.signature and call.status != 500:
+                self.violate("MIXED", f"{call.id}: status {call.status} under a signature")
+
+    def repeats(self):
+        for call in self.calls.values():
+            if call.kind == "once" and len(self.runs[call.id]) > 1:
+                self.violate("TWICE", f"{call.id}: {len(self.runs[call.id])} runs")
+
+    def refusals(self):
+        """What was refused as not run has not run, and never does."""
+        for call in self.calls.values():
+            if call.status in NOT_RUN and self.runs.get(call.id):
+                self.violate("REFUSED", f"{call.id}: {call.status}, but it ran")
+        submissions = collections.defaultdict(list)
+        for call in self.ledger.calls:
+            if call.kind == "batch":
+                submissions[call.job].append(call)
+        for job in self.ledger.jobs:
+            if not all(call.status in NOT_RUN for call in submissions[job.id]):
+                continue
+            if any(self.runs.get(item) for item in job.items):
+                self.violate("REFUSED", f"{job.id}: refused at every attempt, but it ran")
+
+    def denials(self):
+        """Nobody is denied what every configuration allows."""
+        steady = set(STEADY_KEYS.values()) | {None}
+        for call in self.calls.values():
+            job_call = call.kind in ("read", "body", "end")
+            if call.status not in DENIED or call.key not in steady:
+                continue
+            if not job_call:
+                self.violate("DENIED", f"{call.id}: {call.status}")
+
+    def withdrawn_keys(self):
+        gone = {each.key: each.at for each in self.ledger.withdrawals}
+        for request, runs in self.runs.items():
+            call = self.calls.get(request)
+            late = call and call.key in gone and call.sent_at > gone[call.key] + WITHDRAWN_S
+            if late and runs:
+                self.violate("CONFIG", f"{request}: ran {call.sent_at - gone[call.key]:.2f} s "
+                             "after its key was withdrawn")
+
+    def quota(self):
+        times = sorted(at for request, runs in self.runs.items() if request in self.calls
+                       and self.calls[request].customer == "south" for at, _, _ in runs[:1])
+        for first, begin in enumerate(times):
+            count = bisect.bisect_right(times, begin + QUOTA_WINDOW_S) - first
+            if count > QUOTA_MOST:
+                self.violate("QUOTA", f"{count} requests of south in {QUOTA_WINDOW_S} s, "
+                             f"{QUOTA_MOST:.0f} are allowed")
+                return
+
+    def drains(self):
+        """Nothing new reaches an engine that said that it leaves, from gateways in touch."""
+        for request, runs in self.runs.items():
+            call = self.calls.get(request)
+            for at, engine, _ in runs:
+                left_at = self.ledger.drains.get(engine.id)
+                if left_at is None or at <= left_at + DRAIN_S:
+                    continue
+                if self.ledger.calm(None, left_at - STABLE_S, at):
+                    sender = call.gateway if call else "a gateway"
+                    self.violate("DRAIN", f"{request} from {sender} at {engine.id} "
+                                 f"{at - left_at:.2f} s after its notice")
+
+    def planned_stops(self):
+        """A planned stop cuts no request that was read, if nothing else happens."""
+        others = [each for each in self.ledger.troubles if not each[0].startswith("stop of")]
+        for gateway, stopped_at in self.ledger.stops:
+            for call in self.calls.values():
+                if (call.gateway != gateway or call.left or call.status is not None
+                        or call.sent_at > stopped_at or call.ended_at < stopped_at):
+                    continue
+                calm = not any(begun <= call.ended_at
+                               and (ended is None or ended >= call.sent_at - STABLE_S)
+                               for _, begun, ended in others)
+                if calm:
+                    self.violate("LOST", f"{call.id} was cut by the planned stop of {gateway}")
+
+    def results(self):
+        """Every accepted job is whole: each item once, with its text or a reason to give up."""
+        for job in self.ledger.jobs:
+            if job.accepted_at is None or job.end_asked:
+                continue
+            listed = [result["id"] for result in job.results.values()]
+            if sorted(listed) != sorted(job.items):
+                self.violate("LOST", f"{job.id}: {len(set(listed))} of {len(job.items)} items, "
+                             f"{len(listed)} results")
+            for result in job.results.values():
+                self.result(job, result)
+
+    def result(self, job, result):
+        item = result["id"]
+        if item not in job.items:
+            self.violate("MIXED", f"{job.id}: {item} of another job")
+        elif result["state"] == "done" and result["outputText"] != output_text(item, EVENTS):
+            self.violate("ORDER", f"{item}: its text isn't the whole output")
+        elif result["state"] == "dead":
+            failed = sum(run["status"] == 500 for _, _, run in self.runs[item])
+            never = self.site.poison.get(item) == 422 and self.runs[item]
+            if not never and failed < ATTEMPTS:
+                self.violate("MIXED", f"{item}: given up after {failed} failed runs")
+
+    def ended_jobs(self):
+        for item, job in self.items.items():
+            if job.ended_at is None:
+                continue
+            for at, engine, _ in self.runs[item]:
+                late = at > job.ended_at + CANCEL_S
+                if late and self.ledger.calm(None, job.ended_at - STABLE_S, at):
+                    self.violate("UNASKED", f"{item} at {engine.id} {at - job.ended_at:.2f} s "
+                                 "after the end of its job")
+
+    def strangers(self):
+        for run in self.site.stranger.runs:
+            self.violate("ROUTE", f"{run['id']} ran at an engine of another group")
+
+    def logs(self):
+        """Every line is JSON, and every refusal has a line with the request's id."""
+        told = collections.defaultdict(set)
+        for gateway in self.site.gateways:
+            for line in gateway.process.log().splitlines():
+                try:
+                    told[gateway.name].add(json.loads(line).get("request_id"))
+                except ValueError:
+                    # The last line of a process that was killed may be cut.
+                    if not line.startswith("{"):
+                        self.violate("LOG", f"{gateway.name}: {line[:200]}")
+        for call in self.calls.values():
+            refused = call.whole and call.status not in (200, None)
+            if not refused or call.job or call.id in told[call.gateway]:
+                continue
+            if self.ledger.calm({call.gateway, "gateways"}, call.sent_at, call.ended_at + 1):
+                self.violate("LOG", f"{call.id}: no line for status {call.status}")
--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,294 @@
+"""The deployment of a soak: gateways as real processes, stand-ins behind faulty links, an operator.
+"""
+
+import base64
+import http.client
+import json
+import pathlib
+import random
+import signal
+import subprocess
+import threading
+import time
+
+from site_standins import Engine, Store
+from faulty_link import PASS, FaultyLink
+from ledger import Withdrawal
+
+from fleet import Process, free_port, http_call, wait_until
+
+HOST = "notices.example"
+ROUTES = {"stream": "/stream/", "once": "/once/", "open": "/open/", "batch": "/jobs/"}
+
+# Bounds that the deployment states, in seconds unless said otherwise.
+WITHDRAWN_S = 2.0  # a key stops working
+DRAIN_S = 2.0  # after the notice of a leaving engine
+CONFIG_S = 2.0  # a configuration is in force
+CANCEL_S = 3.0  # an ended job's items don't start
+SETTLE_S = 1.0  # what one gateway knows of jobs, all know
+RECOVER_S = 12.0  # service after the last fault
+FINISH_S = 18.0  # jobs after the last fault
+STOP_S = 8.0  # a planned stop
+STABLE_S = 3.0  # bounds hold only this long after the last fault
+QUOTA_WINDOW_S = 5.0
+QUOTA_RATE = 10.0
+QUOTA_BURST = 10.0
+QUOTA_MOST = (QUOTA_RATE * QUOTA_WINDOW_S + QUOTA_BURST) * 1.1 + 20
+ATTEMPTS = 3  # runs of an item that may fail
+
+STEADY_KEYS = {"north": "key-north", "south": "key-south"}
+EVENTS = 8  # of each stream
+EVENT_S = 0.012
+READY_POLL_S = 0.3
+START_TIMEOUT_S = 20
+
+
+class Gateway:
+    """A gateway process, restarted when it ends."""
+
+    def __init__(self, name, site):
+        self.name = name
+        self.site = site
+        self.link = FaultyLink(site.store.address)
+        self.address = f"127.0.0.1:{free_port()}"
+        self.ready_address = f"127.0.0.1:{free_port()}"
+        self.in_rotation = True
+        self.lock = threading.RLock()  # one fault at a time decides on its life
+        self.values = {
+            "vm": name, "zone": random.Random(name).choice("ab"), "store": self.link.address,
+            "listen": self.address, "readiness-listen": self.ready_address,
+            "admin-listen": f"127.0.0.1:{free_port()}", "peer-listen": f"127.0.0.1:{free_port()}",
+            "key-freshness": int(WITHDRAWN_S * 1000), "drain-notice": 600, "drain-limit": 5000}
+        self.path = site.work_dir / f"{name}.ini"
+        self.write_settings()
+        command = [f"{site.bin}/{site.program}", f"--settings={self.path}"]
+        if site.mutation:
+            command.append(f"--mutation={site.mutation}")
+        self.process = Process(name, command, site.work_dir)
+        self.expected_exit = False
+
+    def write_settings(self):
+        lines = ["[tamarack-gateway]"] + [f"{key}={value}" for key, value in self.values.items()]
+        self.path.write_text("\n".join(lines) + "\n")
+
+    def ready(self):
+        try:
+            return http_call(self.ready_address, "GET", "/tamarackglade/readiness",
+                             timeout=0.5)[0] == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def begun(self):
+        """Whether the program runs: from its first line on it holds early signals back."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.child.pid}/status").read_text()
+        except OSError:
+            return False
+        masks = [int(line.split()[1], 16) for line in status.splitlines()
+                 if line.startswith(("SigBlk", "SigCgt"))]
+        return any(mask >> (signal.SIGTERM - 1) & 1 for mask in masks)
+
+    def signal(self, number):
+        wait_until(self.begun, f"{self.name} begun", START_TIMEOUT_S)
+        self.process.signal(number)
+
+    def kill(self, down_s):
+        with self.lock:
+            self.expected_exit = True
+            self.process.kill()
+            time.sleep(down_s)
+            self.restart()
+
+    def pause(self, seconds):
+        with self.lock:
+            self.process.signal(signal.SIGSTOP)
+            time.sleep(seconds)
+            self.process.signal(signal.SIGCONT)
+
+    def planned_stop(self):
+        """SIGTERM, and a start after its end. Returns the exit code, or None if it was too late."""
+        with self.lock:
+            self.expected_exit = True
+            self.site.ledger.add(self.site.ledger.stops, (self.name, time.monotonic()))
+            self.signal(signal.SIGTERM)
+            try:
+                code = self.process.child.wait(STOP_S)
+            except subprocess.TimeoutExpired:
+                code = None
+                self.process.kill()
+            self.restart()
+            return code
+
+    def restart(self):
+        self.process.start()
+        self.expected_exit = False
+
+    def check_alive(self):
+        """Notes an end that nobody ordered."""
+        if self.lock.acquire(blocking=False):
+            try:
+                code = self.process.child.poll()
+                if code is not None and not self.expected_exit:
+                    self.site.ledger.violate("EXIT", f"{self.name} ended by itself with {code}")
+                    self.restart()
+            finally:
+                self.lock.release()
+
+
+class Site:
+    """Everything that one seed plays on."""
+
+    def __init__(self, seed, work_dir, bin_dir, ledger, size, mutation):
+        self.random = random.Random(seed)
+        self.work_dir = work_dir
+        self.bin = bin_dir
+        self.mutation = mutation
+        self.program = "mutant-gateway" if mutation else "tamarack-gateway"
+        self.ledger = ledger
+        self.poison = {}  # item id -> status that every engine answers
+        self.store = Store()
+        self.store.late_s = 1.5
+        self.lock = threading.Lock()
+        self.engine_count = 0
+        self.engines = {}  # by id, those that list themselves
+        self.all_engines = []
+        self.links = {}  # engine id -> its link
+        self.version = 1
+        self.churned = {}  # key -> customer; keys that come and go
+        self.known_keys = {}  # customer -> keys that were issued, withdrawn or not
+        self.haste = 1.0  # of callers
+        self.leave_chance = 0.0  # of callers, beside the usual
+        self.quiet = False  # callers send nothing new
+        self.ending = False
+        self.stranger = Engine("stranger", group="others")
+        for _ in range(size["engines"]):
+            self.add_engine()
+        self.publish()
+        self.gateways = [Gateway(f"gateway-{i}", self) for i in range(size["gateways"])]
+        for gateway in self.gateways:
+            wait_until(gateway.ready, f"{gateway.name} ready", START_TIMEOUT_S)
+        threading.Thread(target=self.watch, daemon=True).start()
+
+    def stop(self):
+        self.ending = True
+        for gateway in self.gateways:
+            with gateway.lock:
+                gateway.expected_exit = True
+                gateway.process.kill()
+            gateway.link.stop()
+        for engine in [*self.all_engines, self.stranger]:
+            engine.stop()
+        for link in self.links.values():
+            link.stop()
+        self.store.stop()
+
+    def watch(self):
+        """The platform's balancer and supervisor."""
+        misses = dict.fromkeys(range(len(self.gateways)), 0)
+        while not self.ending:
+            for i, gateway in enumerate(self.gateways):
+                gateway.check_alive()
+                misses[i] = 0 if gateway.ready() else misses[i] + 1
+                gateway.in_rotation = misses[i] < 2
+            time.sleep(READY_POLL_S)
+
+    def pick_gateway(self, chooser):
+        rotation = [each for each in self.gateways if each.in_rotation]
+        return chooser.choice(rotation or self.gateways)
+
+    # Engines.
+
+    def add_engine(self):
+        """Starts an engine and lists it in the store."""
+        with self.lock:
+            self.engine_count += 1
+            engine = Engine(f"engine-{self.engine_count}", zone=self.random.choice("ab"))
+        engine.events = EVENTS
+        engine.step_s = EVENT_S
+        engine.statuses = self.poison
+        link = FaultyLink(engine.address)
+        engine.listed_address = link.address
+        with self.lock:
+            self.engines[engine.id] = engine
+            self.all_engines.append(engine)
+            self.links[engine.id] = link
+        self.list_engine(engine)
+        return engine
+
+    def list_engine(self, engine, state="ready"):
+        self.store.put("keyed.servers", engine.id,
+                       dict(engine.record(state), address=engine.listed_address))
+
+    def drop_engine(self, engine):
+        """Takes an engine's record away."""
+        with self.lock:
+            self.engines.pop(engine.id, None)
+        self.store.put("keyed.servers", engine.id, b"")
+        self.ledger.drains.setdefault(engine.id, time.monotonic())
+
+    def pick_engine(self, chooser):
+        with self.lock:
+            return chooser.choice(sorted(self.engines.items()))[1]
+
+    # The operator.
+
+    def config(self):
+        def route(name, **more):
+            values = {"name": name, "hostname": HOST, "pathPrefix": ROUTES[name], "kind": "stream",
+                      "timeoutMs": 5000, "targetLatencyMs": 300, "priority": 0,
+                      "service": "engines", "attempts": ATTEMPTS, "public": False,
+                      "resumable": True, "gapAimMs": 400}
+            return {**values, **more}
+
+        keys = {name: [key] for name, key in STEADY_KEYS.items()}
+        for key, customer in self.churned.items():
+            keys[customer].append(key)
+        routes = [route("stream"), route("once", resumable=False), route("open", public=True),
+                  route("batch", kind="batch", retentionS=60, completionTargetMs=18000,
+                        maxCount=0)]
+        limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 4000000, "headerTimeoutMs": 3000,
+                  "idleTimeoutMs": 15000}
+        return {"version": self.version, "routes": routes, "limits": limits,
+                "services": [{"name": "engines", "maxConnections": 400, "engine": {"slots": 8}}],
+                "tenants": [{"name": "north", "apiKeys": keys["north"], "ratePerS": 0},
+                            {"name": "south", "apiKeys": keys["south"], "ratePerS": QUOTA_RATE,
+                             "burst": QUOTA_BURST}]}
+
+    def publish(self):
+        """Publishes the present state as the next version."""
+        with self.lock:
+            self.version += self.random.randint(1, 3)
+            self.store.put("keyed.op", "config", self.config())
+
+    def issue_key(self, customer):
+        key = f"key-{customer}-{self.random.getrandbits(40):x}"
+        self.churned[key] = customer
+        self.publish()
+        return key
+
+    def withdraw_key(self, key):
+        if self.churned.pop(key, None) is None:
+            return
+        self.publish()
+        self.ledger.add(self.ledger.withdrawals, Withdrawal(key, time.monotonic()))
+
+    def heal(self):
+        """Ends every fault that may still last."""
+        self.store.set_down(False)
+        self.store.refusing = 0
+        self.store.delay = 0.0
+        self.store.append_faults.clear()
+        for link in [*self.links.values(), *(each.link for each in self.gateways)]:
+            link.set_mode(PASS)
+        for engine in list(self.engines.values()):
+            engine.break_at = engine.silent_at = None
+            engine.status, engine.shed, engine.extra_answers = 200, 0, 0
+            self.list_engine(engine)
+
+
+def job_body(items):
+    """The submission of a job with items id -> body."""
+    listed = [{"id": item, "path": "/jobs/x", "headers": {"Model": "m"},
+               "body": base64.b64encode(body).decode(), "tokens": 10}
+              for item, body in items.items()]
+    return json.dumps({"items": listed}).encode()
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,216 @@
+"""What a seed does to the site: a list of faults that come in series and overlap."""
+
+import random
+import signal
+import threading
+import time
+
+from faulty_link import DELAY, NO_ANSWERS, NO_REQUESTS, PASS, RESET, SILENT
+
+SERIES_CHANCE = 0.5
+LONGEST_SERIES = 4
+LONGEST_FAULT_S = 4.0
+
+
+def during(site, target, seconds, begin, end):
+    """Runs begin, waits, runs end; notes the trouble."""
+    done = site.ledger.begin_trouble(target)
+    begin()
+    time.sleep(seconds)
+    end()
+    done()
+
+
+def gateway_kill(site, chooser):
+    gateway = chooser.choice(site.gateways)
+    done = site.ledger.begin_trouble(gateway.name)
+    gateway.kill(chooser.uniform(0, 1))
+    done()
+
+
+def gateways_kill(site, chooser):
+    """All at once, at times just after a job was accepted."""
+    done = site.ledger.begin_trouble("gateways")
+    down_s = chooser.uniform(0, 1)
+    threads = [threading.Thread(target=each.kill, args=[down_s]) for each in site.gateways]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    done()
+
+
+def gateway_pause(site, chooser):
+    gateway = chooser.choice(site.gateways)
+    seconds = chooser.choice([chooser.uniform(0.05, 0.6), chooser.uniform(1, LONGEST_FAULT_S)])
+    during(site, gateway.name, 0, lambda: gateway.pause(seconds), lambda: None)
+
+
+def gateway_stop(site, chooser):
+    gateway = chooser.choice(site.gateways)
+    done = site.ledger.begin_trouble(f"stop of {gateway.name}")
+    code = gateway.planned_stop()
+    done()
+    if code != 0:
+        site.ledger.violate("EXIT", f"{gateway.name}: a planned stop ended with {code}")
+
+
+def gateway_settings(site, chooser):
+    """A changed settings file, with or without a signal."""
+    gateway = chooser.choice(site.gateways)
+    with gateway.lock:
+        gateway.values["silence-limit"] = chooser.choice([250, 300, 400])
+        gateway.write_settings()
+        if chooser.random() < 0.7:
+            gateway.signal(signal.SIGHUP)
+
+
+def gateway_link(site, chooser):
+    """The way between one gateway and the store."""
+    gateway = chooser.choice(site.gateways)
+    mode = chooser.choice([DELAY, SILENT, NO_ANSWERS, NO_REQUESTS, RESET])
+    during(site, gateway.name, chooser.uniform(0.2, LONGEST_FAULT_S),
+           lambda: gateway.link.set_mode(mode), lambda: gateway.link.set_mode(PASS))
+
+
+def engine_link(site, chooser):
+    """The way between all gateways and one engine."""
+    engine = site.pick_engine(chooser)
+    link = site.links[engine.id]
+    mode = chooser.choice([DELAY, SILENT, NO_ANSWERS, NO_REQUESTS, RESET])
+    during(site, engine.id, chooser.uniform(0.2, LONGEST_FAULT_S), lambda: link.set_mode(mode),
+           lambda: link.set_mode(PASS))
+
+
+def connections_reset(site, chooser):
+    """Open connections of one link are reset; new ones work."""
+    links = [*site.links.values(), *(each.link for each in site.gateways)]
+    during(site, "resets", 0, chooser.choice(links).reset_all, lambda: None)
+
+
+def store_down(site, chooser):
+    during(site, "store", chooser.uniform(0.2, LONGEST_FAULT_S), lambda: site.store.set_down(True),
+           lambda: site.store.set_down(False))
+
+
+def store_refusing(site, chooser):
+    def refuse(status):
+        site.store.refusing = status
+
+    status = chooser.choice([429, 503])
+    during(site, "store", chooser.uniform(0.2, LONGEST_FAULT_S), lambda: refuse(status),
+           lambda: refuse(0))
+
+
+def store_slow(site, chooser):
+    def slow(seconds):
+        site.store.delay = seconds
+
+    seconds = chooser.uniform(0.05, 0.5)
+    during(site, "store", chooser.uniform(0.2, LONGEST_FAULT_S), lambda: slow(seconds),
+           lambda: slow(0.0))
+
+
+def store_loses_answers(site, chooser):
+    """Appends that take effect unseen, never, or late."""
+    faults = [chooser.choice(["lost", "never", "late"]) for _ in range(chooser.randint(1, 6))]
+    stream = chooser.choice(["batches", "batches", "keyed.members"])
+    site.store.append_faults.setdefault(stream, []).extend(faults)
+
+
+def store_forgets(site, chooser):
+    done = site.ledger.begin_trouble("store")
+    site.store.forget((chooser.choice(["keyed.op", "keyed.servers"]), 0))
+    done()
+
+
+def engine_misbehaves(site, chooser):
+    """Answers that break off, hang, are refused, fail, or come twice."""
+    engine = site.pick_engine(chooser)
+    attribute, value, good = chooser.choice([
+        ("break_at", chooser.randint(0, 7), None), ("silent_at", chooser.randint(0, 7), None),
+        ("shed", 10_000, 0), ("status", 500, 200), ("extra_answers", 50, 0)])
+    during(site, engine.id, chooser.uniform(0.2, LONGEST_FAULT_S),
+           lambda: setattr(engine, attribute, value), lambda: setattr(engine, attribute, good))
+
+
+def engine_drains(site, chooser):
+    """An engine says that it leaves, goes later, and another one comes."""
+    engine = site.pick_engine(chooser)
+    site.add_engine()
+    site.list_engine(engine, "draining")
+    site.ledger.drains.setdefault(engine.id, time.monotonic())
+    time.sleep(chooser.uniform(2, 4))
+    site.drop_engine(engine)
+
+
+def engine_crashes(site, chooser):
+    """An engine is gone; its record lapses later, and its address serves another group."""
+    engine = site.pick_engine(chooser)
+    link = site.links[engine.id]
+    during(site, engine.id, chooser.uniform(0.5, 2), lambda: link.set_mode(RESET),
+           lambda: site.drop_engine(engine))
+    site.add_engine()
+    link.target = site.stranger.address
+    link.set_mode(PASS)
+
+
+def key_withdrawn(site, chooser):
+    customer = chooser.choice(["north", "south"])
+    key = site.issue_key(customer)
+    site.known_keys.setdefault(customer, []).append(key)
+    time.sleep(chooser.uniform(0.1, 3))
+    site.withdraw_key(key)
+
+
+def configurations_in_series(site, chooser):
+    for _ in range(chooser.randint(2, 10)):
+        site.publish()
+        time.sleep(chooser.uniform(0, 0.2))
+
+
+def callers_press(site, chooser):
+    site.haste = 6.0
+    time.sleep(chooser.uniform(1, LONGEST_FAULT_S))
+    site.haste = 1.0
+
+
+def callers_leave(site, chooser):
+    site.leave_chance = 0.4
+    time.sleep(chooser.uniform(0.5, LONGEST_FAULT_S))
+    site.leave_chance = 0.0
+
+
+FAULTS = [gateway_kill, gateways_kill, gateway_pause, gateway_stop, gateway_settings, gateway_link,
+          engine_link, connections_reset, store_down, store_refusing, store_slow,
+          store_loses_answers, store_forgets, engine_misbehaves, engine_drains, engine_crashes,
+          key_withdrawn, configurations_in_series, callers_press, callers_leave]
+
+
+def plan(seed, seconds, mean_gap_s):
+    """The faults of a seed: (time, fault, seed of its own choices)."""
+    chooser = random.Random(f"{seed}-plan")
+    faults = []
+    at = 0.0
+    while at < seconds:
+        fault = chooser.choice(FAULTS)
+        repeats = chooser.randint(2, LONGEST_SERIES) if chooser.random() < SERIES_CHANCE else 1
+        for i in range(repeats):
+            faults.append((at + i * chooser.uniform(0.1, 1.5), fault, chooser.getrandbits(32)))
+        at += chooser.expovariate(1 / mean_gap_s)
+    return sorted(faults, key=lambda each: each[0])
+
+
+def play(site, faults, seconds):
+    """Runs the faults at their times, each in a thread of its own, and waits for all."""
+    begun = time.monotonic()
+    threads = []
+    for at, fault, seed in faults:
+        if at >= seconds:
+            break
+        time.sleep(max(0.0, begun + at - time.monotonic()))
+        threads.append(threading.Thread(target=fault, args=(site, random.Random(seed)),
+                                        name=fault.__name__, daemon=True))
+        threads[-1].start()
+    for thread in threads:
+        thread.join()
--- /dev/null
+++ b/tests/soak/faulty_link.py
@@ -0,0 +1,114 @@
+"""A loopback proxy for one TCP address, with faults that are switched on and off from outside."""
+
+import select
+import socket
+import struct
+import threading
+import time
+
+CHUNK_BYTES = 16384
+POLL_S = 0.02  # how soon a pump notices a changed fault
+CONNECT_TIMEOUT_S = 2.0
+
+# What a link does with the bytes of its connections.
+PASS = "pass"
+DELAY = "delay"  # each piece waits for delay_s
+SILENT = "silent"  # nothing arrives on either side; bytes go on when the fault ends
+NO_ANSWERS = "no answers"  # one way only: requests arrive, their answers wait
+NO_REQUESTS = "no requests"  # one way only: requests wait
+RESET = "reset"  # open connections are reset, and new ones at once
+
+
+def reset(connection):
+    """Closes a connection so that its peer sees a reset."""
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.close()
+    except OSError:
+        pass
+
+
+class FaultyLink:
+    """Passes connections on to a target address. `mode` may change at any time."""
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = PASS
+        self.delay_s = 0.1
+        self.connections = set()
+        self.lock = threading.Lock()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def stop(self):
+        self.listener.close()
+        self.reset_all()
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode == RESET:
+            self.reset_all()
+
+    def reset_all(self):
+        """Resets what is open now; new connections are served as before."""
+        with self.lock:
+            open_now, self.connections = self.connections, set()
+        for connection in open_now:
+            reset(connection)
+
+    def accept(self):
+        while True:
+            try:
+                caller, _ = self.listener.accept()
+            except OSError:
+                return
+            if self.mode == RESET:
+                reset(caller)
+                continue
+            threading.Thread(target=self.serve, args=[caller], daemon=True).start()
+
+    def serve(self, caller):
+        host, port = self.target.split(":")
+        try:
+            target = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+        except OSError:
+            reset(caller)
+            return
+        for each in (caller, target):
+            each.settimeout(None)
+            each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with self.lock:
+            self.connections |= {caller, target}
+        pumps = [threading.Thread(target=self.pump, args=args, daemon=True)
+                 for args in ((caller, target, NO_REQUESTS), (target, caller, NO_ANSWERS))]
+        for pump in pumps:
+            pump.start()
+        for pump in pumps:
+            pump.join()
+        for each in (caller, target):
+            with self.lock:
+                self.connections.discard(each)
+            each.close()
+
+    def pump(self, source, sink, held_by):
+        """Passes bytes one way until either side ends."""
+        try:
+            while True:
+                if self.mode in (SILENT, held_by):
+                    time.sleep(POLL_S)
+                    continue
+                if not select.select([source], [], [], POLL_S)[0]:
+                    continue
+                data = source.recv(CHUNK_BYTES)
+                if self.mode == DELAY:
+                    time.sleep(self.delay_s)
+                while self.mode in (SILENT, held_by):
+                    time.sleep(POLL_S)
+                if not data:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
+                sink.sendall(data)
+        except (OSError, ValueError):
+            reset(source)
+            reset(sink)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,213 @@
+#!/usr/bin/env python3
+"""The fault soak: real gateways among faults that overlap, and the promises checked meanwhile.
+
+    soak.py --seed 7                 one seed
+    soak.py --seeds 1-50 --jobs 3    many, each in a process of its own
+    soak.py --fresh-minutes 5        seeds that nobody has played yet
+    soak.py --regressions            the seeds of regressions.txt
+
+Prints a line for each violation and ends with 1 if there was one. Of a seed that fails, the
+gateways' logs stay in the folder that --keep names.
+"""
+
+import argparse
+import concurrent.futures
+import itertools
+import pathlib
+import random
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+ROOT = FOLDER.parents[1]
+for path in (FOLDER, ROOT / "tests" / "e2e", ROOT / "scripts"):
+    sys.path.insert(0, str(path))
+# pylint: disable=wrong-import-position
+import faults  # noqa: E402
+from callers import BatchCaller, StreamCaller  # noqa: E402
+from checks import Checks  # noqa: E402
+from deployment import FINISH_S, RECOVER_S, Site  # noqa: E402
+from ledger import Ledger  # noqa: E402
+
+SIZES = {  # gateways, engines, callers of streams for each customer, callers of jobs
+    "usual": {"gateways": 3, "engines": 3, "callers": 4, "batch": 2},
+    "large": {"gateways": 60, "engines": 12, "callers": 20, "batch": 4},
+}
+CALM_START_S = 4.0  # planned stops alone
+CALLER_PAUSE_S = 0.15
+MEAN_GAP_S = 0.8  # between series of faults
+PROBE_S = 2.0  # of service after the last fault
+POLL_S = 0.2
+
+
+def start_callers(site, seed, size):
+    callers = [StreamCaller(site, seed, f"{customer}-{i}", customer, CALLER_PAUSE_S)
+               for customer in ("north", "south") for i in range(size["callers"])]
+    callers += [BatchCaller(site, seed, f"batch-{i}", "north") for i in range(size["batch"])]
+    for caller in callers:
+        caller.start()
+    return callers
+
+
+def recovered(site, since):
+    """Whether every gateway served streams lately and none failed."""
+    now = time.monotonic()
+    if now - since < PROBE_S:
+        return False
+    lately = [call for call in site.ledger.calls
+              if call.kind == "stream" and call.customer == "north" and not call.left
+              and call.sent_at > now - PROBE_S and call.ended_at > 0]
+    good = [call for call in lately if call.status == 200 and call.whole]
+    # Callers keep trying withdrawn keys, so a part of the answers is 401.
+    wrong = [call for call in lately if call.status not in (200, 401)]
+    served = {call.gateway for call in good}
+    return bool(good) and not wrong and len(served) >= min(len(site.gateways), 2)
+
+
+def jobs_finished(site, reader):
+    waiting = [job for job in site.ledger.jobs
+               if job.accepted_at is not None and not job.end_asked
+               and len(job.results) < len(job.items)]
+    for job in waiting:
+        reader.read(job, len(job.results))
+    return not waiting
+
+
+def wait_for(condition, seconds):
+    give_up_at = time.monotonic() + seconds
+    while time.monotonic() < give_up_at:
+        if condition():
+            return True
+        time.sleep(POLL_S)
+    return False
+
+
+def finish(site, callers, seed):
+    """After the last fault: service is back, then jobs are done and read once more."""
+    healed_at = time.monotonic()
+    if not wait_for(lambda: recovered(site, healed_at), RECOVER_S):
+        site.ledger.violate("RECOVER", f"not served {RECOVER_S} s after the last fault")
+    site.quiet = True
+    for caller in callers:
+        caller.join()
+    reader = BatchCaller(site, seed, "reader", "north")
+    wait_for(lambda: jobs_finished(site, reader), FINISH_S)
+    for job in site.ledger.jobs:
+        if job.accepted_at is not None:
+            for gateway in range(2):
+                reader.number = gateway
+                reader.read(job, 0)
+
+
+def play_seed(seed, options):
+    """Plays one seed in this process; returns its violations."""
+    ledger = Ledger()
+    size = SIZES[options.size]
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"tamarack-soak-{seed}-"))
+    site = None
+    try:
+        site = Site(seed, folder, options.bin, ledger, size, options.mutation)
+        callers = start_callers(site, seed, size)
+        calm = [(at, faults.gateway_stop, i) for i, at in enumerate((1.0, 2.0))]
+        faults.play(site, calm, CALM_START_S)
+        faults.play(site, faults.plan(seed, options.seconds, MEAN_GAP_S), options.seconds)
+        site.heal()
+        finish(site, callers, seed)
+        Checks(site).run_all()
+        print_summary(seed, site)
+    finally:
+        if site:
+            site.stop()
+        if ledger.violations and options.keep:
+            shutil.copytree(folder, pathlib.Path(options.keep) / f"seed-{seed}",
+                            dirs_exist_ok=True)
+        shutil.rmtree(folder, ignore_errors=True)
+    return ledger.violations
+
+
+def print_summary(seed, site):
+    calls = [call for call in site.ledger.calls if call.kind in ("stream", "once", "open")]
+    served = sum(call.status == 200 and call.whole for call in calls)
+    items = sum(len(job.results) for job in site.ledger.jobs)
+    print(f"seed {seed}: {len(calls)} requests, {served} served, {len(site.ledger.jobs)} jobs, "
+          f"{items} results, {len(site.ledger.troubles)} troubles", flush=True)
+
+
+def run_child(seed, options):
+    """Plays one seed in a process of its own; returns (seed, exit code, output)."""
+    command = [sys.executable, __file__, "--seed", str(seed), "--bin", options.bin, "--seconds",
+               str(options.seconds), "--size", options.size, "--mutation", options.mutation,
+               "--keep", options.keep]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    return seed, done.returncode, done.stdout + done.stderr
+
+
+def run_many(seeds, options):
+    """Plays seeds side by side; returns those that failed."""
+    failed = []
+    played = 0
+    seeds = iter(seeds)
+    with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
+        while not (failed and options.until_failure):
+            batch = list(itertools.islice(seeds, options.jobs))
+            if not batch:
+                break
+            for seed, code, output in pool.map(lambda seed: run_child(seed, options), batch):
+                print(output, end="", flush=True)
+                played += 1
+                failed += [seed] if code else []
+    print(f"{played} seeds played, {len(failed)} failed: {failed}")
+    return failed
+
+
+def fresh_seeds(minutes):
+    """Seeds from the system's randomness, until the time is over."""
+    until = time.monotonic() + minutes * 60
+    while time.monotonic() < until:
+        yield random.SystemRandom().randrange(10**6, 10**9)
+
+
+def regression_seeds():
+    lines = (FOLDER / "regressions.txt").read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--bin", default=str(ROOT / "build" / "bin"))
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds", default="", help="FIRST-LAST")
+    parser.add_argument("--fresh-minutes", type=float, default=0)
+    parser.add_argument("--regressions", action="store_true")
+    parser.add_argument("--jobs", type=int, default=2, help="seeds side by side")
+    parser.add_argument("--seconds", type=float, default=15, help="of faults for each seed")
+    parser.add_argument("--size", choices=SIZES, default="usual")
+    parser.add_argument("--mutation", default="", help="a fault planted in the gateways")
+    parser.add_argument("--until-failure", action="store_true")
+    parser.add_argument("--keep", default="", help="folder for the logs of seeds that fail")
+    return parser.parse_args()
+
+
+def main():
+    options = parse_arguments()
+    if options.seed is not None:
+        violations = play_seed(options.seed, options)
+        for rule, text in violations:
+            print(f"seed {options.seed}: {rule}: {text}", flush=True)
+        return 1 if violations else 0
+    seeds = []
+    if options.seeds:
+        first, last = map(int, options.seeds.split("-"))
+        seeds = range(first, last + 1)
+    elif options.fresh_minutes:
+        seeds = fresh_seeds(options.fresh_minutes)
+    elif options.regressions:
+        seeds = regression_seeds()
+    return 1 if run_many(seeds, options) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,55 @@
+"""The fault soak in CI: fixed seeds, seeds that failed once, and planted faults that it finds."""
+
+import argparse
+import pathlib
+import re
+import subprocess
+import sys
+import unittest
+
+FOLDER = pathlib.Path(__file__).resolve().parent
+SECONDS = 10  # of faults for each seed
+SEEDS = "1-3"
+
+# A planted fault (tests/mutants/gateway_mutation.hpp), the rule that shows it, and the seeds among
+# which it has to show.
+MUTANTS = {
+    "ForwardKey": ("UNASKED", "1-1"),
+    "KeepCustomerHeader": ("UNASKED", "1-1"),
+    "ForgetProgress": ("ORDER", "1-4"),
+    "ClaimNotRun": ("TWICE|REFUSED", "1-4"),
+    "ForgetEnds": ("UNASKED", "1-6"),
+}
+
+
+def soak(*arguments):
+    """Runs the soak; returns (exit code, output)."""
+    done = subprocess.run([sys.executable, FOLDER / "soak.py", "--bin", OPTIONS.bin, "--seconds",
+                           str(SECONDS), *arguments], capture_output=True, text=True, check=False)
+    return done.returncode, done.stdout + done.stderr
+
+
+class SoakTest(unittest.TestCase):
+    """Each test plays some seeds."""
+
+    def test_seeds(self):
+        code, output = soak("--seeds", SEEDS)
+        self.assertEqual(code, 0, output)
+
+    def test_regressions(self):
+        code, output = soak("--regressions")
+        self.assertEqual(code, 0, output)
+
+    def test_mutants(self):
+        for mutation, (rule, seeds) in MUTANTS.items():
+            with self.subTest(mutation):
+                code, output = soak("--seeds", seeds, "--mutation", mutation, "--until-failure")
+                self.assertEqual(code, 1, output)
+                self.assertRegex(output, re.compile(rf"^seed \d+: ({rule}): ", re.MULTILINE))
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bin", required=True)
+    OPTIONS, rest = parser.parse_known_args()
+    unittest.main(argv=[sys.argv[0], *rest], verbosity=2)
