--- a/include/tamarackglade/batches/batch_fold.hpp
+++ b/include/tamarackglade/batches/batch_fold.hpp
@@ -6,7 +6,6 @@
 #include <tamarackglade/store/store_stream.hpp>
 
 #include <algorithm>
-#include <map>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -38,6 +37,11 @@
 
     /// @return the position of the next record
     [[nodiscard]] stream_position end() const { return m_end; }
+    /// @return whether the fold holds all records that were there at this time
+    [[nodiscard]] bool completeSince(instant time) const
+    {
+        return m_completeAt && *m_completeAt >= time;
+    }
     /// @return when the read was sent that showed all records; nullopt before the first
     [[nodiscard]] std::optional<instant> completeAt() const { return m_completeAt; }
     [[nodiscard]] const customer_batch *find(const job_id &id) const;
@@ -48,23 +52,14 @@
 
 private:
     void accept(schema::batch_accepted_message &record, instant now);
-    void finish(schema::item_finished_message &record);
+    void finish(const schema::item_finished_message &record);
     void fail(const schema::item_failed_message &record);
     void endJob(const schema::batch_ended_message &record);
-    void addPart(schema::content_part_message &record, instant now);
-    std::optional<std::string> takeContent(const std::string &content, std::uint32_t parts);
-
-    struct partial_content
-    {
-        std::map<std::uint32_t, std::string> parts;
-        instant seenAt{};
-    };
 
     const duration m_keepTime;
     stream_position m_end;
     std::optional<instant> m_completeAt;
     std::unordered_map<job_id, customer_batch> m_jobs;
-    std::unordered_map<std::string, partial_content> m_contents;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/batches/batch_schedule.hpp
+++ b/include/tamarackglade/batches/batch_schedule.hpp
@@ -18,10 +18,13 @@
 /// their job, then by its arrival. Items of customers with many jobs don't go before others' that
 /// are due earlier.
 /// @param running items that run here already
+/// @param currentSince folds that don't hold all records of this time start nothing: items that
+/// are finished, or whose job was ended, look as if they waited
 /// @param most the longest list
 std::vector<item_key> itemsToStart(const std::vector<const batch_fold *> &folds, const vm_id &self,
                                    const std::vector<vm_id> &gateways,
-                                   const std::set<item_key> &running, std::size_t most);
+                                   const std::set<item_key> &running, instant currentSince,
+                                   std::size_t most);
 
 /// @return whether an unfinished item has to be given up: it failed often enough, or it is past its
 /// retention
--- a/include/tamarackglade/batches/customer_batch.hpp
+++ b/include/tamarackglade/batches/customer_batch.hpp
@@ -1,6 +1,7 @@
 // A batch job as the records of its partition tell.
 #pragma once
 
+#include <tamarackglade/batches/content_place.hpp>
 #include <tamarackglade/core/ids.hpp>
 #include <tamarackglade/core/time.hpp>
 
@@ -23,13 +24,11 @@
 struct batch_job_item
 {
     std::string id; // also its request's id at the upstream
-    std::string path; // with the query
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string body; // dropped once the item is finished
     std::uint64_t tokens = 0;
+    content_place content; // of a batch_item: what its runs send
     batch_item_state state = batch_item_state::Waiting;
     std::set<std::string> failedRuns;
-    std::string output; // of a done item
+    content_place output; // of a done item
 };
 
 /// @brief A job, its items and the order of its results.
--- a/include/tamarackglade/gateway/batch_partition.hpp
+++ b/include/tamarackglade/gateway/batch_partition.hpp
@@ -30,7 +30,7 @@
     /// @return false if the store gave no answer
     bool refresh(instant since) { return m_follower.catchUp(since); }
     /// @return whether the fold holds all records of the time since
-    [[nodiscard]] bool completeSince(instant since) const;
+    [[nodiscard]] bool completeSince(instant since) const { return m_fold.completeSince(since); }
     [[nodiscard]] const batch_fold &fold() const { return m_fold; }
 
     /// @brief Appends records that count only once, whatever their position; repeats until the
--- a/include/tamarackglade/gateway/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch_runner.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/batches/batch_schedule.hpp>
 #include <tamarackglade/gateway/batch_store.hpp>
 #include <tamarackglade/gateway/gateway_context.hpp>
+#include <tamarackglade/gateway/item_run.hpp>
 
 #include <functional>
 #include <map>
@@ -37,35 +38,25 @@
     [[nodiscard]] std::size_t running() const { return m_runs.size(); }
 
 private:
-    /// What an item has produced so far, over all of its runs at this gateway.
-    struct partial_output
-    {
-        std::string text;
-        std::optional<std::uint64_t> lastEvent;
-        instant touchedAt{};
-    };
-    struct item_run
-    {
-        upstream_id upstream;
-        attempt_handle handle;
-        std::size_t events = 0; // of this run
-        bool yielding = false;
-        bool holdsSlot = true;
-    };
     class output_sink;
 
-    void start(const item_key &ref, const customer_batch &job, const upstream_id &upstream);
-    void runItem(const item_key &ref, const customer_batch &job, const live_upstream &upstream,
+    /// @return whether the item's content is here; if not, it is being read
+    bool contentReady(const item_key &key, const customer_batch &job);
+    void readContent(const item_key &key, const content_place &place);
+    void start(const item_work &work, const upstream_id &upstream);
+    void runItem(const item_work &work, const live_upstream &upstream,
                  const std::shared_ptr<item_run> &run);
-    attempt_result runOnce(const item_key &ref, const customer_batch &job,
-                           const live_upstream &upstream, item_run &run);
-    void settle(const item_key &ref, const customer_batch &job, const attempt_result &result);
-    void finish(const item_key &ref, const customer_batch &job, bool abandoned,
-                const std::string &reason);
-    void noteFailure(const item_key &ref, const customer_batch &job, unsigned status);
-    void append(const item_key &ref, const customer_batch &job,
-                const std::vector<std::string> &records, const std::string &failedRun);
+    attempt_result runOnce(const item_work &work, const live_upstream &upstream, item_run &run);
+    void settle(const item_work &work, const attempt_result &result);
+    void finish(const item_work &work, bool abandoned, const std::string &reason);
+    void noteFailure(const item_work &work, unsigned status);
+    void appendLater(const item_work &work, const std::string &failedRun,
+                     std::function<durable_result(instant deadline)> append);
+    /// @brief Stores an item's output, then the record that names it.
+    durable_result storeEnd(const item_work &work, schema::item_finished_message record,
+                            const std::string &output, instant deadline);
     void forgetFinished();
+    [[nodiscard]] std::set<item_key> busyItems() const;
     [[nodiscard]] std::vector<const batch_fold *> folds() const;
     [[nodiscard]] const customer_batch *findJob(const job_id &id) const;
 
@@ -74,7 +65,7 @@
     const gateway_list m_gateways;
     const std::function<void()> m_onYielded;
     std::map<item_key, std::shared_ptr<item_run>> m_runs;
-    std::map<item_key, partial_output> m_partials;
+    std::map<item_key, item_progress> m_progress; // of unfinished items that this gateway took up
     // Items whose end or failed run is not in the fold yet, with the failed run's name.
     std::map<item_key, std::string> m_settling;
     bool m_peersWait = false;
--- a/include/tamarackglade/gateway/batch_store.hpp
+++ b/include/tamarackglade/gateway/batch_store.hpp
@@ -1,7 +1,8 @@
-// All partitions of batch jobs.
+// All partitions of batch jobs, and the contents of their items.
 #pragma once
 
 #include <tamarackglade/gateway/batch_partition.hpp>
+#include <tamarackglade/gateway/content_store.hpp>
 
 #include <memory>
 #include <vector>
@@ -19,6 +20,7 @@
     void start();
     void tick(instant now);
 
+    [[nodiscard]] content_store &contents() { return m_contents; }
     [[nodiscard]] batch_partition &partitionOf(const customer_id &customer);
     [[nodiscard]] const std::vector<std::unique_ptr<batch_partition>> &partitions() const
     {
@@ -26,6 +28,7 @@
     }
 
 private:
+    content_store m_contents;
     std::vector<std::unique_ptr<batch_partition>> m_partitions;
 };
 
--- /dev/null
+++ b/include/tamarackglade/gateway/content_store.hpp
@@ -0,0 +1,62 @@
+// Bodies and outputs of batch items, which lie in the store and are read on demand.
+#pragma once
+
+#include <tamarackglade/batches/content_packing.hpp>
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/store/record_store.hpp>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Appends contents before the records that name them, and reads them back. Keeps a few that
+/// were used lately. All calls on the gateway's thread.
+class content_store
+{
+public:
+    /// @param partitions of the contents' stream; a customer's contents are in one
+    content_store(record_store &store, std::uint32_t partitions)
+        : m_store(store), m_partitions(partitions)
+    {
+    }
+
+    /// @brief Stores contents; repeats until the store answers or the deadline passes.
+    /// @return their places, in their order, or nullopt if some may not be stored
+    std::optional<std::vector<content_place>> append(const customer_id &customer,
+                                                     const std::vector<std::string> &contents,
+                                                     instant deadline);
+
+    /// @return the content, or nullopt if the store didn't give it
+    std::optional<std::string> read(const content_place &place);
+
+    /// @brief Reads several contents, some of them at the same time.
+    /// @return the contents, or nullopt if the store didn't give them all
+    std::optional<std::vector<std::string>> readAll(const std::vector<content_place> &places);
+
+private:
+    struct kept_content
+    {
+        content_place place;
+        std::string bytes;
+    };
+    using kept_list = std::list<kept_content>;
+
+    [[nodiscard]] std::optional<stream_position> store(const stream_partition &partition,
+                                                       const std::vector<std::string> &records,
+                                                       instant deadline);
+    void keep(const content_place &place, const std::string &bytes);
+
+    record_store &m_store;
+    const std::uint32_t m_partitions;
+    kept_list m_kept; // lately used first
+    std::map<content_place, kept_list::iterator> m_keptByPlace; // of all in m_kept
+    std::size_t m_keptBytes = 0; // of all in m_kept
+};
+
+} // namespace tamarack
--- a/include/tamarackglade/gateway/platform_protocol.hpp
+++ b/include/tamarackglade/gateway/platform_protocol.hpp
@@ -18,6 +18,7 @@
 
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace tamarack {
 
@@ -51,18 +52,21 @@
     [[nodiscard]] virtual std::optional<batch_call>
     decodeBatchCall(const http_request &request) const = 0;
     /// @return the job's items, or InvalidArgument
-    [[nodiscard]] virtual absl::StatusOr<schema::batch_items_message>
+    [[nodiscard]] virtual absl::StatusOr<std::vector<schema::batch_item_message>>
     decodeBatchItems(const std::string &body) const = 0;
-    /// @brief Encodes results from a place on, as many as fit into one answer.
-    [[nodiscard]] virtual std::string encodeResults(const customer_batch &job,
-                                                    std::size_t from) const = 0;
+    /// @brief Encodes the results at the positions from, from + 1 and so on.
+    /// @param outputs their texts; as many results are encoded
+    [[nodiscard]] virtual std::string
+    encodeResults(const customer_batch &job, std::size_t from,
+                  const std::vector<std::string> &outputs) const = 0;
 
     /// @return the request for an upstream
     [[nodiscard]] virtual http_client_request encodeCall(const forward_call &call,
                                                          const upstream_attempt &attempt) const = 0;
     /// @return the request of a batch item for an upstream
-    [[nodiscard]] virtual http_client_request encodeItem(const customer_batch &job,
-                                                         std::size_t item,
+    /// @param host that the job came to
+    [[nodiscard]] virtual http_client_request encodeItem(const std::string &host,
+                                                         const schema::batch_item_message &item,
                                                          const upstream_attempt &attempt) const = 0;
     [[nodiscard]] virtual answer_facts decodeAnswer(const http_response &head) const = 0;
 };
--- a/include/tamarackglade/store/record_store.hpp
+++ b/include/tamarackglade/store/record_store.hpp
@@ -32,6 +32,11 @@
     virtual read_reply read(const stream_partition &partition, stream_position from,
                             std::chrono::milliseconds wait) = 0;
 
+    /// @brief Reads records that are known to be there.
+    /// @param bytes of the records that are wanted; more may come
+    virtual read_reply readRange(const stream_partition &partition, stream_position from,
+                                 std::uint64_t bytes) = 0;
+
     /// @brief Reads the newest record of each key of a keyed stream, all pages of it.
     virtual newest_reply newest(const stream_partition &partition) = 0;
 
--- a/src/batches/batch_codec.cpp
+++ b/src/batches/batch_codec.cpp
@@ -1,58 +1,53 @@
 // FlatBuffers encoding of batch records.
 #include <tamarackglade/batches/batch_codec.hpp>
 
-#include <algorithm>
+#include <memory>
 
 namespace tamarack {
 
 namespace {
 
-const std::uint8_t *bytesOf(std::string_view text)
+/// @return the message, or nullopt if the bytes hold no such table
+template <class Table, class Message>
+std::optional<Message> decode(std::string_view bytes)
 {
-    return reinterpret_cast<const std::uint8_t *>(text.data());
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()),
+                                   bytes.size());
+    if (!verifier.VerifyBuffer<Table>(nullptr))
+        return std::nullopt;
+    Message message;
+    flatbuffers::GetRoot<Table>(bytes.data())->UnPackTo(&message);
+    return message;
 }
 
 } // namespace
 
 std::optional<schema::batch_record_message> decodeBatchRecord(std::string_view bytes)
 {
-    flatbuffers::Verifier verifier(bytesOf(bytes), bytes.size());
-    if (!verifier.VerifyBuffer<schema::batch_record>(nullptr))
-        return std::nullopt;
-    schema::batch_record_message record;
-    flatbuffers::GetRoot<schema::batch_record>(bytes.data())->UnPackTo(&record);
-    return record;
+    return decode<schema::batch_record, schema::batch_record_message>(bytes);
 }
 
-std::string encodeBatchItems(const schema::batch_items_message &items)
+std::string encodeBatchItem(const schema::batch_item_message &item)
 {
     flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(schema::batch_items::Pack(builder, &items));
+    builder.Finish(schema::batch_item::Pack(builder, &item));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
-std::optional<schema::batch_items_message> decodeBatchItems(std::string_view bytes)
+std::optional<schema::batch_item_message> decodeBatchItem(std::string_view bytes)
 {
-    flatbuffers::Verifier verifier(bytesOf(bytes), bytes.size());
-    if (!verifier.VerifyBuffer<schema::batch_items>(nullptr))
-        return std::nullopt;
-    schema::batch_items_message items;
-    flatbuffers::GetRoot<schema::batch_items>(bytes.data())->UnPackTo(&items);
-    return items;
+    return decode<schema::batch_item, schema::batch_item_message>(bytes);
+}
+
+std::unique_ptr<schema::content_place> encodePlace(const content_place &place)
+{
+    return std::make_unique<schema::content_place>(place.position.value(), place.size,
+                                                   place.partition, place.records);
 }
 
-std::vector<std::string> contentParts(const std::string &content, std::string_view bytes)
+content_place decodePlace(const schema::content_place &place)
 {
-    std::vector<std::string> records;
-    for (std::size_t from = 0; from < bytes.size(); from += InlineContentBytes) {
-        const std::string_view data = bytes.substr(from, InlineContentBytes);
-        schema::content_part_message part;
-        part.content = content;
-        part.index = static_cast<std::uint32_t>(records.size());
-        part.data.assign(bytesOf(data), bytesOf(data) + data.size());
-        records.push_back(encodeBatchRecord(std::move(part)));
-    }
-    return records;
+    return {place.partition(), stream_position(place.position()), place.records(), place.size()};
 }
 
 } // namespace tamarack
--- a/src/batches/batch_fold.cpp
+++ b/src/batches/batch_fold.cpp
@@ -8,20 +8,13 @@
 
 namespace {
 
-std::string textOf(const std::vector<std::uint8_t> &bytes)
-{
-    return {bytes.begin(), bytes.end()};
-}
-
-batch_job_item itemOf(schema::batch_item_message &record)
+batch_job_item itemOf(schema::accepted_item_message &record)
 {
     batch_job_item item;
     item.id = std::move(record.id);
-    item.path = std::move(record.path);
-    for (const auto &header : record.headers)
-        item.headers.emplace_back(std::move(header->name), std::move(header->value));
-    item.body = textOf(record.body);
     item.tokens = record.tokens;
+    if (record.content)
+        item.content = decodePlace(*record.content);
     return item;
 }
 
@@ -40,9 +33,6 @@
         return false;
     using enum schema::batch_record_body;
     switch (record->body.type) {
-    case content_part:
-        addPart(*record->body.Ascontent_part(), now);
-        return true;
     case batch_accepted:
         accept(*record->body.Asbatch_accepted(), now);
         return true;
@@ -73,8 +63,6 @@
         const duration kept = std::max(m_keepTime, job.open() ? 2 * job.retention : m_keepTime);
         return now - job.seenAt > kept;
     });
-    std::erase_if(m_contents,
-                  [&](const auto &entry) { return now - entry.second.seenAt > m_keepTime; });
 }
 
 const customer_batch *batch_fold::find(const job_id &id) const
@@ -101,12 +89,6 @@
     const job_id id(record.job);
     if (m_jobs.contains(id))
         return;
-    auto bytes = takeContent(record.content, record.content_parts);
-    if (!bytes)
-        bytes = textOf(record.items);
-    auto items = decodeBatchItems(*bytes);
-    if (!items || items->items.size() != record.item_count)
-        return;
     customer_batch job;
     job.id = id;
     job.customer = customer_id(std::move(record.customer));
@@ -116,12 +98,12 @@
     job.retention = fromMilliseconds(record.retention_ms);
     job.attempts = std::max(1U, record.attempts);
     job.seenAt = now;
-    for (const auto &item : items->items)
+    for (const auto &item : record.items)
         job.items.push_back(itemOf(*item));
     m_jobs.emplace(id, std::move(job));
 }
 
-void batch_fold::finish(schema::item_finished_message &record)
+void batch_fold::finish(const schema::item_finished_message &record)
 {
     const auto found = m_jobs.find(job_id(record.job));
     if (found == m_jobs.end() || record.item >= found->second.items.size())
@@ -130,15 +112,9 @@
     batch_job_item &item = job.items[record.item];
     if (item.state != batch_item_state::Waiting)
         return;
-    if (!record.abandoned) {
-        auto output = takeContent(record.content, record.content_parts);
-        if (record.content_parts > 0 && !output)
-            return;
-        item.output = output ? std::move(*output) : std::move(record.output);
-    }
+    if (record.output)
+        item.output = decodePlace(*record.output);
     item.state = record.abandoned ? batch_item_state::Abandoned : batch_item_state::Done;
-    item.body.clear();
-    item.body.shrink_to_fit();
     job.results.push_back(record.item);
 }
 
@@ -156,23 +132,4 @@
         found->second.ended = true;
 }
 
-void batch_fold::addPart(schema::content_part_message &record, instant now)
-{
-    partial_content &partial = m_contents[record.content];
-    partial.parts.emplace(record.index, textOf(record.data));
-    partial.seenAt = now;
-}
-
-std::optional<std::string> batch_fold::takeContent(const std::string &content, std::uint32_t parts)
-{
-    const auto found = m_contents.find(content);
-    if (parts == 0 || found == m_contents.end() || found->second.parts.size() != parts)
-        return std::nullopt;
-    std::string bytes;
-    for (const auto &[index, data] : found->second.parts)
-        bytes += data;
-    m_contents.erase(found);
-    return bytes;
-}
-
 } // namespace tamarack
--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -16,12 +16,15 @@
 
 std::vector<item_key> itemsToStart(const std::vector<const batch_fold *> &folds, const vm_id &self,
                                    const std::vector<vm_id> &gateways,
-                                   const std::set<item_key> &running, std::size_t most)
+                                   const std::set<item_key> &running, instant currentSince,
+                                   std::size_t most)
 {
     if (gateways.empty())
         return {};
     std::vector<const customer_batch *> open;
     for (const batch_fold *fold : folds) {
+        if (!fold->completeSince(currentSince))
+            continue;
         for (const auto &[id, job] : fold->jobs()) {
             if (job.open())
                 open.push_back(&job);
--- a/src/gateway/batch_api.cpp
+++ b/src/gateway/batch_api.cpp
@@ -4,8 +4,8 @@
 #include <tamarackglade/gateway/gateway_refusal.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
-#include <tamarackglade/runtime/random_bytes.hpp>
 
+#include <boost/fiber/future/async.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds UnavailableRetryAfter{500};
 constexpr std::chrono::milliseconds OverLimitRetryAfter{1'000};
 constexpr std::chrono::milliseconds LongestResultWait{5'000};
+constexpr std::uint64_t LargestAnswer = 900 * 1024; // bytes of results in one answer
+constexpr std::size_t MostResults = 32; // in one answer, as each output may be a read
 
 std::uint64_t toMilliseconds(duration time)
 {
@@ -39,14 +41,55 @@
     return response;
 }
 
-std::uint64_t tokensOf(const schema::batch_items_message &items)
+std::uint64_t tokensOf(const std::vector<schema::batch_item_message> &items)
 {
     std::uint64_t tokens = 0;
-    for (const auto &item : items.items)
-        tokens += item->tokens;
+    for (const auto &item : items)
+        tokens += item.tokens;
     return tokens;
 }
 
+// What the job's record tells of its items; their contents' places are not known yet.
+std::vector<std::unique_ptr<schema::accepted_item_message>>
+acceptedItems(const std::vector<schema::batch_item_message> &items)
+{
+    std::vector<std::unique_ptr<schema::accepted_item_message>> accepted;
+    for (const auto &item : items) {
+        accepted.push_back(std::make_unique<schema::accepted_item_message>());
+        accepted.back()->id = item.id;
+        accepted.back()->tokens = item.tokens;
+    }
+    return accepted;
+}
+
+bool isTooLarge(const schema::batch_item_message &item)
+{
+    return encodeBatchItem(item).size() > store_limits().append;
+}
+
+std::vector<std::string> contentsOf(const std::vector<schema::batch_item_message> &items)
+{
+    std::vector<std::string> contents;
+    for (const auto &item : items)
+        contents.push_back(encodeBatchItem(item));
+    return contents;
+}
+
+// Places of the results from a position on that fit into one answer, at least one if there is one.
+std::vector<content_place> pageOf(const customer_batch &job, std::size_t from)
+{
+    std::vector<content_place> places;
+    std::uint64_t size = 0;
+    for (std::size_t at = from; at < job.results.size() && places.size() < MostResults; ++at) {
+        const content_place &output = job.items[job.results[at]].output;
+        size += output.size;
+        if (!places.empty() && size > LargestAnswer)
+            break;
+        places.push_back(output);
+    }
+    return places;
+}
+
 } // namespace
 
 void batch_api::submit(http_exchange &exchange, const forward_call &call,
@@ -61,6 +104,11 @@
         exchange.respond(refusal(400, "malformed_job"));
         return;
     }
+    if (std::any_of(items->begin(), items->end(), isTooLarge)) {
+        log_event(log_level::Info, "batch job too large").request(call.id.value());
+        exchange.respond(refusal(413, "item_too_large"));
+        return;
+    }
     schema::batch_accepted_message record;
     record.job = call.id.value();
     record.customer = customer.value();
@@ -69,7 +117,7 @@
     record.due_ms = toMilliseconds(route.completionObjective);
     record.retention_ms = toMilliseconds(route.retention);
     record.attempts = route.attempts;
-    record.item_count = static_cast<std::uint32_t>(items->items.size());
+    record.items = acceptedItems(*items);
     duration most = LongestSubmission;
     if (call.timeLeft)
         most = std::min(most, *call.timeLeft - AnswerMargin);
@@ -93,7 +141,7 @@
         .customer(customer.value())
         .with("status", answer.status)
         .with("code", answer.code)
-        .with("items", items->items.size())
+        .with("items", items->size())
         .with("tokens", tokensOf(*items))
         .with("waiting_tokens", partition.fold().waitingTokens(customer, route.name))
         .with("limit", route.waitingTokenLimit)
@@ -106,61 +154,78 @@
 }
 
 // The record goes to the end that the decision was made on, so that two gateways can't both accept
-// the last job that fits.
+// the last job that fits. The contents are stored while the fold is brought up to date.
 batch_api::submission_end batch_api::store(batch_partition &partition,
-                                           const schema::batch_accepted_message &accepted,
-                                           const schema::batch_items_message &items,
+                                           schema::batch_accepted_message record,
+                                           const std::vector<schema::batch_item_message> &items,
                                            const forward_route &route, instant deadline)
 {
-    schema::batch_accepted_message record = accepted;
-    const std::string content = encodeBatchItems(items);
     const std::uint64_t tokens = tokensOf(items);
     const job_id job(record.job);
     const customer_id customer(record.customer);
+    const auto over = [&] {
+        const std::uint64_t waiting = partition.fold().waitingTokens(customer, route.name);
+        return route.waitingTokenLimit > 0 && waiting + tokens > route.waitingTokenLimit;
+    };
+    content_upload upload;
+    bool contentsStored = false;
     // Where the fold ended when an append had no answer; nothing is refused until it is settled.
-    std::optional<stream_position> unknownAt;
-    bool partsStored = content.size() <= InlineContentBytes;
-    if (partsStored)
-        record.items.assign(content.begin(), content.end());
+    bool unsettled = false;
+    stream_position unknownAt;
     instant since = bootNow();
     for (;;) {
+        const bool known = partition.fold().find(job) != nullptr;
+        if (!contentsStored && !upload.valid() && !known && !over())
+            upload = startUpload(customer, items, deadline);
         const bool fresh = partition.refresh(since);
         if (fresh && partition.fold().find(job) != nullptr)
             return submission_end::Accepted;
         // Its condition can't hold any more, and the fold shows that it did nothing.
-        if (fresh && unknownAt && *unknownAt < partition.fold().end())
-            unknownAt.reset();
-        if (fresh) {
-            const std::uint64_t waiting = partition.fold().waitingTokens(customer, route.name);
-            const bool over =
-                route.waitingTokenLimit > 0 && waiting + tokens > route.waitingTokenLimit;
-            if (over && !unknownAt)
-                return submission_end::OverLimit;
-            if (!partsStored) {
-                record.content = randomId("content_");
-                const auto parts = contentParts(record.content, content);
-                record.content_parts = static_cast<std::uint32_t>(parts.size());
-                partsStored = partition.append(parts, deadline) == durable_result::Stored;
-                since = bootNow();
-                if (partsStored)
-                    continue;
-            }
-            const append_reply reply = over || !partsStored
-                                           ? append_reply{append_result::NotSent, {}, {}}
-                                           : partition.appendAtEnd(encodeBatchRecord(record));
+        if (fresh && unsettled && unknownAt < partition.fold().end())
+            unsettled = false;
+        if (fresh && over() && !unsettled)
+            return submission_end::OverLimit;
+        if (fresh && !contentsStored && upload.valid()) {
+            contentsStored = nameContents(record, upload.get());
+            if (!contentsStored)
+                return unsettled ? submission_end::Unknown : submission_end::NotStored;
+        }
+        since = bootNow();
+        if (fresh && contentsStored && !over()) {
+            const append_reply reply = partition.appendAtEnd(encodeBatchRecord(record));
             if (reply.result == append_result::Appended)
                 return submission_end::Accepted;
-            if (reply.result == append_result::Unknown && !unknownAt)
+            if (reply.result == append_result::Unknown && !unsettled) {
+                unsettled = true;
                 unknownAt = partition.fold().end();
-            since = bootNow();
+            }
         }
         if (bootNow() >= deadline)
-            return unknownAt ? submission_end::Unknown : submission_end::NotStored;
-        if (!fresh || unknownAt)
+            return unsettled ? submission_end::Unknown : submission_end::NotStored;
+        if (!fresh || unsettled)
             boost::this_fiber::sleep_for(RetryPause);
     }
 }
 
+batch_api::content_upload
+batch_api::startUpload(const customer_id &customer,
+                       const std::vector<schema::batch_item_message> &items, instant deadline)
+{
+    return boost::fibers::async([this, customer, contents = contentsOf(items), deadline] {
+        return m_store.contents().append(customer, contents, deadline);
+    });
+}
+
+bool batch_api::nameContents(schema::batch_accepted_message &record,
+                             const std::optional<std::vector<content_place>> &places)
+{
+    if (!places)
+        return false;
+    for (std::size_t i = 0; i < places->size(); ++i)
+        record.items[i]->content = encodePlace((*places)[i]);
+    return true;
+}
+
 const customer_batch *batch_api::findJob(batch_partition &partition, const job_id &id,
                                          const customer_id &customer, instant arrivedAt,
                                          bool &known)
@@ -212,8 +277,15 @@
             return;
         }
     }
-    exchange.respond(plainAnswer(200, m_context.protocol.encodeResults(*current, call.from),
-                                 "application/json"));
+    const auto outputs = m_store.contents().readAll(pageOf(*current, call.from));
+    // The job may have been forgotten while they were read.
+    current = partition.fold().find(call.job);
+    if (!outputs || current == nullptr) {
+        exchange.respond(refusal(503, "results_not_read", UnavailableRetryAfter));
+        return;
+    }
+    exchange.respond(plainAnswer(
+        200, m_context.protocol.encodeResults(*current, call.from, *outputs), "application/json"));
 }
 
 void batch_api::answerOne(http_exchange &exchange, const read_item_call &call, batch_partition &,
@@ -225,7 +297,14 @@
         exchange.respond(refusal(404, "no_such_item"));
         return;
     }
-    exchange.respond(plainAnswer(200, item->body, "application/octet-stream"));
+    const auto content = m_store.contents().read(item->content);
+    const auto sent = content ? decodeBatchItem(*content) : std::nullopt;
+    if (!sent) {
+        exchange.respond(refusal(503, "body_not_read", UnavailableRetryAfter));
+        return;
+    }
+    exchange.respond(plainAnswer(200, std::string(sent->body.begin(), sent->body.end()),
+                                 "application/octet-stream"));
 }
 
 void batch_api::answerOne(http_exchange &exchange, const end_batch_call &call,
--- a/src/gateway/batch_partition.cpp
+++ b/src/gateway/batch_partition.cpp
@@ -26,12 +26,6 @@
 {
 }
 
-bool batch_partition::completeSince(instant since) const
-{
-    const auto at = m_fold.completeAt();
-    return at && *at >= since;
-}
-
 durable_result batch_partition::append(const std::vector<std::string> &records, instant deadline)
 {
     bool mayBeStored = false;
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -15,33 +15,43 @@
 namespace {
 
 constexpr std::size_t StartsAtOnce = 8; // items started in one round
+// Folds that are older start nothing: an item may be finished, or its job ended.
+constexpr std::chrono::milliseconds OldestFold{2'000};
 constexpr std::chrono::seconds DefaultItemTime{60};
 constexpr std::chrono::milliseconds LongestIdle{60'000}; // of kept connections
 constexpr std::chrono::seconds RecordTime{20}; // for the append of an item's end
+constexpr std::chrono::milliseconds ReadRetryPause{300};
 constexpr unsigned SilenceFactor = 2; // items have more time than online requests
 constexpr unsigned NeverDone = 422; // the upstream says that no run can succeed
 
+item_work workOf(const item_key &key, const customer_batch &job)
+{
+    const batch_job_item &item = job.items[key.item.value()];
+    return {key,           request_id(item.id), job.customer,          job.host,
+            job.retention, job.seenAt,          item.failedRuns.size()};
+}
+
 } // namespace
 
 class batch_runner::output_sink final : public answer_sink
 {
 public:
-    output_sink(partial_output &output, item_run &run) : m_output(output), m_run(run) { }
+    output_sink(item_progress &progress, item_run &run) : m_progress(progress), m_run(run) { }
 
     bool onHead(const http_response &, const answer_facts &) override { return true; }
     bool onEvent(const stream_event &event) override
     {
-        if (m_output.lastEvent)
-            m_output.text.push_back('\n');
-        m_output.text += eventData(event.text);
-        m_output.lastEvent = event.id;
+        if (m_progress.lastEvent)
+            m_progress.text.push_back('\n');
+        m_progress.text += eventData(event.text);
+        m_progress.lastEvent = event.id;
         ++m_run.events;
         return true;
     }
     bool onPause() override { return !m_run.yielding; }
 
 private:
-    partial_output &m_output;
+    item_progress &m_progress;
     item_run &m_run;
 };
 
@@ -59,33 +69,72 @@
     m_peersWait = false;
     if (m_stopped || onlineWaits || !m_context.config.view().current())
         return;
-    std::set<item_key> busy;
-    for (const auto &[ref, run] : m_runs)
-        busy.insert(ref);
-    for (const auto &[ref, failedRun] : m_settling)
-        busy.insert(ref);
-    const auto items =
-        itemsToStart(folds(), m_context.options.vm, m_gateways(), busy, StartsAtOnce);
+    const auto items = itemsToStart(folds(), m_context.options.vm, m_gateways(), busyItems(),
+                                    bootNow() - OldestFold, StartsAtOnce);
     const auto config = m_context.config.view().current();
-    for (const item_key &ref : items) {
-        const customer_batch *job = findJob(ref.job);
-        const forward_route *route = config->findRouteByName(job->routeName);
+    for (const item_key &key : items) {
+        const customer_batch &job = *findJob(key.job);
+        const forward_route *route = config->findRouteByName(job.routeName);
         if (route == nullptr) {
-            finish(ref, *job, true, "route removed");
+            finish(workOf(key, job), true, "route removed");
             continue;
         }
-        if (mustAbandon(*job, ref.item.value(), bootNow())) {
-            finish(ref, *job, true, "failed too often or too old");
+        if (mustAbandon(job, key.item.value(), bootNow())) {
+            finish(workOf(key, job), true, "failed too often or too old");
             continue;
         }
+        if (!contentReady(key, job))
+            continue;
         placement_request placement;
         placement.group = route->groups.front().group;
         placement.work = work_class::Batch;
         const auto upstream = m_context.board.pick(placement, bootNow());
         if (!upstream)
             return;
-        start(ref, *job, *upstream);
+        start(workOf(key, job), *upstream);
+    }
+}
+
+std::set<item_key> batch_runner::busyItems() const
+{
+    std::set<item_key> busy;
+    for (const auto &[key, run] : m_runs)
+        busy.insert(key);
+    for (const auto &[key, failedRun] : m_settling)
+        busy.insert(key);
+    return busy;
+}
+
+bool batch_runner::contentReady(const item_key &key, const customer_batch &job)
+{
+    item_progress &progress = m_progress[key];
+    if (progress.content)
+        return true;
+    if (!progress.reading) {
+        progress.reading = true;
+        boost::fibers::fiber([this, key, place = job.items[key.item.value()].content] {
+            readContent(key, place);
+        }).detach();
     }
+    return false;
+}
+
+void batch_runner::readContent(const item_key &key, const content_place &place)
+{
+    const auto bytes = m_store.contents().read(place);
+    auto content = bytes ? decodeBatchItem(*bytes) : std::nullopt;
+    if (!content) {
+        log_event(log_level::Warning, "content of a batch item not read")
+            .with("job", key.job.value())
+            .with("item", key.item.value());
+        boost::this_fiber::sleep_for(ReadRetryPause);
+    }
+    const auto found = m_progress.find(key);
+    if (found == m_progress.end())
+        return;
+    found->second.reading = false;
+    if (content)
+        found->second.content = std::move(*content);
 }
 
 bool batch_runner::yieldOne()
@@ -109,38 +158,31 @@
     for (std::size_t i = 0; i < share && yieldOne(); ++i) { }
 }
 
-void batch_runner::start(const item_key &ref, const customer_batch &job,
-                         const upstream_id &upstreamId)
+void batch_runner::start(const item_work &work, const upstream_id &upstreamId)
 {
     const live_upstream *upstream = m_context.directory.find(upstreamId);
     if (upstream == nullptr)
         return;
     auto run = std::make_shared<item_run>();
     run->upstream = upstreamId;
-    m_runs.emplace(ref, run);
+    m_runs.emplace(work.key, run);
     m_context.board.take(upstreamId, work_class::Batch);
-    // The fold may change the job while the item runs.
-    customer_batch copy = job;
-    for (std::size_t i = 0; i < copy.items.size(); ++i) {
-        if (i != ref.item.value())
-            copy.items[i] = batch_job_item();
-    }
-    boost::fibers::fiber([this, ref, copy = std::move(copy), upstream = *upstream, run] {
-        runItem(ref, copy, upstream, run);
+    boost::fibers::fiber([this, work, upstream = *upstream, run] {
+        runItem(work, upstream, run);
     }).detach();
 }
 
-void batch_runner::runItem(const item_key &ref, const customer_batch &job,
-                           const live_upstream &upstream, const std::shared_ptr<item_run> &run)
+void batch_runner::runItem(const item_work &work, const live_upstream &upstream,
+                           const std::shared_ptr<item_run> &run)
 {
     const instant startedAt = bootNow();
-    const attempt_result result = runOnce(ref, job, upstream, *run);
+    const attempt_result result = runOnce(work, upstream, *run);
     run->holdsSlot = false;
-    m_runs.erase(ref);
+    m_runs.erase(work.key);
     log_event(log_level::Info, "batch item run ended")
-        .request(job.items[ref.item.value()].id)
+        .request(work.request.value())
         .upstream(upstream.id.value())
-        .with("job", ref.job.value())
+        .with("job", work.key.job.value())
         .with("end", run->yielding ? "yielded to online work" : nameOf(result.end))
         .with("status", result.response.status)
         .with("reason", result.reason)
@@ -149,32 +191,31 @@
     if (run->yielding)
         m_onYielded();
     else
-        settle(ref, job, result);
+        settle(work, result);
     m_context.waiting.release(upstream.id, work_class::Batch);
 }
 
-attempt_result batch_runner::runOnce(const item_key &ref, const customer_batch &job,
-                                     const live_upstream &upstream, item_run &run)
+attempt_result batch_runner::runOnce(const item_work &work, const live_upstream &upstream,
+                                     item_run &run)
 {
-    partial_output &output = m_partials[ref];
+    item_progress &progress = m_progress[work.key];
     const instant now = bootNow();
-    output.touchedAt = now;
-    const duration age = now - job.seenAt;
-    const bool bounded = job.retention > age;
+    const duration age = now - work.seenAt;
+    const bool bounded = work.retention > age;
     attempt_limits limits;
-    limits.deadline = now + (bounded ? job.retention - age : duration(DefaultItemTime));
+    limits.deadline = now + (bounded ? work.retention - age : duration(DefaultItemTime));
     limits.silence = m_context.options.silenceLimit * SilenceFactor;
     limits.longestIdle = LongestIdle;
     upstream_attempt message;
     message.upstream = upstream.id;
-    message.customer = job.customer;
+    message.customer = work.customer;
     message.timeLeft = limits.deadline - now;
-    message.resumeAfter = output.lastEvent;
-    stream_progress progress(output.lastEvent);
-    output_sink sink(output, run);
+    message.resumeAfter = progress.lastEvent;
+    stream_progress events(progress.lastEvent);
+    output_sink sink(progress, run);
     attempt_result result = m_context.caller.run(
-        upstream, m_context.protocol.encodeItem(job, ref.item.value(), message),
-        request_id(job.items[ref.item.value()].id), true, limits, progress, sink, run.handle);
+        upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
+        work.request, true, limits, events, sink, run.handle);
     const bool failed =
         result.end == attempt_end::Broken || result.end == attempt_end::Silent || !result.connected;
     if (failed)
@@ -182,75 +223,81 @@
     return result;
 }
 
-void batch_runner::settle(const item_key &ref, const customer_batch &job,
-                          const attempt_result &result)
+void batch_runner::settle(const item_work &work, const attempt_result &result)
 {
     if (result.end == attempt_end::Complete) {
-        finish(ref, job, false, "");
+        finish(work, false, "");
         return;
     }
     if (result.end != attempt_end::Answered)
         return;
     if (result.response.status == NeverDone)
-        finish(ref, job, true, "the upstream can never do it");
+        finish(work, true, "the upstream can never do it");
     else
-        noteFailure(ref, job, result.response.status);
+        noteFailure(work, result.response.status);
 }
 
-void batch_runner::finish(const item_key &ref, const customer_batch &job, bool abandoned,
-                          const std::string &reason)
+void batch_runner::finish(const item_work &work, bool abandoned, const std::string &reason)
 {
     log_event(log_level::Info, abandoned ? "batch item abandoned" : "batch item done")
-        .request(job.items[ref.item.value()].id)
-        .with("job", ref.job.value())
-        .with("failed_runs", job.items[ref.item.value()].failedRuns.size())
+        .request(work.request.value())
+        .with("job", work.key.job.value())
+        .with("failed_runs", work.failedRuns)
         .with("reason", reason);
     schema::item_finished_message record;
-    record.job = ref.job.value();
-    record.item = ref.item.value();
+    record.job = work.key.job.value();
+    record.item = work.key.item.value();
     record.abandoned = abandoned;
-    std::vector<std::string> records;
-    std::string output = abandoned ? std::string() : m_partials[ref].text;
-    if (output.size() > InlineContentBytes) {
-        record.content = randomId("output_");
-        records = contentParts(record.content, output);
-        record.content_parts = static_cast<std::uint32_t>(records.size());
-    } else {
-        record.output = std::move(output);
+    std::string output = abandoned ? std::string() : m_progress[work.key].text;
+    appendLater(work, "", [this, work, record, output = std::move(output)](instant deadline) {
+        return storeEnd(work, record, output, deadline);
+    });
+}
+
+durable_result batch_runner::storeEnd(const item_work &work, schema::item_finished_message record,
+                                      const std::string &output, instant deadline)
+{
+    if (!output.empty()) {
+        const auto places = m_store.contents().append(work.customer, {output}, deadline);
+        if (!places)
+            return durable_result::NotStored;
+        record.output = encodePlace(places->front());
     }
-    records.push_back(encodeBatchRecord(std::move(record)));
-    append(ref, job, records, "");
+    return m_store.partitionOf(work.customer)
+        .append({encodeBatchRecord(std::move(record))}, deadline);
 }
 
-void batch_runner::noteFailure(const item_key &ref, const customer_batch &job, unsigned status)
+void batch_runner::noteFailure(const item_work &work, unsigned status)
 {
     log_event(log_level::Info, "batch item failed")
-        .request(job.items[ref.item.value()].id)
-        .with("job", ref.job.value())
+        .request(work.request.value())
+        .with("job", work.key.job.value())
         .with("status", status)
-        .with("failed_runs", job.items[ref.item.value()].failedRuns.size() + 1);
-    m_partials.erase(ref);
+        .with("failed_runs", work.failedRuns + 1);
+    m_progress[work.key].restart();
     schema::item_failed_message record;
-    record.job = ref.job.value();
-    record.item = ref.item.value();
-    const std::string run = randomId("run_");
-    record.run = run;
-    append(ref, job, {encodeBatchRecord(std::move(record))}, run);
+    record.job = work.key.job.value();
+    record.item = work.key.item.value();
+    record.run = randomId("run_");
+    const std::string run = record.run;
+    appendLater(work, run, [this, work, record](instant deadline) {
+        return m_store.partitionOf(work.customer).append({encodeBatchRecord(record)}, deadline);
+    });
 }
 
-// The item isn't started again before the fold shows the records, or they could not be stored.
-void batch_runner::append(const item_key &ref, const customer_batch &job,
-                          const std::vector<std::string> &records, const std::string &failedRun)
+// The item isn't started again before the fold shows the record, or it could not be stored.
+void batch_runner::appendLater(const item_work &work, const std::string &failedRun,
+                               std::function<durable_result(instant deadline)> append)
 {
-    m_settling.insert_or_assign(ref, failedRun);
-    boost::fibers::fiber([this, ref, customer = job.customer, records] {
-        const auto stored = m_store.partitionOf(customer).append(records, bootNow() + RecordTime);
-        if (stored == durable_result::Stored)
+    m_settling.insert_or_assign(work.key, failedRun);
+    boost::fibers::fiber([this, work, append = std::move(append)] {
+        if (append(bootNow() + RecordTime) == durable_result::Stored)
             return;
         log_event(log_level::Warning, "record of a batch item not stored")
-            .customer(customer.value())
-            .with("job", ref.job.value());
-        m_settling.erase(ref);
+            .request(work.request.value())
+            .customer(work.customer.value())
+            .with("job", work.key.job.value());
+        m_settling.erase(work.key);
     }).detach();
 }
 
@@ -266,7 +313,7 @@
         return finished(ref)
                || findJob(ref.job)->items[ref.item.value()].failedRuns.contains(failedRun);
     });
-    std::erase_if(m_partials, [&](const auto &entry) {
+    std::erase_if(m_progress, [&](const auto &entry) {
         return !m_runs.contains(entry.first) && finished(entry.first);
     });
     for (const auto &[ref, run] : m_runs) {
--- a/src/gateway/batch_store.cpp
+++ b/src/gateway/batch_store.cpp
@@ -6,6 +6,7 @@
 
 batch_store::batch_store(record_store &store, std::uint32_t partitions, duration keepTime,
                          const std::function<void()> &onChange)
+    : m_contents(store, partitions)
 {
     for (std::uint32_t i = 0; i < partitions; ++i)
         m_partitions.push_back(std::make_unique<batch_partition>(store, i, keepTime, onChange));
--- /dev/null
+++ b/src/gateway/content_store.cpp
@@ -0,0 +1,132 @@
+// Appends, reads, and the contents that are kept.
+#include <tamarackglade/core/partition.hpp>
+#include <tamarackglade/gateway/content_store.hpp>
+#include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/runtime/boot_now.hpp>
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::size_t KeptBytes = 4 * 1024 * 1024;
+constexpr std::size_t ReadsAtOnce = 8;
+constexpr std::chrono::milliseconds AppendRetryPause{150};
+
+const stream_name ContentStream("batch-contents");
+
+} // namespace
+
+std::optional<std::vector<content_place>>
+content_store::append(const customer_id &customer, const std::vector<std::string> &contents,
+                      instant deadline)
+{
+    const auto appends = packContents(contents, store_limits());
+    if (!appends)
+        return std::nullopt;
+    const stream_partition partition{ContentStream, partitionOf(customer, m_partitions).value()};
+    std::vector<content_place> places;
+    for (const content_append &each : *appends) {
+        const auto first =
+            each.records.empty() ? stream_position() : store(partition, each.records, deadline);
+        if (!first)
+            return std::nullopt;
+        for (content_place place : each.places) {
+            place.partition = partition.partition;
+            place.position = stream_position(first->value() + place.position.value());
+            keep(place, contents[places.size()]);
+            places.push_back(place);
+        }
+    }
+    return places;
+}
+
+std::optional<std::string> content_store::read(const content_place &place)
+{
+    if (place.records == 0)
+        return std::string();
+    const auto known = m_keptByPlace.find(place);
+    if (known != m_keptByPlace.end()) {
+        m_kept.splice(m_kept.begin(), m_kept, known->second);
+        return known->second->bytes;
+    }
+    std::vector<std::string> records;
+    while (records.size() < place.records) {
+        const stream_position from(place.position.value() + records.size());
+        const read_reply reply =
+            m_store.readRange({ContentStream, place.partition}, from, place.size);
+        if (reply.result != read_result::Read || reply.records.empty())
+            return std::nullopt;
+        records.insert(records.end(), reply.records.begin(), reply.records.end());
+    }
+    auto content = joinContent(place, records);
+    if (content)
+        keep(place, *content);
+    else
+        log_event(log_level::Error, "content of a batch item is malformed")
+            .with("partition", place.partition)
+            .with("position", place.position.value());
+    return content;
+}
+
+std::optional<std::vector<std::string>>
+content_store::readAll(const std::vector<content_place> &places)
+{
+    std::vector<std::string> contents(places.size());
+    bool all = true;
+    std::size_t next = 0;
+    const auto readNext = [&] {
+        while (next < places.size()) {
+            const std::size_t i = next++;
+            auto content = read(places[i]);
+            all = all && content.has_value();
+            if (content)
+                contents[i] = std::move(*content);
+        }
+    };
+    std::vector<boost::fibers::fiber> readers;
+    for (std::size_t i = 1; i < std::min(ReadsAtOnce, places.size()); ++i)
+        readers.emplace_back(readNext);
+    readNext();
+    for (boost::fibers::fiber &reader : readers)
+        reader.join();
+    if (!all)
+        return std::nullopt;
+    return contents;
+}
+
+std::optional<stream_position> content_store::store(const stream_partition &partition,
+                                                    const std::vector<std::string> &records,
+                                                    instant deadline)
+{
+    // Content that is stored twice, after an answer was lost, harms nothing: one place is named.
+    for (;;) {
+        const append_reply reply = m_store.append(partition, records, std::nullopt);
+        if (reply.result == append_result::Appended)
+            return reply.position;
+        if (bootNow() >= deadline)
+            return std::nullopt;
+        boost::this_fiber::sleep_for(AppendRetryPause);
+    }
+}
+
+void content_store::keep(const content_place &place, const std::string &bytes)
+{
+    if (place.records == 0 || m_keptByPlace.contains(place))
+        return;
+    m_kept.push_front({place, bytes});
+    m_keptByPlace.emplace(place, m_kept.begin());
+    m_keptBytes += bytes.size();
+    while (m_keptBytes > KeptBytes) {
+        const kept_content &oldest = m_kept.back();
+        m_keptBytes -= oldest.bytes.size();
+        m_keptByPlace.erase(oldest.place);
+        m_kept.pop_back();
+    }
+}
+
+} // namespace tamarack
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -1,6 +1,7 @@
 // Tests of the fold of batch jobs, and of who runs which item.
 #include <tamarackglade/batches/batch_codec.hpp>
 #include <tamarackglade/batches/batch_schedule.hpp>
+#include <tamarackglade/batches/content_packing.hpp>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -13,18 +14,9 @@
 const instant Start{};
 const customer_id North("north");
 
-schema::batch_items_message itemsOf(std::size_t count, std::size_t bodySize = 4)
+content_place placeOf(std::uint64_t position)
 {
-    schema::batch_items_message items;
-    for (std::size_t i = 0; i < count; ++i) {
-        auto item = std::make_unique<schema::batch_item_message>();
-        item->id = "item" + std::to_string(i);
-        item->path = "/p";
-        item->tokens = 100;
-        item->body.assign(bodySize, 'x');
-        items.items.push_back(std::move(item));
-    }
-    return items;
+    return {0, stream_position(position), 1, 4};
 }
 
 std::string acceptedRecord(const std::string &job, std::size_t count, std::uint64_t dueMs = 18'000)
@@ -36,20 +28,24 @@
     record.due_ms = dueMs;
     record.retention_ms = 60'000;
     record.attempts = 3;
-    record.item_count = static_cast<std::uint32_t>(count);
-    const std::string items = encodeBatchItems(itemsOf(count));
-    record.items.assign(items.begin(), items.end());
+    for (std::size_t i = 0; i < count; ++i) {
+        auto item = std::make_unique<schema::accepted_item_message>();
+        item->id = "item" + std::to_string(i);
+        item->tokens = 100;
+        item->content = encodePlace(placeOf(i));
+        record.items.push_back(std::move(item));
+    }
     return encodeBatchRecord(std::move(record));
 }
 
-std::string finishedRecord(const std::string &job, std::uint32_t item, const std::string &output,
+std::string finishedRecord(const std::string &job, std::uint32_t item, std::uint64_t output,
                            bool abandoned = false)
 {
     schema::item_finished_message record;
     record.job = job;
     record.item = item;
     record.abandoned = abandoned;
-    record.output = output;
+    record.output = encodePlace(placeOf(output));
     return encodeBatchRecord(std::move(record));
 }
 
@@ -75,16 +71,15 @@
 {
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", 3), Start);
-    fold.apply(finishedRecord("j", 2, "two"), Start);
-    fold.apply(finishedRecord("j", 0, "zero"), Start);
-    fold.apply(finishedRecord("j", 2, "other"), Start);
-    fold.apply(finishedRecord("j", 0, "", true), Start);
+    fold.apply(finishedRecord("j", 2, 12), Start);
+    fold.apply(finishedRecord("j", 0, 10), Start);
+    fold.apply(finishedRecord("j", 2, 13), Start);
+    fold.apply(finishedRecord("j", 0, 14, true), Start);
     const customer_batch &job = *fold.find(job_id("j"));
     CHECK(job.results == std::vector<std::size_t>{2, 0});
-    CHECK(job.items[2].output == "two");
+    CHECK(job.items[2].output == placeOf(12));
     CHECK(job.items[0].state == batch_item_state::Done);
-    CHECK(job.items[2].body.empty());
-    CHECK(job.items[1].body == "xxxx");
+    CHECK(job.items[1].content == placeOf(1));
     CHECK(job.open());
     CHECK(fold.end() == stream_position(5));
 }
@@ -93,7 +88,7 @@
 {
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", 2), Start);
-    fold.apply(finishedRecord("j", 0, "zero"), Start);
+    fold.apply(finishedRecord("j", 0, 10), Start);
     fold.apply(acceptedRecord("j", 2), Start + 1s);
     CHECK(fold.find(job_id("j"))->results.size() == 1);
     CHECK(fold.waitingTokens(North, "checks") == 100);
@@ -104,7 +99,7 @@
 {
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", 2), Start);
-    fold.apply(finishedRecord("j", 1, "one"), Start);
+    fold.apply(finishedRecord("j", 1, 11), Start);
     fold.apply(endedRecord("j"), Start);
     CHECK_FALSE(fold.find(job_id("j"))->open());
     CHECK(fold.find(job_id("j"))->results.size() == 1);
@@ -129,35 +124,62 @@
     CHECK(mustAbandon(*fold.find(job_id("j")), 0, Start + 61s));
 }
 
-TEST_CASE("long content comes in parts before the record that names it")
+TEST_CASE("contents are cut for the store's limits and put together again")
 {
+    const bool held = rc::check("contents are cut and put together", [] {
+        const store_limits limits{10, 40};
+        const auto contents = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::resize(40, rc::gen::arbitrary<std::string>()));
+        const auto appends = packContents(contents, limits);
+        RC_ASSERT(appends.has_value());
+        std::size_t at = 0;
+        for (const content_append &append : *appends) {
+            std::size_t size = 0;
+            for (const std::string &record : append.records) {
+                RC_ASSERT(record.size() <= limits.record);
+                size += record.size();
+            }
+            RC_ASSERT(size <= limits.append);
+            for (const content_place &place : append.places) {
+                const auto first = static_cast<std::ptrdiff_t>(place.position.value());
+                const std::vector<std::string> read(append.records.begin() + first,
+                                                    append.records.end());
+                RC_ASSERT(joinContent(place, read) == contents[at++]);
+            }
+        }
+        RC_ASSERT(at == contents.size());
+    });
+    CHECK(held);
+    CHECK_FALSE(packContents({std::string(41, 'x')}, store_limits{10, 40}));
+}
+
+TEST_CASE("records that are missing or of another size are no content")
+{
+    CHECK_FALSE(joinContent({0, {}, 2, 4}, {"ab"}));
+    CHECK_FALSE(joinContent({0, {}, 2, 4}, {"ab", "c"}));
+    CHECK(joinContent({0, {}, 2, 4}, {"ab", "cd", "ef"}) == "abcd");
+    CHECK(joinContent({0, {}, 0, 0}, {}) == "");
+}
+
+TEST_CASE("a fold that isn't read to its end starts nothing")
+{
+    // After a start, the records that finish items and end jobs come pages after the acceptance.
     batch_fold fold(60s);
-    const std::string items = encodeBatchItems(itemsOf(3, 200 * 1024));
-    const auto parts = contentParts("c1", items);
-    REQUIRE(parts.size() > 3);
-    schema::batch_accepted_message record;
-    record.job = "j";
-    record.customer = North.value();
-    record.item_count = 3;
-    record.content = "c1";
-    record.content_parts = static_cast<std::uint32_t>(parts.size());
-    const std::string accepted = encodeBatchRecord(std::move(record));
-
-    SUBCASE("in any order, some of them twice")
-    {
-        for (auto part = parts.rbegin(); part != parts.rend(); ++part)
-            fold.apply(*part, Start);
-        fold.apply(parts[1], Start);
-        fold.apply(accepted, Start);
-        REQUIRE(fold.find(job_id("j")) != nullptr);
-        CHECK(fold.find(job_id("j"))->items[2].body.size() == 200 * 1024);
-    }
-    SUBCASE("a missing part accepts nothing")
-    {
-        fold.apply(parts[0], Start);
-        fold.apply(accepted, Start);
-        CHECK(fold.find(job_id("j")) == nullptr);
-    }
+    const std::vector<vm_id> gateways{vm_id("a")};
+    const auto startable = [&](instant now) {
+        return itemsToStart({&fold}, vm_id("a"), gateways, {}, now - 2s, 100).size();
+    };
+    fold.apply(acceptedRecord("j", 3), Start);
+    fold.apply(acceptedRecord("k", 3), Start);
+    CHECK(startable(Start) == 0);
+    fold.apply(endedRecord("j"), Start);
+    fold.apply(finishedRecord("k", 0, 9), Start);
+    fold.confirm(Start);
+    CHECK(startable(Start) == 2);
+    CHECK(startable(Start + 2s) == 2);
+    CHECK(startable(Start + 3s) == 0);
+    fold.confirm(Start + 3s);
+    CHECK(startable(Start + 3s) == 2);
 }
 
 TEST_CASE("malformed records only advance the position")
@@ -166,9 +188,9 @@
     CHECK_FALSE(fold.apply("", Start));
     CHECK_FALSE(fold.apply("no record at all, but longer than a header", Start));
     CHECK(fold.end() == stream_position(2));
-    CHECK(fold.apply(finishedRecord("unknown", 0, "x"), Start));
+    CHECK(fold.apply(finishedRecord("unknown", 0, 1), Start));
     CHECK(fold.apply(acceptedRecord("j", 1), Start));
-    CHECK(fold.apply(finishedRecord("j", 7, "x"), Start));
+    CHECK(fold.apply(finishedRecord("j", 7, 1), Start));
     CHECK(fold.find(job_id("j"))->results.empty());
 }
 
@@ -177,10 +199,11 @@
     batch_fold fold(60s);
     fold.apply(acceptedRecord("late", 20, 30'000), Start);
     fold.apply(acceptedRecord("soon", 20, 10'000), Start);
+    fold.confirm(Start);
     const std::vector<vm_id> gateways{vm_id("a"), vm_id("b"), vm_id("c")};
     std::set<item_key> all;
     for (const vm_id &gateway : gateways) {
-        const auto items = itemsToStart({&fold}, gateway, gateways, {}, 100);
+        const auto items = itemsToStart({&fold}, gateway, gateways, {}, Start, 100);
         CHECK(std::is_sorted(items.begin(), items.end(), [](const auto &x, const auto &y) {
             return x.job == job_id("soon") && y.job == job_id("late");
         }));
@@ -194,17 +217,19 @@
 {
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", 3), Start);
-    CHECK(itemsToStart({&fold}, vm_id("a"), {}, {}, 100).empty());
-    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("b")}, {}, 100).empty());
+    fold.confirm(Start);
+    CHECK(itemsToStart({&fold}, vm_id("a"), {}, {}, Start, 100).empty());
+    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("b")}, {}, Start, 100).empty());
 }
 
 TEST_CASE("items that run here aren't started again")
 {
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", 3), Start);
+    fold.confirm(Start);
     const std::set<item_key> running{{job_id("j"), item_index(1)}};
-    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, running, 100).size() == 2);
-    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, running, 1).size() == 1);
+    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, running, Start, 100).size() == 2);
+    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, running, Start, 1).size() == 1);
 }
 
 TEST_CASE("records that are written twice or late change no result")
@@ -212,11 +237,11 @@
     const bool held = rc::check("records that are written twice or late change no result", [] {
         batch_fold fold(60s);
         fold.apply(acceptedRecord("j", 4), Start);
-        std::vector<std::pair<std::size_t, std::string>> listed;
+        std::vector<std::pair<std::size_t, content_place>> listed;
         const auto steps = *rc::gen::inRange(1, 30);
         for (int i = 0; i < steps; ++i) {
             const auto item = *rc::gen::inRange<std::uint32_t>(0, 4);
-            const std::string output = std::to_string(*rc::gen::inRange(0, 1000));
+            const auto output = *rc::gen::inRange<std::uint64_t>(0, 1000);
             fold.apply(finishedRecord("j", item, output), Start);
             const customer_batch &job = *fold.find(job_id("j"));
             for (std::size_t place = 0; place < listed.size(); ++place) {
