Placement: failures are remembered beyond the next success, also an upstream's own

Ruled out: lost answers (few that second). Change: failure_score keeps failures with a half-life of 4 s; it ejects at once for silence, unreachability and another upstream at the address, else from the second failure on, and counts an upstream as fuller meanwhile. Reports between gateways tell ejections, which make an upstream the second choice. A kept connection that broke before any answer tells nothing of its upstream. A first event is awaited for two thirds of the objective where another upstream may still make it. Peers' use is summed once a report, not once a choice (35 peers x 48 upstreams each time before). A lost store is probed each 0.25 s for the configuration, without waiting at the store.

Tests: unit-placement, 4 new cases (written with the change); test_gateway 38 of 38; unit-gateway-load passes as before.

--- a/include/tamarackglade/gateway/attempt_result.hpp
+++ b/include/tamarackglade/gateway/attempt_result.hpp
@@ -1,9 +1,12 @@
 // How an attempt at one upstream ended.
 #pragma once
 
+#include <tamarackglade/core/time.hpp>
 #include <tamarackglade/gateway/answer_facts.hpp>
 #include <tamarackglade/http/http_response.hpp>
+#include <tamarackglade/placement/failure_score.hpp>
 
+#include <optional>
 #include <string>
 
 namespace tamarack {
@@ -18,6 +21,11 @@
     Unwanted // the receiver is gone
 };
 
+struct attempt_result;
+
+/// @return what the attempt tells against its upstream, or nullopt
+std::optional<attempt_fault> faultOf(const attempt_result &result);
+
 /// @return the name for logs
 const char *nameOf(attempt_end end);
 
@@ -29,6 +37,9 @@
     answer_facts facts;
     std::string reason; // of failures, for logs
     bool connected = true; // false if the upstream could not be reached
+    // Set if a kept connection broke before any answer; how long it had been idle. The upstream may
+    // have dropped it long before.
+    std::optional<duration> droppedAfter;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/call_relay.hpp
+++ b/include/tamarackglade/gateway/call_relay.hpp
@@ -43,6 +43,7 @@
     [[nodiscard]] bool idempotent() const;
     [[nodiscard]] group_id chooseGroup() const;
     [[nodiscard]] duration timeLeft() const;
+    [[nodiscard]] duration longestFirstEventWait() const;
     void onCallerGone();
     void logEnd();
 
--- a/include/tamarackglade/gateway/peer_link.hpp
+++ b/include/tamarackglade/gateway/peer_link.hpp
@@ -60,6 +60,7 @@
     countsOf(const schema::peer_report_message &report) const;
     [[nodiscard]] std::unordered_map<upstream_id, slot_use>
     useOf(const schema::peer_report_message &report) const;
+    [[nodiscard]] std::set<upstream_id> ejectedBy(const schema::peer_report_message &report) const;
     void writeMembership(bool leaving);
     void readMembers();
 
--- a/include/tamarackglade/gateway/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream_caller.hpp
@@ -14,6 +14,7 @@
 {
     instant deadline; // of the whole request
     duration silence; // longest time without a byte; zero for no limit
+    std::optional<instant> firstEventBy; // of a stream
     duration longestIdle; // of a kept connection that may be used
 };
 
--- a/include/tamarackglade/gateway/upstream_pool.hpp
+++ b/include/tamarackglade/gateway/upstream_pool.hpp
@@ -15,6 +15,13 @@
 
 namespace tamarack {
 
+/// @brief A client, and how long its connection was idle; nullopt if it has none yet.
+struct pooled_client
+{
+    std::unique_ptr<http_client> client;
+    std::optional<duration> idleFor;
+};
+
 /// @brief Idle connections by address. All calls on the io_context's thread.
 class upstream_pool
 {
@@ -23,7 +30,10 @@
 
     /// @brief Takes the connection that was used last, or makes a client that will connect.
     /// @param longestIdle an older connection isn't taken
-    std::unique_ptr<http_client> take(const std::string &address, duration longestIdle);
+    pooled_client take(const std::string &address, duration longestIdle);
+    /// @brief Tells that a connection broke when it was used again. The upstream may drop those
+    /// that are idle sooner than it says, so those that were idle as long are closed.
+    void onDropped(const std::string &address, duration idleFor);
 
     /// @brief Keeps a connection after a whole response.
     /// @param keepAlive how long the upstream keeps it, if it said so
--- a/include/tamarackglade/placement/slot_board.hpp
+++ b/include/tamarackglade/placement/slot_board.hpp
@@ -1,6 +1,7 @@
 // Chooses upstreams by the slots that are taken, over all gateways.
 #pragma once
 
+#include <tamarackglade/placement/failure_score.hpp>
 #include <tamarackglade/placement/slot_use.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
 
@@ -8,6 +9,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <vector>
 
 namespace tamarack {
 
@@ -29,8 +31,10 @@
     // younger.
     unsigned otherZoneReserve = 2;
     unsigned batchReserve = 2; // slots of each upstream that batch work leaves free
-    duration firstEjection = std::chrono::milliseconds(500); // after a failure; doubles
-    duration longestEjection = std::chrono::seconds(4);
+    double failureCost = 3; // slots by which an upstream counts as fuller, for each failure lately
+    double longestFailureCost = 8; // slots
+    double peerEjectionCost = 3; // slots, for each gateway that gives it no work
+    failure_options failures{};
     duration peerUseLifetime = std::chrono::seconds(1); // after it a peer's report is dropped
 };
 
@@ -47,47 +51,60 @@
     std::optional<upstream_id> pick(const placement_request &request, instant now);
 
     /// @return slots that are free for this class of work, over all upstreams of the group
-    [[nodiscard]] unsigned freeSlots(const group_id &group, work_class work, instant now) const;
-    /// @return slots of all usable upstreams of the group
-    [[nodiscard]] unsigned totalSlots(const group_id &group, instant now) const;
+    [[nodiscard]] unsigned freeSlots(const group_id &group, work_class work, instant now);
 
     /// @brief Takes or gives back a slot. The upstream may have left meanwhile.
     void take(const upstream_id &id, work_class work);
     void release(const upstream_id &id, work_class work);
 
-    /// @brief Tells how an attempt went; failures eject for a while.
-    void onSuccess(const upstream_id &id);
-    void onFailure(const upstream_id &id, instant now);
+    /// @brief Tells how an attempt went.
+    void onSuccess(const upstream_id &id, instant now);
+    void onFault(const upstream_id &id, attempt_fault fault, instant now);
+
+    /// @return the upstreams that get no work from this process for a while
+    [[nodiscard]] std::vector<upstream_id> ejected(instant now) const;
+    /// @brief Forgets failures and reports of long ago; call now and then.
+    void tick(instant now);
 
     /// @brief Takes a peer's report of its own use, replacing its last one.
-    void onPeerUse(const vm_id &peer, std::unordered_map<upstream_id, slot_use> use, instant now);
+    /// @param ejected upstreams that get no work from the peer; they may fail for some only
+    void onPeerUse(const vm_id &peer, std::unordered_map<upstream_id, slot_use> use,
+                   std::set<upstream_id> ejected, instant now);
 
     /// @return this process's own use, for the report to peers
     [[nodiscard]] const std::unordered_map<upstream_id, slot_use> &ownUse() const { return m_own; }
 
 private:
-    struct health
-    {
-        unsigned failures = 0; // in a row
-        instant ejectedUntil{};
-    };
     struct peer_use
     {
         std::unordered_map<upstream_id, slot_use> use;
+        std::set<upstream_id> ejected;
         instant heardAt{};
     };
 
-    [[nodiscard]] slot_use useOf(const upstream_id &id, instant now) const;
+    /// What all peers report of one upstream.
+    struct peers_sum
+    {
+        unsigned used = 0; // slots
+        unsigned ejecting = 0; // peers that give it no work
+    };
+
+    void addReport(const peer_use &report);
+    void removeReport(const peer_use &report);
+    void dropOldReports(instant now);
+    [[nodiscard]] unsigned usedSlots(const upstream_id &id) const;
     [[nodiscard]] bool usable(const live_upstream &upstream, const group_id &group,
                               instant now) const;
+    [[nodiscard]] double failureCost(const upstream_id &id, instant now) const;
     [[nodiscard]] unsigned capacity(const live_upstream &upstream, work_class work) const;
 
     const upstream_directory &m_directory;
     const placement_options m_options;
     std::mt19937_64 m_random;
     std::unordered_map<upstream_id, slot_use> m_own; // entries with something in use
-    std::unordered_map<upstream_id, health> m_health;
+    std::unordered_map<upstream_id, failure_score> m_failures; // of those that failed lately
     std::unordered_map<vm_id, peer_use> m_peers;
+    std::unordered_map<upstream_id, peers_sum> m_peersSum; // of all in m_peers
 };
 
 } // namespace tamarack
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -216,10 +216,10 @@
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
-    const bool failed =
-        result.end == attempt_end::Broken || result.end == attempt_end::Silent || !result.connected;
-    if (failed)
-        m_context.board.onFailure(upstream.id, bootNow());
+    // A failure of the upstream's own may lie in the item.
+    const auto fault = faultOf(result);
+    if (fault && *fault != attempt_fault::Failed)
+        m_context.board.onFault(upstream.id, *fault, bootNow());
     return result;
 }
 
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds DefaultTimeout{60'000};
 // A kept connection may have been closed unseen; what can't be repeated takes a young one.
 constexpr std::chrono::milliseconds LongestIdleOnce{700};
+constexpr std::chrono::milliseconds LeastFirstEventWait{100};
+constexpr double FirstEventShare = 2.0 / 3; // of the objective, for the first upstream
 constexpr std::chrono::milliseconds LongestIdleRepeatable{60'000};
 constexpr std::chrono::milliseconds LeastRetryAfter{250};
 constexpr std::chrono::milliseconds MostRetryAfter{1'500};
@@ -152,16 +154,16 @@
     limits.deadline = m_deadline;
     limits.silence =
         idempotent() && !lastRun ? duration(m_context.options.silenceLimit) : duration::zero();
+    if (limits.silence > duration::zero() && m_route.latencyObjective > duration::zero())
+        limits.firstEventBy = bootNow() + longestFirstEventWait();
     limits.longestIdle = idempotent() ? LongestIdleRepeatable : LongestIdleOnce;
     result = m_context.caller.run(upstream, m_context.protocol.encodeCall(m_call, message),
                                   m_call.id, m_route.kind == route_kind::Stream, limits, m_progress,
                                   *this, m_handle);
-    const bool failed =
-        result.end == attempt_end::Broken || result.end == attempt_end::Silent || !result.connected;
-    if (failed)
-        m_context.board.onFailure(upstream.id, bootNow());
+    if (const auto fault = faultOf(result))
+        m_context.board.onFault(upstream.id, *fault, bootNow());
     else if (result.end == attempt_end::Complete)
-        m_context.board.onSuccess(upstream.id);
+        m_context.board.onSuccess(upstream.id, bootNow());
     if (result.end == attempt_end::NotRun) {
         ++m_refusals;
     } else {
@@ -172,6 +174,13 @@
     return result;
 }
 
+// Another upstream can still make the objective if the first one is left soon enough.
+duration call_relay::longestFirstEventWait() const
+{
+    return std::max<duration>(LeastFirstEventWait,
+                              fromSeconds(toSeconds(m_route.latencyObjective) * FirstEventShare));
+}
+
 bool call_relay::mayRetry(const attempt_result &result)
 {
     log_event(log_level::Info, "attempt failed")
--- a/src/gateway/config_watch.cpp
+++ b/src/gateway/config_watch.cpp
@@ -11,6 +11,8 @@
 
 // Reads a freshness holds, so that one late answer doesn't make the evidence too old.
 constexpr int ReadsInFreshness = 4;
+// Callers are refused until the store has answered again.
+constexpr std::chrono::milliseconds RetryPause{250};
 
 std::chrono::milliseconds pollWait(duration keyFreshness)
 {
@@ -23,7 +25,7 @@
                            duration keyFreshness, change_listener onChange)
     : m_store(store), m_protocol(protocol), m_onChange(std::move(onChange)),
       m_follower(store, protocol.configStream(),
-                 {true, pollWait(keyFreshness), std::chrono::milliseconds(0)}, *this)
+                 {true, pollWait(keyFreshness), std::chrono::milliseconds(0), RetryPause}, *this)
 {
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -133,6 +133,7 @@
         m_pool.tick(now);
         m_upstreams.tick();
         m_batchStore.tick(now);
+        m_board.tick(now);
         m_metrics.set("tamarack_waiting_requests", static_cast<double>(m_waiting.waiting()));
         m_metrics.set("tamarack_batch_runs", static_cast<double>(m_batches.running()));
         m_metrics.set("tamarack_rate_share", m_contacts.share(now));
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -164,7 +164,7 @@
             .with("peer", peer.vm.value())
             .with("rate_share", m_context.contacts.share(now));
     m_context.rates.onPeerCounts(peer.vm, peer.started, countsOf(report), inContactBefore, now);
-    m_context.board.onPeerUse(peer.vm, useOf(report), now);
+    m_context.board.onPeerUse(peer.vm, useOf(report), ejectedBy(report), now);
     if (report.serving)
         m_servingPeers.insert(peer.vm);
     else
@@ -208,6 +208,8 @@
         report.upstreams.emplace_back(stableHash(id.value()),
                                       static_cast<std::uint16_t>(use.online),
                                       static_cast<std::uint16_t>(use.batch));
+    for (const upstream_id &id : m_context.board.ejected(now))
+        report.ejected.push_back(stableHash(id.value()));
     addCounts(report, now);
     return encode<schema::peer_report>(report);
 }
@@ -252,6 +254,16 @@
     return use;
 }
 
+std::set<upstream_id> peer_link::ejectedBy(const schema::peer_report_message &report) const
+{
+    std::set<upstream_id> ejected;
+    for (const std::uint64_t hash : report.ejected) {
+        if (const live_upstream *upstream = m_context.directory.findByHash(hash))
+            ejected.insert(upstream->id);
+    }
+    return ejected;
+}
+
 void peer_link::writeMembership(bool leaving)
 {
     schema::member_record_message record;
--- a/src/gateway/stream_follower.cpp
+++ b/src/gateway/stream_follower.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds FirstRetryPause{100};
-constexpr std::chrono::milliseconds LongestRetryPause{800};
 
 } // namespace
 
@@ -54,16 +53,23 @@
 {
     auto retryPause = FirstRetryPause;
     for (;;) {
-        if (readOnce(m_options.wait)) {
+        m_failed = !readOnce(nextWait());
+        if (!m_failed) {
             retryPause = FirstRetryPause;
             boost::this_fiber::sleep_for(m_options.pause);
             continue;
         }
         boost::this_fiber::sleep_for(retryPause);
-        retryPause = std::min(retryPause * 2, LongestRetryPause);
+        retryPause = std::min(retryPause * 2, m_options.longestRetryPause);
     }
 }
 
+// The first read only finds the end; after a failure it shows soon that the store answers again.
+std::chrono::milliseconds stream_follower::nextWait() const
+{
+    return m_completeAt && !m_failed ? m_options.wait : std::chrono::milliseconds(0);
+}
+
 bool stream_follower::readSnapshot()
 {
     const instant sentAt = bootNow();
@@ -82,9 +88,6 @@
 {
     if (m_needSnapshot && !readSnapshot())
         return false;
-    // The first read only finds the end; it has nothing to wait for.
-    if (!m_completeAt)
-        wait = std::chrono::milliseconds(0);
     const stream_position from = m_position;
     const instant sentAt = bootNow();
     const read_reply reply = m_store.read(m_partition, from, wait);
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream_caller.cpp
@@ -15,11 +15,14 @@
 constexpr std::chrono::milliseconds ConnectTimeout{400};
 
 // Sets the timeout of the next read or write.
-void limitNextRead(http_client &client, const attempt_limits &limits)
+void limitNextRead(http_client &client, const attempt_limits &limits, bool begun)
 {
-    duration left = limits.deadline - bootNow();
+    const instant now = bootNow();
+    duration left = limits.deadline - now;
     if (limits.silence > duration::zero())
         left = std::min(left, limits.silence);
+    if (!begun && limits.firstEventBy)
+        left = std::min(left, *limits.firstEventBy - now);
     client.setTimeout(
         std::max(LeastTimeout, std::chrono::duration_cast<std::chrono::milliseconds>(left)));
 }
@@ -47,27 +50,6 @@
 
 } // namespace
 
-const char *nameOf(attempt_end end)
-{
-    switch (end) {
-    case attempt_end::Complete:
-        return "complete";
-    case attempt_end::Answered:
-        return "answered";
-    case attempt_end::NotRun:
-        return "not run";
-    case attempt_end::Broken:
-        return "broken";
-    case attempt_end::Silent:
-        return "silent";
-    case attempt_end::OutOfTime:
-        return "out of time";
-    case attempt_end::Unwanted:
-        return "caller gone";
-    }
-    return "";
-}
-
 void attempt_handle::abort()
 {
     m_aborted = true;
@@ -83,8 +65,9 @@
 {
     if (handle.aborted())
         return endedBy(attempt_end::Unwanted, "aborted");
-    auto client = m_pool.take(upstream.address, limits.longestIdle);
-    limitNextRead(*client, limits);
+    pooled_client pooled = m_pool.take(upstream.address, limits.longestIdle);
+    auto &client = pooled.client;
+    limitNextRead(*client, limits, false);
     client->setConnectTimeout(ConnectTimeout);
     handle.m_client = client.get();
     const auto head = client->start(request);
@@ -96,6 +79,10 @@
             result.end = attempt_end::NotRun;
             result.connected = false;
         }
+        if (result.end == attempt_end::Broken && pooled.idleFor) {
+            result.droppedAfter = pooled.idleFor;
+            m_pool.onDropped(upstream.address, *pooled.idleFor);
+        }
     } else {
         facts = m_protocol.decodeAnswer(*head);
         if (facts.answeredRequest && *facts.answeredRequest != id) {
@@ -146,8 +133,9 @@
                                            stream_progress &progress, answer_sink &sink)
 {
     event_splitter splitter;
+    bool begun = false;
     for (;;) {
-        limitNextRead(client, limits);
+        limitNextRead(client, limits, begun);
         const auto part = client.readSome();
         if (!part.ok())
             return failureOf(part.status(), limits);
@@ -155,6 +143,7 @@
             break;
         splitter.feed(*part);
         while (const auto event = splitter.next()) {
+            begun = true;
             const event_verdict verdict = progress.take(*event);
             if (verdict == event_verdict::Gap)
                 return endedBy(attempt_end::Broken, "an event is missing");
@@ -179,7 +168,7 @@
     result.response.status = head.status;
     result.facts = facts;
     for (;;) {
-        limitNextRead(client, limits);
+        limitNextRead(client, limits, true);
         const auto part = client.readSome();
         if (!part.ok())
             return failureOf(part.status(), limits);
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream_pool.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-std::unique_ptr<http_client> upstream_pool::take(const std::string &address, duration longestIdle)
+pooled_client upstream_pool::take(const std::string &address, duration longestIdle)
 {
     const auto found = m_idle.find(address);
     const instant now = bootNow();
@@ -25,10 +25,20 @@
         found->second.pop_back();
         const bool young = now < newest.expiresAt && now - newest.idleSince <= longestIdle;
         if (young && newest.client->reusable())
-            return std::move(newest.client);
+            return {std::move(newest.client), now - newest.idleSince};
         newest.client->close();
     }
-    return std::make_unique<http_client>(m_io, address);
+    return {std::make_unique<http_client>(m_io, address), std::nullopt};
+}
+
+void upstream_pool::onDropped(const std::string &address, duration idleFor)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+        return;
+    const instant now = bootNow();
+    std::erase_if(found->second,
+                  [&](const idle_client &each) { return now - each.idleSince >= idleFor; });
 }
 
 void upstream_pool::give(const std::string &address, std::unique_ptr<http_client> client,
--- /dev/null
+++ b/src/placement/failure_score.cpp
@@ -0,0 +1,42 @@
+// Decay, weights and ejections.
+#include <tamarackglade/placement/failure_score.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace tamarack {
+
+void failure_score::onFault(attempt_fault fault, instant now)
+{
+    const double weight = fault == attempt_fault::Refused ? m_options.refusalWeight : 1.0;
+    m_score = score(now) + weight;
+    m_scoredAt = now;
+    if (fault == attempt_fault::Refused)
+        return;
+    if (!ejectsAlone(fault) && m_score < m_options.ejectionScore)
+        return;
+    const duration ejection =
+        fromSeconds(toSeconds(m_options.firstEjection) * std::exp2(std::max(0.0, m_score - 1)));
+    m_ejectedUntil = now + std::min(ejection, m_options.longestEjection);
+}
+
+void failure_score::onSuccess(instant now)
+{
+    m_score = score(now) * m_options.successFactor;
+    m_scoredAt = now;
+    m_ejectedUntil = instant{};
+}
+
+double failure_score::score(instant now) const
+{
+    return m_score * std::exp2(-toSeconds(now - m_scoredAt) / toSeconds(m_options.halfLife));
+}
+
+// The next request to it would be late as well.
+bool failure_score::ejectsAlone(attempt_fault fault) const
+{
+    return fault == attempt_fault::Unreachable || fault == attempt_fault::Silent
+           || fault == attempt_fault::Replaced;
+}
+
+} // namespace tamarack
--- a/src/placement/slot_board.cpp
+++ b/src/placement/slot_board.cpp
@@ -12,6 +12,7 @@
 // Peers choose at the same time by nearly the same counts; those within this many slots of the
 // emptiest are alike, so that peers don't all take the same one.
 constexpr double AlikeSlots = 1.0;
+constexpr double ForgottenScore = 0.05; // failures
 
 } // namespace
 
@@ -28,17 +29,18 @@
         const live_upstream *upstream;
         double cost;
     };
+    dropOldReports(now);
     std::vector<candidate> candidates;
     double least = 0;
     for (const auto &[id, upstream] : m_directory.upstreams()) {
         if (!usable(upstream, request.group, now) || request.excluded.contains(id))
             continue;
-        const unsigned used = useOf(id, now).total();
+        const unsigned used = usedSlots(id);
         if (used >= capacity(upstream, request.work))
             continue;
         const double share = static_cast<double>(used);
-        const double cost =
-            share + (upstream.zone == m_options.zone ? 0.0 : m_options.otherZoneCost);
+        const double distance = upstream.zone == m_options.zone ? 0.0 : m_options.otherZoneCost;
+        const double cost = share + distance + failureCost(id, now);
         least = candidates.empty() ? cost : std::min(least, cost);
         candidates.push_back({&upstream, cost});
     }
@@ -57,27 +59,20 @@
         ->upstream->id;
 }
 
-unsigned slot_board::freeSlots(const group_id &group, work_class work, instant now) const
+unsigned slot_board::freeSlots(const group_id &group, work_class work, instant now)
 {
+    dropOldReports(now);
     unsigned free = 0;
     for (const auto &[id, upstream] : m_directory.upstreams()) {
         if (!usable(upstream, group, now))
             continue;
-        const unsigned used = useOf(id, now).total();
+        const unsigned used = usedSlots(id);
         const unsigned most = capacity(upstream, work);
         free += most > used ? most - used : 0;
     }
     return free;
 }
 
-unsigned slot_board::totalSlots(const group_id &group, instant now) const
-{
-    unsigned total = 0;
-    for (const auto &[id, upstream] : m_directory.upstreams())
-        total += usable(upstream, group, now) ? upstream.slots : 0;
-    return total;
-}
-
 void slot_board::take(const upstream_id &id, work_class work)
 {
     ++m_own[id].of(work);
@@ -93,50 +88,106 @@
         m_own.erase(found);
 }
 
-void slot_board::onSuccess(const upstream_id &id)
+void slot_board::onSuccess(const upstream_id &id, instant now)
+{
+    const auto found = m_failures.find(id);
+    if (found != m_failures.end())
+        found->second.onSuccess(now);
+}
+
+void slot_board::onFault(const upstream_id &id, attempt_fault fault, instant now)
 {
-    m_health.erase(id);
+    m_failures.try_emplace(id, m_options.failures).first->second.onFault(fault, now);
 }
 
-void slot_board::onFailure(const upstream_id &id, instant now)
+std::vector<upstream_id> slot_board::ejected(instant now) const
 {
-    health &entry = m_health[id];
-    const auto ejection = std::min(m_options.firstEjection * (1U << std::min(entry.failures, 10U)),
-                                   m_options.longestEjection);
-    ++entry.failures;
-    entry.ejectedUntil = now + ejection;
+    std::vector<upstream_id> result;
+    for (const auto &[id, failures] : m_failures) {
+        if (failures.ejected(now))
+            result.push_back(id);
+    }
+    return result;
+}
+
+void slot_board::tick(instant now)
+{
+    std::erase_if(m_failures, [&](const auto &entry) {
+        return !entry.second.ejected(now) && entry.second.score(now) < ForgottenScore;
+    });
+    dropOldReports(now);
 }
 
 void slot_board::onPeerUse(const vm_id &peer, std::unordered_map<upstream_id, slot_use> use,
-                           instant now)
+                           std::set<upstream_id> ejected, instant now)
 {
-    m_peers.insert_or_assign(peer, peer_use{std::move(use), now});
+    const auto known = m_peers.find(peer);
+    if (known != m_peers.end())
+        removeReport(known->second);
+    const auto placed =
+        m_peers.insert_or_assign(peer, peer_use{std::move(use), std::move(ejected), now});
+    addReport(placed.first->second);
 }
 
-slot_use slot_board::useOf(const upstream_id &id, instant now) const
+void slot_board::addReport(const peer_use &report)
 {
-    slot_use sum;
-    const auto add = [&](const std::unordered_map<upstream_id, slot_use> &use) {
-        const auto found = use.find(id);
-        if (found == use.end())
-            return;
-        sum.online += found->second.online;
-        sum.batch += found->second.batch;
+    for (const auto &[id, use] : report.use)
+        m_peersSum[id].used += use.total();
+    for (const upstream_id &id : report.ejected)
+        ++m_peersSum[id].ejecting;
+}
+
+void slot_board::removeReport(const peer_use &report)
+{
+    const auto forgetIfEmpty = [&](const upstream_id &id) {
+        const peers_sum &sum = m_peersSum[id];
+        if (sum.used == 0 && sum.ejecting == 0)
+            m_peersSum.erase(id);
     };
-    add(m_own);
-    for (const auto &[peer, report] : m_peers) {
-        if (now - report.heardAt < m_options.peerUseLifetime)
-            add(report.use);
+    for (const auto &[id, use] : report.use) {
+        m_peersSum[id].used -= use.total();
+        forgetIfEmpty(id);
+    }
+    for (const upstream_id &id : report.ejected) {
+        --m_peersSum[id].ejecting;
+        forgetIfEmpty(id);
     }
-    return sum;
+}
+
+void slot_board::dropOldReports(instant now)
+{
+    std::erase_if(m_peers, [&](const auto &entry) {
+        const bool old = now - entry.second.heardAt >= m_options.peerUseLifetime;
+        if (old)
+            removeReport(entry.second);
+        return old;
+    });
+}
+
+double slot_board::failureCost(const upstream_id &id, instant now) const
+{
+    const auto found = m_failures.find(id);
+    double cost = found == m_failures.end() ? 0 : found->second.score(now) * m_options.failureCost;
+    const auto sum = m_peersSum.find(id);
+    if (sum != m_peersSum.end())
+        cost += sum->second.ejecting * m_options.peerEjectionCost;
+    return std::min(cost, m_options.longestFailureCost);
+}
+
+unsigned slot_board::usedSlots(const upstream_id &id) const
+{
+    const auto own = m_own.find(id);
+    const auto sum = m_peersSum.find(id);
+    return (own == m_own.end() ? 0 : own->second.total())
+           + (sum == m_peersSum.end() ? 0 : sum->second.used);
 }
 
 bool slot_board::usable(const live_upstream &upstream, const group_id &group, instant now) const
 {
     if (upstream.leaving || upstream.group != group)
         return false;
-    const auto found = m_health.find(upstream.id);
-    return found == m_health.end() || found->second.ejectedUntil <= now;
+    const auto found = m_failures.find(upstream.id);
+    return found == m_failures.end() || !found->second.ejected(now);
 }
 
 unsigned slot_board::capacity(const live_upstream &upstream, work_class work) const
--- a/tests/support/gateway_load.cpp
+++ b/tests/support/gateway_load.cpp
@@ -282,7 +282,7 @@
             for (std::size_t to = 0; to < m_gateways.size(); ++to) {
                 if (from != to && (allZones || from % Zones == to % Zones))
                     m_gateways[to]->board.onPeerUse(vm_id(std::to_string(from)),
-                                                    m_gateways[from]->board.ownUse(), m_now);
+                                                    m_gateways[from]->board.ownUse(), {}, m_now);
             }
         }
     }
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -126,7 +126,7 @@
 TEST_CASE_FIXTURE(board_fixture, "peers' work counts while their reports are young")
 {
     directory.put(upstreamNamed("one"));
-    board.onPeerUse(vm_id("peer"), {{upstream_id("one"), slot_use{2, 0}}}, Start);
+    board.onPeerUse(vm_id("peer"), {{upstream_id("one"), slot_use{2, 0}}}, {}, Start);
     CHECK_FALSE(board.pick(requestOf(work_class::Online), Start + 900ms));
     CHECK(board.pick(requestOf(work_class::Online), Start + 1100ms));
 }
@@ -150,15 +150,86 @@
     auto request = requestOf(work_class::Online);
     request.excluded.insert(upstream_id("two"));
     CHECK_FALSE(board.pick(request, Start));
-    board.onFailure(upstream_id("two"), Start);
+    board.onFault(upstream_id("two"), attempt_fault::Silent, Start);
     CHECK_FALSE(board.pick(requestOf(work_class::Online), Start));
     CHECK(board.pick(requestOf(work_class::Online), Start + 500ms));
-    board.onFailure(upstream_id("two"), Start + 500ms);
+    board.onFault(upstream_id("two"), attempt_fault::Silent, Start + 500ms);
     CHECK_FALSE(board.pick(requestOf(work_class::Online), Start + 1'400ms));
-    board.onSuccess(upstream_id("two"));
+    board.onSuccess(upstream_id("two"), Start + 1'400ms);
     CHECK(board.pick(requestOf(work_class::Online), Start + 1'400ms));
 }
 
+TEST_CASE_FIXTURE(board_fixture, "an upstream that fails at once draws no requests")
+{
+    // Nothing is ever in use there, so by its slots alone it would always be the first choice.
+    directory.put(upstreamNamed("failing", "a", 8));
+    directory.put(upstreamNamed("good", "a", 8));
+    for (int i = 0; i < 3; ++i)
+        board.take(upstream_id("good"), work_class::Online);
+    int failed = 0;
+    for (int i = 0; i < 100; ++i) {
+        const instant now = Start + i * 20ms;
+        const auto upstream = board.pick(requestOf(work_class::Online), now);
+        REQUIRE(upstream);
+        if (*upstream == upstream_id("failing")) {
+            ++failed;
+            board.onFault(*upstream, attempt_fault::Failed, now);
+        }
+    }
+    CHECK(failed <= 4);
+}
+
+TEST_CASE_FIXTURE(board_fixture, "an upstream that fails a part of its requests is avoided")
+{
+    directory.put(upstreamNamed("grey", "a", 8));
+    directory.put(upstreamNamed("good", "a", 8));
+    int grey = 0;
+    for (int i = 0; i < 200; ++i) {
+        const instant now = Start + i * 25ms;
+        const auto upstream = board.pick(requestOf(work_class::Online), now);
+        REQUIRE(upstream);
+        if (*upstream != upstream_id("grey")) {
+            board.onSuccess(*upstream, now);
+            continue;
+        }
+        ++grey;
+        if (i % 5 < 2)
+            board.onFault(*upstream, attempt_fault::Broken, now);
+        else
+            board.onSuccess(*upstream, now);
+    }
+    CHECK(grey <= 25);
+    // It is used again when the others are full.
+    for (int i = 0; i < 8; ++i)
+        board.take(upstream_id("good"), work_class::Online);
+    CHECK(board.pick(requestOf(work_class::Online), Start + 10s) == upstream_id("grey"));
+}
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "peers' ejections make an upstream the second choice, not unusable")
+{
+    directory.put(upstreamNamed("one", "a", 8));
+    directory.put(upstreamNamed("two", "a", 8));
+    board.onPeerUse(vm_id("peer"), {}, {upstream_id("one")}, Start);
+    board.take(upstream_id("two"), work_class::Online);
+    CHECK(board.pick(requestOf(work_class::Online), Start) == upstream_id("two"));
+    for (int i = 0; i < 7; ++i)
+        board.take(upstream_id("two"), work_class::Online);
+    CHECK(board.pick(requestOf(work_class::Online), Start) == upstream_id("one"));
+    CHECK(board.pick(requestOf(work_class::Batch), Start + 1s) == upstream_id("one"));
+}
+
+TEST_CASE_FIXTURE(board_fixture, "reports replace each other, and old ones leave nothing behind")
+{
+    directory.put(upstreamNamed("one", "a", 8));
+    for (int i = 0; i < 5; ++i)
+        board.onPeerUse(vm_id("peer"), {{upstream_id("one"), slot_use{2, 1}}}, {}, Start);
+    board.onPeerUse(vm_id("other"), {{upstream_id("one"), slot_use{1, 0}}}, {}, Start + 500ms);
+    CHECK(board.freeSlots(Engines, work_class::Online, Start + 500ms) == 4);
+    CHECK(board.freeSlots(Engines, work_class::Online, Start + 1s) == 7);
+    CHECK(board.freeSlots(Engines, work_class::Online, Start + 1'500ms) == 8);
+}
+
 TEST_CASE_FIXTURE(board_fixture, "what can't start in time is refused at once")
 {
     directory.put(upstreamNamed("one", "a", 1));
