--- a/include/tamarackglade/gateway/batch_api.hpp
+++ b/include/tamarackglade/gateway/batch_api.hpp
@@ -3,11 +3,10 @@
 
 #include <tamarackglade/gateway/batch_call.hpp>
 #include <tamarackglade/gateway/batch_store.hpp>
+#include <tamarackglade/gateway/batch_submission.hpp>
 #include <tamarackglade/gateway/gateway_context.hpp>
 #include <tamarackglade/http/http_exchange.hpp>
 
-#include <boost/fiber/future/future.hpp>
-
 namespace tamarack {
 
 /// @brief Answers from the folds, which are no older than the settings allow.
@@ -28,19 +27,6 @@
                 instant arrivedAt);
 
 private:
-    enum class submission_end { Accepted, OverLimit, NotStored, Unknown };
-    using content_upload = boost::fibers::future<std::optional<std::vector<content_place>>>;
-
-    submission_end store(batch_partition &partition, schema::batch_accepted_message record,
-                         const std::vector<schema::batch_item_message> &items,
-                         const forward_route &route, instant deadline);
-    /// @brief Begins to store the items' contents.
-    content_upload startUpload(const customer_id &customer,
-                               const std::vector<schema::batch_item_message> &items,
-                               instant deadline);
-    /// @return whether the contents are stored, and their places are in the record
-    static bool nameContents(schema::batch_accepted_message &record,
-                             const std::optional<std::vector<content_place>> &places);
     const customer_batch *findJob(batch_partition &partition, const job_id &job,
                                   const customer_id &customer, instant arrivedAt, bool &known);
     void answerOne(http_exchange &exchange, const read_results_call &call, batch_partition &jobs,
--- a/include/tamarackglade/gateway/peer_link.hpp
+++ b/include/tamarackglade/gateway/peer_link.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/gateway/gateway_context.hpp>
+#include <tamarackglade/gateway/member_registry.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 #include <tamarackglade/schema/peer_generated.h>
 #include <tamarackglade/store/record_store.hpp>
@@ -15,7 +16,7 @@
 
 namespace tamarack {
 
-/// @brief Finds the other gateways in the store and reports to them several times a second.
+/// @brief Reports to the other gateways several times a second, and takes their reports.
 class peer_link
 {
 public:
@@ -40,7 +41,7 @@
     /// @return the gateways in contact that run batch items, and this one if it does
     [[nodiscard]] std::vector<vm_id> servingGateways() const;
     /// @return whether the members were read once
-    [[nodiscard]] bool ready() const { return m_membersRead; }
+    [[nodiscard]] bool ready() const { return m_members.ready(); }
 
 private:
     /// A count as it was sent last.
@@ -51,7 +52,6 @@
     };
 
     void receiveLoop();
-    void membershipLoop();
     void onDatagram(std::string_view bytes);
     void sendReports(instant now, bool allZones);
     std::string encodeReport(instant now);
@@ -61,14 +61,11 @@
     [[nodiscard]] std::unordered_map<upstream_id, slot_use>
     useOf(const schema::peer_report_message &report) const;
     [[nodiscard]] std::set<upstream_id> ejectedBy(const schema::peer_report_message &report) const;
-    void writeMembership(bool leaving);
-    void readMembers();
 
-    io_thread &m_thread;
-    record_store &m_store;
     gateway_context &m_context;
     const gateway_member m_self;
     const waiting_listener m_onWaiting;
+    member_registry m_members;
     boost::asio::ip::udp::socket m_socket;
     std::set<vm_id> m_servingPeers;
     instant m_reportedAt{};
@@ -77,10 +74,7 @@
     bool m_slotFreed = false;
     std::unordered_map<customer_id, sent_count> m_sentCounts;
     std::uint64_t m_round = 0; // of reports
-    std::uint64_t m_renewal = 0;
     bool m_serving = false;
-    bool m_membersRead = false;
-    bool m_leaving = false;
 };
 
 } // namespace tamarack
--- a/src/gateway/batch_api.cpp
+++ b/src/gateway/batch_api.cpp
@@ -5,7 +5,6 @@
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
-#include <boost/fiber/future/async.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
@@ -18,7 +17,6 @@
 constexpr std::chrono::milliseconds LongestSubmission{3'500};
 constexpr std::chrono::milliseconds LongestEnd{3'000};
 constexpr std::chrono::milliseconds AnswerMargin{150}; // for the answer's way to the caller
-constexpr std::chrono::milliseconds RetryPause{60};
 constexpr std::chrono::milliseconds ResultPollPause{40};
 constexpr std::chrono::milliseconds UnavailableRetryAfter{500};
 constexpr std::chrono::milliseconds OverLimitRetryAfter{1'000};
@@ -41,40 +39,11 @@
     return response;
 }
 
-std::uint64_t tokensOf(const std::vector<schema::batch_item_message> &items)
-{
-    std::uint64_t tokens = 0;
-    for (const auto &item : items)
-        tokens += item.tokens;
-    return tokens;
-}
-
-// What the job's record tells of its items; their contents' places are not known yet.
-std::vector<std::unique_ptr<schema::accepted_item_message>>
-acceptedItems(const std::vector<schema::batch_item_message> &items)
-{
-    std::vector<std::unique_ptr<schema::accepted_item_message>> accepted;
-    for (const auto &item : items) {
-        accepted.push_back(std::make_unique<schema::accepted_item_message>());
-        accepted.back()->id = item.id;
-        accepted.back()->tokens = item.tokens;
-    }
-    return accepted;
-}
-
 bool isTooLarge(const schema::batch_item_message &item)
 {
     return encodeBatchItem(item).size() > store_limits().append;
 }
 
-std::vector<std::string> contentsOf(const std::vector<schema::batch_item_message> &items)
-{
-    std::vector<std::string> contents;
-    for (const auto &item : items)
-        contents.push_back(encodeBatchItem(item));
-    return contents;
-}
-
 // Places of the results from a position on that fit into one answer, at least one if there is one.
 std::vector<content_place> pageOf(const customer_batch &job, std::size_t from)
 {
@@ -95,7 +64,7 @@
 void batch_api::submit(http_exchange &exchange, const forward_call &call,
                        const forward_route &route, const customer_id &customer, instant arrivedAt)
 {
-    const auto items = m_context.protocol.decodeBatchItems(exchange.request().body);
+    auto items = m_context.protocol.decodeBatchItems(exchange.request().body);
     if (!items.ok() || call.id.value().empty()) {
         log_event(log_level::Info, "batch job malformed")
             .request(call.id.value())
@@ -117,12 +86,13 @@
     record.due_ms = toMilliseconds(route.completionObjective);
     record.retention_ms = toMilliseconds(route.retention);
     record.attempts = route.attempts;
-    record.items = acceptedItems(*items);
     duration most = LongestSubmission;
     if (call.timeLeft)
         most = std::min(most, *call.timeLeft - AnswerMargin);
     batch_partition &partition = m_store.partitionOf(customer);
-    const submission_end end = store(partition, record, *items, route, arrivedAt + most);
+    batch_submission submission(partition, m_store.contents(), std::move(record), std::move(*items),
+                                route.waitingTokenLimit);
+    const submission_end end = submission.store(arrivedAt + most);
     struct row
     {
         unsigned status;
@@ -141,8 +111,8 @@
         .customer(customer.value())
         .with("status", answer.status)
         .with("code", answer.code)
-        .with("items", items->size())
-        .with("tokens", tokensOf(*items))
+        .with("items", submission.itemCount())
+        .with("tokens", submission.tokens())
         .with("waiting_tokens", partition.fold().waitingTokens(customer, route.name))
         .with("limit", route.waitingTokenLimit)
         .with("total_ms", toSeconds(bootNow() - arrivedAt) * 1000);
@@ -153,79 +123,6 @@
         exchange.respond(refusal(answer.status, answer.code, answer.retryAfter));
 }
 
-// The record goes to the end that the decision was made on, so that two gateways can't both accept
-// the last job that fits. The contents are stored while the fold is brought up to date.
-batch_api::submission_end batch_api::store(batch_partition &partition,
-                                           schema::batch_accepted_message record,
-                                           const std::vector<schema::batch_item_message> &items,
-                                           const forward_route &route, instant deadline)
-{
-    const std::uint64_t tokens = tokensOf(items);
-    const job_id job(record.job);
-    const customer_id customer(record.customer);
-    const auto over = [&] {
-        const std::uint64_t waiting = partition.fold().waitingTokens(customer, route.name);
-        return route.waitingTokenLimit > 0 && waiting + tokens > route.waitingTokenLimit;
-    };
-    content_upload upload;
-    bool contentsStored = false;
-    // Where the fold ended when an append had no answer; nothing is refused until it is settled.
-    bool unsettled = false;
-    stream_position unknownAt;
-    instant since = bootNow();
-    for (;;) {
-        const bool known = partition.fold().find(job) != nullptr;
-        if (!contentsStored && !upload.valid() && !known && !over())
-            upload = startUpload(customer, items, deadline);
-        const bool fresh = partition.refresh(since);
-        if (fresh && partition.fold().find(job) != nullptr)
-            return submission_end::Accepted;
-        // Its condition can't hold any more, and the fold shows that it did nothing.
-        if (fresh && unsettled && unknownAt < partition.fold().end())
-            unsettled = false;
-        if (fresh && over() && !unsettled)
-            return submission_end::OverLimit;
-        if (fresh && !contentsStored && upload.valid()) {
-            contentsStored = nameContents(record, upload.get());
-            if (!contentsStored)
-                return unsettled ? submission_end::Unknown : submission_end::NotStored;
-        }
-        since = bootNow();
-        if (fresh && contentsStored && !over()) {
-            const append_reply reply = partition.appendAtEnd(encodeBatchRecord(record));
-            if (reply.result == append_result::Appended)
-                return submission_end::Accepted;
-            if (reply.result == append_result::Unknown && !unsettled) {
-                unsettled = true;
-                unknownAt = partition.fold().end();
-            }
-        }
-        if (bootNow() >= deadline)
-            return unsettled ? submission_end::Unknown : submission_end::NotStored;
-        if (!fresh || unsettled)
-            boost::this_fiber::sleep_for(RetryPause);
-    }
-}
-
-batch_api::content_upload
-batch_api::startUpload(const customer_id &customer,
-                       const std::vector<schema::batch_item_message> &items, instant deadline)
-{
-    return boost::fibers::async([this, customer, contents = contentsOf(items), deadline] {
-        return m_store.contents().append(customer, contents, deadline);
-    });
-}
-
-bool batch_api::nameContents(schema::batch_accepted_message &record,
-                             const std::optional<std::vector<content_place>> &places)
-{
-    if (!places)
-        return false;
-    for (std::size_t i = 0; i < places->size(); ++i)
-        record.items[i]->content = encodePlace((*places)[i]);
-    return true;
-}
-
 const customer_batch *batch_api::findJob(batch_partition &partition, const job_id &id,
                                          const customer_id &customer, instant arrivedAt,
                                          bool &known)
--- /dev/null
+++ b/src/gateway/batch_submission.cpp
@@ -0,0 +1,117 @@
+// Contents, record, and what is known of the record's append.
+#include <tamarackglade/batches/batch_codec.hpp>
+#include <tamarackglade/gateway/batch_submission.hpp>
+#include <tamarackglade/runtime/boot_now.hpp>
+
+#include <boost/fiber/future/async.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds RetryPause{60};
+
+std::vector<std::string> contentsOf(const std::vector<schema::batch_item_message> &items)
+{
+    std::vector<std::string> contents;
+    for (const auto &item : items)
+        contents.push_back(encodeBatchItem(item));
+    return contents;
+}
+
+} // namespace
+
+batch_submission::batch_submission(batch_partition &partition, content_store &contents,
+                                   schema::batch_accepted_message record,
+                                   std::vector<schema::batch_item_message> items,
+                                   std::uint64_t waitingTokenLimit)
+    : m_partition(partition), m_contents(contents), m_record(std::move(record)),
+      m_items(std::move(items)), m_limit(waitingTokenLimit)
+{
+    for (const auto &item : m_items) {
+        m_tokens += item.tokens;
+        auto accepted = std::make_unique<schema::accepted_item_message>();
+        accepted->id = item.id;
+        accepted->tokens = item.tokens;
+        m_record.items.push_back(std::move(accepted));
+    }
+}
+
+submission_end batch_submission::store(instant deadline)
+{
+    const auto notStored = [&] {
+        return m_unsettled ? submission_end::Unknown : submission_end::NotStored;
+    };
+    instant since = bootNow();
+    for (;;) {
+        if (!m_contentsStored && !m_upload.valid() && !accepted() && !over())
+            startUpload(deadline);
+        const bool fresh = m_partition.refresh(since);
+        if (fresh && accepted())
+            return submission_end::Accepted;
+        // Its condition can't hold any more, and the fold shows that it did nothing.
+        if (fresh && m_unsettled && m_unknownAt < m_partition.fold().end())
+            m_unsettled = false;
+        if (fresh && over() && !m_unsettled)
+            return submission_end::OverLimit;
+        if (fresh && !m_contentsStored && m_upload.valid() && !nameContents())
+            return notStored();
+        since = bootNow();
+        if (fresh && m_contentsStored && !over())
+            appendRecord();
+        if (m_accepted)
+            return submission_end::Accepted;
+        if (bootNow() >= deadline)
+            return notStored();
+        if (!fresh || m_unsettled)
+            boost::this_fiber::sleep_for(RetryPause);
+    }
+}
+
+bool batch_submission::accepted() const
+{
+    return m_partition.fold().find(job_id(m_record.job)) != nullptr;
+}
+
+bool batch_submission::over() const
+{
+    const std::uint64_t waiting =
+        m_partition.fold().waitingTokens(customer_id(m_record.customer), m_record.route);
+    return m_limit > 0 && waiting + m_tokens > m_limit;
+}
+
+// The fiber may outlast this submission, so it has what it needs.
+void batch_submission::startUpload(instant deadline)
+{
+    m_upload = boost::fibers::async(
+        [&contents = m_contents, deadline, customer = customer_id(m_record.customer),
+         bytes = contentsOf(m_items)] { return contents.append(customer, bytes, deadline); });
+}
+
+bool batch_submission::nameContents()
+{
+    const auto places = m_upload.get();
+    if (!places)
+        return false;
+    for (std::size_t i = 0; i < places->size(); ++i)
+        m_record.items[i]->content = encodePlace((*places)[i]);
+    m_contentsStored = true;
+    return true;
+}
+
+void batch_submission::appendRecord()
+{
+    const append_reply reply = m_partition.appendAtEnd(encodeBatchRecord(m_record));
+    m_accepted = reply.result == append_result::Appended;
+    if (reply.result != append_result::Unknown || m_unsettled)
+        return;
+    m_unsettled = true;
+    m_unknownAt = m_partition.fold().end();
+}
+
+} // namespace tamarack
--- /dev/null
+++ b/src/gateway/member_registry.cpp
@@ -0,0 +1,85 @@
+// Records of members, written and read in turn.
+#include <tamarackglade/gateway/member_registry.hpp>
+#include <tamarackglade/gateway/peer_codec.hpp>
+#include <tamarackglade/runtime/boot_now.hpp>
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <utility>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds MembershipPeriod{2'000};
+
+const stream_partition MemberStream{stream_name("keyed.members"), 0};
+
+} // namespace
+
+member_registry::member_registry(record_store &store, contact_table &contacts, gateway_member self)
+    : m_store(store), m_contacts(contacts), m_self(std::move(self))
+{
+}
+
+void member_registry::start()
+{
+    boost::fibers::fiber([this] { loop(); }).detach();
+}
+
+void member_registry::leave()
+{
+    m_leaving = true;
+    write(true);
+}
+
+void member_registry::loop()
+{
+    for (;;) {
+        if (!m_leaving)
+            write(false);
+        read();
+        m_contacts.tick(bootNow());
+        boost::this_fiber::sleep_for(MembershipPeriod);
+    }
+}
+
+void member_registry::write(bool leaving)
+{
+    schema::member_record_message record;
+    record.vm = m_self.vm.value();
+    record.incarnation = m_self.started.value();
+    record.address = m_self.address;
+    record.zone = m_self.zone.value();
+    record.renewal = ++m_renewal;
+    record.leaving = leaving;
+    const instant sentAt = bootNow();
+    const std::string content =
+        m_store.encodeKeyed({m_self.vm.value(), encodePeerMessage<schema::member_record>(record)});
+    const auto reply = m_store.append(MemberStream, {content}, std::nullopt);
+    if (reply.result == append_result::Appended)
+        m_contacts.onOwnMembership(sentAt);
+}
+
+void member_registry::read()
+{
+    const newest_reply reply = m_store.newest(MemberStream);
+    if (!reply.read)
+        return;
+    const instant now = bootNow();
+    for (const keyed_record &keyed : reply.records) {
+        schema::member_record_message record;
+        if (!decodePeerMessage<schema::member_record>(keyed.value, record))
+            continue;
+        const gateway_member member{vm_id(record.vm), incarnation(record.incarnation),
+                                    record.address, zone_id(record.zone)};
+        if (record.leaving)
+            m_contacts.onMemberGone(member.vm, member.started);
+        else
+            m_contacts.onMember(member, record.renewal, now);
+    }
+    m_read = true;
+}
+
+} // namespace tamarack
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -1,5 +1,6 @@
-// Reports, and membership in the store.
+// Reports: when, to whom, and what they hold.
 #include <tamarackglade/core/hash.hpp>
+#include <tamarackglade/gateway/peer_codec.hpp>
 #include <tamarackglade/gateway/peer_link.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
@@ -8,7 +9,6 @@
 
 #include <absl/strings/str_cat.h>
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/operations.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -26,11 +26,8 @@
 // A changed count is sent for so long, in case that reports are lost; the others take turns.
 constexpr std::chrono::milliseconds CountRepeatTime{1'200};
 constexpr std::size_t CountTurns = 8;
-constexpr std::chrono::milliseconds MembershipPeriod{2'000};
 constexpr std::size_t LargestDatagram = 60 * 1024; // bytes
 
-const stream_partition MemberStream{stream_name("keyed.members"), 0};
-
 absl::StatusOr<asio::ip::udp::endpoint> udpEndpoint(const std::string &address)
 {
     const auto endpoint = parseEndpoint(address);
@@ -39,32 +36,12 @@
     return asio::ip::udp::endpoint(endpoint->address(), endpoint->port());
 }
 
-template <class Table, class Message>
-std::string encode(const Message &message)
-{
-    flatbuffers::FlatBufferBuilder builder;
-    builder.ForceDefaults(true); // fields that are set later have a place
-    builder.Finish(Table::Pack(builder, &message));
-    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
-}
-
-template <class Table, class Message>
-bool decode(std::string_view bytes, Message &message)
-{
-    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()),
-                                   bytes.size());
-    if (!verifier.VerifyBuffer<Table>(nullptr))
-        return false;
-    flatbuffers::GetRoot<Table>(bytes.data())->UnPackTo(&message);
-    return true;
-}
-
 } // namespace
 
 peer_link::peer_link(io_thread &thread, record_store &store, gateway_context &context,
                      gateway_member self, waiting_listener onWaiting)
-    : m_thread(thread), m_store(store), m_context(context), m_self(std::move(self)),
-      m_onWaiting(std::move(onWaiting)), m_socket(thread.io())
+    : m_context(context), m_self(std::move(self)), m_onWaiting(std::move(onWaiting)),
+      m_members(store, context.contacts, m_self), m_socket(thread.io())
 {
 }
 
@@ -83,15 +60,14 @@
         return absl::UnavailableError(
             absl::StrCat("datagrams on ", m_self.address, ": ", error.message()));
     boost::fibers::fiber([this] { receiveLoop(); }).detach();
-    boost::fibers::fiber([this] { membershipLoop(); }).detach();
+    m_members.start();
     return absl::OkStatus();
 }
 
 void peer_link::leave()
 {
-    m_leaving = true;
     m_serving = false;
-    writeMembership(true);
+    m_members.leave();
 }
 
 std::vector<vm_id> peer_link::servingGateways() const
@@ -138,21 +114,10 @@
     m_slotFreed = true;
 }
 
-void peer_link::membershipLoop()
-{
-    for (;;) {
-        if (!m_leaving)
-            writeMembership(false);
-        readMembers();
-        m_context.contacts.tick(bootNow());
-        boost::this_fiber::sleep_for(MembershipPeriod);
-    }
-}
-
 void peer_link::onDatagram(std::string_view bytes)
 {
     schema::peer_report_message report;
-    if (!decode<schema::peer_report>(bytes, report))
+    if (!decodePeerMessage<schema::peer_report>(bytes, report))
         return;
     const instant now = bootNow();
     const gateway_member peer{vm_id(report.vm), incarnation(report.incarnation), report.address,
@@ -214,7 +179,7 @@
     for (const upstream_id &id : m_context.board.ejected(now))
         report.ejected.push_back(stableHash(id.value()));
     addCounts(report, now);
-    return encode<schema::peer_report>(report);
+    return encodePeerMessage<schema::peer_report>(report);
 }
 
 void peer_link::addCounts(schema::peer_report_message &report, instant now)
@@ -267,41 +232,4 @@
     return ejected;
 }
 
-void peer_link::writeMembership(bool leaving)
-{
-    schema::member_record_message record;
-    record.vm = m_self.vm.value();
-    record.incarnation = m_self.started.value();
-    record.address = m_self.address;
-    record.zone = m_self.zone.value();
-    record.renewal = ++m_renewal;
-    record.leaving = leaving;
-    const instant sentAt = bootNow();
-    const std::string content =
-        m_store.encodeKeyed({m_self.vm.value(), encode<schema::member_record>(record)});
-    const auto reply = m_store.append(MemberStream, {content}, std::nullopt);
-    if (reply.result == append_result::Appended)
-        m_context.contacts.onOwnMembership(sentAt);
-}
-
-void peer_link::readMembers()
-{
-    const newest_reply reply = m_store.newest(MemberStream);
-    if (!reply.read)
-        return;
-    const instant now = bootNow();
-    for (const keyed_record &keyed : reply.records) {
-        schema::member_record_message record;
-        if (!decode<schema::member_record>(keyed.value, record))
-            continue;
-        const gateway_member member{vm_id(record.vm), incarnation(record.incarnation),
-                                    record.address, zone_id(record.zone)};
-        if (record.leaving)
-            m_context.contacts.onMemberGone(member.vm, member.started);
-        else
-            m_context.contacts.onMember(member, record.renewal, now);
-    }
-    m_membersRead = true;
-}
-
 } // namespace tamarack
