--- a/src/gateway/batch_submission.cpp
+++ b/src/gateway/batch_submission.cpp
@@ -19,6 +19,7 @@
 std::vector<std::string> contentsOf(const std::vector<schema::batch_item_message> &items)
 {
     std::vector<std::string> contents;
+    contents.reserve(items.size());
     for (const auto &item : items)
         contents.push_back(encodeBatchItem(item));
     return contents;
