One piece each for FlatBuffers bytes, repeated appends and what an attempt shows

Read-through of the change; behaviour as it was. - core/flat_codec encodes and decodes by native objects; batch_codec, the gateways' messages (peer_codec is gone), the log's records and the wire's frames had a copy each. - appendUntil is the loop that batch partitions and contents both had. - noteAttempt tells the board of an attempt, for requests and batch items alike. - batch_store finds jobs and lists folds; the runner walked its partitions.

Ruled out: one loop for whole answers in upstream_caller and http_client (the first sets its timeout anew for each read, by deadline and silence). unit-batches, -placement, -rates, -gateway-load, -config and shell-wire pass; test_gateway 38 of 38; clang-tidy without faults.

--- a/include/tamarackglade/batches/batch_codec.hpp
+++ b/include/tamarackglade/batches/batch_codec.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/batches/content_place.hpp>
+#include <tamarackglade/core/flat_codec.hpp>
 #include <tamarackglade/schema/batches_generated.h>
 
 #include <optional>
@@ -16,9 +17,7 @@
 {
     schema::batch_record_message record;
     record.body.Set(std::move(message));
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(schema::batch_record::Pack(builder, &record));
-    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+    return encodeFlat<schema::batch_record>(record);
 }
 
 /// @return the record, or nullopt if the bytes are none
--- a/include/tamarackglade/gateway/attempt_result.hpp
+++ b/include/tamarackglade/gateway/attempt_result.hpp
@@ -1,10 +1,9 @@
 // How an attempt at one upstream ended.
 #pragma once
 
-#include <tamarackglade/core/time.hpp>
 #include <tamarackglade/gateway/answer_facts.hpp>
 #include <tamarackglade/http/http_response.hpp>
-#include <tamarackglade/placement/failure_score.hpp>
+#include <tamarackglade/placement/slot_board.hpp>
 
 #include <optional>
 #include <string>
@@ -26,6 +25,10 @@
 /// @return what the attempt tells against its upstream, or nullopt
 std::optional<attempt_fault> faultOf(const attempt_result &result);
 
+/// @brief Tells the board what the attempt shows of its upstream.
+void noteAttempt(slot_board &board, const upstream_id &upstream, const attempt_result &result,
+                 instant now);
+
 /// @return the name for logs
 const char *nameOf(attempt_end end);
 
@@ -37,9 +40,8 @@
     answer_facts facts;
     std::string reason; // of failures, for logs
     bool connected = true; // false if the upstream could not be reached
-    // Set if a kept connection broke before any answer; how long it had been idle. The upstream may
-    // have dropped it long before.
-    std::optional<duration> droppedAfter;
+    // A kept connection broke before any answer. The upstream may have dropped it long before.
+    bool wasDropped = false;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/batch_partition.hpp
+++ b/include/tamarackglade/gateway/batch_partition.hpp
@@ -4,7 +4,6 @@
 #include <tamarackglade/batches/batch_fold.hpp>
 #include <tamarackglade/gateway/stream_follower.hpp>
 
-#include <functional>
 #include <string>
 #include <vector>
 
@@ -20,8 +19,7 @@
 class batch_partition final : private stream_listener
 {
 public:
-    batch_partition(record_store &store, std::uint32_t number, duration keepTime,
-                    std::function<void()> onChange);
+    batch_partition(record_store &store, std::uint32_t number, duration keepTime);
 
     void start() { m_follower.start(); }
     void tick(instant now) { m_fold.tick(now); }
@@ -47,7 +45,6 @@
 
     record_store &m_store;
     const stream_partition m_partition;
-    const std::function<void()> m_onChange;
     batch_fold m_fold;
     stream_follower m_follower;
 };
--- a/include/tamarackglade/gateway/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch_runner.hpp
@@ -57,8 +57,6 @@
                             const std::string &output, instant deadline);
     void forgetFinished();
     [[nodiscard]] std::set<item_key> busyItems() const;
-    [[nodiscard]] std::vector<const batch_fold *> folds() const;
-    [[nodiscard]] const customer_batch *findJob(const job_id &id) const;
 
     gateway_context &m_context;
     batch_store &m_store;
--- a/include/tamarackglade/gateway/batch_store.hpp
+++ b/include/tamarackglade/gateway/batch_store.hpp
@@ -13,19 +13,16 @@
 class batch_store
 {
 public:
-    /// @param onChange called when jobs have changed
-    batch_store(record_store &store, std::uint32_t partitions, duration keepTime,
-                const std::function<void()> &onChange);
+    batch_store(record_store &store, std::uint32_t partitions, duration keepTime);
 
     void start();
     void tick(instant now);
 
     [[nodiscard]] content_store &contents() { return m_contents; }
     [[nodiscard]] batch_partition &partitionOf(const customer_id &customer);
-    [[nodiscard]] const std::vector<std::unique_ptr<batch_partition>> &partitions() const
-    {
-        return m_partitions;
-    }
+    /// @return the jobs of all partitions
+    [[nodiscard]] std::vector<const batch_fold *> folds() const;
+    [[nodiscard]] const customer_batch *findJob(const job_id &id) const;
 
 private:
     content_store m_contents;
--- a/include/tamarackglade/gateway/content_store.hpp
+++ b/include/tamarackglade/gateway/content_store.hpp
@@ -46,9 +46,6 @@
     };
     using kept_list = std::list<kept_content>;
 
-    [[nodiscard]] std::optional<stream_position> store(const stream_partition &partition,
-                                                       const std::vector<std::string> &records,
-                                                       instant deadline);
     void keep(const content_place &place, const std::string &bytes);
 
     record_store &m_store;
--- a/src/batches/batch_codec.cpp
+++ b/src/batches/batch_codec.cpp
@@ -5,38 +5,19 @@
 
 namespace tamarack {
 
-namespace {
-
-/// @return the message, or nullopt if the bytes hold no such table
-template <class Table, class Message>
-std::optional<Message> decode(std::string_view bytes)
-{
-    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()),
-                                   bytes.size());
-    if (!verifier.VerifyBuffer<Table>(nullptr))
-        return std::nullopt;
-    Message message;
-    flatbuffers::GetRoot<Table>(bytes.data())->UnPackTo(&message);
-    return message;
-}
-
-} // namespace
-
 std::optional<schema::batch_record_message> decodeBatchRecord(std::string_view bytes)
 {
-    return decode<schema::batch_record, schema::batch_record_message>(bytes);
+    return decodeFlat<schema::batch_record>(bytes);
 }
 
 std::string encodeBatchItem(const schema::batch_item_message &item)
 {
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(schema::batch_item::Pack(builder, &item));
-    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+    return encodeFlat<schema::batch_item>(item);
 }
 
 std::optional<schema::batch_item_message> decodeBatchItem(std::string_view bytes)
 {
-    return decode<schema::batch_item, schema::batch_item_message>(bytes);
+    return decodeFlat<schema::batch_item>(bytes);
 }
 
 std::unique_ptr<schema::content_place> encodePlace(const content_place &place)
--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -26,9 +26,16 @@
 const vm_id &ownerOf(const job_id &job, std::size_t item, const std::vector<vm_id> &gateways)
 {
     const std::uint64_t seed = stableHash(job.value(), item);
-    return *std::max_element(gateways.begin(), gateways.end(), [&](const vm_id &a, const vm_id &b) {
-        return stableHash(a.value(), seed) < stableHash(b.value(), seed);
-    });
+    const vm_id *owner = nullptr;
+    std::uint64_t highest = 0;
+    for (const vm_id &gateway : gateways) {
+        const std::uint64_t hash = stableHash(gateway.value(), seed);
+        if (owner == nullptr || hash > highest) {
+            owner = &gateway;
+            highest = hash;
+        }
+    }
+    return *owner;
 }
 
 std::vector<item_key> itemsToStart(const std::vector<const batch_fold *> &folds, const vm_id &self,
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -1,24 +1,22 @@
 // Encoding of the log's records with FlatBuffers.
+#include <tamarackglade/core/flat_codec.hpp>
 #include <tamarackglade/schema/records.hpp>
 
+#include <utility>
+
 namespace tamarack {
 
 std::string encodeBatch(const schema::log_batch_message &batch)
 {
-    flatbuffers::FlatBufferBuilder builder;
-    builder.Finish(schema::log_batch::Pack(builder, &batch));
-    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+    return encodeFlat<schema::log_batch>(batch);
 }
 
 absl::StatusOr<schema::log_batch_message> decodeBatch(std::string_view payload)
 {
-    const auto *bytes = reinterpret_cast<const std::uint8_t *>(payload.data());
-    flatbuffers::Verifier verifier(bytes, payload.size());
-    if (!verifier.VerifyBuffer<schema::log_batch>())
+    auto batch = decodeFlat<schema::log_batch>(payload);
+    if (!batch)
         return absl::InvalidArgumentError("log payload is not a log_batch");
-    schema::log_batch_message batch;
-    flatbuffers::GetRoot<schema::log_batch>(bytes)->UnPackTo(&batch);
-    return batch;
+    return std::move(*batch);
 }
 
 } // namespace tamarack
--- a/src/gateway/attempt_result.cpp
+++ b/src/gateway/attempt_result.cpp
@@ -23,7 +23,7 @@
         return result.response.status == Misdirected ? attempt_fault::Replaced
                                                      : attempt_fault::Refused;
     case attempt_end::Broken:
-        if (result.droppedAfter)
+        if (result.wasDropped)
             return std::nullopt;
         return attempt_fault::Broken;
     case attempt_end::Silent:
@@ -36,6 +36,15 @@
     return std::nullopt;
 }
 
+void noteAttempt(slot_board &board, const upstream_id &upstream, const attempt_result &result,
+                 instant now)
+{
+    if (const auto fault = faultOf(result))
+        board.onFault(upstream, *fault, now);
+    else if (result.end == attempt_end::Complete)
+        board.onSuccess(upstream, now);
+}
+
 const char *nameOf(attempt_end end)
 {
     switch (end) {
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -69,11 +69,11 @@
     m_peersWait = false;
     if (m_stopped || onlineWaits || !m_context.config.view().current())
         return;
-    const auto items = itemsToStart(folds(), m_context.options.vm, m_gateways(), busyItems(),
-                                    bootNow() - OldestFold, bootNow(), StartsAtOnce);
+    const auto items = itemsToStart(m_store.folds(), m_context.options.vm, m_gateways(),
+                                    busyItems(), bootNow() - OldestFold, bootNow(), StartsAtOnce);
     const auto config = m_context.config.view().current();
     for (const item_key &key : items) {
-        const customer_batch &job = *findJob(key.job);
+        const customer_batch &job = *m_store.findJob(key.job);
         const forward_route *route = config->findRouteByName(job.routeName);
         if (route == nullptr) {
             finish(workOf(key, job), true, "route removed");
@@ -214,10 +214,7 @@
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
     // A failure of the upstream's own may lie in the item, but that ejects nothing by itself.
-    if (const auto fault = faultOf(result))
-        m_context.board.onFault(upstream.id, *fault, bootNow());
-    else if (result.end == attempt_end::Complete)
-        m_context.board.onSuccess(upstream.id, bootNow());
+    noteAttempt(m_context.board, upstream.id, result, bootNow());
     return result;
 }
 
@@ -305,14 +302,14 @@
 void batch_runner::forgetFinished()
 {
     const auto finished = [&](const item_key &ref) {
-        const customer_batch *job = findJob(ref.job);
+        const customer_batch *job = m_store.findJob(ref.job);
         return job == nullptr || !job->open()
                || job->items[ref.item.value()].state != batch_item_state::Waiting;
     };
     std::erase_if(m_settling, [&](const auto &entry) {
         const auto &[ref, failedRun] = entry;
         return finished(ref)
-               || findJob(ref.job)->items[ref.item.value()].failedRuns.contains(failedRun);
+               || m_store.findJob(ref.job)->items[ref.item.value()].failedRuns.contains(failedRun);
     });
     std::erase_if(m_progress, [&](const auto &entry) {
         return !m_runs.contains(entry.first) && finished(entry.first);
@@ -325,21 +322,4 @@
     }
 }
 
-std::vector<const batch_fold *> batch_runner::folds() const
-{
-    std::vector<const batch_fold *> all;
-    for (const auto &partition : m_store.partitions())
-        all.push_back(&partition->fold());
-    return all;
-}
-
-const customer_batch *batch_runner::findJob(const job_id &id) const
-{
-    for (const auto &partition : m_store.partitions()) {
-        if (const customer_batch *job = partition->fold().find(id))
-            return job;
-    }
-    return nullptr;
-}
-
 } // namespace tamarack
--- a/src/gateway/batch_store.cpp
+++ b/src/gateway/batch_store.cpp
@@ -4,12 +4,11 @@
 
 namespace tamarack {
 
-batch_store::batch_store(record_store &store, std::uint32_t partitions, duration keepTime,
-                         const std::function<void()> &onChange)
+batch_store::batch_store(record_store &store, std::uint32_t partitions, duration keepTime)
     : m_contents(store, partitions)
 {
     for (std::uint32_t i = 0; i < partitions; ++i)
-        m_partitions.push_back(std::make_unique<batch_partition>(store, i, keepTime, onChange));
+        m_partitions.push_back(std::make_unique<batch_partition>(store, i, keepTime));
 }
 
 void batch_store::start()
@@ -30,4 +29,21 @@
     return *m_partitions[tamarack::partitionOf(customer, count).value()];
 }
 
+std::vector<const batch_fold *> batch_store::folds() const
+{
+    std::vector<const batch_fold *> all;
+    for (const auto &partition : m_partitions)
+        all.push_back(&partition->fold());
+    return all;
+}
+
+const customer_batch *batch_store::findJob(const job_id &id) const
+{
+    for (const auto &partition : m_partitions) {
+        if (const customer_batch *job = partition->fold().find(id))
+            return job;
+    }
+    return nullptr;
+}
+
 } // namespace tamarack
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -160,10 +160,7 @@
     result = m_context.caller.run(upstream, m_context.protocol.encodeCall(m_call, message),
                                   m_call.id, m_route.kind == route_kind::Stream, limits, m_progress,
                                   *this, m_handle);
-    if (const auto fault = faultOf(result))
-        m_context.board.onFault(upstream.id, *fault, bootNow());
-    else if (result.end == attempt_end::Complete)
-        m_context.board.onSuccess(upstream.id, bootNow());
+    noteAttempt(m_context.board, upstream.id, result, bootNow());
     if (result.end == attempt_end::NotRun) {
         ++m_refusals;
     } else {
--- a/src/gateway/content_store.cpp
+++ b/src/gateway/content_store.cpp
@@ -1,11 +1,10 @@
 // Appends, reads, and the contents that are kept.
 #include <tamarackglade/core/partition.hpp>
+#include <tamarackglade/gateway/append_until.hpp>
 #include <tamarackglade/gateway/content_store.hpp>
 #include <tamarackglade/logging/log_event.hpp>
-#include <tamarackglade/runtime/boot_now.hpp>
 
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/operations.hpp>
 
 #include <algorithm>
 
@@ -15,7 +14,6 @@
 
 constexpr std::size_t KeptBytes = 4 * 1024 * 1024;
 constexpr std::size_t ReadsAtOnce = 8;
-constexpr std::chrono::milliseconds AppendRetryPause{150};
 
 const stream_name ContentStream("batch-contents");
 
@@ -31,13 +29,16 @@
     const stream_partition partition{ContentStream, partitionOf(customer, m_partitions).value()};
     std::vector<content_place> places;
     for (const content_append &each : *appends) {
-        const auto first =
-            each.records.empty() ? stream_position() : store(partition, each.records, deadline);
-        if (!first)
+        // Content that is stored twice, after an answer was lost, harms nothing: one place is
+        // named.
+        const append_reply stored = each.records.empty()
+                                        ? append_reply{append_result::Appended, {}, {}}
+                                        : appendUntil(m_store, partition, each.records, deadline);
+        if (stored.result != append_result::Appended)
             return std::nullopt;
         for (content_place place : each.places) {
             place.partition = partition.partition;
-            place.position = stream_position(first->value() + place.position.value());
+            place.position = stream_position(stored.position.value() + place.position.value());
             keep(place, contents[places.size()]);
             places.push_back(place);
         }
@@ -99,21 +100,6 @@
     return contents;
 }
 
-std::optional<stream_position> content_store::store(const stream_partition &partition,
-                                                    const std::vector<std::string> &records,
-                                                    instant deadline)
-{
-    // Content that is stored twice, after an answer was lost, harms nothing: one place is named.
-    for (;;) {
-        const append_reply reply = m_store.append(partition, records, std::nullopt);
-        if (reply.result == append_result::Appended)
-            return reply.position;
-        if (bootNow() >= deadline)
-            return std::nullopt;
-        boost::this_fiber::sleep_for(AppendRetryPause);
-    }
-}
-
 void content_store::keep(const content_place &place, const std::string &bytes)
 {
     if (place.records == 0 || m_keptByPlace.contains(place))
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -38,7 +38,7 @@
       m_upstreams(store, protocol, m_directory, [this] { m_waiting.pump(); }),
       m_context{m_options, protocol, m_config,   m_directory, m_board,
                 m_waiting, m_caller, m_contacts, m_rates,     m_metrics},
-      m_batchStore(store, m_options.batchPartitions, m_options.batchKeepTime, [] {}),
+      m_batchStore(store, m_options.batchPartitions, m_options.batchKeepTime),
       m_batchApi(m_context, m_batchStore),
       m_peers(thread, store, m_context, m_self,
               [this](std::size_t waiting, std::size_t gateways) {
--- a/src/gateway/member_registry.cpp
+++ b/src/gateway/member_registry.cpp
@@ -1,7 +1,8 @@
 // Records of members, written and read in turn.
+#include <tamarackglade/core/flat_codec.hpp>
 #include <tamarackglade/gateway/member_registry.hpp>
-#include <tamarackglade/gateway/peer_codec.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
+#include <tamarackglade/schema/peer_generated.h>
 
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
@@ -56,7 +57,7 @@
     record.leaving = leaving;
     const instant sentAt = bootNow();
     const std::string content =
-        m_store.encodeKeyed({m_self.vm.value(), encodePeerMessage<schema::member_record>(record)});
+        m_store.encodeKeyed({m_self.vm.value(), encodeFlat<schema::member_record>(record)});
     const auto reply = m_store.append(MemberStream, {content}, std::nullopt);
     if (reply.result == append_result::Appended)
         m_contacts.onOwnMembership(sentAt);
@@ -69,15 +70,15 @@
         return;
     const instant now = bootNow();
     for (const keyed_record &keyed : reply.records) {
-        schema::member_record_message record;
-        if (!decodePeerMessage<schema::member_record>(keyed.value, record))
+        const auto record = decodeFlat<schema::member_record>(keyed.value);
+        if (!record)
             continue;
-        const gateway_member member{vm_id(record.vm), incarnation(record.incarnation),
-                                    record.address, zone_id(record.zone)};
-        if (record.leaving)
+        const gateway_member member{vm_id(record->vm), incarnation(record->incarnation),
+                                    record->address, zone_id(record->zone)};
+        if (record->leaving)
             m_contacts.onMemberGone(member.vm, member.started);
         else
-            m_contacts.onMember(member, record.renewal, now);
+            m_contacts.onMember(member, record->renewal, now);
     }
     m_read = true;
 }
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -1,6 +1,6 @@
 // Reports: when, to whom, and what they hold.
+#include <tamarackglade/core/flat_codec.hpp>
 #include <tamarackglade/core/hash.hpp>
-#include <tamarackglade/gateway/peer_codec.hpp>
 #include <tamarackglade/gateway/peer_link.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
@@ -116,9 +116,10 @@
 
 void peer_link::onDatagram(std::string_view bytes)
 {
-    schema::peer_report_message report;
-    if (!decodePeerMessage<schema::peer_report>(bytes, report))
+    const auto decoded = decodeFlat<schema::peer_report>(bytes);
+    if (!decoded)
         return;
+    const schema::peer_report_message &report = *decoded;
     const instant now = bootNow();
     const gateway_member peer{vm_id(report.vm), incarnation(report.incarnation), report.address,
                               zone_id(report.zone)};
@@ -179,7 +180,7 @@
     for (const upstream_id &id : m_context.board.ejected(now))
         report.ejected.push_back(stableHash(id.value()));
     addCounts(report, now);
-    return encodePeerMessage<schema::peer_report>(report);
+    return encodeFlat<schema::peer_report>(report, default_fields::Written);
 }
 
 void peer_link::addCounts(schema::peer_report_message &report, instant now)
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream_caller.cpp
@@ -80,7 +80,7 @@
             result.connected = false;
         }
         if (result.end == attempt_end::Broken && pooled.idleFor) {
-            result.droppedAfter = pooled.idleFor;
+            result.wasDropped = true;
             m_pool.onDropped(upstream.address, *pooled.idleFor);
         }
     } else {
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -1,8 +1,11 @@
 // FlatBuffers behind a 32-bit little-endian length.
+#include <tamarackglade/core/flat_codec.hpp>
 #include <tamarackglade/wire/frame_codec.hpp>
 
 #include <absl/strings/str_cat.h>
 
+#include <utility>
+
 namespace tamarack {
 
 std::string encodeFrame(const schema::frame_bodyUnion &body)
@@ -27,13 +30,10 @@
 
 absl::StatusOr<schema::frame_message> decodeFrame(std::string_view bytes)
 {
-    const auto *data = reinterpret_cast<const std::uint8_t *>(bytes.data());
-    flatbuffers::Verifier verifier(data, bytes.size());
-    if (!verifier.VerifyBuffer<schema::frame>())
+    auto frame = decodeFlat<schema::frame>(bytes);
+    if (!frame)
         return absl::InvalidArgumentError("malformed frame");
-    schema::frame_message frame;
-    flatbuffers::GetRoot<schema::frame>(data)->UnPackTo(&frame);
-    return frame;
+    return std::move(*frame);
 }
 
 } // namespace tamarack
