Tests: one gateway process for the end-to-end tests and the soak

tests/e2e/gateway.py holds what test_gateway and the soak's deployment both had: addresses, settings file, log lines. What each asserts stays; the soak's balancer takes no answer as not ready, the tests still fail on it.

--- /dev/null
+++ b/tests/e2e/gateway.py
@@ -0,0 +1,41 @@
+"""A gateway process with its settings file, as the end-to-end tests and the soak start it."""
+
+import json
+
+from fleet import Process, free_port, http_call
+
+
+class Gateway:
+    """A tamarack-gateway, or a program in its place."""
+
+    def __init__(self, name, store_address, work_dir, command, **settings):
+        self.name = name
+        self.address = f"127.0.0.1:{free_port()}"
+        self.ready_address = f"127.0.0.1:{free_port()}"
+        self.admin_address = f"127.0.0.1:{free_port()}"
+        values = {"vm": name, "zone": "a", "store": store_address, "listen": self.address,
+                  "readiness-listen": self.ready_address, "admin-listen": self.admin_address,
+                  "peer-listen": f"127.0.0.1:{free_port()}"}
+        values.update(settings)
+        self.path = work_dir / f"{name}.ini"
+        self.write(values)
+        self.process = Process(name, [command[0], f"--settings={self.path}", *command[1:]],
+                               work_dir)
+
+    def write(self, values):
+        """Writes the settings file."""
+        self.values = values
+        lines = ["[tamarack-gateway]"] + [f"{name}={value}" for name, value in values.items()]
+        self.path.write_text("\n".join(lines) + "\n")
+
+    def ready(self):
+        """Whether it tells the balancer so. Raises if it doesn't answer."""
+        return http_call(self.ready_address, "GET", "/tamarackglade/readiness")[0] == 200
+
+    def lines(self):
+        """Its log; the last line may be half written and is left out then."""
+        text = self.process.log()
+        return [json.loads(line) for line in text[:text.rfind("\n") + 1].splitlines()]
+
+    def lines_of(self, message):
+        return [line for line in self.lines() if line["message"] == message]
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -14,7 +14,7 @@
 from site_standins import Engine, Store, output_text, whole_stream
 from support import OPTIONS, http_call, main, wait_until
 
-from fleet import Process, free_port
+from gateway import Gateway  # after support, which says where its own imports lie
 
 HOST = "notices.example"
 KEY = "key-north"
@@ -40,40 +40,6 @@
     return value
 
 
-class Gateway:
-    """A tamarack-gateway process."""
-
-    def __init__(self, name, store, work_dir, **settings):
-        self.address = f"127.0.0.1:{free_port()}"
-        self.ready_address = f"127.0.0.1:{free_port()}"
-        self.admin_address = f"127.0.0.1:{free_port()}"
-        values = {"vm": name, "zone": "a", "store": store.address, "listen": self.address,
-                  "readiness-listen": self.ready_address, "admin-listen": self.admin_address,
-                  "peer-listen": f"127.0.0.1:{free_port()}", "drain-notice": 300,
-                  "drain-limit": 10000}
-        values.update(settings)
-        self.path = work_dir / f"{name}.ini"
-        self.write(values)
-        self.process = Process(name, [f"{OPTIONS.bin}/tamarack-gateway", f"--settings={self.path}"],
-                               work_dir)
-
-    def write(self, values):
-        self.values = values
-        lines = ["[tamarack-gateway]"] + [f"{name}={value}" for name, value in values.items()]
-        self.path.write_text("\n".join(lines) + "\n")
-
-    def ready(self):
-        return http_call(self.ready_address, "GET", "/tamarackglade/readiness")[0] == 200
-
-    def lines(self):
-        text = self.process.log()
-        whole = text[:text.rfind("\n") + 1]  # the last line may be half written
-        return [json.loads(line) for line in whole.splitlines()]
-
-    def lines_of(self, message):
-        return [line for line in self.lines() if line["message"] == message]
-
-
 class SiteTestCase(unittest.TestCase):
     """A store, engines and gateways for each test."""
 
@@ -97,7 +63,9 @@
         return engine
 
     def add_gateway(self, name):
-        gateway = Gateway(name, self.store, self.work_dir, **self.settings)
+        settings = {"drain-notice": 300, "drain-limit": 10000, **self.settings}
+        gateway = Gateway(name, self.store.address, self.work_dir,
+                          [f"{OPTIONS.bin}/tamarack-gateway"], **settings)
         self.addCleanup(self.end, gateway)
         wait_until(gateway.ready, f"{name} ready")
         return gateway
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -12,10 +12,11 @@
 import time
 
 from site_standins import Engine, Store
+from gateway import Gateway
 from faulty_link import PASS, FaultyLink
 from ledger import Withdrawal
 
-from fleet import Process, free_port, http_call, wait_until
+from fleet import http_call, wait_until
 
 HOST = "notices.example"
 ROUTES = {"stream": "/stream/", "once": "/once/", "open": "/open/", "batch": "/jobs/"}
@@ -23,9 +24,7 @@
 # Bounds that the deployment states, in seconds unless said otherwise.
 WITHDRAWN_S = 2.0  # a key stops working
 DRAIN_S = 2.0  # after the notice of a leaving engine
-CONFIG_S = 2.0  # a configuration is in force
 CANCEL_S = 3.0  # an ended job's items don't start
-SETTLE_S = 1.0  # what one gateway knows of jobs, all know
 RECOVER_S = 12.0  # service after the last fault
 FINISH_S = 18.0  # jobs after the last fault
 STOP_S = 8.0  # a planned stop
@@ -43,35 +42,25 @@
 START_TIMEOUT_S = 20
 
 
-class Gateway:
-    """A gateway process, restarted when it ends."""
+class SupervisedGateway(Gateway):
+    """A gateway behind a faulty link to the store, restarted when it ends."""
 
     def __init__(self, name, site):
-        self.name = name
         self.site = site
         self.link = FaultyLink(site.store.address)
-        self.address = f"127.0.0.1:{free_port()}"
-        self.ready_address = f"127.0.0.1:{free_port()}"
         self.in_rotation = True
         self.lock = threading.RLock()  # one fault at a time decides on its life
-        self.values = {
-            "vm": name, "zone": random.Random(name).choice("ab"), "store": self.link.address,
-            "listen": self.address, "readiness-listen": self.ready_address,
-            "admin-listen": f"127.0.0.1:{free_port()}", "peer-listen": f"127.0.0.1:{free_port()}",
-            "key-freshness": int(WITHDRAWN_S * 1000), "drain-notice": 600, "drain-limit": 5000}
-        self.path = site.work_dir / f"{name}.ini"
-        self.write_settings()
-        command = [f"{site.bin}/{site.program}", f"--settings={self.path}"]
+        self.expected_exit = False
+        command = [f"{site.bin}/{site.program}"]
         if site.mutation:
             command.append(f"--mutation={site.mutation}")
-        self.process = Process(name, command, site.work_dir)
-        self.expected_exit = False
-
-    def write_settings(self):
-        lines = ["[tamarack-gateway]"] + [f"{key}={value}" for key, value in self.values.items()]
-        self.path.write_text("\n".join(lines) + "\n")
+        settings = {"zone": random.Random(name).choice("ab"),
+                    "key-freshness": int(WITHDRAWN_S * 1000), "drain-notice": 600,
+                    "drain-limit": 5000}
+        super().__init__(name, self.link.address, site.work_dir, command, **settings)
 
-    def ready(self):
+    def passes_for_ready(self):
+        """As the balancer sees it: no answer is as good as a refusal."""
         try:
             return http_call(self.ready_address, "GET", "/tamarackglade/readiness",
                              timeout=0.5)[0] == 200
@@ -164,7 +153,7 @@
         for _ in range(size["engines"]):
             self.add_engine()
         self.publish()
-        self.gateways = [Gateway(f"gateway-{i}", self) for i in range(size["gateways"])]
+        self.gateways = [SupervisedGateway(f"gateway-{i}", self) for i in range(size["gateways"])]
         for gateway in self.gateways:
             wait_until(gateway.ready, f"{gateway.name} ready", START_TIMEOUT_S)
         threading.Thread(target=self.watch, daemon=True).start()
@@ -188,7 +177,7 @@
         while not self.ending:
             for i, gateway in enumerate(self.gateways):
                 gateway.check_alive()
-                misses[i] = 0 if gateway.ready() else misses[i] + 1
+                misses[i] = 0 if gateway.passes_for_ready() else misses[i] + 1
                 gateway.in_rotation = misses[i] < 2
             time.sleep(READY_POLL_S)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -59,8 +59,7 @@
     """A changed settings file, with or without a signal."""
     gateway = chooser.choice(site.gateways)
     with gateway.lock:
-        gateway.values["silence-limit"] = chooser.choice([250, 300, 400])
-        gateway.write_settings()
+        gateway.write({**gateway.values, "silence-limit": chooser.choice([250, 300, 400])})
         if chooser.random() < 0.7:
             gateway.signal(signal.SIGHUP)
 
