Log the prompt parts of requests and the events of each run

The logs could not tell whether the crashes share a part of their prompts or follow the load: no line named the parts, and 'events' of 'attempt failed' counts all runs of a request. 'attempt failed', 'request ended' and 'batch item run ended' now name the shared parts, and 'attempt failed' the events of the run.

--- a/include/tamarackglade/core/ids.hpp
+++ b/include/tamarackglade/core/ids.hpp
@@ -20,6 +20,8 @@
 using attempt_id = strong_id<struct attempt_tag, std::string>;
 using job_id = strong_id<struct job_tag, std::string>;
 using file_id = strong_id<struct file_tag, std::string>;
+/// A part of a prompt; requests whose prompts share text have parts in common.
+using prompt_part_id = strong_id<struct prompt_part_tag, std::string>;
 
 /// A VM's process incarnation: grows with every start of the process.
 using incarnation_number = strong_id<struct incarnation_tag, std::uint64_t>;
--- a/include/tamarackglade/gateway/call_relay.hpp
+++ b/include/tamarackglade/gateway/call_relay.hpp
@@ -74,6 +74,7 @@
     duration m_waited{};
     std::optional<time_point> m_firstEventAt;
     unsigned m_events = 0;
+    unsigned m_runEvents = 0; // events of the current or last attempt
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/forward_call.hpp
+++ b/include/tamarackglade/gateway/forward_call.hpp
@@ -25,6 +25,8 @@
     std::optional<duration> timeLeft; // the caller's timeout, counted from the arrival
     std::optional<std::uint64_t> resumeAfter; // last event that the caller has
     std::uint64_t prefixHash = 0; // of the prompt parts shared with other requests; 0 if none
+    // The prompt parts that other requests may share, in the order of the prompt.
+    std::vector<prompt_part_id> sharedParts;
     std::vector<std::pair<std::string, std::string>> headers; // forwarded unchanged
     std::string body;
 };
--- a/include/tamarackglade/gateway/item_run.hpp
+++ b/include/tamarackglade/gateway/item_run.hpp
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace tamarack {
 
@@ -26,6 +27,8 @@
 struct item_progress
 {
     std::optional<schema::batch_item_message> content; // the request to send
+    // Parts of the prompt that other requests may share; valid if content is set.
+    std::vector<prompt_part_id> sharedParts;
     bool reading = false; // the content is being read
     std::string text; // output of the events so far
     std::optional<std::uint64_t> lastEvent;
--- a/include/tamarackglade/gateway/platform_protocol.hpp
+++ b/include/tamarackglade/gateway/platform_protocol.hpp
@@ -69,6 +69,9 @@
     [[nodiscard]] virtual http_client_request encodeItem(const std::string &host,
                                                          const schema::batch_item_message &item,
                                                          const upstream_attempt &attempt) const = 0;
+    /// @return the parts of the item's prompt that other requests may share, in order
+    [[nodiscard]] virtual std::vector<prompt_part_id>
+    sharedPartsOf(const schema::batch_item_message &item) const = 0;
     /// @return the metadata in the headers of an upstream's response
     [[nodiscard]] virtual response_metadata decodeResponseHead(const http_response &head) const = 0;
 };
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -1,6 +1,7 @@
 // Schedules and runs batch items, and stores the records of their ends and failures.
 #include <tamarackglade/batches/batch_codec.hpp>
 #include <tamarackglade/gateway/batch_runner.hpp>
+#include <tamarackglade/gateway/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/random_bytes.hpp>
@@ -131,8 +132,10 @@
     if (found == m_progress.end())
         return;
     found->second.reading = false;
-    if (content)
-        found->second.content = std::move(*content);
+    if (!content)
+        return;
+    found->second.sharedParts = m_context.protocol.sharedPartsOf(*content);
+    found->second.content = std::move(*content);
 }
 
 bool batch_runner::yieldOne()
@@ -186,6 +189,7 @@
         .with("status", result.response.status)
         .with("reason", result.reason)
         .with("events", run->events)
+        .with("prompt_parts", joinIds(m_progress[work.key].sharedParts))
         .with("run_ms", toSeconds(bootNow() - startedAt) * 1000);
     if (run->yielding)
         m_onYielded();
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -2,6 +2,7 @@
 #include <tamarackglade/core/hash.hpp>
 #include <tamarackglade/gateway/call_relay.hpp>
 #include <tamarackglade/gateway/gateway_refusal.hpp>
+#include <tamarackglade/gateway/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
@@ -159,6 +160,7 @@
     if (limits.silenceTimeout > duration::zero() && m_route.latencyObjective > duration::zero())
         limits.firstEventDeadline = bootNow() + maxFirstEventWait();
     limits.maxIdleTime = idempotent() ? MaxIdleTimeRepeatable : MaxIdleTimeOnce;
+    m_runEvents = 0;
     result = m_context.caller.run(upstream, m_context.protocol.encodeCall(m_call, message),
                                   m_call.id, m_route.kind == route_kind::Stream, limits, m_progress,
                                   *this, m_handle);
@@ -189,6 +191,8 @@
         .with("status", result.response.status)
         .with("reason", result.reason)
         .with("events", m_events)
+        .with("run_events", m_runEvents)
+        .with("prompt_parts", joinIds(m_call.sharedParts))
         .with("left_ms", toSeconds(timeLeft()) * 1000);
     m_placement.excluded.insert(m_upstream);
     if (m_callerDisconnected || result.outcome == attempt_outcome::DeadlineExceeded
@@ -258,6 +262,7 @@
     if (!m_firstEventAt)
         m_firstEventAt = bootNow();
     ++m_events;
+    ++m_runEvents;
     m_pending.append(event.text);
     return !m_callerDisconnected;
 }
@@ -298,6 +303,7 @@
         .with("refusals", m_refusals)
         .with("events", m_events)
         .with("waited_ms", toSeconds(m_waited) * 1000)
+        .with("prompt_parts", joinIds(m_call.sharedParts))
         .with("total_ms", toSeconds(now - m_arrivedAt) * 1000)
         .with("config", activeConfig.current()->version().value())
         .with("config_age_ms", toSeconds(now - activeConfig.confirmedAt().value_or(now)) * 1000);
