Quarantine prompt parts that crash upstreams

Cause: a run that broke counted against its upstream alone. Nothing connected the breaks of one prompt part, over runs, requests and gateways, so each request with the part was sent to the next sound upstream. Ruled out: retries as the only cause (29 of 141 broken requests broke twice), and load (the part is common). Change: gateways exchange runs that broke before the first event, and successes of suspected parts. A part with three successive crashes of different instances and no success since is refused with 503 before a slot is taken, before sending, before retries and resumes, and its batch items wait. Kills of many upstreams at once count once, a first event clears a part, and the number of crashes grows with the rate of other breaks. The state travels in reports and lies in the membership records, so it outlasts the gateways. It ends by a trial request of one gateway after 30 s, then 2 min and so on.

--- a/include/tamarackglade/gateway/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch_runner.hpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/gateway/batch_store.hpp>
 #include <tamarackglade/gateway/gateway_context.hpp>
 #include <tamarackglade/gateway/item_run.hpp>
+#include <tamarackglade/gateway/run_observer.hpp>
 
 #include <functional>
 #include <map>
@@ -60,6 +61,8 @@
                                      const std::string &output, time_point deadline);
     void removeFinished();
     [[nodiscard]] std::set<item_key> occupiedItems() const;
+    /// @return the items that wait because their prompt holds a quarantined part
+    [[nodiscard]] std::set<item_key> quarantinedItems(const forward_config &config) const;
 
     gateway_context &m_context;
     batch_store &m_store;
--- a/include/tamarackglade/gateway/call_relay.hpp
+++ b/include/tamarackglade/gateway/call_relay.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/gateway/gateway_context.hpp>
+#include <tamarackglade/gateway/run_observer.hpp>
 #include <tamarackglade/http/http_exchange.hpp>
 
 #include <optional>
@@ -41,6 +42,8 @@
     bool mayRetry(const attempt_result &result);
     void respondWithFailure(const attempt_result &result);
     void refuseUnavailable(const std::string &code);
+    /// @brief Ends a request whose prompt holds a quarantined part.
+    void refuseQuarantined(const blocked_part &blocked);
     void forwardResponse(const attempt_result &result);
     [[nodiscard]] bool idempotent() const;
     [[nodiscard]] group_id chooseGroup() const;
@@ -75,6 +78,7 @@
     std::optional<time_point> m_firstEventAt;
     unsigned m_events = 0;
     unsigned m_runEvents = 0; // events of the current or last attempt
+    run_observer *m_observer = nullptr; // during an attempt
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/gateway_context.hpp
+++ b/include/tamarackglade/gateway/gateway_context.hpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/gateway/config_watch.hpp>
 #include <tamarackglade/gateway/gateway_options.hpp>
 #include <tamarackglade/gateway/platform_protocol.hpp>
+#include <tamarackglade/gateway/quarantine_exchange.hpp>
 #include <tamarackglade/gateway/upstream_caller.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/placement/slot_allocator.hpp>
@@ -25,6 +26,8 @@
     upstream_caller &caller;
     peer_table &peerTable;
     shared_rates &rates;
+    prompt_quarantine &quarantine;
+    quarantine_exchange &quarantineExchange;
     metric_registry &metrics;
 };
 
--- a/include/tamarackglade/gateway/gateway_process.hpp
+++ b/include/tamarackglade/gateway/gateway_process.hpp
@@ -58,6 +58,8 @@
     const gateway_member m_self;
     peer_table m_peerTable;
     shared_rates m_rates;
+    prompt_quarantine m_quarantine;
+    quarantine_exchange m_quarantineExchange;
     config_watch m_config;
     upstream_watch m_upstreams;
     gateway_context m_context;
--- a/include/tamarackglade/gateway/member_registry.hpp
+++ b/include/tamarackglade/gateway/member_registry.hpp
@@ -1,6 +1,7 @@
 // Registration of this gateway in the store, and discovery of the others.
 #pragma once
 
+#include <tamarackglade/gateway/quarantine_exchange.hpp>
 #include <tamarackglade/rates/peer_table.hpp>
 #include <tamarackglade/store/record_store.hpp>
 
@@ -14,7 +15,9 @@
 {
 public:
     /// @param peerTable receives all members
-    member_registry(record_store &store, peer_table &peerTable, gateway_member self);
+    /// @param quarantine part of the records, so that it outlasts the gateways
+    member_registry(record_store &store, peer_table &peerTable, quarantine_exchange &quarantine,
+                    gateway_member self);
 
     /// @brief Starts the renewal and read loop in a fiber of the calling thread.
     void start();
@@ -31,6 +34,7 @@
 
     record_store &m_store;
     peer_table &m_peerTable;
+    quarantine_exchange &m_quarantine;
     const gateway_member m_self;
     std::uint64_t m_renewal = 0; // number of the last renewal
     bool m_membersRead = false;
--- /dev/null
+++ b/include/tamarackglade/quarantine/crash_evidence.hpp
@@ -0,0 +1,97 @@
+// Early breaks and successes of runs, and what they say of prompt parts.
+#pragma once
+
+#include <tamarackglade/quarantine/early_break.hpp>
+#include <tamarackglade/quarantine/part_hash.hpp>
+#include <tamarackglade/quarantine/quarantine_options.hpp>
+#include <tamarackglade/quarantine/success_history.hpp>
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Crashes of a part since its last success.
+struct crash_count
+{
+    unsigned crashes = 0; // successive ones, each of another upstream instance
+    std::size_t requests = 0; // that they belong to
+};
+
+/// @brief A part that crashes the upstreams of a group, and the evidence.
+struct crash_finding
+{
+    group_id group;
+    prompt_part_id part;
+    crash_count count;
+};
+
+/// @brief Collects the breaks of all gateways and finds the part that causes them.
+///
+/// Only successive crashes count: the run of each was sent after the crash before. Many upstreams
+/// that are killed at once therefore count as one crash. A part's first event at any upstream
+/// proves that it is harmless and discards its earlier crashes.
+class crash_evidence
+{
+public:
+    /// Whether the crashes of a part are known to be caused by it.
+    using part_predicate = std::function<bool(part_hash)>;
+
+    explicit crash_evidence(quarantine_options options);
+
+    /// @brief Adds a break; one that was added before is ignored.
+    /// @return whether it is new
+    bool add(const early_break &broken, time_point now);
+    /// @brief Records a first event of a run with the part.
+    void addSuccess(part_hash part, time_point at) { m_successes.add(part, at); }
+    [[nodiscard]] std::optional<time_point> lastSuccess(part_hash part) const
+    {
+        return m_successes.find(part);
+    }
+    /// @brief Evaluates the breaks that have settled, up to the first that shows a cause.
+    /// @param isCause whether a part is already known to crash upstreams
+    /// @param successes runs with a first event at all gateways, within about rateWindow
+    /// @return the part to quarantine, or nullopt if no break is left to evaluate
+    std::optional<crash_finding> evaluate(const part_predicate &isCause, double successes,
+                                          time_point now);
+
+    /// @return the parts with two breaks or more
+    [[nodiscard]] std::vector<part_hash> suspects() const;
+    /// @return whether there are breaks with the part, and all of them hold the other part too
+    [[nodiscard]] bool onlyWith(part_hash part, part_hash other) const;
+    /// @return the breaks that this reporter saw after the given time
+    [[nodiscard]] std::vector<early_break> breaksOf(const vm_id &reporter, time_point since) const;
+
+private:
+    struct entry
+    {
+        early_break broken;
+        std::vector<part_hash> parts; // of broken.parts, in the same order
+        time_point addedAt{};
+        bool evaluated = false;
+    };
+
+    using instance_set = std::set<std::uint64_t>; // hashes as in early_break
+
+    void dropOld(time_point now);
+    [[nodiscard]] instance_set instancesWith(const part_predicate &matches) const;
+    /// @return the crashes of the part since its last success, without those of these instances
+    [[nodiscard]] crash_count crashesOf(part_hash part, const instance_set &without,
+                                        time_point addedUntil) const;
+    [[nodiscard]] double requiredCrashes(part_hash part, double successes, time_point now) const;
+    /// @return whether a part that comes later in the prompts explains nearly all of its crashes
+    [[nodiscard]] bool causedByLaterPart(part_hash part) const;
+    [[nodiscard]] bool isBeforeSuccess(const entry &each, part_hash part) const;
+    [[nodiscard]] std::optional<crash_finding> findCause(const entry &candidate,
+                                                         const instance_set &explained,
+                                                         double successes, time_point now) const;
+
+    const quarantine_options m_options;
+    std::deque<entry> m_entries; // in order of addition
+    success_history m_successes;
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/quarantine/early_break.hpp
@@ -0,0 +1,27 @@
+// A run that an upstream broke off before the first event of its response.
+#pragma once
+
+#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/core/time.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief A broken run as seen by one gateway. The upstream may have crashed, or the connection may
+/// have failed for another reason.
+struct early_break
+{
+    vm_id reporter; // the gateway that saw it
+    incarnation_number incarnation; // of the reporter
+    std::uint64_t number = 0; // increases with each break that the reporter sees
+    group_id group; // of the upstream
+    std::vector<prompt_part_id> parts; // shared parts of the prompt, in order
+    std::uint64_t request = 0; // stable hash of the caller's request id
+    std::uint64_t instance = 0; // stable hash of the upstream's id and incarnation
+    time_point sentAt{}; // by this gateway's clock, also for breaks that peers report
+    time_point brokeAt{};
+};
+
+} // namespace tamarack
--- /dev/null
+++ b/include/tamarackglade/quarantine/prompt_quarantine.hpp
@@ -0,0 +1,126 @@
+// Quarantine of prompt parts that crash upstreams.
+#pragma once
+
+#include <tamarackglade/quarantine/crash_evidence.hpp>
+#include <tamarackglade/quarantine/quarantined_part.hpp>
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace tamarack {
+
+/// @brief Why and for how long a request is refused.
+struct blocked_part
+{
+    prompt_part_id part;
+    duration wait{}; // until the next trial request; may be zero
+};
+
+/// @brief Why a part was quarantined or released.
+enum class quarantine_reason {
+    Crashes, // successive crashes
+    TrialCrash, // the upstream of a trial request crashed
+    Success, // a run with the part delivered its first event
+    OtherPart, // another part causes its crashes
+    Reported // by another gateway or by a record in the store
+};
+
+/// @brief A change to log.
+struct quarantine_change
+{
+    quarantined_part state;
+    quarantine_reason reason = quarantine_reason::Reported;
+    crash_count evidence; // valid if reason is Crashes
+};
+
+/// @brief A recent success of a part that some gateway suspects.
+struct sound_part
+{
+    part_hash part;
+    time_point at{};
+};
+
+/// @brief Decides which prompt parts are refused, from the runs of all gateways.
+///
+/// Gateways exchange breaks, successes of suspected parts and quarantined parts. A decision of one
+/// gateway is in force at all that it reaches. Memory is bounded by the options.
+class prompt_quarantine
+{
+public:
+    /// @param self this gateway, with the number of its start
+    prompt_quarantine(vm_id self, incarnation_number incarnation, quarantine_options options);
+
+    /// @return the part for which a request is refused, or nullopt; O(number of parts)
+    [[nodiscard]] std::optional<blocked_part>
+    check(const group_id &group, const std::vector<prompt_part_id> &parts, time_point now) const;
+    /// @brief Checks again just before a request is sent. If it is a trial request, no other one is
+    /// sent until endRun.
+    [[nodiscard]] std::optional<blocked_part>
+    beginRun(const group_id &group, const std::vector<prompt_part_id> &parts, time_point now);
+    /// @brief Records that a run delivered its first event.
+    void onFirstEvent(const group_id &group, const std::vector<prompt_part_id> &parts,
+                      time_point now);
+    /// @brief Records an early break of this gateway; sets its reporter and number.
+    void onBreak(early_break broken, time_point now);
+    /// @brief Records the end of a run, whatever its outcome.
+    void endRun(const group_id &group, const std::vector<prompt_part_id> &parts);
+
+    /// @brief Applies a break that a peer reported.
+    void onPeerBreak(const early_break &broken, time_point now);
+    /// @brief Applies a success that a peer reported.
+    void onPeerSuccess(const sound_part &sound);
+    /// @brief Applies a state that a peer reported or that was read from the store.
+    void adopt(const quarantined_part &state, time_point now);
+
+    /// @brief Evaluates the evidence; call several times a second.
+    /// @param peerSuccesses sum of recentSuccesses() of the reachable peers
+    /// @param serving the gateways that serve requests; one of them sends a part's trial requests
+    void tick(double peerSuccesses, std::vector<vm_id> serving, time_point now);
+
+    /// @return the breaks that this gateway saw after the given time
+    [[nodiscard]] std::vector<early_break> ownBreaks(time_point since) const
+    {
+        return m_evidence.breaksOf(m_self, since);
+    }
+    /// @return successes of suspected parts within the last recentSuccess
+    [[nodiscard]] std::vector<sound_part> soundSuspects(time_point now) const;
+    /// @return all states, also released ones
+    [[nodiscard]] std::vector<quarantined_part> states() const;
+    /// @return runs of this gateway with a first event, decaying over rateWindow
+    [[nodiscard]] double recentSuccesses(time_point now) const;
+    /// @return the number of parts in quarantine
+    [[nodiscard]] std::size_t size() const;
+    /// @brief Returns the changes since the last call.
+    [[nodiscard]] std::vector<quarantine_change> takeChanges();
+
+private:
+    struct entry
+    {
+        quarantined_part state;
+        std::optional<time_point> trialSince; // while a trial request of this gateway runs
+        time_point usedAt{}; // last change or refusal
+    };
+
+    [[nodiscard]] bool maySendTrial(part_hash part, const entry &known, time_point now) const;
+    [[nodiscard]] bool isQuarantined(part_hash part) const;
+    void quarantine(const crash_finding &finding, quarantine_reason reason, time_point now);
+    void releaseExplainedBy(part_hash cause, time_point now);
+    void release(entry &known, quarantine_reason reason, time_point now);
+    void adoptNew(const quarantined_part &state, time_point now);
+    void store(const quarantined_part &state, time_point now);
+    void makeRoom();
+
+    const vm_id m_self;
+    const incarnation_number m_incarnation;
+    const quarantine_options m_options;
+    crash_evidence m_evidence;
+    std::unordered_map<part_hash, entry> m_parts; // at most maxParts
+    std::vector<quarantine_change> m_changes;
+    std::vector<vm_id> m_serving;
+    std::uint64_t m_breaks = 0; // number of the last break
+    double m_successes = 0; // decaying count at m_successesAt
+    time_point m_successesAt{};
+};
+
+} // namespace tamarack
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -37,7 +37,10 @@
 class batch_runner::output_sink final : public response_sink
 {
 public:
-    output_sink(item_progress &progress, item_run &run) : m_progress(progress), m_run(run) { }
+    output_sink(item_progress &progress, item_run &run, run_observer &observer)
+        : m_progress(progress), m_run(run), m_observer(observer)
+    {
+    }
 
     bool onHead(const http_response &, const response_metadata &) override { return true; }
     bool onEvent(const stream_event &event) override
@@ -47,6 +50,7 @@
         m_progress.text += eventData(event.text);
         m_progress.lastEvent = event.id;
         ++m_run.events;
+        m_observer.onEvent();
         return true;
     }
     bool onFlush() override { return !m_run.yielding; }
@@ -54,6 +58,7 @@
 private:
     item_progress &m_progress;
     item_run &m_run;
+    run_observer &m_observer;
 };
 
 batch_runner::batch_runner(gateway_context &context, batch_store &store, gateway_list gateways,
@@ -70,10 +75,11 @@
     m_peersWaiting = false;
     if (m_stopped || onlineWaits || !m_context.config.activeConfig().current())
         return;
-    const auto items =
-        itemsToStart(m_store.folds(), m_context.options.vm, m_gateways(), occupiedItems(),
-                     bootNow() - MaxFoldAge, bootNow(), MaxStartsPerRound);
     const auto config = m_context.config.activeConfig().current();
+    std::set<item_key> excluded = occupiedItems();
+    excluded.merge(quarantinedItems(*config));
+    const auto items = itemsToStart(m_store.folds(), m_context.options.vm, m_gateways(), excluded,
+                                    bootNow() - MaxFoldAge, bootNow(), MaxStartsPerRound);
     for (const item_key &key : items) {
         const customer_batch &job = *m_store.findJob(key.job);
         const forward_route *route = config->findRouteByName(job.routeName);
@@ -104,6 +110,25 @@
     return busy;
 }
 
+// Items past their retention are left out, so that they are abandoned.
+std::set<item_key> batch_runner::quarantinedItems(const forward_config &config) const
+{
+    std::set<item_key> items;
+    const time_point now = bootNow();
+    if (m_context.quarantine.size() == 0)
+        return items;
+    for (const auto &[key, progress] : m_progress) {
+        const customer_batch *job = m_store.findJob(key.job);
+        const forward_route *route =
+            job == nullptr ? nullptr : config.findRouteByName(job->routeName);
+        if (route == nullptr || mustAbandon(*job, key.item.value(), now))
+            continue;
+        if (m_context.quarantine.check(route->groups.front().group, progress.sharedParts, now))
+            items.insert(key);
+    }
+    return items;
+}
+
 bool batch_runner::contentReady(const item_key &key, const customer_batch &job)
 {
     item_progress &progress = m_progress[key];
@@ -214,11 +239,20 @@
     message.customer = work.customer;
     message.timeLeft = limits.deadline - now;
     message.resumeAfter = progress.lastEvent;
+    if (m_context.quarantine.beginRun(upstream.group, progress.sharedParts, now)) {
+        attempt_result blocked;
+        blocked.outcome = attempt_outcome::NotRun;
+        blocked.reason = "prompt part quarantined";
+        return blocked;
+    }
+    run_observer observer(m_context.quarantine, m_context.quarantineExchange, upstream,
+                          progress.sharedParts, work.request);
     stream_progress events(progress.lastEvent);
-    output_sink sink(progress, run);
+    output_sink sink(progress, run, observer);
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
+    observer.onEnd(result);
     // An error response may be caused by the item. A single one does not eject the upstream.
     reportAttempt(m_context.allocator, upstream.id, result, bootNow());
     return result;
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -104,6 +104,11 @@
 {
     const bool resuming = m_exchange.started();
     const time_point now = bootNow();
+    if (const auto blocked =
+            m_context.quarantine.check(m_placement.group, m_call.sharedParts, now)) {
+        refuseQuarantined(*blocked);
+        return false;
+    }
     time_point latest = now + MaxResumeWait;
     if (m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
         latest = m_arrivedAt + m_route.latencyObjective - m_context.options.firstEventReserve;
@@ -147,6 +152,15 @@
         return result;
     }
     const live_upstream upstream = *known;
+    if (m_context.quarantine.beginRun(upstream.group, m_call.sharedParts, bootNow())) {
+        m_context.blockingQueue.release(m_upstream, work_class::Online);
+        result.outcome = attempt_outcome::NotRun;
+        result.reason = "prompt part quarantined";
+        return result;
+    }
+    run_observer observer(m_context.quarantine, m_context.quarantineExchange, upstream,
+                          m_call.sharedParts, m_call.id);
+    m_observer = &observer;
     upstream_attempt message;
     message.upstream = upstream.id;
     message.customer = m_customer;
@@ -164,6 +178,8 @@
     result = m_context.caller.run(upstream, m_context.protocol.encodeCall(m_call, message),
                                   m_call.id, m_route.kind == route_kind::Stream, limits, m_progress,
                                   *this, m_handle);
+    m_observer = nullptr;
+    observer.onEnd(result);
     reportAttempt(m_context.allocator, upstream.id, result, bootNow());
     if (result.outcome == attempt_outcome::NotRun) {
         ++m_refusals;
@@ -244,6 +260,19 @@
     m_exchange.respond(refusal(503, code, wait));
 }
 
+void call_relay::refuseQuarantined(const blocked_part &blocked)
+{
+    m_outcome = "prompt part quarantined";
+    if (m_exchange.started()) {
+        m_exchange.abortStream();
+        return;
+    }
+    m_status = m_mayHaveRun ? 502 : 503;
+    const duration wait = std::max<duration>(blocked.wait, MinRetryAfter);
+    m_exchange.respond(
+        refusal(m_status, "prompt_part_quarantined", m_mayHaveRun ? duration::zero() : wait));
+}
+
 // The head is sent with the first events, so that another upstream can still answer if this one
 // fails before its first event.
 bool call_relay::onHead(const http_response &head, const response_metadata &metadata)
@@ -263,6 +292,7 @@
         m_firstEventAt = bootNow();
     ++m_events;
     ++m_runEvents;
+    m_observer->onEvent();
     m_pending.append(event.text);
     return !m_callerDisconnected;
 }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -34,11 +34,14 @@
       m_caller(m_pool, protocol), m_self{m_options.vm, incarnation_number(wallMicros()),
                                          m_options.peerAddress, m_options.zone},
       m_peerTable(m_self, shared_rate_options()), m_rates(m_peerTable),
+      m_quarantine(m_self.vm, m_self.incarnation, quarantine_options()),
+      m_quarantineExchange(m_quarantine, m_metrics),
       m_config(store, protocol, m_options.keyFreshness,
                [this](const forward_config &config) { onConfig(config); }),
       m_upstreams(store, protocol, m_directory, [this] { m_blockingQueue.processQueue(); }),
-      m_context{m_options,       protocol, m_config,    m_directory, m_allocator,
-                m_blockingQueue, m_caller, m_peerTable, m_rates,     m_metrics},
+      m_context{
+          m_options, protocol,    m_config, m_directory,  m_allocator,          m_blockingQueue,
+          m_caller,  m_peerTable, m_rates,  m_quarantine, m_quarantineExchange, m_metrics},
       m_batchStore(store, m_options.batchPartitions, m_options.batchKeepTime),
       m_batchApi(m_context, m_batchStore),
       m_peers(thread, store, m_context, m_self,
@@ -112,6 +115,7 @@
 {
     for (;;) {
         m_blockingQueue.processQueue();
+        m_quarantineExchange.tick(m_peers.servingGateways(), bootNow());
         m_batches.schedule();
         m_peers.tick();
         boost::this_fiber::sleep_for(TickInterval);
--- a/src/gateway/member_registry.cpp
+++ b/src/gateway/member_registry.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-member_registry::member_registry(record_store &store, peer_table &peerTable, gateway_member self)
-    : m_store(store), m_peerTable(peerTable), m_self(std::move(self))
+member_registry::member_registry(record_store &store, peer_table &peerTable,
+                                 quarantine_exchange &quarantine, gateway_member self)
+    : m_store(store), m_peerTable(peerTable), m_quarantine(quarantine), m_self(std::move(self))
 {
 }
 
@@ -35,8 +36,11 @@
     writeRecord(true);
 }
 
+// Reads before it writes, as the record of this VM's process before may hold the only copy of a
+// quarantine.
 void member_registry::renewLoop()
 {
+    readMembers();
     for (;;) {
         if (!m_leaving)
             writeRecord(false);
@@ -56,6 +60,7 @@
     record.renewal = ++m_renewal;
     record.leaving = leaving;
     const time_point sentAt = bootNow();
+    m_quarantine.addTo(record, sentAt);
     const std::string content =
         m_store.encodeKeyed({m_self.vm.value(), encodeFlat<schema::member_record>(record)});
     const auto reply = m_store.append(MemberStream, {content}, std::nullopt);
@@ -73,6 +78,7 @@
         const auto record = decodeFlat<schema::member_record>(keyed.value);
         if (!record)
             continue;
+        m_quarantine.apply(*record, now);
         const gateway_member member{vm_id(record->vm), incarnation_number(record->incarnation),
                                     record->address, zone_id(record->zone)};
         if (record->leaving)
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -42,7 +42,7 @@
 peer_link::peer_link(io_thread &thread, record_store &store, gateway_context &context,
                      gateway_member self, waiting_listener onWaiting)
     : m_context(context), m_self(std::move(self)), m_onWaiting(std::move(onWaiting)),
-      m_members(store, context.peerTable, m_self), m_socket(thread.io())
+      m_members(store, context.peerTable, context.quarantineExchange, m_self), m_socket(thread.io())
 {
 }
 
@@ -105,7 +105,8 @@
     const duration interval =
         std::clamp<duration>(m_context.peerTable.others().size() * ReportIntervalPerPeer,
                              MinReportInterval, MaxReportInterval);
-    if (newWaiters || m_slotFreed || now - m_reportedAt >= interval)
+    const bool hasNews = m_slotFreed || m_context.quarantineExchange.hasNews();
+    if (newWaiters || hasNews || now - m_reportedAt >= interval)
         sendReports(now, true);
     else if (m_context.allocator.ownUse() != m_reportedUse)
         sendReports(now, false);
@@ -134,6 +135,7 @@
             .with("rate_share", m_context.peerTable.share(now));
     m_context.rates.onPeerCounts(peer.vm, peer.incarnation, countsOf(report), wasReachable, now);
     m_context.allocator.onPeerUse(peer.vm, useOf(report), ejectedBy(report), now);
+    m_context.quarantineExchange.apply(report, now);
     if (report.serving)
         m_servingPeers.insert(peer.vm);
     else
@@ -182,6 +184,7 @@
     for (const upstream_id &id : m_context.allocator.ejected(now))
         report.ejected.push_back(stableHash(id.value()));
     addCounts(report, now);
+    m_context.quarantineExchange.addTo(report, now);
     return encodeFlat<schema::peer_report>(report, default_fields::Written);
 }
 
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -212,6 +212,10 @@
             engine.shed -= 1
             self.answer(503, headers=[("Not-Executed", "1")])
             return
+        if engine.crashes_on(self.headers.get("Prompt-Prefix", "")):
+            engine.crash(request)
+            self.close_connection = True
+            return
         status = request["status"] = engine.statuses.get(request["id"], engine.status)
         engine.runs.append(request)
         if status != 200:
@@ -286,12 +290,27 @@
         self.silent_at = None
         self.silence_s = 5.0
         self.extra_answers = 0
+        self.deadly_parts = set()  # ids of prompt parts that crash the engine
+        self.crashed = []  # requests that crashed it
+        self.born = 1000
+        self.restarts = None  # called with the engine after a crash
         super().__init__(EngineHandler)
 
     def record(self, state="ready"):
         return {"service": self.group, "address": self.address, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
-                "born": 1000}
+                "born": self.born}
+
+    def crashes_on(self, parts):
+        return any(part.split(":")[0] in self.deadly_parts for part in parts.split(","))
+
+    def crash(self, request):
+        """Starts again as another incarnation; the caller's connection is closed."""
+        with self.lock:
+            self.crashed.append(request)
+            self.born += 1
+        if self.restarts:
+            self.restarts(self)
 
     def runs_of(self, request):
         return [run for run in self.runs if run["id"] == request]
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -395,6 +395,94 @@
         self.assertEqual(self.call()[0], 200)
 
 
+class QuarantineTest(SiteTestCase):
+    """A prompt part that crashes engines."""
+
+    engines = 4
+    gateways = 2
+    BAD = "a1:100,bad:50,%x:9"
+    SOUND = "a1:100,b%x:50,%x:9"
+
+    def setUp(self):
+        super().setUp()
+        for engine in self.engine:
+            engine.deadly_parts = {"bad"}
+            engine.restarts = lambda each: self.store.put("keyed.servers", each.id, each.record())
+        for gateway in self.gateway:
+            wait_until(lambda: gateway.lines_of("gateway in contact"), "contact")  # noqa: B023
+
+    def crashes(self):
+        return [request for engine in self.engine for request in engine.crashed]
+
+    def serve_sound(self, count):
+        for i in range(count):
+            parts = self.SOUND % (i % 5, self.requests)
+            status, _, body, request = self.call(gateway=i % 2, **{"Prompt-Prefix": parts})
+            self.assertEqual((status, body), (200, complete_stream(request)), parts)
+
+    def send_bad(self, gateway=0):
+        return self.call(gateway=gateway, **{"Prompt-Prefix": self.BAD % self.requests})
+
+    def quarantine(self):
+        """Sends requests with the deadly part until both gateways have quarantined it."""
+        self.serve_sound(30)
+        for _ in range(3):
+            self.send_bad(0)
+            self.send_bad(1)
+            self.serve_sound(10)
+            time.sleep(0.2)
+        for gateway in self.gateway:
+            wait_until(lambda: gateway.lines_of("prompt part quarantined"),  # noqa: B023
+                       "quarantine", 5)
+
+    def test_a_prompt_part_that_crashes_engines_stops_reaching_them(self):
+        for _ in range(3):
+            self.serve_sound(10)
+            self.send_bad(0)
+            self.send_bad(1)
+        time.sleep(3)
+        crashed = len(self.crashes())
+        for i in range(10):
+            status, headers, _, _ = self.send_bad(i % 2)
+            self.assertEqual(status, 503)
+            self.assertIn("Retry-After", headers)
+            self.serve_sound(2)
+        self.assertEqual(len(self.crashes()), crashed)
+        self.assertEqual(self.gateway[0].lines_of("prompt part quarantined")[0]["prompt_part"],
+                         "bad")
+
+    def test_a_quarantine_outlasts_the_loss_of_all_gateways(self):
+        self.quarantine()
+        time.sleep(2.5)  # until the membership records are renewed
+        for gateway in self.gateway:
+            gateway.process.kill()
+        for gateway in self.gateway:
+            gateway.process.start()
+        for gateway in self.gateway:
+            wait_until(gateway.ready, "ready")
+        crashed = len(self.crashes())
+        self.assertEqual(self.send_bad(0)[0], 503)
+        self.assertEqual(self.send_bad(1)[0], 503)
+        self.assertEqual(len(self.crashes()), crashed)
+
+    def test_a_batch_item_with_the_part_waits_and_the_others_are_done(self):
+        self.quarantine()
+        crashed = len(self.crashes())
+        headers = [{"Prompt-Prefix": "a1:100,bad:50,c1:9"}, {"Prompt-Prefix": "a1:100,b1:50,c2:9"}]
+        items = [{"id": f"q-{i}", "path": "/jobs/x", "headers": each, "body": "", "tokens": 10}
+                 for i, each in enumerate(headers)]
+        self.assertEqual(self.call("/jobs/q", body=json.dumps({"items": items}),
+                                   **{"Request-Id": "q"})[0], 202)
+
+        def results():
+            body = self.call("/tamarackglade/lots/q?after=0", 0, None, method="GET")[2]
+            return [(each["id"], each["state"]) for each in json.loads(body)["results"]]
+        wait_until(lambda: results() == [("q-1", "done")], "sound item done")
+        time.sleep(1)
+        self.assertEqual(results(), [("q-1", "done")])
+        self.assertEqual(len(self.crashes()), crashed)
+
+
 class BatchTest(SiteTestCase):
     """Batch jobs: submission, results, failures and requests to end them."""
 
