A stream that ends before its first event is broken, not complete

Callers of a stream whose engine crashed behind the response head got an empty answer that looked whole (200, no event): without a length or chunks the end of the connection is the only end of a stream, and the gateway took it for one. A crash before the first event also counted as a success of the prompt's parts. Cause: readStream asked only whether an event was left half. Change: without any event, and none to resume after, the run is broken; only events and whole answers clear a prompt part. Tests with streams that have neither length nor chunks, in test_gateway: whole, cut in an event, ended behind the head. The last fails on the code before (200 and no event), the others pass on both.

--- a/src/gateway/run_observer.cpp
+++ b/src/gateway/run_observer.cpp
@@ -35,10 +35,7 @@
 void run_observer::onEnd(const attempt_result &result)
 {
     const time_point now = bootNow();
-    const bool answered =
-        result.outcome == attempt_outcome::Complete
-        || (result.outcome == attempt_outcome::Answered && result.response.status < MinErrorStatus);
-    if (answered)
+    if (result.outcome == attempt_outcome::Answered && result.response.status < MinErrorStatus)
         onEvent();
     if (result.outcome == attempt_outcome::Broken && !m_hasEvents && !m_parts.empty()) {
         m_break.brokeAt = now;
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream_caller.cpp
@@ -158,6 +158,9 @@
     }
     if (splitter.hasPartial())
         return makeResult(attempt_outcome::Broken, "stream ended in the middle of an event");
+    // Without a length or chunks, the end of the connection is the only end of a stream.
+    if (!streamStarted && !progress.last())
+        return makeResult(attempt_outcome::Broken, "stream ended before its first event");
     return makeResult(attempt_outcome::Complete, "");
 }
 
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -242,8 +242,12 @@
         for name, value in self.identity(request):
             self.send_header(name, value)
         self.send_header("Content-Type", "text/event-stream")
-        self.send_header("Transfer-Encoding", "chunked")
+        if not engine.unframed:
+            self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+        if engine.ends_after_head:
+            self.close_connection = True
+            return
         start = int(self.headers.get("Last-Event-Id", -1)) + 1
         for number in range(start, engine.events):
             time.sleep(engine.step_s)
@@ -256,6 +260,9 @@
                 self.close_connection = True
                 return
             self.chunk(event)
+        if engine.unframed:
+            self.close_connection = True
+            return
         self.wfile.write(b"0\r\n\r\n")
         if engine.extra_answers > 0:
             engine.extra_answers -= 1
@@ -263,7 +270,8 @@
                              b"Response-Signature: x\r\n\r\nno")
 
     def chunk(self, data):
-        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        framed = data if self.stand_in.unframed else b"%x\r\n%s\r\n" % (len(data), data)
+        self.wfile.write(framed)
         self.wfile.flush()
 
 
@@ -290,6 +298,8 @@
         self.silent_at = None
         self.silence_s = 5.0
         self.extra_answers = 0
+        self.unframed = False  # streams have no chunks and end with the connection
+        self.ends_after_head = False
         self.deadly_parts = set()  # ids of prompt parts that crash the engine
         self.crashed = []  # requests that crashed it
         self.born = 1000
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -189,6 +189,34 @@
             status, _, body, request = self.call("/once/x")
             self.assertEqual((status, body), (200, complete_stream(request)))
 
+    def test_a_stream_without_length_or_chunks_arrives_whole(self):
+        for engine in self.engine:
+            engine.unframed = True
+        for path in ("/stream/x", "/once/x"):
+            status, _, body, request = self.call(path)
+            self.assertEqual((status, body), (200, complete_stream(request)))
+
+    def test_a_stream_without_length_that_ends_in_an_event_goes_on_elsewhere(self):
+        for engine in self.engine:
+            engine.unframed = True
+        self.engine[0].break_at = 3
+        while not self.engine[0].runs:
+            status, _, body, request = self.call()
+            self.assertEqual((status, body), (200, complete_stream(request)))
+        self.engine[1].break_at = 3
+        with self.assertRaises(http.client.IncompleteRead):
+            self.call("/once/x")
+
+    def test_a_stream_that_ends_before_its_first_event_is_broken(self):
+        for engine in self.engine:
+            engine.unframed = True
+        self.engine[0].ends_after_head = True
+        while not self.engine[0].runs:
+            status, _, body, request = self.call()
+            self.assertEqual((status, body), (200, complete_stream(request)))
+        self.engine[1].ends_after_head = True
+        self.assertEqual(self.call("/once/x")[0], 502)
+
     def test_a_leaving_callers_request_is_dropped(self):
         for engine in self.engine:
             engine.events = 10000
