Batch items whose runs fail before the first event are sent again after pauses

Change: a pause of 250 ms that doubles with each run in a row that broke or went silent before its first event, up to 8 s; an event ends it.

--- a/include/tamarackglade/gateway/item_run.hpp
+++ b/include/tamarackglade/gateway/item_run.hpp
@@ -32,6 +32,8 @@
     bool reading = false; // the content is being read
     std::string text; // output of the events so far
     std::optional<std::uint64_t> lastEvent;
+    unsigned earlyFailures = 0; // runs in a row that failed before their first event
+    time_point startableAt{}; // after such a run; not started before
 
     /// @brief Discards the output after a failed run.
     void restart()
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds MaxIdleTime{60'000}; // of a reused connection
 constexpr std::chrono::seconds RecordTimeout{20}; // for the append of an item's end or failure
 constexpr std::chrono::milliseconds ReadRetryPause{300};
+// Pause after a run that failed before its first event; doubles with each one in a row.
+constexpr std::chrono::milliseconds FirstFailurePause{250};
+constexpr std::chrono::seconds MaxFailurePause{8};
 constexpr unsigned SilenceFactor = 2; // items may be silent longer than online requests
 constexpr unsigned UnprocessableContent = 422; // the upstream reports that no run can succeed
 
@@ -107,6 +110,11 @@
         busy.insert(key);
     for (const auto &[key, failedRun] : m_pendingRecords)
         busy.insert(key);
+    const time_point now = bootNow();
+    for (const auto &[key, progress] : m_progress) {
+        if (now < progress.startableAt)
+            busy.insert(key);
+    }
     return busy;
 }
 
@@ -216,10 +224,12 @@
         .with("events", run->events)
         .with("prompt_parts", joinIds(m_progress[work.key].sharedParts))
         .with("run_ms", toSeconds(bootNow() - startedAt) * 1000);
-    if (run->yielding)
+    if (run->yielding) {
         m_onYielded();
-    else
+    } else {
+        pauseAfterEarlyFailure(work.key, result, run->events);
         handleResult(work, upstream.id, result);
+    }
     m_context.blockingQueue.release(upstream.id, work_class::Batch);
 }
 
@@ -258,6 +268,24 @@
     return result;
 }
 
+// The item itself may break its upstreams, so it isn't sent to one after the other without a pause.
+void batch_runner::pauseAfterEarlyFailure(const item_key &key, const attempt_result &result,
+                                          std::size_t events)
+{
+    item_progress &progress = m_progress[key];
+    if (events > 0) {
+        progress.earlyFailures = 0;
+        return;
+    }
+    if (result.outcome != attempt_outcome::Broken && result.outcome != attempt_outcome::Silent)
+        return;
+    duration pause = FirstFailurePause;
+    for (unsigned i = 0; i < progress.earlyFailures && pause < MaxFailurePause; ++i)
+        pause *= 2;
+    ++progress.earlyFailures;
+    progress.startableAt = bootNow() + std::min<duration>(pause, MaxFailurePause);
+}
+
 void batch_runner::handleResult(const item_work &work, const upstream_id &upstream,
                                 const attempt_result &result)
 {
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -590,6 +590,17 @@
         runs = [r["id"] for e in self.engine for r in e.runs]
         self.assertEqual((runs.count("j-0"), runs.count("j-1")), (1, 2))
 
+    def test_an_item_whose_runs_break_at_once_is_sent_again_after_growing_pauses(self):
+        for engine in self.engine:
+            engine.break_at = 0
+        self.assertEqual(self.submit("j", items=1), 202)
+        wait_until(lambda: self.engine[0].runs + self.engine[1].runs, "first run")
+        time.sleep(3)
+        self.assertLessEqual(len(self.engine[0].runs + self.engine[1].runs), 6)
+        for engine in self.engine:
+            engine.break_at = None
+        self.assertEqual(self.finished("j", 1)[0]["state"], "done")
+
     def test_large_jobs(self):
         self.publish(config(2, limits={"maxBodyBytes": 4000000}))
         self.assertEqual(self.submit("j", items=8, size=200000), 202)
