Read, log and share the request rates that upstreams state

Change: the header is decoded, logged when it changes, counted in a metric, and exchanged in the reports with what each gateway sent since. shared_rates serves customers and upstreams; the exchange of counts leaves peer_link for rate_exchange. Placement doesn't use the rate yet.

--- a/include/tamarackglade/gateway/gateway_context.hpp
+++ b/include/tamarackglade/gateway/gateway_context.hpp
@@ -6,6 +6,7 @@
 #include <tamarackglade/gateway/gateway_options.hpp>
 #include <tamarackglade/gateway/platform_protocol.hpp>
 #include <tamarackglade/gateway/quarantine_exchange.hpp>
+#include <tamarackglade/gateway/rate_exchange.hpp>
 #include <tamarackglade/gateway/upstream_caller.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/placement/slot_allocator.hpp>
@@ -25,7 +26,8 @@
     blocking_slot_queue &blockingQueue;
     upstream_caller &caller;
     peer_table &peerTable;
-    shared_rates &rates;
+    shared_rates<customer_id> &rates;
+    rate_exchange &rateExchange;
     prompt_quarantine &quarantine;
     quarantine_exchange &quarantineExchange;
     metric_registry &metrics;
--- a/include/tamarackglade/gateway/peer_link.hpp
+++ b/include/tamarackglade/gateway/peer_link.hpp
@@ -46,20 +46,10 @@
     [[nodiscard]] bool ready() const { return m_members.ready(); }
 
 private:
-    /// The last sent count of a customer.
-    struct sent_count
-    {
-        std::uint64_t admitted = 0;
-        time_point changedAt{};
-    };
-
     void receiveLoop();
     void onDatagram(std::string_view bytes);
     void sendReports(time_point now, bool allZones);
     std::string encodeReport(time_point now);
-    void addCounts(schema::peer_report_message &report, time_point now);
-    [[nodiscard]] std::vector<admitted_count>
-    countsOf(const schema::peer_report_message &report) const;
     [[nodiscard]] std::unordered_map<upstream_id, slot_use>
     useOf(const schema::peer_report_message &report) const;
     [[nodiscard]] std::set<upstream_id> ejectedBy(const schema::peer_report_message &report) const;
@@ -74,8 +64,6 @@
     std::size_t m_reportedWaiting = 0;
     std::unordered_map<upstream_id, slot_use> m_reportedUse;
     bool m_slotFreed = false;
-    std::unordered_map<customer_id, sent_count> m_sentCounts;
-    std::uint64_t m_round = 0; // number of reports encoded so far
     bool m_serving = false;
 };
 
--- a/include/tamarackglade/gateway/response_metadata.hpp
+++ b/include/tamarackglade/gateway/response_metadata.hpp
@@ -17,6 +17,9 @@
     std::optional<request_id> answeredRequest; // id of the request that the response belongs to
     bool notRun = false; // the upstream did not and will not run the request
     bool isSigned = false; // the response carries an upstream's signature
+    // Requests per second that the upstream accepts from all gateways together, as of this
+    // response.
+    std::optional<double> acceptedRate;
     std::optional<std::chrono::seconds> keepAlive; // idle timeout of the connection
     std::vector<std::pair<std::string, std::string>> headers; // headers to forward to the caller
 };
--- a/include/tamarackglade/gateway/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream_caller.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/events/stream_progress.hpp>
 #include <tamarackglade/gateway/attempt_result.hpp>
 #include <tamarackglade/gateway/platform_protocol.hpp>
+#include <tamarackglade/gateway/response_listener.hpp>
 #include <tamarackglade/gateway/response_sink.hpp>
 #include <tamarackglade/gateway/upstream_pool.hpp>
 
@@ -37,8 +38,9 @@
 class upstream_caller
 {
 public:
-    upstream_caller(upstream_pool &pool, const platform_protocol &protocol)
-        : m_pool(pool), m_protocol(protocol)
+    upstream_caller(upstream_pool &pool, const platform_protocol &protocol,
+                    response_listener &listener)
+        : m_pool(pool), m_protocol(protocol), m_listener(listener)
     {
     }
 
@@ -61,6 +63,7 @@
 
     upstream_pool &m_pool;
     const platform_protocol &m_protocol;
+    response_listener &m_listener;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/placement/failure_score.hpp>
 #include <tamarackglade/placement/slot_use.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
+#include <tamarackglade/placement/upstream_rates.hpp>
 
 #include <cstdint>
 #include <random>
@@ -46,8 +47,9 @@
 class slot_allocator
 {
 public:
-    slot_allocator(const upstream_directory &directory, placement_options options,
-                   std::uint64_t seed);
+    /// @param rates of the upstreams; must outlive the allocator
+    slot_allocator(const upstream_directory &directory, upstream_rates &rates,
+                   placement_options options, std::uint64_t seed);
 
     /// @brief Picks an upstream without acquiring its slot.
     /// @return an upstream with a free slot for this class of work, or nullopt
@@ -63,8 +65,8 @@
     /// @return the number of slots free for this class of work at all upstreams of the group
     [[nodiscard]] unsigned freeSlots(const group_id &group, work_class work, time_point now);
 
-    /// @brief Counts a slot of the upstream as in use by this process.
-    void acquire(const upstream_id &id, work_class work);
+    /// @brief Counts a slot of the upstream as in use by this process, and a request to it.
+    void acquire(const upstream_id &id, work_class work, time_point now);
     /// @brief Counts a slot as free again; the upstream may have been removed meanwhile.
     void release(const upstream_id &id, work_class work);
 
@@ -112,6 +114,7 @@
     [[nodiscard]] unsigned capacity(const live_upstream &upstream, work_class work) const;
 
     const upstream_directory &m_directory;
+    upstream_rates &m_rates;
     const placement_options m_options;
     std::mt19937_64 m_random;
     std::unordered_map<upstream_id, slot_use> m_own; // only upstreams with slots in use
--- a/include/tamarackglade/rates/shared_bucket.hpp
+++ b/include/tamarackglade/rates/shared_bucket.hpp
@@ -65,6 +65,13 @@
         return fromSeconds((1.0 - m_level) / perSecond);
     }
 
+    /// @return the tokens that the bucket will hold at a time after the last change
+    [[nodiscard]] double levelAt(double share, time_point now) const
+    {
+        const double refilled = now > m_at ? m_rate * share * toSeconds(now - m_at) : 0;
+        return std::min(m_level + refilled, cap(share));
+    }
+
     /// @return the tokens in the bucket; negative after late reports of peers
     [[nodiscard]] double level() const { return m_level; }
 
@@ -74,10 +81,8 @@
 
     void refill(double share, time_point now)
     {
-        if (now > m_at)
-            m_level += m_rate * share * toSeconds(now - m_at);
+        m_level = levelAt(share, now);
         m_at = std::max(m_at, now);
-        m_level = std::min(m_level, cap(share));
     }
 
     double m_rate; // tokens per second of all gateways together
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,7 +14,7 @@
 fi
 # Names of the users' platform may occur only in platform/ and in tests.
 wire_names='"(Request-Id|Deadline-Ms|Expect-Instance|Expect-Version|Not-Executed|Response-Signature'
-wire_names+='|Prompt-Prefix|Token-Usage|Length-Hint|Wait-Ms|Tenant|Last-Event-Id|Instance-Id'
+wire_names+='|Prompt-Prefix|Server-Limit|Server-Leaving|Token-Usage|Length-Hint|Wait-Ms|Tenant|Last-Event-Id|Instance-Id'
 wire_names+='|apiKeys|pathPrefix|trafficSplit|ratePerS|targetLatencyMs|outputText|keyed\.op|keyed\.servers)"'
 wire_names+='|/tamarackglade/|log-(append|read|newest|join)'
 if grep -nE "$wire_names" -r src include apps --include='*.cpp' --include='*.hpp' | grep -v '#include'; then
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -201,7 +201,7 @@
     auto run = std::make_shared<item_run>();
     run->upstream = upstreamId;
     m_runs.emplace(work.key, run);
-    m_context.allocator.acquire(upstreamId, work_class::Batch);
+    m_context.allocator.acquire(upstreamId, work_class::Batch, bootNow());
     boost::fibers::fiber([this, work, upstream = *upstream, run] {
         runItem(work, upstream, run);
     }).detach();
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -29,19 +29,22 @@
                                  record_store &store, const platform_protocol &protocol)
     : m_thread(thread), m_options(gatewayOptionsFrom(settings)), m_startedAt(bootNow()),
       m_directory(directory_options{m_options.upstreamReturnGrace}),
-      m_allocator(m_directory, placement_options{m_options.zone}, wallMicros()),
-      m_queue(m_allocator), m_blockingQueue(m_allocator, m_queue), m_pool(thread.io()),
-      m_caller(m_pool, protocol), m_self{m_options.vm, incarnation_number(wallMicros()),
-                                         m_options.peerAddress, m_options.zone},
+      m_self{m_options.vm, incarnation_number(wallMicros()), m_options.peerAddress, m_options.zone},
       m_peerTable(m_self, shared_rate_options()), m_rates(m_peerTable),
-      m_quarantine(m_self.vm, m_self.incarnation, quarantine_options()),
-      m_quarantineExchange(m_quarantine, m_metrics),
+      m_upstreamRates(m_peerTable),
+      m_allocator(m_directory, m_upstreamRates, placement_options{m_options.zone}, wallMicros()),
+      m_queue(m_allocator), m_blockingQueue(m_allocator, m_queue),
       m_config(store, protocol, m_options.keyFreshness,
                [this](const forward_config &config) { onConfig(config); }),
+      m_rateExchange(m_rates, m_upstreamRates, m_directory, m_config, m_metrics),
+      m_pool(thread.io()), m_caller(m_pool, protocol, m_rateExchange),
+      m_quarantine(m_self.vm, m_self.incarnation, quarantine_options()),
+      m_quarantineExchange(m_quarantine, m_metrics),
       m_upstreams(store, protocol, m_directory, [this] { m_blockingQueue.processQueue(); }),
-      m_context{
-          m_options, protocol,    m_config, m_directory,  m_allocator,          m_blockingQueue,
-          m_caller,  m_peerTable, m_rates,  m_quarantine, m_quarantineExchange, m_metrics},
+      m_context{m_options,   protocol,        m_config,     m_directory,
+                m_allocator, m_blockingQueue, m_caller,     m_peerTable,
+                m_rates,     m_rateExchange,  m_quarantine, m_quarantineExchange,
+                m_metrics},
       m_batchStore(store, m_options.batchPartitions, m_options.batchKeepTime),
       m_batchApi(m_context, m_batchStore),
       m_peers(thread, store, m_context, m_self,
@@ -139,6 +142,7 @@
         m_upstreams.tick();
         m_batchStore.tick(now);
         m_allocator.tick(now);
+        m_rateExchange.tick();
         m_metrics.set("tamarack_waiting_requests", static_cast<double>(m_blockingQueue.waiting()));
         m_metrics.set("tamarack_batch_runs", static_cast<double>(m_batches.running()));
         m_metrics.set("tamarack_rate_share", m_peerTable.share(now));
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -23,10 +23,6 @@
 constexpr std::chrono::milliseconds MinReportInterval{100};
 constexpr std::chrono::milliseconds MaxReportInterval{330};
 constexpr std::chrono::milliseconds ReportIntervalPerPeer{10};
-// A changed count is repeated in every report for this time, as reports may be lost. An
-// unchanged count is sent in one of CountRounds successive reports.
-constexpr std::chrono::milliseconds CountRepeatWindow{1'200};
-constexpr std::size_t CountRounds = 8;
 constexpr std::size_t MaxDatagramBytes = 60 * 1024; // bytes
 
 absl::StatusOr<asio::ip::udp::endpoint> udpEndpoint(const std::string &address)
@@ -133,7 +129,7 @@
         log_event(log_level::Info, "gateway in contact")
             .with("peer", peer.vm.value())
             .with("rate_share", m_context.peerTable.share(now));
-    m_context.rates.onPeerCounts(peer.vm, peer.incarnation, countsOf(report), wasReachable, now);
+    m_context.rateExchange.apply(report, wasReachable, now);
     m_context.allocator.onPeerUse(peer.vm, useOf(report), ejectedBy(report), now);
     m_context.quarantineExchange.apply(report, now);
     if (report.serving)
@@ -183,40 +179,11 @@
                                       static_cast<std::uint16_t>(use.batch));
     for (const upstream_id &id : m_context.allocator.ejected(now))
         report.ejected.push_back(stableHash(id.value()));
-    addCounts(report, now);
+    m_context.rateExchange.addTo(report, now);
     m_context.quarantineExchange.addTo(report, now);
     return encodeFlat<schema::peer_report>(report, default_fields::Written);
 }
 
-void peer_link::addCounts(schema::peer_report_message &report, time_point now)
-{
-    ++m_round;
-    for (const admitted_count &count : m_context.rates.ownCounts()) {
-        sent_count &sent = m_sentCounts[count.customer];
-        if (sent.admitted != count.admitted)
-            sent = {count.admitted, now};
-        const std::uint64_t hash = stableHash(count.customer.value());
-        const bool isDue = hash % CountRounds == m_round % CountRounds;
-        if (isDue || now - sent.changedAt < CountRepeatWindow)
-            report.customers.emplace_back(hash, static_cast<std::uint32_t>(count.admitted),
-                                          static_cast<float>(count.level));
-    }
-}
-
-// Skips customers that are not in this gateway's configuration.
-std::vector<admitted_count> peer_link::countsOf(const schema::peer_report_message &report) const
-{
-    std::vector<admitted_count> counts;
-    const auto config = m_context.config.activeConfig().current();
-    if (!config)
-        return counts;
-    for (const schema::customer_count &count : report.customers) {
-        if (const forward_customer *customer = config->findByHash(count.customer()))
-            counts.push_back({customer->id, count.admitted(), count.level()});
-    }
-    return counts;
-}
-
 std::unordered_map<upstream_id, slot_use>
 peer_link::useOf(const schema::peer_report_message &report) const
 {
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream_caller.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024; // bytes
 constexpr std::chrono::milliseconds MinTimeout{1};
+constexpr unsigned Misdirected = 421; // another upstream is at the address
 constexpr std::chrono::milliseconds ConnectTimeout{400};
 
 // Sets the timeout of the next read or write to the earliest of the limits.
@@ -40,6 +41,12 @@
     return result;
 }
 
+// Another upstream may have the address by now, and other bytes may look like a response.
+bool isFromUpstream(const http_response &head, const response_metadata &metadata)
+{
+    return metadata.isSigned || (metadata.notRun && head.status != Misdirected);
+}
+
 attempt_result makeResult(attempt_outcome outcome, std::string reason)
 {
     attempt_result result;
@@ -89,6 +96,8 @@
             client->close();
             result = makeResult(attempt_outcome::Broken, "response has another request id");
         } else {
+            if (isFromUpstream(*head, metadata))
+                m_listener.onResponse(upstream, metadata);
             result = readResponse(*client, *head, metadata, streamed, limits, progress, sink);
         }
     }
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -17,9 +17,9 @@
 
 } // namespace
 
-slot_allocator::slot_allocator(const upstream_directory &directory, placement_options options,
-                               std::uint64_t seed)
-    : m_directory(directory), m_options(std::move(options)), m_random(seed)
+slot_allocator::slot_allocator(const upstream_directory &directory, upstream_rates &rates,
+                               placement_options options, std::uint64_t seed)
+    : m_directory(directory), m_rates(rates), m_options(std::move(options)), m_random(seed)
 {
 }
 
@@ -90,8 +90,9 @@
     return free;
 }
 
-void slot_allocator::acquire(const upstream_id &id, work_class work)
+void slot_allocator::acquire(const upstream_id &id, work_class work, time_point now)
 {
+    m_rates.onSent(id, now);
     ++m_own[id].of(work);
 }
 
--- a/src/placement/slot_queue.cpp
+++ b/src/placement/slot_queue.cpp
@@ -131,7 +131,7 @@
 {
     auto upstream = m_allocator.pick(placement, now);
     if (upstream)
-        m_allocator.acquire(*upstream, placement.work);
+        m_allocator.acquire(*upstream, placement.work, now);
     return upstream;
 }
 
--- a/tests/support/gateway_load.cpp
+++ b/tests/support/gateway_load.cpp
@@ -192,9 +192,12 @@
     {
         gateway(const upstream_directory &directory, const placement_options &options,
                 std::uint64_t seed)
-            : allocator(directory, options, seed), queue(allocator)
+            : peers(gateway_member(), shared_rate_options()), rates(peers),
+              allocator(directory, rates, options, seed), queue(allocator)
         {
         }
+        peer_table peers;
+        upstream_rates rates;
         slot_allocator allocator;
         slot_queue queue;
         std::map<waiter_id, work_item> waiting;
@@ -316,7 +319,7 @@
             const auto upstream = self.allocator.pick(placement, m_now);
             if (!upstream)
                 return;
-            self.allocator.acquire(*upstream, work_class::Batch);
+            self.allocator.acquire(*upstream, work_class::Batch, m_now);
             send(self.batch.front(), numberOf(*upstream));
             self.batch.pop_front();
         }
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -166,7 +166,9 @@
     }
     placement_options options;
     options.zone = zone_id("a");
-    slot_allocator allocator(directory, options, 1);
+    peer_table peers{gateway_member(), shared_rate_options()};
+    upstream_rates rates(peers);
+    slot_allocator allocator(directory, rates, options, 1);
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", Items), Start);
     std::map<item_key, std::pair<upstream_id, time_point>> runs; // upstream and end of each run
@@ -207,7 +209,7 @@
             const auto upstream = allocator.pickForItem(group_id("engines"), failedAt, now);
             if (!upstream)
                 continue;
-            allocator.acquire(*upstream, work_class::Batch);
+            allocator.acquire(*upstream, work_class::Batch, now);
             const bool fails = *upstream == upstream_id("failing");
             runs.emplace(key, std::pair(*upstream, now + (fails ? 10ms : 800ms)));
         }
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -48,7 +48,9 @@
 struct allocator_fixture
 {
     upstream_directory directory{directory_options()};
-    slot_allocator allocator{directory, optionsOf(), 1};
+    peer_table peers{gateway_member(), shared_rate_options()};
+    upstream_rates rates{peers};
+    slot_allocator allocator{directory, rates, optionsOf(), 1};
     slot_queue queue{allocator};
 };
 
@@ -109,7 +111,7 @@
     directory.put(upstreamNamed("one"));
     const auto request = requestOf(work_class::Online);
     for (int i = 0; i < 2; ++i)
-        allocator.acquire(*allocator.pick(request, Start), work_class::Online);
+        allocator.acquire(*allocator.pick(request, Start), work_class::Online, Start);
     CHECK_FALSE(allocator.pick(request, Start));
     allocator.release(upstream_id("one"), work_class::Online);
     CHECK(allocator.pick(request, Start));
@@ -118,7 +120,7 @@
 TEST_CASE_FIXTURE(allocator_fixture, "batch work leaves slots free for online work")
 {
     directory.put(upstreamNamed("one"));
-    allocator.acquire(upstream_id("one"), work_class::Batch);
+    allocator.acquire(upstream_id("one"), work_class::Batch, Start);
     CHECK_FALSE(allocator.pick(requestOf(work_class::Batch), Start));
     CHECK(allocator.pick(requestOf(work_class::Online), Start));
 }
@@ -137,7 +139,7 @@
     directory.put(upstreamNamed("near", "a", 8));
     directory.put(upstreamNamed("far", "b", 8));
     for (int i = 0; i < 3; ++i)
-        allocator.acquire(upstream_id("near"), work_class::Online);
+        allocator.acquire(upstream_id("near"), work_class::Online, Start);
     CHECK(allocator.pick(requestOf(work_class::Online), Start) == upstream_id("far"));
 }
 
@@ -167,7 +169,7 @@
     directory.put(upstreamNamed("failing", "a", 8));
     directory.put(upstreamNamed("good", "a", 8));
     for (int i = 0; i < 3; ++i)
-        allocator.acquire(upstream_id("good"), work_class::Online);
+        allocator.acquire(upstream_id("good"), work_class::Online, Start);
     int failed = 0;
     for (int i = 0; i < 100; ++i) {
         const time_point now = Start + i * 20ms;
@@ -203,7 +205,7 @@
     CHECK(unreliableCount <= 25);
     // The avoided upstream is still picked when the other one is full.
     for (int i = 0; i < 8; ++i)
-        allocator.acquire(upstream_id("good"), work_class::Online);
+        allocator.acquire(upstream_id("good"), work_class::Online, Start);
     CHECK(allocator.pick(requestOf(work_class::Online), Start + 10s) == upstream_id("grey"));
 }
 
@@ -212,10 +214,10 @@
     directory.put(upstreamNamed("one", "a", 8));
     directory.put(upstreamNamed("two", "a", 8));
     allocator.onPeerUse(vm_id("peer"), {}, {upstream_id("one")}, Start);
-    allocator.acquire(upstream_id("two"), work_class::Online);
+    allocator.acquire(upstream_id("two"), work_class::Online, Start);
     CHECK(allocator.pick(requestOf(work_class::Online), Start) == upstream_id("two"));
     for (int i = 0; i < 7; ++i)
-        allocator.acquire(upstream_id("two"), work_class::Online);
+        allocator.acquire(upstream_id("two"), work_class::Online, Start);
     CHECK(allocator.pick(requestOf(work_class::Online), Start) == upstream_id("one"));
     CHECK(allocator.pick(requestOf(work_class::Batch), Start + 1s) == upstream_id("one"));
 }
@@ -235,7 +237,7 @@
 TEST_CASE_FIXTURE(allocator_fixture, "a request that can't start in time is refused immediately")
 {
     directory.put(upstreamNamed("one", "a", 1));
-    allocator.acquire(upstream_id("one"), work_class::Online);
+    allocator.acquire(upstream_id("one"), work_class::Online, Start);
     for (int i = 0; i < 10; ++i)
         queue.onFinished(Start); // a rate of 20 slots per second
     REQUIRE(queue.enqueue(waitingFor("north", 0, Start + 240ms), Start));
@@ -252,7 +254,7 @@
                   "requests are granted by priority, then in turns over customers")
 {
     directory.put(upstreamNamed("one", "a", 1));
-    allocator.acquire(upstream_id("one"), work_class::Online);
+    allocator.acquire(upstream_id("one"), work_class::Online, Start);
     const time_point late = Start + 60s;
     const auto noisy1 = queue.enqueueUnchecked(waitingFor("loud", 1, late));
     const auto noisy2 = queue.enqueueUnchecked(waitingFor("loud", 1, late));
@@ -272,7 +274,7 @@
 TEST_CASE_FIXTURE(allocator_fixture, "a new request acquires no slot while another one waits")
 {
     directory.put(upstreamNamed("one", "a", 1));
-    allocator.acquire(upstream_id("one"), work_class::Online);
+    allocator.acquire(upstream_id("one"), work_class::Online, Start);
     const auto waiter = queue.enqueueUnchecked(waitingFor("north", 0, Start + 1s));
     allocator.release(upstream_id("one"), work_class::Online);
     CHECK_FALSE(queue.tryAcquire(requestOf(work_class::Online), Start));
--- a/tests/unit-rates.cpp
+++ b/tests/unit-rates.cpp
@@ -91,11 +91,11 @@
         {
             member = memberNamed(name, incarnation);
             peerTable = std::make_unique<peer_table>(member, shared_rate_options());
-            rates = std::make_unique<shared_rates>(*peerTable);
+            rates = std::make_unique<shared_rates<customer_id>>(*peerTable);
         }
         gateway_member member;
         std::unique_ptr<peer_table> peerTable;
-        std::unique_ptr<shared_rates> rates;
+        std::unique_ptr<shared_rates<customer_id>> rates;
         bool isPartitioned = false;
         std::uint64_t renewal = 1;
     };
