Keep to the request rates that upstreams state, over all gateways

Cause: placement knew slots only. Ruled out: batch items as the cause (online requests alone exceeded the limits). Change: an upstream without a token of its stated rate is no candidate; gateways share the tokens as they share the customers' rates, each in turns by its share of the load, so that a new token isn't taken by all at once. A rate that is used up counts like used slots for online requests. Batch items go where slots are free, and yield only where nothing but a slot is missing, since one that yields needs another request to go on.

--- a/include/tamarackglade/gateway/quarantine_exchange.hpp
+++ b/include/tamarackglade/gateway/quarantine_exchange.hpp
@@ -31,6 +31,8 @@
     /// @brief Evaluates the evidence and logs the changes.
     /// @param serving the reachable gateways that serve requests, including this one if it does
     void tick(std::vector<vm_id> serving, time_point now);
+    /// @return this gateway's share of the recent runs of all reachable gateways, from 0 to 1
+    [[nodiscard]] double loadShare(time_point now);
     /// @return whether a break or a change is in no report yet
     [[nodiscard]] bool hasNews() const { return m_hasNews || m_lastBreakAt > m_reportedAt; }
     /// @brief Marks that there is a new break of this gateway.
--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -52,7 +52,8 @@
                    placement_options options, std::uint64_t seed);
 
     /// @brief Picks an upstream without acquiring its slot.
-    /// @return an upstream with a free slot for this class of work, or nullopt
+    /// @return an upstream with a free slot for this class of work that may be sent a request now,
+    /// or nullopt
     std::optional<upstream_id> pick(const placement_request &request, time_point now);
 
     /// @brief Picks an upstream for a batch item.
@@ -65,6 +66,9 @@
     /// @return the number of slots free for this class of work at all upstreams of the group
     [[nodiscard]] unsigned freeSlots(const group_id &group, work_class work, time_point now);
 
+    /// @return whether only a free slot is missing for an online request at the upstream
+    [[nodiscard]] bool needsSlot(const upstream_id &id, time_point now) const;
+
     /// @brief Counts a slot of the upstream as in use by this process, and a request to it.
     void acquire(const upstream_id &id, work_class work, time_point now);
     /// @brief Counts a slot as free again; the upstream may have been removed meanwhile.
@@ -110,6 +114,8 @@
     [[nodiscard]] unsigned usedSlots(const upstream_id &id) const;
     [[nodiscard]] bool usable(const live_upstream &upstream, const group_id &group,
                               time_point now) const;
+    [[nodiscard]] double occupiedCost(const live_upstream &upstream, unsigned used, work_class work,
+                                      time_point now) const;
     [[nodiscard]] double failureCost(const upstream_id &id, time_point now) const;
     [[nodiscard]] unsigned capacity(const live_upstream &upstream, work_class work) const;
 
--- a/include/tamarackglade/placement/upstream_rates.hpp
+++ b/include/tamarackglade/placement/upstream_rates.hpp
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace tamarack {
@@ -24,11 +25,20 @@
 ///
 /// The newest statement counts, whichever gateway received it; a statement without a rate ends the
 /// limit. Gateways share the rate by token buckets, as they do for customers, so that each uses
-/// what its own load needs. This handles upstreams that accept less than their slots allow.
+/// what its own load needs. An upstream with few requests and a new token looks best to all
+/// gateways at the same time, so each may use a token only in a part of the time, by its share of
+/// the load. This handles upstreams that accept less than their slots allow.
 class upstream_rates
 {
 public:
-    explicit upstream_rates(const peer_table &peerTable) : m_sent(peerTable) { }
+    /// @param self this gateway
+    upstream_rates(vm_id self, const peer_table &peerTable)
+        : m_self(std::move(self)), m_sent(peerTable)
+    {
+    }
+
+    /// @brief Sets this gateway's share of the load of all reachable gateways, from 0 to 1.
+    void setLoadShare(double share) { m_loadShare = share; }
 
     /// @brief Applies a statement. Older ones than the known one are ignored, as are those without
     /// a rate of upstreams that never stated one.
@@ -36,6 +46,8 @@
     bool onStatement(const rate_statement &statement, time_point now);
     /// @return whether a request may be sent now; batch work leaves the last token to online work
     [[nodiscard]] bool maySend(const upstream_id &upstream, work_class work, time_point now) const;
+    /// @return how much of the rate is used up, from 0 to 1; 0 without a limit
+    [[nodiscard]] double exhaustion(const upstream_id &upstream, time_point now) const;
     /// @brief Counts a request of this gateway.
     void onSent(const upstream_id &upstream, time_point now) { m_sent.take(upstream, now); }
 
@@ -61,6 +73,11 @@
     void tick(const upstream_directory &directory);
 
 private:
+    /// @return whether it is this gateway's turn to use one of the tokens
+    [[nodiscard]] bool hasTurn(const upstream_id &upstream, time_point now) const;
+
+    const vm_id m_self;
+    double m_loadShare = 1;
     std::unordered_map<upstream_id, rate_statement> m_statements;
     shared_rates<upstream_id> m_sent; // limits of exactly the upstreams in m_statements
 };
--- a/include/tamarackglade/rates/shared_rates.hpp
+++ b/include/tamarackglade/rates/shared_rates.hpp
@@ -40,8 +40,8 @@
     std::optional<duration> admit(const Id &id, time_point now);
     /// @brief Counts a request that is sent in any case; the level may become negative.
     void take(const Id &id, time_point now);
-    /// @return whether the id has no limit, or at least this number of tokens
-    [[nodiscard]] bool hasTokens(const Id &id, double tokens, time_point now) const;
+    /// @return the tokens of an id; infinite without a limit
+    [[nodiscard]] double tokens(const Id &id, time_point now) const;
 
     /// @brief Subtracts the requests that a peer has admitted since its last report. A bucket that
     /// has admitted no request adopts the first level that a reachable peer reports.
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -174,8 +174,9 @@
 bool batch_runner::yieldOne()
 {
     item_run *candidate = nullptr;
+    const time_point now = bootNow();
     for (const auto &[key, run] : m_runs) {
-        if (!run->yielding && run->holdsSlot
+        if (!run->yielding && run->holdsSlot && m_context.allocator.needsSlot(run->upstream, now)
             && (candidate == nullptr || run->events < candidate->events))
             candidate = run.get();
     }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -31,7 +31,7 @@
       m_directory(directory_options{m_options.upstreamReturnGrace}),
       m_self{m_options.vm, incarnation_number(wallMicros()), m_options.peerAddress, m_options.zone},
       m_peerTable(m_self, shared_rate_options()), m_rates(m_peerTable),
-      m_upstreamRates(m_peerTable),
+      m_upstreamRates(m_self.vm, m_peerTable),
       m_allocator(m_directory, m_upstreamRates, placement_options{m_options.zone}, wallMicros()),
       m_queue(m_allocator), m_blockingQueue(m_allocator, m_queue),
       m_config(store, protocol, m_options.keyFreshness,
@@ -119,6 +119,7 @@
     for (;;) {
         m_blockingQueue.processQueue();
         m_quarantineExchange.tick(m_peers.servingGateways(), bootNow());
+        m_upstreamRates.setLoadShare(m_quarantineExchange.loadShare(bootNow()));
         m_batches.schedule();
         m_peers.tick();
         boost::this_fiber::sleep_for(TickInterval);
--- a/src/gateway/quarantine_exchange.cpp
+++ b/src/gateway/quarantine_exchange.cpp
@@ -178,6 +178,14 @@
     return sum;
 }
 
+double quarantine_exchange::loadShare(time_point now)
+{
+    // One more run for each gateway, so that an idle one keeps a share.
+    const double own = m_quarantine.recentSuccesses(now) + 1;
+    const double others = peerSuccesses(now) + static_cast<double>(m_peers.size());
+    return own / (own + others);
+}
+
 void quarantine_exchange::log(const quarantine_change &change, time_point now)
 {
     const quarantined_part &state = change.state;
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -37,9 +37,9 @@
         if (!usable(upstream, request.group, now) || request.excluded.contains(id))
             continue;
         const unsigned used = usedSlots(id);
-        if (used >= capacity(upstream, request.work))
+        if (used >= capacity(upstream, request.work) || !m_rates.maySend(id, request.work, now))
             continue;
-        const double usedCost = static_cast<double>(used);
+        const double usedCost = occupiedCost(upstream, used, request.work, now);
         const double zoneCost = upstream.zone == m_options.zone ? 0.0 : m_options.otherZoneCost;
         const double cost = usedCost + zoneCost + failureCost(id, now);
         minCost = candidates.empty() ? cost : std::min(minCost, cost);
@@ -81,7 +81,7 @@
     dropOldReports(now);
     unsigned free = 0;
     for (const auto &[id, upstream] : m_directory.upstreams()) {
-        if (!usable(upstream, group, now))
+        if (!usable(upstream, group, now) || !m_rates.maySend(id, work, now))
             continue;
         const unsigned used = usedSlots(id);
         const unsigned limit = capacity(upstream, work);
@@ -182,6 +182,23 @@
     });
 }
 
+// An upstream that has used up its rate counts as full for online requests. A batch item needs one
+// request for many times the work, so it goes where slots are free but the rate is used up.
+double slot_allocator::occupiedCost(const live_upstream &upstream, unsigned used, work_class work,
+                                    time_point now) const
+{
+    if (work == work_class::Batch)
+        return used;
+    return std::max<double>(used, upstream.slots * m_rates.exhaustion(upstream.id, now));
+}
+
+bool slot_allocator::needsSlot(const upstream_id &id, time_point now) const
+{
+    const live_upstream *upstream = m_directory.find(id);
+    return upstream != nullptr && usedSlots(id) >= capacity(*upstream, work_class::Online)
+           && m_rates.maySend(id, work_class::Online, now);
+}
+
 double slot_allocator::failureCost(const upstream_id &id, time_point now) const
 {
     const auto found = m_failures.find(id);
--- a/src/placement/upstream_rates.cpp
+++ b/src/placement/upstream_rates.cpp
@@ -1,4 +1,5 @@
 // Token buckets with the rates that upstreams state.
+#include <tamarackglade/core/hash.hpp>
 #include <tamarackglade/placement/upstream_rates.hpp>
 
 #include <algorithm>
@@ -10,7 +11,9 @@
 // Lowest rate that is used. An upstream that accepts nothing could never end its limit, as only its
 // responses do.
 constexpr double MinRate = 0.2; // requests per second
-constexpr double BurstSeconds = 1.0; // the bucket holds the requests of this time
+constexpr double BurstSeconds = 2.0; // the bucket holds the requests of this time
+// Time for which a turn lasts; about that until the reports of all gateways have arrived.
+constexpr std::chrono::milliseconds TurnLength{300};
 constexpr double MinBurst = 1.0; // requests
 constexpr double OnlineTokens = 1.0; // that an online request needs
 constexpr double BatchTokens = 2.0; // that a batch item needs, so that one is left
@@ -52,7 +55,26 @@
         return true;
     const double burst = burstOf(usedRate(found->second));
     const double tokens = work == work_class::Online ? OnlineTokens : std::min(burst, BatchTokens);
-    return m_sent.hasTokens(upstream, tokens, now);
+    return m_sent.tokens(upstream, now) >= tokens && hasTurn(upstream, now);
+}
+
+double upstream_rates::exhaustion(const upstream_id &upstream, time_point now) const
+{
+    const auto found = m_statements.find(upstream);
+    if (found == m_statements.end() || !found->second.rate)
+        return 0;
+    const double left = m_sent.tokens(upstream, now) / burstOf(usedRate(found->second));
+    return std::clamp(1 - left, 0.0, 1.0);
+}
+
+// In each turn as many gateways may send as there are tokens, on average. They need no common
+// clock, as each turn is drawn by a hash.
+bool upstream_rates::hasTurn(const upstream_id &upstream, time_point now) const
+{
+    constexpr double MaxHash = 18446744073709551616.0; // 2^64
+    const auto turn = static_cast<std::uint64_t>(now.time_since_epoch() / TurnLength);
+    const std::uint64_t hash = stableHash(m_self.value(), stableHash(upstream.value(), turn));
+    return static_cast<double>(hash) / MaxHash < m_sent.tokens(upstream, now) * m_loadShare;
 }
 
 std::vector<rate_statement> upstream_rates::statements() const
--- a/src/rates/shared_rates.cpp
+++ b/src/rates/shared_rates.cpp
@@ -1,6 +1,8 @@
 // Admits requests by token buckets that are shared with the reachable gateways.
 #include <tamarackglade/rates/shared_rates.hpp>
 
+#include <limits>
+
 namespace tamarack {
 
 template <class Id>
@@ -91,12 +93,12 @@
 }
 
 template <class Id>
-bool shared_rates<Id>::hasTokens(const Id &id, double tokens, time_point now) const
+double shared_rates<Id>::tokens(const Id &id, time_point now) const
 {
     const auto found = m_limits.find(id);
     if (found == m_limits.end() || !found->second.limited)
-        return true;
-    return found->second.bucket.levelAt(m_peerTable.share(now), now) >= tokens;
+        return std::numeric_limits<double>::infinity();
+    return found->second.bucket.levelAt(m_peerTable.share(now), now);
 }
 
 template class shared_rates<customer_id>;
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -210,7 +210,7 @@
             return
         if engine.shed > 0:
             engine.shed -= 1
-            self.answer(503, headers=[("Not-Executed", "1")])
+            self.answer(503, headers=[("Not-Executed", "1"), *engine.extra_headers])
             return
         if engine.crashes_on(self.headers.get("Prompt-Prefix", "")):
             engine.crash(request)
@@ -234,7 +234,8 @@
                 engine.active -= 1
 
     def identity(self, request):
-        return [("Request-Id", request["id"]), ("Response-Signature", "s-" + self.stand_in.id)]
+        return [("Request-Id", request["id"]), ("Response-Signature", "s-" + self.stand_in.id),
+                *self.stand_in.extra_headers]
 
     def stream(self, request):
         engine = self.stand_in
@@ -298,6 +299,7 @@
         self.silent_at = None
         self.silence_s = 5.0
         self.extra_answers = 0
+        self.extra_headers = []  # (name, value) of all responses but 421
         self.unframed = False  # streams have no chunks and end with the connection
         self.ends_after_head = False
         self.deadly_parts = set()  # ids of prompt parts that crash the engine
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -423,6 +423,77 @@
         self.assertEqual(self.call()[0], 200)
 
 
+class UpstreamRateTest(SiteTestCase):
+    """An engine that names the rate of requests that it accepts."""
+
+    gateways = 2
+    RATE = 2.0
+
+    def setUp(self):
+        super().setUp()
+        for gateway in self.gateway:
+            wait_until(lambda: gateway.lines_of("gateway in contact"), "contact")  # noqa: B023
+
+    def limit(self, *values):
+        self.engine[0].extra_headers = [("Server-Limit", value) for value in values]
+
+    def send_for(self, seconds):
+        """Sends requests over both gateways without a pause."""
+        end = time.monotonic() + seconds
+        statuses = []
+
+        def send(gateway):
+            while time.monotonic() < end:
+                statuses.append(self.call(gateway=gateway)[0])
+        threads = [threading.Thread(target=send, args=[i % 2]) for i in range(4)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return statuses
+
+    def most_in(self, window):
+        times = [request["at"] for request in self.engine[0].arrived]
+        return max(sum(1 for other in times if at <= other <= at + window) for at in times)
+
+    def learn(self):
+        self.send_for(0.5)
+        for gateway in self.gateway:
+            wait_until(lambda: gateway.lines_of("upstream limits its rate"), "limit")  # noqa: B023
+
+    def test_gateways_together_keep_the_rate_that_an_engine_names(self):
+        self.limit(str(self.RATE))
+        self.learn()
+        time.sleep(1)
+        self.engine[0].arrived.clear()
+        statuses = self.send_for(8)
+        self.assertEqual(set(statuses), {200})
+        self.assertLessEqual(self.most_in(4), 1.5 * self.RATE * 4 + 5)
+        self.assertGreaterEqual(len(self.engine[0].arrived), self.RATE * 8 * 0.5)
+
+    def test_a_rate_ends_with_the_first_answer_that_names_none(self):
+        self.limit(str(self.RATE))
+        self.learn()
+        self.limit()
+        for gateway in self.gateway:
+            self.send_for(1)
+            wait_until(lambda: gateway.lines_of("upstream's rate limit ended"),  # noqa: B023
+                       "end of the limit")
+        self.engine[0].arrived.clear()
+        self.send_for(2)
+        self.assertGreater(len(self.engine[0].arrived), 20)
+
+    def test_a_malformed_rate_limits_nothing_and_of_two_the_lower_counts(self):
+        for values in (["soon"], ["-1"], ["nan"], [""]):
+            self.limit(*values)
+            self.send_for(0.3)
+        self.assertFalse(self.gateway[0].lines_of("upstream limits its rate"))
+        self.limit("50", "2")
+        self.learn()
+        self.assertEqual(self.gateway[0].lines_of("upstream limits its rate")[0]
+                         ["requests_per_second"], 2)
+
+
 class QuarantineTest(SiteTestCase):
     """A prompt part that crashes engines."""
 
--- a/tests/support/gateway_load.cpp
+++ b/tests/support/gateway_load.cpp
@@ -192,7 +192,7 @@
     {
         gateway(const upstream_directory &directory, const placement_options &options,
                 std::uint64_t seed)
-            : peers(gateway_member(), shared_rate_options()), rates(peers),
+            : peers(gateway_member(), shared_rate_options()), rates(vm_id("g"), peers),
               allocator(directory, rates, options, seed), queue(allocator)
         {
         }
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -167,7 +167,7 @@
     placement_options options;
     options.zone = zone_id("a");
     peer_table peers{gateway_member(), shared_rate_options()};
-    upstream_rates rates(peers);
+    upstream_rates rates(vm_id("g"), peers);
     slot_allocator allocator(directory, rates, options, 1);
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", Items), Start);
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -3,6 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <memory>
+#include <vector>
+
 using namespace tamarack;
 using namespace std::chrono_literals;
 
@@ -49,7 +53,7 @@
 {
     upstream_directory directory{directory_options()};
     peer_table peers{gateway_member(), shared_rate_options()};
-    upstream_rates rates{peers};
+    upstream_rates rates{vm_id("g"), peers};
     slot_allocator allocator{directory, rates, optionsOf(), 1};
     slot_queue queue{allocator};
 };
@@ -206,7 +210,7 @@
     // The avoided upstream is still picked when the other one is full.
     for (int i = 0; i < 8; ++i)
         allocator.acquire(upstream_id("good"), work_class::Online, Start);
-    CHECK(allocator.pick(requestOf(work_class::Online), Start + 10s) == upstream_id("grey"));
+    CHECK(allocator.pick(requestOf(work_class::Online), Start + 5s) == upstream_id("grey"));
 }
 
 TEST_CASE_FIXTURE(allocator_fixture, "an upstream ejected by a peer is avoided but stays usable")
@@ -281,3 +285,275 @@
     queue.remove(waiter);
     CHECK(queue.tryAcquire(requestOf(work_class::Online), Start));
 }
+
+namespace {
+
+/// Gateways that send as many requests as upstreams accept and report to each other every 100 ms of
+/// virtual time.
+class limited_fleet
+{
+public:
+    explicit limited_fleet(std::size_t size)
+    {
+        m_directory.put(upstreamNamed("limited"));
+        for (std::size_t i = 0; i < size; ++i)
+            m_gateways.push_back(std::make_unique<gateway>(i));
+        for (auto &self : m_gateways)
+            registerMembers(*self);
+    }
+
+    /// The upstream states a rate in a response to one gateway.
+    void state(std::size_t index, std::optional<double> rate)
+    {
+        m_gateways[index]->rates.onStatement(statementOf(rate, m_now), m_now);
+    }
+    void setCutOff(std::size_t index, bool cutOff) { m_gateways[index]->cutOff = cutOff; }
+
+    /// @param gateways number of gateways that have requests, at all times
+    void run(duration length, std::size_t gateways, work_class work = work_class::Online)
+    {
+        const time_point end = m_now + length;
+        for (std::size_t i = 0; i < gateways; ++i)
+            m_gateways[i]->rates.setLoadShare(1.0 / static_cast<double>(gateways));
+        while (m_now < end) {
+            m_now += 10ms;
+            for (std::size_t i = 0; i < gateways; ++i) {
+                if (!m_gateways[i]->rates.maySend(Limited, work, m_now))
+                    continue;
+                m_gateways[i]->rates.onSent(Limited, m_now);
+                m_sent.push_back(m_now);
+            }
+            if ((m_now - Start) % 100ms == 0ms)
+                report();
+        }
+    }
+
+    /// @return the largest number of requests in any window
+    [[nodiscard]] std::size_t sentIn(duration window) const
+    {
+        std::size_t most = 0;
+        for (std::size_t from = 0, to = 0; to < m_sent.size(); ++to) {
+            while (m_sent[to] - m_sent[from] > window)
+                ++from;
+            most = std::max(most, to - from + 1);
+        }
+        return most;
+    }
+    [[nodiscard]] std::size_t sent() const { return m_sent.size(); }
+    void forgetSent() { m_sent.clear(); }
+    [[nodiscard]] upstream_rates &rates(std::size_t index) { return m_gateways[index]->rates; }
+    [[nodiscard]] time_point now() const { return m_now; }
+
+    static inline const upstream_id Limited{"limited"};
+
+    static rate_statement statementOf(std::optional<double> rate, time_point at)
+    {
+        return {Limited, incarnation_number(1), rate, at};
+    }
+
+private:
+    struct gateway
+    {
+        explicit gateway(std::size_t index)
+            : member{vm_id("g" + std::to_string(index)), incarnation_number(1), "10.0.0.1:1",
+                     zone_id("a")},
+              peers(member, shared_rate_options()), rates(member.vm, peers)
+        {
+        }
+        gateway_member member;
+        peer_table peers;
+        upstream_rates rates;
+        bool cutOff = false;
+    };
+
+    void registerMembers(gateway &self)
+    {
+        self.peers.onOwnMembership(m_now);
+        for (auto &other : m_gateways) {
+            if (other.get() != &self)
+                self.peers.onMember(other->member, 1, m_now);
+        }
+    }
+
+    void report()
+    {
+        for (auto &from : m_gateways) {
+            from->peers.onOwnMembership(m_now);
+            for (auto &to : m_gateways) {
+                if (from == to || from->cutOff || to->cutOff)
+                    continue;
+                const bool receivesOurs =
+                    from->peers.recentIncarnation(to->member.vm, m_now).has_value();
+                const bool wasReachable = to->peers.onReport(from->member, receivesOurs, m_now);
+                for (const rate_statement &statement : from->rates.statements())
+                    to->rates.onStatement(statement, m_now);
+                to->rates.onPeerCounts(from->member.vm, from->member.incarnation,
+                                       {from->rates.sentTo(Limited)}, wasReachable, m_now);
+            }
+        }
+    }
+
+    upstream_directory m_directory{directory_options()};
+    std::vector<std::unique_ptr<gateway>> m_gateways;
+    std::vector<time_point> m_sent;
+    time_point m_now = Start;
+};
+
+/// What an upstream with a rate accepts in 4 s from all gateways.
+double acceptedInFourSeconds(double rate)
+{
+    return 1.5 * rate * 4 + 5;
+}
+
+} // namespace
+
+TEST_CASE("gateways together stay within the rate that an upstream states")
+{
+    for (const double rate : {0.5, 2.5, 20.0}) {
+        for (const std::size_t size : {1, 7, 35}) {
+            CAPTURE(rate);
+            CAPTURE(size);
+            limited_fleet fleet(size);
+            fleet.run(2s, 0);
+            fleet.state(0, rate);
+            fleet.run(3s, size);
+            fleet.forgetSent();
+            fleet.run(20s, size);
+            CHECK(static_cast<double>(fleet.sentIn(4s)) <= acceptedInFourSeconds(rate));
+            CHECK(static_cast<double>(fleet.sent()) >= 0.9 * rate * 20 - 1);
+        }
+    }
+}
+
+TEST_CASE("a single gateway with requests may use the whole rate of an upstream")
+{
+    limited_fleet fleet(7);
+    fleet.run(2s, 0);
+    fleet.state(3, 10.0);
+    fleet.run(2s, 1);
+    fleet.forgetSent();
+    fleet.run(10s, 1);
+    CHECK(fleet.sent() >= 90);
+}
+
+TEST_CASE("gateways that are cut off use their share of an upstream's rate")
+{
+    limited_fleet fleet(6);
+    fleet.run(2s, 0);
+    fleet.state(0, 12.0);
+    fleet.run(3s, 6);
+    fleet.setCutOff(4, true);
+    fleet.setCutOff(5, true);
+    fleet.run(3s, 6);
+    fleet.forgetSent();
+    fleet.run(10s, 6);
+    CHECK(static_cast<double>(fleet.sentIn(4s)) <= acceptedInFourSeconds(12.0));
+}
+
+TEST_CASE("batch items leave a token to online requests")
+{
+    limited_fleet fleet(1);
+    fleet.state(0, 4.0);
+    fleet.run(5s, 1, work_class::Batch);
+    CHECK(fleet.rates(0).maySend(limited_fleet::Limited, work_class::Online, fleet.now()));
+    CHECK_FALSE(fleet.rates(0).maySend(limited_fleet::Limited, work_class::Batch, fleet.now()));
+}
+
+TEST_CASE("the newest statement of an upstream counts")
+{
+    limited_fleet fleet(2);
+    fleet.run(1s, 0);
+    auto &rates = fleet.rates(0);
+    const auto statement = [](std::optional<double> rate, duration at) {
+        return limited_fleet::statementOf(rate, Start + at);
+    };
+    CHECK_FALSE(rates.onStatement(statement(std::nullopt, 1s), Start + 1s));
+    CHECK(rates.onStatement(statement(5.0, 2s), Start + 2s));
+    CHECK_FALSE(rates.onStatement(statement(std::nullopt, 1s), Start + 3s));
+    CHECK(rates.limited() == 1);
+    CHECK(rates.onStatement(statement(std::nullopt, 3s), Start + 3s));
+    CHECK(rates.limited() == 0);
+    CHECK(rates.maySend(limited_fleet::Limited, work_class::Batch, Start + 3s));
+    CHECK_FALSE(rates.onStatement(statement(5.0, 2s), Start + 4s));
+    CHECK(rates.onStatement(statement(5.0, 5s), Start + 5s));
+}
+
+TEST_CASE("a rate ends with the upstream's incarnation and with its record")
+{
+    upstream_directory directory{directory_options()};
+    peer_table peers{gateway_member(), shared_rate_options()};
+    upstream_rates rates{vm_id("g"), peers};
+    directory.put(upstreamNamed("limited"));
+    rates.onStatement(limited_fleet::statementOf(1.0, Start), Start);
+    rates.tick(directory);
+    CHECK(rates.limited() == 1);
+    live_upstream restarted = upstreamNamed("limited");
+    restarted.incarnation = incarnation_number(2);
+    directory.put(restarted);
+    rates.tick(directory);
+    CHECK(rates.limited() == 0);
+    rates.onStatement({upstream_id("gone"), incarnation_number(1), 1.0, Start}, Start);
+    rates.tick(directory);
+    CHECK(rates.limited() == 0);
+}
+
+TEST_CASE("an upstream that accepts nothing is asked now and then")
+{
+    limited_fleet fleet(3);
+    fleet.run(1s, 0);
+    fleet.state(0, 0.0);
+    fleet.run(200ms, 0);
+    fleet.run(40s, 3);
+    CHECK(fleet.sent() >= 5);
+    CHECK(fleet.sentIn(4s) <= 5);
+}
+
+namespace {
+
+struct limited_fixture : allocator_fixture
+{
+    limited_fixture()
+    {
+        directory.put(upstreamNamed("limited", "a", 8));
+        peers.onOwnMembership(Start);
+        rates.onStatement({upstream_id("limited"), incarnation_number(1), 2.0, Start}, Start);
+    }
+
+    unsigned acquireAll(work_class work, time_point now)
+    {
+        unsigned acquired = 0;
+        while (const auto picked = allocator.pick(requestOf(work), now)) {
+            allocator.acquire(*picked, work, now);
+            ++acquired;
+        }
+        return acquired;
+    }
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(limited_fixture, "an upstream without a token gets no request")
+{
+    CHECK(allocator.freeSlots(Engines, work_class::Online, Start) == 8);
+    CHECK(acquireAll(work_class::Online, Start) == 4); // the requests of 2 s
+    CHECK(allocator.freeSlots(Engines, work_class::Online, Start) == 0);
+    CHECK(acquireAll(work_class::Online, Start + 2s) == 4);
+}
+
+TEST_CASE_FIXTURE(limited_fixture, "online requests avoid an upstream whose rate is nearly used up")
+{
+    directory.put(upstreamNamed("other", "a", 8));
+    for (unsigned i = 0; i < 3; ++i)
+        allocator.acquire(upstream_id("limited"), work_class::Online, Start);
+    CHECK(allocator.pick(requestOf(work_class::Online), Start) == upstream_id("other"));
+}
+
+TEST_CASE_FIXTURE(limited_fixture, "an item yields only where a slot is missing")
+{
+    for (unsigned i = 0; i < 7; ++i)
+        allocator.acquire(upstream_id("limited"), work_class::Batch, Start);
+    CHECK_FALSE(allocator.needsSlot(upstream_id("limited"), Start + 5s));
+    allocator.acquire(upstream_id("limited"), work_class::Batch, Start);
+    CHECK_FALSE(allocator.needsSlot(upstream_id("limited"), Start));
+    CHECK(allocator.needsSlot(upstream_id("limited"), Start + 5s));
+}
