Leave responses that never end

Engines in trouble may send bytes without end, in a head or a body. Callers got 504 after 5 s for an endless chunk extension or trailer although another engine could serve them, a slow endless head held them for 3.7 s, and an endless error body cost a gateway 130 MB (test on the code before). Cause: each read had a timeout of its own, so that bytes in time renewed it without end; nothing bounded what stands outside of the body; bodies of errors and refusals were collected up to 64 MB each, refusals only to be discarded. Change: reads end at a deadline that only progress moves, which is a part of a plain body or an event that is new to the caller; 64 KB for head, chunk header and trailer, 16 KB of a refusal's body, 16 MB of a body and 32 MB of all.

--- a/include/tamarackglade/gateway/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream_caller.hpp
@@ -14,7 +14,7 @@
 struct attempt_limits
 {
     time_point deadline; // of the whole request
-    duration silenceTimeout; // maximum time without data; zero for no limit
+    duration silenceTimeout; // maximum time without progress; zero for no limit
     std::optional<time_point> firstEventDeadline; // deadline of a stream's first event
     duration maxIdleTime; // a connection that was idle longer is not reused
 };
@@ -59,11 +59,13 @@
     attempt_result readStream(http_client &client, const attempt_limits &limits,
                               stream_progress &progress, response_sink &sink);
     attempt_result readBody(http_client &client, const http_response &head,
-                            const response_metadata &metadata, const attempt_limits &limits);
+                            const response_metadata &metadata, const attempt_limits &limits,
+                            std::size_t maxBytes);
 
     upstream_pool &m_pool;
     const platform_protocol &m_protocol;
     response_listener &m_listener;
+    std::size_t m_bufferedBytes = 0; // of all bodies that are being read and are no event stream
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -1,6 +1,7 @@
 // An HTTP/1.1 client connection that is reused for one request after another.
 #pragma once
 
+#include <tamarackglade/core/time.hpp>
 #include <tamarackglade/http/http_response.hpp>
 #include <tamarackglade/runtime/byte_stream.hpp>
 
@@ -10,6 +11,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -31,15 +33,24 @@
 ///
 /// Errors: Unavailable if the request surely never reached the server (no connection), Aborted if
 /// the connection failed after the request may have been sent, DeadlineExceeded on a timeout.
+///
+/// Memory is bounded whatever the server sends: heads, chunk headers and trailers that are too long
+/// fail, and bodies are handed out in parts.
 class http_client
 {
 public:
+    static constexpr std::size_t MaxFetchBytes = 64 * 1024 * 1024; // size of a body
+
     http_client(boost::asio::io_context &io, std::string address);
     ~http_client();
 
     /// @brief Sets the timeout of connecting and of each read or write.
     void setTimeout(std::chrono::milliseconds timeout);
 
+    /// @brief Sets the time at which operations fail with DeadlineExceeded, however many bytes
+    /// arrive until then; nullopt for none.
+    void setDeadline(std::optional<time_point> deadline) { m_deadline = deadline; }
+
     /// @brief Sets a shorter timeout for connecting alone; zero for none.
     void setConnectTimeout(std::chrono::milliseconds timeout) { m_connectTimeout = timeout; }
 
@@ -51,6 +62,7 @@
     absl::StatusOr<std::string> readSome();
 
     /// @brief Sends a request and reads the whole response.
+    /// @return Aborted if the body exceeds MaxFetchBytes
     absl::StatusOr<http_response> fetch(const http_client_request &request);
 
     /// @brief Closes the connection; the next request opens another.
@@ -70,6 +82,8 @@
     struct response_state;
 
     absl::Status connect();
+    /// @brief Reads until the parser has made a step or fails.
+    void readStep(boost::system::error_code &error);
     absl::Status send(const http_client_request &request);
     absl::Status readFailure(const boost::system::error_code &error);
 
@@ -77,6 +91,7 @@
     std::string m_address;
     std::chrono::milliseconds m_timeout{30'000};
     std::chrono::milliseconds m_connectTimeout{0};
+    std::optional<time_point> m_deadline;
     std::unique_ptr<byte_stream> m_stream;
     std::unique_ptr<response_state> m_response;
 };
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream_caller.cpp
@@ -10,22 +10,23 @@
 
 namespace {
 
-constexpr std::size_t MaxResponseBytes = 64 * 1024 * 1024; // bytes
-constexpr std::chrono::milliseconds MinTimeout{1};
+constexpr std::size_t MaxResponseBytes = 16 * 1024 * 1024; // of a body that is no event stream
+constexpr std::size_t MaxBufferedBytes = 32 * 1024 * 1024; // of all such bodies in progress
+constexpr std::size_t MaxRefusalBytes = 16 * 1024; // of a body that is discarded
+constexpr std::chrono::seconds MaxOperationTime{60}; // of one read or write
 constexpr unsigned Misdirected = 421; // another upstream is at the address
 constexpr std::chrono::milliseconds ConnectTimeout{400};
 
-// Sets the timeout of the next read or write to the earliest of the limits.
-void setNextTimeout(http_client &client, const attempt_limits &limits, bool streamStarted)
+// Sets the time by which the response has to make progress: a head, a body part or an event that is
+// new to the caller.
+void setProgressDeadline(http_client &client, const attempt_limits &limits, bool streamStarted)
 {
-    const time_point now = bootNow();
-    duration left = limits.deadline - now;
+    time_point until = limits.deadline;
     if (limits.silenceTimeout > duration::zero())
-        left = std::min(left, limits.silenceTimeout);
+        until = std::min(until, bootNow() + limits.silenceTimeout);
     if (!streamStarted && limits.firstEventDeadline)
-        left = std::min(left, *limits.firstEventDeadline - now);
-    client.setTimeout(
-        std::max(MinTimeout, std::chrono::duration_cast<std::chrono::milliseconds>(left)));
+        until = std::min(until, *limits.firstEventDeadline);
+    client.setDeadline(until);
 }
 
 attempt_result failureOf(const absl::Status &status, const attempt_limits &limits)
@@ -47,6 +48,26 @@
     return metadata.isSigned || (metadata.notRun && head.status != Misdirected);
 }
 
+/// Counts the bytes of one body in the total of all bodies, until its end.
+class buffered_bytes
+{
+public:
+    explicit buffered_bytes(std::size_t &total) : m_total(total) { }
+    buffered_bytes(const buffered_bytes &) = delete;
+    buffered_bytes &operator=(const buffered_bytes &) = delete;
+    ~buffered_bytes() { m_total -= m_own; }
+
+    void add(std::size_t bytes)
+    {
+        m_own += bytes;
+        m_total += bytes;
+    }
+
+private:
+    std::size_t &m_total;
+    std::size_t m_own = 0;
+};
+
 attempt_result makeResult(attempt_outcome outcome, std::string reason)
 {
     attempt_result result;
@@ -74,7 +95,8 @@
         return makeResult(attempt_outcome::Cancelled, "aborted");
     pooled_client pooled = m_pool.acquire(upstream.address, limits.maxIdleTime);
     auto &client = pooled.client;
-    setNextTimeout(*client, limits, false);
+    client->setTimeout(MaxOperationTime);
+    setProgressDeadline(*client, limits, false);
     client->setConnectTimeout(ConnectTimeout);
     handle.m_client = client.get();
     const auto head = client->start(request);
@@ -122,7 +144,7 @@
                                              stream_progress &progress, response_sink &sink)
 {
     if (metadata.notRun) {
-        attempt_result refused = readBody(client, head, metadata, limits);
+        attempt_result refused = readBody(client, head, metadata, limits, MaxRefusalBytes);
         refused.outcome = attempt_outcome::NotRun;
         refused.reason = "refused with status " + std::to_string(head.status);
         return refused;
@@ -133,7 +155,7 @@
     }
     const bool success = head.status >= 200 && head.status < 300;
     if (!success || !streamed)
-        return readBody(client, head, metadata, limits);
+        return readBody(client, head, metadata, limits, MaxResponseBytes);
     if (!sink.onHead(head, metadata))
         return makeResult(attempt_outcome::Cancelled, "caller gone");
     return readStream(client, limits, progress, sink);
@@ -144,8 +166,8 @@
 {
     event_splitter splitter;
     bool streamStarted = false;
+    setProgressDeadline(client, limits, false);
     for (;;) {
-        setNextTimeout(client, limits, streamStarted);
         const auto part = client.readSome();
         if (!part.ok())
             return failureOf(part.status(), limits);
@@ -157,7 +179,10 @@
             const event_check verdict = progress.advance(*event);
             if (verdict == event_check::Gap)
                 return makeResult(attempt_outcome::Broken, "gap in the event ids of the stream");
-            if (verdict == event_check::Pass && !sink.onEvent(*event))
+            if (verdict != event_check::Pass)
+                continue;
+            setProgressDeadline(client, limits, true);
+            if (!sink.onEvent(*event))
                 return makeResult(attempt_outcome::Cancelled, "caller gone");
         }
         if (splitter.tooLong())
@@ -175,22 +200,26 @@
 
 attempt_result upstream_caller::readBody(http_client &client, const http_response &head,
                                          const response_metadata &metadata,
-                                         const attempt_limits &limits)
+                                         const attempt_limits &limits, std::size_t maxBytes)
 {
     attempt_result result;
     result.outcome = attempt_outcome::Answered;
     result.response.status = head.status;
     result.metadata = metadata;
+    buffered_bytes buffered(m_bufferedBytes);
     for (;;) {
-        setNextTimeout(client, limits, true);
+        setProgressDeadline(client, limits, true);
         const auto part = client.readSome();
         if (!part.ok())
             return failureOf(part.status(), limits);
         if (part->empty())
             return result;
         result.response.body += *part;
-        if (result.response.body.size() > MaxResponseBytes)
+        buffered.add(part->size());
+        if (result.response.body.size() > maxBytes || m_bufferedBytes > MaxBufferedBytes) {
+            client.close();
             return makeResult(attempt_outcome::Broken, "response body exceeds the size limit");
+        }
     }
 }
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,6 @@
 // Requests written as text, responses parsed with Beast.
 #include <tamarackglade/http/http_client.hpp>
+#include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/tcp_stream.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -17,9 +18,59 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+// Bounds what the server sends outside of the body: a head, a chunk header, a trailer.
+constexpr std::size_t MaxBufferedBytes = 64 * 1024; // bytes
+constexpr std::chrono::milliseconds MinTimeout{1};
+
+/// Reads from a stream until a deadline. Beast reads as often as a part of a response needs, so
+/// each read has to check it.
+class bounded_reader
+{
+public:
+    bounded_reader(byte_stream &stream, std::chrono::milliseconds timeout,
+                   std::optional<time_point> deadline)
+        : m_stream(stream), m_timeout(timeout), m_deadline(deadline)
+    {
+    }
+
+    template <class MutableBuffers>
+    std::size_t read_some(const MutableBuffers &buffers, boost::system::error_code &error)
+    {
+        if (!m_deadline)
+            return m_stream.read_some(buffers, error);
+        const duration left = *m_deadline - bootNow();
+        if (left <= duration::zero()) {
+            error = boost::beast::error::timeout;
+            return 0;
+        }
+        const auto rounded =
+            std::chrono::duration_cast<std::chrono::milliseconds>(left) + MinTimeout;
+        m_stream.setTimeout(std::min(m_timeout, rounded));
+        return m_stream.read_some(buffers, error);
+    }
+    template <class MutableBuffers>
+    std::size_t read_some(const MutableBuffers &buffers)
+    {
+        boost::system::error_code error;
+        const std::size_t size = read_some(buffers, error);
+        if (error)
+            throw boost::system::system_error(error);
+        return size;
+    }
+
+private:
+    byte_stream &m_stream;
+    const std::chrono::milliseconds m_timeout;
+    const std::optional<time_point> m_deadline;
+};
+
+} // namespace
+
 struct http_client::response_state
 {
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{MaxBufferedBytes};
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, 16 * 1024> chunk{};
 };
@@ -53,10 +104,13 @@
     auto &parser = m_response->parser.emplace();
     parser.body_limit(boost::none);
     parser.skip(request.method == "HEAD");
-    boost::system::error_code error;
-    http::read_header(*m_stream, m_response->buffer, parser, error);
-    if (error)
-        return readFailure(error);
+    parser.eager(false);
+    while (!parser.is_header_done()) {
+        boost::system::error_code error;
+        readStep(error);
+        if (error)
+            return readFailure(error);
+    }
     http_response head;
     head.status = parser.get().result_int();
     head.contentType = std::string(parser.get()[http::field::content_type]);
@@ -65,6 +119,12 @@
     return head;
 }
 
+void http_client::readStep(boost::system::error_code &error)
+{
+    bounded_reader reader(*m_stream, m_timeout, m_deadline);
+    http::read_some(reader, m_response->buffer, *m_response->parser, error);
+}
+
 absl::StatusOr<std::string> http_client::readSome()
 {
     if (!m_stream || !m_response->parser)
@@ -75,7 +135,7 @@
         parser.get().body().size = m_response->chunk.size();
         parser.get().body().more = true;
         boost::system::error_code error;
-        http::read_some(*m_stream, m_response->buffer, parser, error);
+        readStep(error);
         if (error && error != http::error::need_buffer)
             return readFailure(error);
         const std::size_t size = m_response->chunk.size() - parser.get().body().size;
@@ -101,6 +161,10 @@
         if (part->empty())
             return response;
         response->body += *part;
+        if (response->body.size() > MaxFetchBytes) {
+            close();
+            return absl::AbortedError(absl::StrCat(m_address, ": body exceeds the size limit"));
+        }
     }
 }
 
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -212,6 +212,10 @@
             engine.shed -= 1
             self.answer(503, headers=[("Not-Executed", "1"), *engine.extra_headers])
             return
+        if engine.endless:
+            engine.runs.append(request)
+            self.send_endless(request)
+            return
         if engine.crashes_on(self.headers.get("Prompt-Prefix", "")):
             engine.crash(request)
             self.close_connection = True
@@ -233,6 +237,18 @@
             with engine.lock:
                 engine.active -= 1
 
+    def send_endless(self, request):
+        """Sends bytes until the caller closes, or for at most ten seconds."""
+        self.close_connection = True
+        end = time.monotonic() + 10
+        with contextlib.suppress(OSError):
+            for part in endless_bytes(self.stand_in.endless, request):
+                self.wfile.write(part)
+                time.sleep(self.stand_in.endless_pause_s)
+                if time.monotonic() > end:
+                    return
+        self.stand_in.disconnected_requests.append(request["id"])
+
     def identity(self, request):
         return [("Request-Id", request["id"]), ("Response-Signature", "s-" + self.stand_in.id),
                 *self.stand_in.extra_headers]
@@ -276,6 +292,32 @@
         self.wfile.flush()
 
 
+def endless_bytes(kind, request):
+    """Yields the bytes of a response of which one part never ends."""
+    head = (b"HTTP/1.1 %s\r\nRequest-Id: " + request["id"].encode()
+            + b"\r\nResponse-Signature: x\r\nTransfer-Encoding: chunked\r\n")
+    chunked = b"10000\r\n%s\r\n"
+    start, part = {
+        "head": (b"HTTP/1.1 200 OK\r\n", b"X-Field: " + b"x" * 100 + b"\r\n"),
+        "no answer": (b"", b"x" * 4096),
+        "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+        "error": (head % b"500 Failed" + b"\r\n", chunked % (b"x" * 65536)),
+        "refusal": (head % b"503 Full" + b"Not-Executed: 1\r\n\r\n", chunked % (b"x" * 65536)),
+        "event": (head % b"200 OK" + b"\r\n", chunked % (b"x" * 65536)),
+        "comments": (head % b"200 OK" + b"\r\n", b"3\r\n:x\n\r\n" * 100),
+        "old events": (head % b"200 OK" + b"\r\n", b"10\r\nid: 0\ndata: a-0\n\n\r\n" * 100),
+        "chunk extension": (head % b"200 OK" + b"\r\n5", b";x=" + b"y" * 100),
+        "trailer": (head % b"200 OK" + b"\r\n0\r\n", b"X-Field: " + b"x" * 100 + b"\r\n"),
+    }[kind]
+    yield start
+    while True:
+        yield part
+
+
+ENDLESS = ("head", "no answer", "interim answers", "error", "refusal", "event", "comments",
+           "old events", "chunk extension", "trailer")
+
+
 class Engine(StandIn):
     """A model engine. Its attributes switch faults on and off."""
 
@@ -299,6 +341,8 @@
         self.silent_at = None
         self.silence_s = 5.0
         self.extra_answers = 0
+        self.endless = None  # kind of a response that never ends
+        self.endless_pause_s = 0.0
         self.extra_headers = []  # (name, value) of all responses but 421
         self.unframed = False  # streams have no chunks and end with the connection
         self.ends_after_head = False
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -11,7 +11,7 @@
 import time
 import unittest
 
-from site_standins import Engine, Store, output_text, complete_stream
+from site_standins import ENDLESS, Engine, Store, output_text, complete_stream
 from support import OPTIONS, http_call, main, wait_until
 
 from gateway import Gateway  # after support, which extends the import path
@@ -269,6 +269,68 @@
         self.assertEqual(status, 413)
 
 
+class EndlessTest(SiteTestCase):
+    """Engines whose responses never end."""
+
+    MAX_GROWTH_KB = 40 * 1024
+
+    def memory_kb(self):
+        status = pathlib.Path(f"/proc/{self.gateway[0].process.child.pid}/status").read_text()
+        return next(int(line.split()[1]) for line in status.splitlines()
+                    if line.startswith("VmHWM"))
+
+    def timed_call(self, path, **more):
+        begun = time.monotonic()
+        try:
+            answer = self.call(path, **more)
+        except http.client.IncompleteRead:
+            answer = None
+        return answer, time.monotonic() - begun
+
+    def check_kind(self, kind, pause_s):
+        self.engine[0].endless = kind
+        self.engine[0].endless_pause_s = pause_s
+        self.engine[0].runs.clear()
+        memory = self.memory_kb()
+        while not self.engine[0].runs:
+            (status, _, body, request), lasted = self.timed_call("/stream/x")
+            self.assertEqual((status, body), (200, complete_stream(request)))
+            self.assertLess(lasted, 2)
+            time.sleep(0.1)
+        wait_until(lambda: self.engine[0].runs[0]["id"] in self.engine[0].disconnected_requests,
+                   "connection closed", 5)
+        self.assertLess(self.memory_kb() - memory, self.MAX_GROWTH_KB)
+
+    def test_a_request_goes_on_elsewhere_and_the_connection_is_closed(self):
+        for kind in ENDLESS:
+            with self.subTest(kind):
+                self.check_kind(kind, 0)
+
+    def test_slow_endless_bytes_are_no_progress(self):
+        for kind in ("head", "interim answers", "comments", "old events", "chunk extension"):
+            with self.subTest(kind):
+                self.check_kind(kind, 0.05)
+
+    def test_a_request_that_may_not_repeat_ends_at_its_deadline(self):
+        for engine in self.engine:
+            engine.endless = "comments"
+            engine.endless_pause_s = 0.05
+        answer, lasted = self.timed_call("/once/x", **{"Deadline-Ms": "1000"})
+        self.assertEqual(answer[0], 504)
+        self.assertLess(lasted, 1.5)
+
+    def test_batch_items_go_on_elsewhere(self):
+        self.engine[0].endless = "old events"
+        items = [{"id": f"e-{i}", "path": "/jobs/x", "headers": {}, "body": "", "tokens": 1}
+                 for i in range(8)]
+        self.call("/jobs/e", body=json.dumps({"items": items}), **{"Request-Id": "e"})
+
+        def done():
+            body = self.call("/tamarackglade/lots/e?after=0", body=None, method="GET")[2]
+            return [each["state"] for each in json.loads(body)["results"]] == ["done"] * 8
+        wait_until(done, "items done", 20)
+
+
 class ConfigTest(SiteTestCase):
     """Routes and keys while the configuration changes and the store fails."""
 
