A trial request without an event extends the quarantine

A trial request that went silent, or whose caller left, let the next one through at once, although its upstream may have crashed unnoticed: a part that crashes slow upstreams could reach one after the other. Found by reading the code, not seen in a run. A sent trial without an event now counts as a failed one; one that was not sent leaves the turn to the next. Test: unit-quarantine, 'no answer' and 'not sent'. Also a returned const value that clang-tidy reports.

--- a/include/tamarackglade/quarantine/prompt_quarantine.hpp
+++ b/include/tamarackglade/quarantine/prompt_quarantine.hpp
@@ -20,7 +20,7 @@
 /// @brief Why a part was quarantined or released.
 enum class quarantine_reason {
     Crashes, // successive crashes
-    TrialCrash, // the upstream of a trial request crashed
+    FailedTrial, // a trial request was sent and got no event
     Success, // a run with the part delivered its first event
     OtherPart, // another part causes its crashes
     Reported // by another gateway or by a record in the store
@@ -63,8 +63,11 @@
                       time_point now);
     /// @brief Records an early break of this gateway; sets its reporter and number.
     void onBreak(early_break broken, time_point now);
-    /// @brief Records the end of a run, whatever its outcome.
-    void endRun(const group_id &group, const std::vector<prompt_part_id> &parts);
+    /// @brief Records the end of a run. A trial request without an event extends the quarantine, as
+    /// its upstream may have crashed unnoticed.
+    /// @param sent whether the upstream may have run the request
+    void endRun(const group_id &group, const std::vector<prompt_part_id> &parts, bool sent,
+                time_point now);
 
     /// @brief Applies a break that a peer reported.
     void onPeerBreak(const early_break &broken, time_point now);
--- a/src/gateway/quarantine_exchange.cpp
+++ b/src/gateway/quarantine_exchange.cpp
@@ -36,8 +36,8 @@
     switch (reason) {
     case quarantine_reason::Crashes:
         return "upstreams crashed";
-    case quarantine_reason::TrialCrash:
-        return "upstream of a trial request crashed";
+    case quarantine_reason::FailedTrial:
+        return "a trial request got no event";
     case quarantine_reason::Success:
         return "a run delivered its first event";
     case quarantine_reason::OtherPart:
--- a/src/gateway/run_observer.cpp
+++ b/src/gateway/run_observer.cpp
@@ -42,7 +42,8 @@
         m_quarantine.onBreak(m_break, now);
         m_exchange.onBreak(now);
     }
-    m_quarantine.endRun(m_group, m_parts);
+    const bool sent = result.outcome != attempt_outcome::NotRun;
+    m_quarantine.endRun(m_group, m_parts, sent, now);
 }
 
 } // namespace tamarack
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -51,7 +51,7 @@
         const instance_set explained = instancesWith(isCause);
         if (explained.contains(each.broken.instance))
             continue;
-        if (const auto cause = findCause(each, explained, successes, now))
+        if (auto cause = findCause(each, explained, successes, now))
             return cause;
     }
     return std::nullopt;
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -80,20 +80,18 @@
     broken.incarnation = m_incarnation;
     broken.number = ++m_breaks;
     m_evidence.add(broken, now);
-    for (const prompt_part_id &part : broken.parts) {
-        const auto found = m_parts.find(hashOf(broken.group, part));
-        if (found == m_parts.end() || found->second.state.released || !found->second.trialSince)
-            continue;
-        quarantine({broken.group, part, {1, 1}}, quarantine_reason::TrialCrash, now);
-    }
 }
 
-void prompt_quarantine::endRun(const group_id &group, const std::vector<prompt_part_id> &parts)
+void prompt_quarantine::endRun(const group_id &group, const std::vector<prompt_part_id> &parts,
+                               bool sent, time_point now)
 {
     for (const prompt_part_id &part : parts) {
         const auto found = m_parts.find(hashOf(group, part));
-        if (found != m_parts.end())
-            found->second.trialSince.reset();
+        if (found == m_parts.end() || !found->second.trialSince)
+            continue;
+        found->second.trialSince.reset();
+        if (sent && !found->second.state.released)
+            quarantine({group, part, {}}, quarantine_reason::FailedTrial, now);
     }
 }
 
--- a/tests/unit-quarantine.cpp
+++ b/tests/unit-quarantine.cpp
@@ -62,7 +62,7 @@
             advance(30ms);
             if (!isDeadly(names)) {
                 at.quarantine->onFirstEvent(Engines, parts, m_now);
-                at.quarantine->endRun(Engines, parts);
+                at.quarantine->endRun(Engines, parts, true, m_now);
                 ++served;
                 return attempt;
             }
@@ -85,7 +85,7 @@
         broken.sentAt = sentAt;
         broken.brokeAt = m_now;
         m_gateways[index].quarantine->onBreak(broken, m_now);
-        m_gateways[index].quarantine->endRun(Engines, broken.parts);
+        m_gateways[index].quarantine->endRun(Engines, broken.parts, true, m_now);
     }
 
     void advance(duration length)
@@ -425,6 +425,34 @@
         }
         CHECK(fleet.crashes == 1);
     }
+    SUBCASE("no answer")
+    {
+        fleet.advance(31s);
+        unsigned sent = 0;
+        for (std::size_t i = 0; i < 60; ++i) {
+            prompt_quarantine &gateway = fleet.at(i % 3);
+            const auto parts = partsNamed({"bad"});
+            if (!gateway.beginRun(Engines, parts, fleet.now())) {
+                ++sent;
+                gateway.endRun(Engines, parts, true, fleet.now());
+            }
+            fleet.advance(1s);
+        }
+        CHECK(sent == 1);
+    }
+    SUBCASE("not sent")
+    {
+        fleet.advance(31s);
+        fleet.deadly.clear();
+        for (std::size_t i = 0; i < 3; ++i) {
+            if (!fleet.at(i).beginRun(Engines, partsNamed({"bad"}), fleet.now()))
+                fleet.at(i).endRun(Engines, partsNamed({"bad"}), false, fleet.now());
+        }
+        for (std::size_t i = 0; i < 3; ++i)
+            fleet.send(i, {"bad"});
+        fleet.advance(200ms);
+        CHECK_FALSE(fleet.refuses(0, {"bad"}));
+    }
 }
 
 TEST_CASE("quarantined parts and their evidence are bounded")
