--- a/tests/unit-quarantine.cpp
+++ b/tests/unit-quarantine.cpp
@@ -20,6 +20,7 @@
 std::vector<prompt_part_id> partsNamed(const std::vector<std::string> &names)
 {
     std::vector<prompt_part_id> parts;
+    parts.reserve(names.size());
     for (const std::string &name : names)
         parts.emplace_back(name);
     return parts;
