Bound the reports that breaks of runs trigger

News of the quarantine now waits for the shortest report interval, 100 ms; its evaluation waits 400 ms anyway. Without limited upstreams, placement skips the look-ups of rates.

--- a/include/tamarackglade/gateway/peer_link.hpp
+++ b/include/tamarackglade/gateway/peer_link.hpp
@@ -30,8 +30,9 @@
     /// @brief Binds the datagram socket and starts its fibers.
     absl::Status start();
     /// @brief Sends the reports that are due; call many times a second. New waiting requests and
-    /// slots yielded by batch items and changes of the quarantine are reported to all gateways on
-    /// the next call, changes of slots in use only to gateways of the same zone.
+    /// slots yielded by batch items are reported to all gateways on the next call, changes of the
+    /// quarantine after the shortest report interval, changes of slots in use only to gateways of
+    /// the same zone.
     void tick();
     /// @brief Schedules a report after a batch item has yielded its slot to online requests.
     void onBatchSlotFreed();
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -101,8 +101,9 @@
     const duration interval =
         std::clamp<duration>(m_context.peerTable.others().size() * ReportIntervalPerPeer,
                              MinReportInterval, MaxReportInterval);
-    const bool hasNews = m_slotFreed || m_context.quarantineExchange.hasNews();
-    if (newWaiters || hasNews || now - m_reportedAt >= interval)
+    const bool hasNews =
+        m_context.quarantineExchange.hasNews() && now - m_reportedAt >= MinReportInterval;
+    if (newWaiters || m_slotFreed || hasNews || now - m_reportedAt >= interval)
         sendReports(now, true);
     else if (m_context.allocator.ownUse() != m_reportedUse)
         sendReports(now, false);
--- a/src/placement/upstream_rates.cpp
+++ b/src/placement/upstream_rates.cpp
@@ -50,6 +50,8 @@
 
 bool upstream_rates::maySend(const upstream_id &upstream, work_class work, time_point now) const
 {
+    if (m_statements.empty())
+        return true;
     const auto found = m_statements.find(upstream);
     if (found == m_statements.end() || !found->second.rate)
         return true;
@@ -60,6 +62,8 @@
 
 double upstream_rates::exhaustion(const upstream_id &upstream, time_point now) const
 {
+    if (m_statements.empty())
+        return 0;
     const auto found = m_statements.find(upstream);
     if (found == m_statements.end() || !found->second.rate)
         return 0;
