--- /dev/null
+++ b/tests/shell-gateway-responses.cpp
@@ -0,0 +1,238 @@
+// Tests that a response which breaks off at an upstream is never taken for a complete one.
+#include <platform/http_protocol.hpp>
+#include <tamarackglade/gateway/upstream_caller.hpp>
+#include <tamarackglade/runtime/boot_now.hpp>
+#include <tamarackglade/runtime/io_thread.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <thread>
+
+using namespace tamarack;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+enum class framing { Length, Chunks, UntilClose };
+enum class ending { Close, Reset };
+
+struct upstream_script
+{
+    std::string beforePause;
+    std::string afterPause;
+    ending end = ending::Close;
+};
+
+const std::string Events = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+
+std::string responseText(framing framed, const std::string &body)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n";
+    switch (framed) {
+    case framing::Length:
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    case framing::Chunks: {
+        std::string text = head + "Transfer-Encoding: chunked\r\n\r\n";
+        const auto half = body.size() / 2;
+        for (const std::string &part : {body.substr(0, half), body.substr(half)}) {
+            char size[16];
+            std::snprintf(size, sizeof size, "%zx\r\n", part.size());
+            text += size + part + "\r\n";
+        }
+        return text + "0\r\n\r\n";
+    }
+    case framing::UntilClose:
+        break;
+    }
+    return head + "\r\n" + body;
+}
+
+/// One connection: reads a request's head, plays the script and ends.
+class scripted_upstream
+{
+public:
+    explicit scripted_upstream(upstream_script script)
+        : m_script(std::move(script)), m_acceptor(m_io, {asio::ip::make_address("127.0.0.1"), 0}),
+          m_port(m_acceptor.local_endpoint().port()), m_thread([this] { play(); })
+    {
+    }
+    scripted_upstream(const scripted_upstream &) = delete;
+    scripted_upstream &operator=(const scripted_upstream &) = delete;
+    ~scripted_upstream() { m_thread.join(); }
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+private:
+    void play()
+    {
+        tcp::socket socket(m_io);
+        m_acceptor.accept(socket);
+        asio::streambuf request;
+        boost::system::error_code ignored;
+        asio::read_until(socket, request, "\r\n\r\n", ignored);
+        asio::write(socket, asio::buffer(m_script.beforePause), ignored);
+        if (!m_script.afterPause.empty()) {
+            std::this_thread::sleep_for(1ms);
+            asio::write(socket, asio::buffer(m_script.afterPause), ignored);
+        }
+        if (m_script.end == ending::Reset)
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    upstream_script m_script;
+    asio::io_context m_io;
+    tcp::acceptor m_acceptor;
+    std::uint16_t m_port;
+    std::thread m_thread;
+};
+
+/// Collects what a caller would get. A slow caller reads nothing for a while after each part.
+class collecting_sink final : public response_sink
+{
+public:
+    explicit collecting_sink(bool slow) : m_slow(slow) { }
+
+    bool onHead(const http_response & /*head*/, const response_metadata & /*metadata*/) override
+    {
+        pause();
+        return true;
+    }
+    bool onEvent(const stream_event &event) override
+    {
+        events.append(event.text);
+        return true;
+    }
+    bool onFlush() override
+    {
+        pause();
+        return true;
+    }
+
+    std::string events;
+
+private:
+    void pause() const
+    {
+        if (m_slow)
+            boost::this_fiber::sleep_for(4ms);
+    }
+
+    bool m_slow;
+};
+
+class ignoring_listener final : public response_listener
+{
+public:
+    // Long enough for the rest of the response, and the end of its connection, to arrive unread.
+    void onResponse(const live_upstream & /*upstream*/,
+                    const response_metadata & /*metadata*/) override
+    {
+        if (slow)
+            boost::this_fiber::sleep_for(4ms);
+    }
+
+    bool slow = false;
+};
+
+struct received_response
+{
+    attempt_outcome outcome;
+    std::string text;
+};
+
+received_response receive(io_thread &thread, const upstream_script &script, bool streamed,
+                          bool slow)
+{
+    const scripted_upstream server(script);
+    received_response received{};
+    thread.run([&] {
+        upstream_pool pool(thread.io());
+        const platform::http_protocol protocol;
+        ignoring_listener listener;
+        listener.slow = slow;
+        upstream_caller caller(pool, protocol, listener);
+        live_upstream upstream;
+        upstream.address = server.address();
+        stream_progress progress;
+        collecting_sink sink(slow);
+        attempt_handle handle;
+        const attempt_limits limits{bootNow() + 10s, duration::zero(), std::nullopt, 1s};
+        const attempt_result result = caller.run(upstream, http_client_request{}, request_id("r1"),
+                                                 streamed, limits, progress, sink, handle);
+        received.outcome = result.outcome;
+        received.text = streamed ? sink.events : result.response.body;
+    });
+    return received;
+}
+
+bool looksComplete(const received_response &received)
+{
+    return received.outcome == attempt_outcome::Complete
+           || received.outcome == attempt_outcome::Answered;
+}
+
+} // namespace
+
+TEST_CASE("a reset between two reads of a response without a length doesn't look like its end")
+{
+    io_thread thread;
+    for (const bool streamed : {true, false}) {
+        CAPTURE(streamed);
+        const std::string body = streamed ? "id: 0\ndata: a\n\n" : "part";
+        const auto received = receive(
+            thread, {responseText(framing::UntilClose, body), "", ending::Reset}, streamed, true);
+        CHECK_FALSE(looksComplete(received));
+    }
+}
+
+TEST_CASE("a response that is cut at any byte, by close or by reset, never looks complete")
+{
+    io_thread thread;
+    const bool holds = rc::check([&] {
+        const auto framed =
+            *rc::gen::element(framing::Length, framing::Chunks, framing::UntilClose);
+        const auto end = *rc::gen::element(ending::Close, ending::Reset);
+        const bool streamed = *rc::gen::arbitrary<bool>();
+        const bool slow = *rc::gen::arbitrary<bool>();
+        const std::string whole = responseText(framed, Events);
+        const std::size_t cut = *rc::gen::inRange<std::size_t>(0, whole.size());
+        const std::size_t pause = *rc::gen::inRange<std::size_t>(0, cut + 1);
+        const upstream_script script{whole.substr(0, pause), whole.substr(pause, cut - pause), end};
+        const auto received = receive(thread, script, streamed, slow);
+        // An orderly close is the end of a body without a length, and may follow any event.
+        const std::size_t bodyBytes = cut - std::min(cut, whole.size() - Events.size());
+        const bool closedInBody = framed == framing::UntilClose && end == ending::Close
+                                  && cut >= whole.size() - Events.size();
+        const bool atEvent = bodyBytes > 0 && bodyBytes % (Events.size() / 2) == 0;
+        if (closedInBody && (!streamed || atEvent))
+            RC_ASSERT(looksComplete(received));
+        else
+            RC_ASSERT(!looksComplete(received));
+        RC_ASSERT(Events.compare(0, received.text.size(), received.text) == 0);
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("a whole response of any framing is complete, also for a slow caller")
+{
+    io_thread thread;
+    for (const framing framed : {framing::Length, framing::Chunks, framing::UntilClose}) {
+        for (const bool streamed : {true, false}) {
+            for (const bool slow : {true, false}) {
+                const auto received = receive(
+                    thread, {responseText(framed, Events), "", ending::Close}, streamed, slow);
+                CHECK(looksComplete(received));
+                CHECK(received.text == Events);
+            }
+        }
+    }
+}
