--- a/include/tamarackglade/runtime/tcp_stream.hpp
+++ b/include/tamarackglade/runtime/tcp_stream.hpp
@@ -7,6 +7,7 @@
 #include <absl/status/statusor.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <sys/types.h>
 
 #include <memory>
 #include <string>
@@ -58,10 +59,19 @@
     std::size_t readNow(boost::asio::mutable_buffer buffer);
     std::size_t writeNow(boost::asio::const_buffer buffer);
     bool mayBeImmediate();
+    /// @brief Receives without waiting. @return as of recv(); a failure is kept in m_failure
+    ssize_t receiveNow(boost::asio::mutable_buffer buffer, int flags);
+    /// @return the error with which a read ends: m_failure instead of an orderly end after it
+    boost::system::error_code endOfRead(const boost::system::error_code &error);
+    /// @brief Keeps the error in m_failure unless the connection can go on after it.
+    void keepFailure(const boost::system::error_code &error);
 
     boost::beast::tcp_stream m_stream;
     read_timeout m_readTimeout; // of m_stream's socket
     std::chrono::milliseconds m_timeout{0};
+    // First failure of the connection. Reads fail with it once all received bytes are read; their
+    // end is an orderly one only without a failure.
+    boost::system::error_code m_failure;
     unsigned m_immediate = 0; // operations done at once since the last that waited
     std::shared_ptr<peer_watch> m_watch; // shared with the handler, which may outlive the stream
 };
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -76,7 +76,10 @@
         return size;
     m_readTimeout.arm(m_timeout);
     const auto result = m_stream.socket().async_read_some(buffer, FiberToken);
-    error = m_readTimeout.disarm() && result.error ? boost::beast::error::timeout : result.error;
+    if (m_readTimeout.disarm() && result.error)
+        error = boost::beast::error::timeout;
+    else
+        error = endOfRead(result.error);
     return result.value;
 }
 
@@ -88,6 +91,7 @@
     armTimeout();
     const auto result = m_stream.async_write_some(buffer, FiberToken);
     error = result.error;
+    keepFailure(error);
     return result.value;
 }
 
@@ -110,16 +114,14 @@
 bool tcp_stream::peerClosed()
 {
     char byte = 0;
-    const auto size = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (size == 0)
-        return true;
-    return size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    const auto size = receiveNow(asio::buffer(&byte, 1), MSG_PEEK);
+    return size == 0 || (size < 0 && m_failure);
 }
 
 bool tcp_stream::inputWaiting()
 {
     char byte = 0;
-    return ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return receiveNow(asio::buffer(&byte, 1), MSG_PEEK) > 0;
 }
 
 void tcp_stream::watchPeer(const std::function<void()> &onClosed)
@@ -153,17 +155,45 @@
 {
     if (!mayBeImmediate())
         return 0;
-    const auto size =
-        ::recv(m_stream.socket().native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    const auto size = receiveNow(buffer, 0);
     return size > 0 ? static_cast<std::size_t>(size) : 0;
 }
 
+// The system reports a reset once; after that it reports the end of the stream.
+ssize_t tcp_stream::receiveNow(asio::mutable_buffer buffer, int flags)
+{
+    const auto size = ::recv(m_stream.socket().native_handle(), buffer.data(), buffer.size(),
+                             flags | MSG_DONTWAIT);
+    if (size < 0)
+        keepFailure({errno, boost::system::system_category()});
+    return size;
+}
+
+boost::system::error_code tcp_stream::endOfRead(const boost::system::error_code &error)
+{
+    if (error == asio::error::eof)
+        return m_failure ? m_failure : error;
+    keepFailure(error);
+    return error;
+}
+
+void tcp_stream::keepFailure(const boost::system::error_code &error)
+{
+    const bool canGoOn = !error || error == asio::error::would_block
+                         || error == asio::error::try_again || error == asio::error::interrupted
+                         || error == asio::error::operation_aborted;
+    if (!canGoOn && !m_failure)
+        m_failure = error;
+}
+
 std::size_t tcp_stream::writeNow(asio::const_buffer buffer)
 {
     if (!mayBeImmediate())
         return 0;
     const auto size = ::send(m_stream.socket().native_handle(), buffer.data(), buffer.size(),
                              MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (size < 0)
+        keepFailure({errno, boost::system::system_category()});
     return size > 0 ? static_cast<std::size_t>(size) : 0;
 }
 
