--- a/include/tamarackglade/runtime/byte_stream.hpp
+++ b/include/tamarackglade/runtime/byte_stream.hpp
@@ -34,6 +34,9 @@
     virtual void setTimeout(std::chrono::milliseconds timeout) = 0;
     /// @brief Closes both directions at once; pending operations fail. Same thread only.
     virtual void close() = 0;
+    /// @brief Sets whether the connection is reset instead of closed in order, also if the process
+    /// ends.
+    virtual void setResetOnClose(bool /*reset*/) { }
     /// @brief Ends the sending direction.
     virtual void shutdownSend() = 0;
     /// @return whether the peer has closed or reset, without consuming data
--- a/include/tamarackglade/runtime/tcp_stream.hpp
+++ b/include/tamarackglade/runtime/tcp_stream.hpp
@@ -37,6 +37,7 @@
                           boost::system::error_code &error) override;
     void setTimeout(std::chrono::milliseconds timeout) override;
     void close() override;
+    void setResetOnClose(bool reset) override;
     void shutdownSend() override;
     bool peerClosed() override;
     bool inputWaiting() override;
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -260,8 +260,11 @@
         absl::StrAppend(&text, "Transfer-Encoding: chunked\r\n\r\n");
     else
         absl::StrAppend(&text, "\r\n");
-    if (!m_chunked)
+    if (!m_chunked) {
+        // The end of the connection is the end of the answer, so an early one must differ.
         m_keepAlive = false;
+        m_stream.setResetOnClose(true);
+    }
     appendChunk(text, firstChunk);
     writeAll(text);
 }
@@ -288,7 +291,9 @@
 
 void http_session::endStream()
 {
-    if (m_chunked && !isHead())
+    if (!m_chunked)
+        m_stream.setResetOnClose(false);
+    else if (!isHead())
         writeAll("0\r\n\r\n");
 }
 
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -105,6 +105,12 @@
     m_stream.close();
 }
 
+void tcp_stream::setResetOnClose(bool reset)
+{
+    boost::system::error_code ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 void tcp_stream::shutdownSend()
 {
     boost::system::error_code ignored;
--- a/tests/shell-http.cpp
+++ b/tests/shell-http.cpp
@@ -30,7 +30,8 @@
     return options;
 }
 
-// Answers with the method, the path and the body; /stream in chunks, /silent not at all.
+// Answers with the method, the path and the body; /stream in chunks, /broken with the first part of
+// a stream, /silent not at all.
 void echo(http_exchange &exchange)
 {
     const http_request &request = exchange.request();
@@ -39,10 +40,12 @@
     http_response response;
     response.contentType = "text/plain";
     response.body = request.method + " " + request.path + " " + request.body;
-    if (request.path != "/stream")
+    if (request.path != "/stream" && request.path != "/broken")
         return exchange.respond(response);
     exchange.beginStream(response);
     exchange.writeChunk("one");
+    if (request.path == "/broken")
+        return exchange.abortStream();
     exchange.writeChunk("two");
     exchange.endStream();
 }
@@ -290,6 +293,19 @@
     CHECK(endsWith(answer, "\r\n\r\nonetwo"));
 }
 
+TEST_CASE("http: a broken stream doesn't end in order for an HTTP/1.0 caller")
+{
+    const test_server server;
+    raw_client client(server.port());
+    client.send("GET /broken HTTP/1.0\r\nHost: h\r\n\r\n");
+    char byte = 0;
+    ssize_t size = 1;
+    while (size > 0)
+        size = ::recv(client.socket().native_handle(), &byte, 1, 0);
+    CHECK(size < 0);
+    CHECK(errno == ECONNRESET);
+}
+
 TEST_CASE("http: HEAD gets no body, whole or streamed, and the connection stays usable")
 {
     const test_server server;
