--- a/include/tamarackglade/core/ids.hpp
+++ b/include/tamarackglade/core/ids.hpp
@@ -13,6 +13,8 @@
 using region_id = strong_id<struct region_tag, std::string>;
 using customer_id = strong_id<struct customer_tag, std::string>;
 using upstream_id = strong_id<struct upstream_tag, std::string>;
+/// Version of an upstream's software, not of its weights; empty if unknown. Versions have no order.
+using software_version = strong_id<struct software_version_tag, std::string>;
 using group_id = strong_id<struct group_tag, std::string>;
 using model_id = strong_id<struct model_tag, std::string>;
 using key_id = strong_id<struct key_tag, std::string>;
--- a/include/tamarackglade/gateway/call_relay.hpp
+++ b/include/tamarackglade/gateway/call_relay.hpp
@@ -77,6 +77,7 @@
     duration m_waited{};
     std::optional<time_point> m_firstEventAt;
     unsigned m_events = 0;
+    software_version m_runVersion; // of the upstream of the current or last attempt
     unsigned m_runEvents = 0; // events of the current or last attempt
     run_observer *m_observer = nullptr; // during an attempt
 };
--- a/include/tamarackglade/gateway/forward_call.hpp
+++ b/include/tamarackglade/gateway/forward_call.hpp
@@ -24,6 +24,9 @@
     std::optional<std::string> key; // the caller's API key; never forwarded or logged
     std::optional<duration> timeLeft; // the caller's timeout, counted from the arrival
     std::optional<std::uint64_t> resumeAfter; // last event that the caller has
+    // The caller's attempt that received the first event of the stream that this one takes up;
+    // empty for a new stream.
+    request_id firstAttempt;
     std::uint64_t prefixHash = 0; // of the prompt parts shared with other requests; 0 if none
     // The prompt parts that other requests may share, in the order of the prompt.
     std::vector<prompt_part_id> sharedParts;
--- a/include/tamarackglade/placement/live_upstream.hpp
+++ b/include/tamarackglade/placement/live_upstream.hpp
@@ -17,6 +17,7 @@
     group_id group;
     std::string address; // ip:port; another upstream may use it later
     zone_id zone;
+    software_version version; // empty if its record names none
     unsigned slots = 1; // number of requests that it runs concurrently
     bool leaving = false; // accepts no new work
 
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -13,7 +13,7 @@
     exit 0
 fi
 # Names of the users' platform may occur only in platform/ and in tests.
-wire_names='"(Request-Id|Deadline-Ms|Expect-Instance|Expect-Version|Not-Executed|Response-Signature'
+wire_names='"(Request-Id|Deadline-Ms|Expect-Instance|Expect-Version|Resumes|Not-Executed|Response-Signature'
 wire_names+='|Prompt-Prefix|Server-Limit|Server-Leaving|Token-Usage|Length-Hint|Wait-Ms|Tenant|Last-Event-Id|Instance-Id'
 wire_names+='|apiKeys|pathPrefix|trafficSplit|ratePerS|targetLatencyMs|outputText|keyed\.op|keyed\.servers)"'
 wire_names+='|/tamarackglade/|log-(append|read|newest|join)'
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -223,6 +223,7 @@
         .with("status", result.response.status)
         .with("reason", result.reason)
         .with("events", run->events)
+        .with("version", upstream.version.value())
         .with("prompt_parts", joinIds(m_progress[work.key].sharedParts))
         .with("run_ms", toSeconds(bootNow() - startedAt) * 1000);
     if (run->yielding) {
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -152,6 +152,7 @@
         return result;
     }
     const live_upstream upstream = *known;
+    m_runVersion = upstream.version;
     if (m_context.quarantine.beginRun(upstream.group, m_call.sharedParts, bootNow())) {
         m_context.blockingQueue.release(m_upstream, work_class::Online);
         result.outcome = attempt_outcome::NotRun;
@@ -208,6 +209,7 @@
         .with("reason", result.reason)
         .with("events", m_events)
         .with("run_events", m_runEvents)
+        .with("version", m_runVersion.value())
         .with("prompt_parts", joinIds(m_call.sharedParts))
         .with("left_ms", toSeconds(timeLeft()) * 1000);
     m_placement.excluded.insert(m_upstream);
@@ -332,6 +334,8 @@
         .with("runs", m_runs)
         .with("refusals", m_refusals)
         .with("events", m_events)
+        .with("version", m_runVersion.value())
+        .with("first_attempt", m_call.firstAttempt.value())
         .with("waited_ms", toSeconds(m_waited) * 1000)
         .with("prompt_parts", joinIds(m_call.sharedParts))
         .with("total_ms", toSeconds(now - m_arrivedAt) * 1000)
--- a/src/gateway/upstream_watch.cpp
+++ b/src/gateway/upstream_watch.cpp
@@ -66,6 +66,7 @@
     log_event(log_level::Info, "upstream changed")
         .upstream(upstream.id.value())
         .with("address", upstream.address)
+        .with("version", upstream.version.value())
         .with("slots", upstream.slots)
         .with("leaving", upstream.leaving)
         .with("started", upstream.incarnation.value());
