--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -321,11 +321,12 @@
 class Engine(StandIn):
     """A model engine. Its attributes switch faults on and off."""
 
-    def __init__(self, name, group="engines", zone="a", slots=8):
+    def __init__(self, name, group="engines", zone="a", slots=8, version="v1"):
         self.id = name
         self.group = group
         self.zone = zone
         self.slots = slots
+        self.version = version  # of its software
         self.lock = threading.Lock()
         self.arrived = []
         self.runs = []
@@ -353,8 +354,8 @@
         super().__init__(EngineHandler)
 
     def record(self, state="ready"):
-        return {"service": self.group, "address": self.address, "zone": self.zone, "version": "v1",
-                "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
+        return {"service": self.group, "address": self.address, "zone": self.zone,
+                "version": self.version, "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
                 "born": self.born}
 
     def crashes_on(self, parts):
