--- a/include/tamarackglade/gateway/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch_runner.hpp
@@ -29,8 +29,9 @@
     /// @brief Starts the items that may run now; call many times a second.
     void schedule();
     /// @brief Makes one item yield its slot to online requests.
-    /// @return false if no item holds a slot
-    bool yieldOne();
+    /// @param version of the upstream whose slot is needed; nullopt for any
+    /// @return false if no item holds such a slot
+    bool yieldOne(const std::optional<software_version> &version = {});
     /// @brief Yields this gateway's share of slots to online requests that wait at another gateway.
     /// @param waiting requests that wait there
     /// @param gateways that share the yielding
@@ -46,6 +47,13 @@
     /// @return whether the item's content is loaded; otherwise starts to read it
     bool contentReady(const item_key &key, const customer_batch &job);
     void readContent(const item_key &key, const content_place &place);
+    /// @return an upstream with a slot that can begin the item or go on with its text
+    std::optional<upstream_id> pickUpstream(const item_work &work, const group_id &group,
+                                            std::set<upstream_id> failedAt);
+    /// @return whether the group has upstreams that can go on with a text of the origin
+    [[nodiscard]] bool canGoOn(const stream_origin &origin, const group_id &group) const;
+    /// @brief Discards the text of an item, so that its next run writes it anew.
+    void startOver(const item_work &work, const std::string &reason);
     void start(const item_work &work, const upstream_id &upstream);
     void runItem(const item_work &work, const live_upstream &upstream,
                  const std::shared_ptr<item_run> &run);
@@ -63,6 +71,8 @@
                                      const std::string &output, time_point deadline);
     void removeFinished();
     [[nodiscard]] std::set<item_key> occupiedItems() const;
+    /// @return the items of which a part of the text is here
+    [[nodiscard]] std::set<item_key> begunItems() const;
     /// @return the items that wait because their prompt holds a quarantined part
     [[nodiscard]] std::set<item_key> quarantinedItems(const forward_config &config) const;
 
--- a/include/tamarackglade/gateway/blocking_slot_queue.hpp
+++ b/include/tamarackglade/gateway/blocking_slot_queue.hpp
@@ -31,8 +31,9 @@
 class blocking_slot_queue
 {
 public:
-    /// Makes one batch run of this process yield its slot; returns false if there is none.
-    using batch_yield = std::function<bool()>;
+    /// Makes one batch run of this process yield a slot that the request can use; returns false if
+    /// there is none.
+    using batch_yield = std::function<bool(const placement_request &)>;
 
     blocking_slot_queue(slot_allocator &allocator, slot_queue &queue)
         : m_allocator(allocator), m_queue(queue)
--- a/include/tamarackglade/gateway/call_relay.hpp
+++ b/include/tamarackglade/gateway/call_relay.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/gateway/gateway_context.hpp>
 #include <tamarackglade/gateway/run_observer.hpp>
 #include <tamarackglade/http/http_exchange.hpp>
+#include <tamarackglade/resumption/stream_origin.hpp>
 
 #include <optional>
 #include <set>
@@ -42,6 +43,17 @@
     bool mayRetry(const attempt_result &result);
     void respondWithFailure(const attempt_result &result);
     void refuseUnavailable(const std::string &code);
+    /// @brief Finds where the stream began that the caller takes up.
+    /// @return false if it is unknown and the request has been refused
+    bool findOrigin();
+    /// @brief Records where the stream begins, at its first event.
+    void beginStream();
+    /// @brief Makes upstreams of the origin's group and version the only ones that may go on.
+    void setOrigin(const stream_origin &origin);
+    /// @return why no upstream can go on with the stream; empty if one can or if it is a new stream
+    [[nodiscard]] std::string notResumableReason() const;
+    /// @brief Logs why the stream doesn't go on, and ends the request.
+    void refuseResume(const std::string &reason, duration retryAfter = {});
     /// @brief Ends a request whose prompt holds a quarantined part.
     void refuseQuarantined(const blocked_part &blocked);
     void forwardResponse(const attempt_result &result);
@@ -65,6 +77,7 @@
     std::optional<waiter_id> m_waiter; // while the request waits for a slot
     attempt_handle m_handle;
     stream_progress m_progress;
+    std::optional<stream_origin> m_origin; // set by the first event of the stream
     bool m_callerDisconnected = false;
     bool m_mayHaveRun = false; // some upstream may have run the request
     unsigned m_runs = 0; // attempts at which the request may have run
--- a/include/tamarackglade/gateway/gateway_context.hpp
+++ b/include/tamarackglade/gateway/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/gateway/blocking_slot_queue.hpp>
 #include <tamarackglade/gateway/config_watch.hpp>
 #include <tamarackglade/gateway/gateway_options.hpp>
+#include <tamarackglade/gateway/origin_exchange.hpp>
 #include <tamarackglade/gateway/platform_protocol.hpp>
 #include <tamarackglade/gateway/quarantine_exchange.hpp>
 #include <tamarackglade/gateway/rate_exchange.hpp>
@@ -30,6 +31,7 @@
     rate_exchange &rateExchange;
     prompt_quarantine &quarantine;
     quarantine_exchange &quarantineExchange;
+    origin_exchange &origins;
     metric_registry &metrics;
 };
 
--- a/include/tamarackglade/gateway/gateway_process.hpp
+++ b/include/tamarackglade/gateway/gateway_process.hpp
@@ -63,6 +63,7 @@
     upstream_caller m_caller;
     prompt_quarantine m_quarantine;
     quarantine_exchange m_quarantineExchange;
+    origin_exchange m_origins;
     upstream_watch m_upstreams;
     gateway_context m_context;
     batch_store m_batchStore;
--- a/include/tamarackglade/gateway/item_run.hpp
+++ b/include/tamarackglade/gateway/item_run.hpp
@@ -3,6 +3,7 @@
 
 #include <tamarackglade/gateway/upstream_caller.hpp>
 #include <tamarackglade/jobs/item_key.hpp>
+#include <tamarackglade/resumption/stream_origin.hpp>
 #include <tamarackglade/schema/batches_generated.h>
 
 #include <optional>
@@ -32,14 +33,22 @@
     bool reading = false; // the content is being read
     std::string text; // output of the events so far
     std::optional<std::uint64_t> lastEvent;
+    std::optional<stream_origin> origin; // of the text; set by its first event
+    // Since when it waits for a slot at the version of the origin. After the time that the text has
+    // taken so far, writing it anew costs no more than waiting.
+    std::optional<time_point> waitsSince;
+    duration writingTime{}; // of the runs that wrote the text
     unsigned earlyFailures = 0; // runs in a row that failed before their first event
     time_point startableAt{}; // after such a run; not started before
 
-    /// @brief Discards the output after a failed run.
+    /// @brief Discards the output, so that the next run begins anew.
     void restart()
     {
         text.clear();
         lastEvent.reset();
+        origin.reset();
+        waitsSince.reset();
+        writingTime = duration::zero();
     }
 };
 
@@ -47,6 +56,7 @@
 struct item_run
 {
     upstream_id upstream;
+    software_version version; // of the upstream
     attempt_handle handle;
     std::size_t events = 0; // events received in this run
     bool yielding = false; // the run was cancelled and will release its slot
--- a/include/tamarackglade/gateway/peer_link.hpp
+++ b/include/tamarackglade/gateway/peer_link.hpp
@@ -48,7 +48,9 @@
 
 private:
     void receiveLoop();
-    void onDatagram(std::string_view bytes);
+    void onDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint &from);
+    void onReport(std::string_view bytes);
+    void send(const gateway_member &to, const std::string &bytes);
     void sendReports(time_point now, bool allZones);
     std::string encodeReport(time_point now);
     [[nodiscard]] std::unordered_map<upstream_id, slot_use>
--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -20,7 +20,12 @@
     group_id group;
     work_class work = work_class::Online;
     std::uint64_t prefixHash = 0; // of the prompt's shared prefix; 0 for none
-    std::set<upstream_id> excluded; // upstreams that were tried before
+    // Set for a stream that goes on after its first event: only upstreams of the version that began
+    // it can write the rest.
+    std::optional<software_version> version;
+    // Upstreams that were tried before. Batch work, and work with a version, uses them again if no
+    // other is usable.
+    std::set<upstream_id> excluded;
 };
 
 /// @brief Costs, reserves and durations of the selection.
@@ -56,15 +61,10 @@
     /// or nullopt
     std::optional<upstream_id> pick(const placement_request &request, time_point now);
 
-    /// @brief Picks an upstream for a batch item.
-    /// @param failedAt upstreams at which the item failed; excluded if the group has another usable
-    /// upstream
-    /// @return an upstream with a free slot for batch work, or nullopt
-    std::optional<upstream_id> pickForItem(const group_id &group,
-                                           const std::set<upstream_id> &failedAt, time_point now);
-
     /// @return the number of slots free for this class of work at all upstreams of the group
-    [[nodiscard]] unsigned freeSlots(const group_id &group, work_class work, time_point now);
+    /// @param version counts only the upstreams of this version; nullopt for all
+    [[nodiscard]] unsigned freeSlots(const group_id &group, work_class work, time_point now,
+                                     const std::optional<software_version> &version = {});
 
     /// @return whether only a free slot is missing for an online request at the upstream
     [[nodiscard]] bool needsSlot(const upstream_id &id, time_point now) const;
@@ -113,7 +113,9 @@
     void dropOldReports(time_point now);
     [[nodiscard]] unsigned usedSlots(const upstream_id &id) const;
     [[nodiscard]] bool usable(const live_upstream &upstream, const group_id &group,
-                              time_point now) const;
+                              const std::optional<software_version> &version, time_point now) const;
+    /// @return whether an upstream that the request doesn't exclude is usable
+    [[nodiscard]] bool hasOthers(const placement_request &request, time_point now) const;
     [[nodiscard]] double occupiedCost(const live_upstream &upstream, unsigned used, work_class work,
                                       time_point now) const;
     [[nodiscard]] double failureCost(const upstream_id &id, time_point now) const;
--- a/include/tamarackglade/placement/slot_queue.hpp
+++ b/include/tamarackglade/placement/slot_queue.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/gate/fair_queue.hpp>
 #include <tamarackglade/placement/slot_allocator.hpp>
 
+#include <compare>
 #include <deque>
 #include <map>
 #include <optional>
@@ -43,7 +44,7 @@
 public:
     explicit slot_queue(slot_allocator &allocator) : m_allocator(allocator) { }
 
-    /// @brief Acquires a slot if one is free and no request is waiting.
+    /// @brief Acquires a slot if one is free and no request waits for the same upstreams.
     /// @return the upstream, or nullopt
     std::optional<upstream_id> tryAcquire(const placement_request &placement, time_point now);
 
@@ -80,13 +81,25 @@
         slot_request request;
     };
 
-    using level_key = std::pair<int, group_id>; // sorted by priority number, lowest first
+    /// Requests that compete for the same slots. Within a priority, streams that go on come before
+    /// new work, as only some upstreams can take them.
+    struct level_key
+    {
+        int priority = 0; // lowest first
+        bool isNew = true; // goes on at no particular version
+        group_id group;
+        software_version version; // empty if isNew
+
+        friend auto operator<=>(const level_key &, const level_key &) = default;
+    };
 
     static level_key levelOf(const slot_request &request);
+    /// @return whether requests wait for the same upstreams as this one
+    [[nodiscard]] bool othersWait(const placement_request &placement) const;
     [[nodiscard]] std::size_t countAhead(const slot_request &request) const;
     /// @return the expected wait of a request with this number of requests before it
     [[nodiscard]] duration expectedWaitBehind(std::size_t ahead, time_point now) const;
-    void grantLevel(const group_id &group, fair_queue<waiter_id> &level,
+    void grantLevel(const level_key &key, fair_queue<waiter_id> &level,
                     std::vector<granted_slot> &granted, time_point now);
     std::optional<upstream_id> pickFor(const placement_request &placement, time_point now);
 
--- a/include/tamarackglade/placement/upstream_directory.hpp
+++ b/include/tamarackglade/placement/upstream_directory.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -54,6 +55,8 @@
     {
         return m_upstreams;
     }
+    /// @return the software versions of the group's upstreams that are not leaving
+    [[nodiscard]] std::set<software_version> versionsOf(const group_id &group) const;
     /// @return the upstream, or null
     [[nodiscard]] const live_upstream *find(const upstream_id &id) const;
     /// @return the upstream whose id has this stable hash, or null
--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -40,6 +40,7 @@
 
 std::vector<item_key> itemsToStart(const std::vector<const batch_fold *> &folds, const vm_id &self,
                                    const std::vector<vm_id> &gateways,
+                                   const std::set<item_key> &begun,
                                    const std::set<item_key> &running, time_point currentSince,
                                    time_point now, std::size_t maxItems)
 {
@@ -60,14 +61,25 @@
     std::sort(open.begin(), open.end(), [&](const customer_batch *a, const customer_batch *b) {
         return std::pair(dueAt(a), a->id) < std::pair(dueAt(b), b->id);
     });
+    const auto mayStart = [&](const customer_batch &job, const item_key &key) {
+        const batch_job_item &item = job.items[key.item.value()];
+        return item.state == batch_item_state::Waiting && now >= startableAt(item)
+               && !running.contains(key) && ownerOf(job.id, key.item.value(), gateways) == self;
+    };
     std::vector<item_key> items;
     for (const customer_batch *job : open) {
-        for (std::size_t i = 0; i < job->items.size() && items.size() < maxItems; ++i) {
-            const batch_job_item &item = job->items[i];
-            if (item.state != batch_item_state::Waiting || now < startableAt(item))
-                continue;
+        const item_key first{job->id, item_index(0)};
+        for (auto key = begun.lower_bound(first); key != begun.end() && key->job == job->id;
+             ++key) {
+            if (mayStart(*job, *key))
+                items.push_back(*key);
+        }
+    }
+    const std::size_t maxListed = items.size() + maxItems;
+    for (const customer_batch *job : open) {
+        for (std::size_t i = 0; i < job->items.size() && items.size() < maxListed; ++i) {
             const item_key key{job->id, item_index(static_cast<std::uint32_t>(i))};
-            if (!running.contains(key) && ownerOf(job->id, i, gateways) == self)
+            if (!begun.contains(key) && mayStart(*job, key))
                 items.push_back(key);
         }
     }
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -40,14 +40,17 @@
 class batch_runner::output_sink final : public response_sink
 {
 public:
-    output_sink(item_progress &progress, item_run &run, run_observer &observer)
-        : m_progress(progress), m_run(run), m_observer(observer)
+    output_sink(item_progress &progress, item_run &run, run_observer &observer,
+                const live_upstream &upstream)
+        : m_progress(progress), m_run(run), m_observer(observer), m_upstream(upstream)
     {
     }
 
     bool onHead(const http_response &, const response_metadata &) override { return true; }
     bool onEvent(const stream_event &event) override
     {
+        if (!m_progress.origin)
+            m_progress.origin = stream_origin{m_upstream.group, m_upstream.version, bootNow()};
         if (m_progress.lastEvent)
             m_progress.text.push_back('\n');
         m_progress.text += eventData(event.text);
@@ -62,6 +65,7 @@
     item_progress &m_progress;
     item_run &m_run;
     run_observer &m_observer;
+    const live_upstream &m_upstream;
 };
 
 batch_runner::batch_runner(gateway_context &context, batch_store &store, gateway_list gateways,
@@ -81,8 +85,9 @@
     const auto config = m_context.config.activeConfig().current();
     std::set<item_key> excluded = occupiedItems();
     excluded.merge(quarantinedItems(*config));
-    const auto items = itemsToStart(m_store.folds(), m_context.options.vm, m_gateways(), excluded,
-                                    bootNow() - MaxFoldAge, bootNow(), MaxStartsPerRound);
+    const auto items =
+        itemsToStart(m_store.folds(), m_context.options.vm, m_gateways(), begunItems(), excluded,
+                     bootNow() - MaxFoldAge, bootNow(), MaxStartsPerRound);
     for (const item_key &key : items) {
         const customer_batch &job = *m_store.findJob(key.job);
         const forward_route *route = config->findRouteByName(job.routeName);
@@ -96,13 +101,61 @@
         }
         if (!contentReady(key, job))
             continue;
-        const auto upstream = m_context.allocator.pickForItem(
-            route->groups.front().group, failedUpstreams(job.items[key.item.value()]), bootNow());
+        const item_work work = workOf(key, job);
+        const auto upstream = pickUpstream(work, route->groups.front().group,
+                                           failedUpstreams(job.items[key.item.value()]));
         if (upstream)
-            start(workOf(key, job), *upstream);
+            start(work, *upstream);
     }
 }
 
+std::optional<upstream_id> batch_runner::pickUpstream(const item_work &work, const group_id &group,
+                                                      std::set<upstream_id> failedAt)
+{
+    item_progress &progress = m_progress[work.key];
+    const time_point now = bootNow();
+    placement_request request;
+    request.group = group;
+    request.work = work_class::Batch;
+    request.excluded = std::move(failedAt);
+    if (progress.origin && !canGoOn(*progress.origin, group))
+        startOver(work, "no upstream of its version");
+    if (!progress.origin)
+        return m_context.allocator.pick(request, now);
+    request.version = progress.origin->version;
+    auto upstream = m_context.allocator.pick(request, now);
+    if (upstream) {
+        progress.waitsSince.reset();
+        return upstream;
+    }
+    progress.waitsSince = progress.waitsSince.value_or(now);
+    if (now - *progress.waitsSince <= progress.writingTime)
+        return std::nullopt;
+    request.version.reset();
+    upstream = m_context.allocator.pick(request, now);
+    if (upstream)
+        startOver(work, "no slot at its version");
+    return upstream;
+}
+
+bool batch_runner::canGoOn(const stream_origin &origin, const group_id &group) const
+{
+    return origin.isKnownFor(group)
+           && m_context.directory.versionsOf(group).contains(origin.version);
+}
+
+void batch_runner::startOver(const item_work &work, const std::string &reason)
+{
+    item_progress &progress = m_progress[work.key];
+    log_event(log_level::Info, "batch item starts over")
+        .request(work.request.value())
+        .with("job", work.key.job.value())
+        .with("reason", reason)
+        .with("version", progress.origin->version.value())
+        .with("begun_ms_ago", toSeconds(bootNow() - progress.origin->begunAt) * 1000);
+    progress.restart();
+}
+
 std::set<item_key> batch_runner::occupiedItems() const
 {
     std::set<item_key> busy;
@@ -118,6 +171,16 @@
     return busy;
 }
 
+std::set<item_key> batch_runner::begunItems() const
+{
+    std::set<item_key> begun;
+    for (const auto &[key, progress] : m_progress) {
+        if (progress.origin)
+            begun.insert(key);
+    }
+    return begun;
+}
+
 // Items past their retention are left out, so that they are abandoned.
 std::set<item_key> batch_runner::quarantinedItems(const forward_config &config) const
 {
@@ -171,12 +234,13 @@
     found->second.content = std::move(*content);
 }
 
-bool batch_runner::yieldOne()
+bool batch_runner::yieldOne(const std::optional<software_version> &version)
 {
     item_run *candidate = nullptr;
     const time_point now = bootNow();
     for (const auto &[key, run] : m_runs) {
-        if (!run->yielding && run->holdsSlot && m_context.allocator.needsSlot(run->upstream, now)
+        if (!run->yielding && run->holdsSlot && (!version || run->version == *version)
+            && m_context.allocator.needsSlot(run->upstream, now)
             && (candidate == nullptr || run->events < candidate->events))
             candidate = run.get();
     }
@@ -201,6 +265,7 @@
         return;
     auto run = std::make_shared<item_run>();
     run->upstream = upstreamId;
+    run->version = upstream->version;
     m_runs.emplace(work.key, run);
     m_context.allocator.acquire(upstreamId, work_class::Batch, bootNow());
     boost::fibers::fiber([this, work, upstream = *upstream, run] {
@@ -214,6 +279,7 @@
     const time_point startedAt = bootNow();
     const attempt_result result = runAttempt(work, upstream, *run);
     run->holdsSlot = false;
+    m_progress[work.key].writingTime += bootNow() - startedAt;
     m_runs.erase(work.key);
     log_event(log_level::Info, "batch item run ended")
         .request(work.request.value())
@@ -260,7 +326,7 @@
     run_observer observer(m_context.quarantine, m_context.quarantineExchange, upstream,
                           progress.sharedParts, work.request);
     stream_progress events(progress.lastEvent);
-    output_sink sink(progress, run, observer);
+    output_sink sink(progress, run, observer, upstream);
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
--- a/src/gateway/blocking_slot_queue.cpp
+++ b/src/gateway/blocking_slot_queue.cpp
@@ -11,7 +11,7 @@
     if (const auto upstream = m_queue.tryAcquire(request.placement, arrivedAt))
         return {slot_outcome::Granted, *upstream, duration::zero()};
     // A batch run releases its slot when its fiber runs next; the request waits until then.
-    const bool yields = m_yieldBatch && m_yieldBatch();
+    const bool yields = m_yieldBatch && m_yieldBatch(request.placement);
     waiter = yields ? m_queue.enqueueUnchecked(request) : m_queue.enqueue(request, arrivedAt);
     if (!waiter)
         return {slot_outcome::Refused, {}, duration::zero()};
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -6,6 +6,8 @@
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -71,7 +73,9 @@
 void call_relay::serve()
 {
     m_exchange.watchCaller([this] { onCallerDisconnected(); });
-    while (acquireSlot()) {
+    const bool takesUp = m_route.kind == route_kind::Stream && m_call.resumeAfter;
+    const bool known = !takesUp || findOrigin();
+    while (known && acquireSlot()) {
         const attempt_result result = attempt();
         if (result.outcome == attempt_outcome::Complete) {
             if (!m_exchange.started())
@@ -109,6 +113,10 @@
         refuseQuarantined(*blocked);
         return false;
     }
+    if (const std::string reason = notResumableReason(); !reason.empty()) {
+        refuseResume(reason);
+        return false;
+    }
     time_point latest = now + MaxResumeWait;
     if (m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
         latest = m_arrivedAt + m_route.latencyObjective - m_context.options.firstEventReserve;
@@ -275,6 +283,83 @@
         refusal(m_status, "prompt_part_quarantined", m_mayHaveRun ? duration::zero() : wait));
 }
 
+bool call_relay::findOrigin()
+{
+    origin_lookup lookup;
+    if (!m_call.firstAttempt.value().empty())
+        lookup = m_context.origins.find(
+            streamKey(m_call.firstAttempt, m_customer.value_or(customer_id())));
+    log_event(log_level::Info, "stream taken up")
+        .request(m_call.id.value())
+        .with("first_attempt", m_call.firstAttempt.value())
+        .with("version", lookup.origin ? lookup.origin->version.value() : "")
+        .with("source", lookup.source)
+        .with("asked", lookup.asked)
+        .with("silent", lookup.silent);
+    if (!lookup.origin) {
+        // A gateway that was silent may answer the next time.
+        refuseResume("the version that began it is unknown",
+                     lookup.silent > 0 ? duration(MinRetryAfter) : duration::zero());
+        return false;
+    }
+    setOrigin(*lookup.origin);
+    const bool inRoute =
+        std::any_of(m_route.groups.begin(), m_route.groups.end(),
+                    [&](const weighted_group &each) { return each.group == m_origin->group; });
+    if (!inRoute)
+        refuseResume("the route has no longer the group that began it");
+    return inRoute;
+}
+
+void call_relay::beginStream()
+{
+    const stream_origin origin{m_placement.group, m_runVersion, *m_firstEventAt};
+    setOrigin(origin);
+    if (m_route.resumable && !origin.version.value().empty())
+        m_context.origins.share(streamKey(m_call.id, m_customer.value_or(customer_id())), origin);
+}
+
+void call_relay::setOrigin(const stream_origin &origin)
+{
+    m_origin = origin;
+    m_placement.group = origin.group;
+    m_placement.version = origin.version;
+}
+
+std::string call_relay::notResumableReason() const
+{
+    if (!m_origin)
+        return "";
+    if (m_origin->version.value().empty())
+        return "the version that began it is unknown";
+    if (!m_context.directory.versionsOf(m_origin->group).contains(m_origin->version))
+        return "no upstream of its version";
+    return "";
+}
+
+void call_relay::refuseResume(const std::string &reason, duration retryAfter)
+{
+    const auto versions = m_context.directory.versionsOf(m_placement.group);
+    std::vector<std::string> available;
+    for (const software_version &version : versions)
+        available.push_back(version.value());
+    log_event line(log_level::Warning, "stream not resumed");
+    line.request(m_call.id.value())
+        .with("reason", reason)
+        .with("first_attempt", m_call.firstAttempt.value())
+        .with("available", absl::StrJoin(available, ","));
+    if (m_origin)
+        line.with("version", m_origin->version.value())
+            .with("begun_ms_ago", toSeconds(bootNow() - m_origin->begunAt) * 1000);
+    m_outcome = "version unavailable";
+    if (m_exchange.started()) {
+        m_exchange.abortStream();
+        return;
+    }
+    m_status = m_mayHaveRun ? 502 : 503;
+    m_exchange.respond(refusal(m_status, "stream_version_unavailable", retryAfter));
+}
+
 // The head is sent with the first events, so that another upstream can still answer if this one
 // fails before its first event.
 bool call_relay::onHead(const http_response &head, const response_metadata &metadata)
@@ -292,6 +377,8 @@
 {
     if (!m_firstEventAt)
         m_firstEventAt = bootNow();
+    if (!m_origin)
+        beginStream();
     ++m_events;
     ++m_runEvents;
     m_observer->onEvent();
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -39,12 +39,12 @@
       m_rateExchange(m_rates, m_upstreamRates, m_directory, m_config, m_metrics),
       m_pool(thread.io()), m_caller(m_pool, protocol, m_rateExchange),
       m_quarantine(m_self.vm, m_self.incarnation, quarantine_options()),
-      m_quarantineExchange(m_quarantine, m_metrics),
+      m_quarantineExchange(m_quarantine, m_metrics), m_origins(m_self.vm, m_peerTable, m_metrics),
       m_upstreams(store, protocol, m_directory, [this] { m_blockingQueue.processQueue(); }),
       m_context{m_options,   protocol,        m_config,     m_directory,
                 m_allocator, m_blockingQueue, m_caller,     m_peerTable,
                 m_rates,     m_rateExchange,  m_quarantine, m_quarantineExchange,
-                m_metrics},
+                m_origins,   m_metrics},
       m_batchStore(store, m_options.batchPartitions, m_options.batchKeepTime),
       m_batchApi(m_context, m_batchStore),
       m_peers(thread, store, m_context, m_self,
@@ -59,7 +59,8 @@
                  [this](const setting_values &values) { onSettings(values); }),
       m_admin(thread, m_metrics)
 {
-    m_blockingQueue.setBatchYield([this] { return m_batches.yieldOne(); });
+    m_blockingQueue.setBatchYield(
+        [this](const placement_request &request) { return m_batches.yieldOne(request.version); });
 }
 
 absl::Status gateway_process::start()
@@ -144,6 +145,7 @@
         m_batchStore.tick(now);
         m_allocator.tick(now);
         m_rateExchange.tick();
+        m_origins.tick();
         m_metrics.set("tamarack_waiting_requests", static_cast<double>(m_blockingQueue.waiting()));
         m_metrics.set("tamarack_batch_runs", static_cast<double>(m_batches.running()));
         m_metrics.set("tamarack_rate_share", m_peerTable.share(now));
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -40,6 +40,8 @@
     : m_context(context), m_self(std::move(self)), m_onWaiting(std::move(onWaiting)),
       m_members(store, context.peerTable, context.quarantineExchange, m_self), m_socket(thread.io())
 {
+    context.origins.setSender(
+        [this](const gateway_member &to, const std::string &bytes) { send(to, bytes); });
 }
 
 absl::Status peer_link::start()
@@ -88,7 +90,7 @@
         if (received.error == asio::error::operation_aborted)
             return;
         if (!received.error)
-            onDatagram(std::string_view(buffer).substr(0, received.value));
+            onDatagram(std::string_view(buffer).substr(0, received.value), from);
     }
 }
 
@@ -114,7 +116,19 @@
     m_slotFreed = true;
 }
 
-void peer_link::onDatagram(std::string_view bytes)
+void peer_link::onDatagram(std::string_view bytes, const asio::ip::udp::endpoint &from)
+{
+    std::string reply;
+    if (!m_context.origins.onDatagram(bytes, reply)) {
+        onReport(bytes);
+        return;
+    }
+    boost::system::error_code ignored; // a lost reply counts as none
+    if (!reply.empty())
+        m_socket.send_to(asio::buffer(reply), from, 0, ignored);
+}
+
+void peer_link::onReport(std::string_view bytes)
 {
     const auto decoded = decodeFlat<schema::peer_report>(bytes);
     if (!decoded)
@@ -153,18 +167,24 @@
     for (const gateway_member &peer : m_context.peerTable.others()) {
         if (!allZones && peer.zone != m_self.zone)
             continue;
-        const auto endpoint = udpEndpoint(peer.address);
-        if (!endpoint.ok())
-            continue;
         const auto heard = m_context.peerTable.recentIncarnation(peer.vm, now);
         flatbuffers::GetMutableRoot<schema::peer_report>(report.data())
             ->mutate_heard_incarnation(heard ? heard->value() : 0);
-        // A datagram that can't be sent now counts as lost; the next report repeats its values.
-        boost::system::error_code ignored;
-        m_socket.send_to(asio::buffer(report), *endpoint, 0, ignored);
+        send(peer, report);
     }
 }
 
+// A datagram that can't be sent now counts as lost: reports and queries are repeated, and an origin
+// goes to several gateways.
+void peer_link::send(const gateway_member &to, const std::string &bytes)
+{
+    const auto endpoint = udpEndpoint(to.address);
+    if (!endpoint.ok())
+        return;
+    boost::system::error_code ignored;
+    m_socket.send_to(asio::buffer(bytes), *endpoint, 0, ignored);
+}
+
 std::string peer_link::encodeReport(time_point now)
 {
     schema::peer_report_message report;
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -33,8 +33,11 @@
     dropOldReports(now);
     std::vector<candidate> candidates;
     double minCost = 0;
+    const bool mayRepeat = request.work == work_class::Batch || request.version;
+    const bool excludes = !mayRepeat || hasOthers(request, now);
     for (const auto &[id, upstream] : m_directory.upstreams()) {
-        if (!usable(upstream, request.group, now) || request.excluded.contains(id))
+        if (!usable(upstream, request.group, request.version, now)
+            || (excludes && request.excluded.contains(id)))
             continue;
         const unsigned used = usedSlots(id);
         if (used >= capacity(upstream, request.work) || !m_rates.maySend(id, request.work, now))
@@ -60,28 +63,22 @@
         ->upstream->id;
 }
 
-std::optional<upstream_id> slot_allocator::pickForItem(const group_id &group,
-                                                       const std::set<upstream_id> &failedAt,
-                                                       time_point now)
+bool slot_allocator::hasOthers(const placement_request &request, time_point now) const
 {
-    placement_request request;
-    request.group = group;
-    request.work = work_class::Batch;
     const auto &upstreams = m_directory.upstreams();
-    const bool others = std::any_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
-        return usable(entry.second, group, now) && !failedAt.contains(entry.first);
+    return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
+        return usable(entry.second, request.group, request.version, now)
+               && !request.excluded.contains(entry.first);
     });
-    if (others)
-        request.excluded = failedAt;
-    return pick(request, now);
 }
 
-unsigned slot_allocator::freeSlots(const group_id &group, work_class work, time_point now)
+unsigned slot_allocator::freeSlots(const group_id &group, work_class work, time_point now,
+                                   const std::optional<software_version> &version)
 {
     dropOldReports(now);
     unsigned free = 0;
     for (const auto &[id, upstream] : m_directory.upstreams()) {
-        if (!usable(upstream, group, now) || !m_rates.maySend(id, work, now))
+        if (!usable(upstream, group, version, now) || !m_rates.maySend(id, work, now))
             continue;
         const unsigned used = usedSlots(id);
         const unsigned limit = capacity(upstream, work);
@@ -218,9 +215,9 @@
 }
 
 bool slot_allocator::usable(const live_upstream &upstream, const group_id &group,
-                            time_point now) const
+                            const std::optional<software_version> &version, time_point now) const
 {
-    if (upstream.leaving || upstream.group != group)
+    if (upstream.leaving || upstream.group != group || (version && upstream.version != *version))
         return false;
     const auto found = m_failures.find(upstream.id);
     return found == m_failures.end() || !found->second.ejected(now);
--- a/src/placement/slot_queue.cpp
+++ b/src/placement/slot_queue.cpp
@@ -16,7 +16,7 @@
 std::optional<upstream_id> slot_queue::tryAcquire(const placement_request &placement,
                                                   time_point now)
 {
-    if (!m_waiting.empty())
+    if (othersWait(placement))
         return std::nullopt;
     return pickFor(placement, now);
 }
@@ -53,16 +53,18 @@
 {
     std::vector<granted_slot> granted;
     for (auto level = m_levels.begin(); level != m_levels.end();) {
-        grantLevel(level->first.second, level->second, granted, now);
+        grantLevel(level->first, level->second, granted, now);
         level = level->second.empty() ? m_levels.erase(level) : std::next(level);
     }
     return granted;
 }
 
-void slot_queue::grantLevel(const group_id &group, fair_queue<waiter_id> &level,
+void slot_queue::grantLevel(const level_key &key, fair_queue<waiter_id> &level,
                             std::vector<granted_slot> &granted, time_point now)
 {
-    while (!level.empty() && m_allocator.freeSlots(group, work_class::Online, now) > 0) {
+    const auto version = key.isNew ? std::nullopt : std::optional(key.version);
+    while (!level.empty()
+           && m_allocator.freeSlots(key.group, work_class::Online, now, version) > 0) {
         const waiter_id id = *level.pop();
         const slot_request &request = m_waiting.at(id).request;
         const auto upstream = pickFor(request.placement, now);
@@ -108,14 +110,24 @@
     return fromSeconds(static_cast<double>(ahead + 1) / rate);
 }
 
+bool slot_queue::othersWait(const placement_request &placement) const
+{
+    return std::any_of(m_levels.begin(), m_levels.end(), [&](const auto &entry) {
+        const level_key &key = entry.first;
+        return key.group == placement.group && key.isNew == !placement.version
+               && (key.isNew || key.version == *placement.version);
+    });
+}
+
 // Counts the requests of the group with a higher priority, and those of the same priority that are
-// served earlier by the fair queue.
+// served earlier. A request with a version counts those that wait for the same one.
 std::size_t slot_queue::countAhead(const slot_request &request) const
 {
     const level_key own = levelOf(request);
     std::size_t ahead = 0;
     for (const auto &[key, level] : m_levels) {
-        if (key.second != own.second || key.first > own.first)
+        const bool competes = own.isNew || (!key.isNew && key.version == own.version);
+        if (key.group != own.group || key.priority > own.priority || !competes)
             continue;
         ahead += key == own ? level.aheadOfNew(request.customer) : level.size();
     }
@@ -124,7 +136,9 @@
 
 slot_queue::level_key slot_queue::levelOf(const slot_request &request)
 {
-    return {request.priority, request.placement.group};
+    const auto &version = request.placement.version;
+    return {request.priority, !version, request.placement.group,
+            version.value_or(software_version())};
 }
 
 std::optional<upstream_id> slot_queue::pickFor(const placement_request &placement, time_point now)
--- a/src/placement/upstream_directory.cpp
+++ b/src/placement/upstream_directory.cpp
@@ -1,9 +1,6 @@
 // Folds the records of upstreams, with a grace period after an outage of the store.
 #include <tamarackglade/core/hash.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
-
-#include <set>
-
 namespace tamarack {
 
 void upstream_directory::put(const live_upstream &upstream)
@@ -70,6 +67,16 @@
     return dropped;
 }
 
+std::set<software_version> upstream_directory::versionsOf(const group_id &group) const
+{
+    std::set<software_version> versions;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream.group == group && !upstream.leaving)
+            versions.insert(upstream.version);
+    }
+    return versions;
+}
+
 const live_upstream *upstream_directory::find(const upstream_id &id) const
 {
     const auto found = m_upstreams.find(id);
--- a/tests/e2e/test_versions.py
+++ b/tests/e2e/test_versions.py
@@ -20,6 +20,11 @@
     submit = test_gateway.BatchTest.submit
     results = test_gateway.BatchTest.results
 
+    def setUp(self):
+        super().setUp()
+        wait_until(lambda: all(len(gateway.lines_of("gateway in contact")) >= self.gateways - 1
+                               for gateway in self.gateway), "gateways in contact")
+
     def add_engine(self, name, **options):
         version = "v1" if name in ("engine-0", "engine-1") else "v1.1"
         zone = "b" if name == "engine-1" else "a"  # of the gateways, so the others are preferred
@@ -82,8 +87,8 @@
         for number, (close, request, received) in enumerate(begun):
             close()
             began = self.old() if self.runs_of(self.old(), request) else self.new()
-            status, _, _, taken_up = self.take_up(request, received, 1 + number % 2)
-            self.assertEqual(status, 200)
+            status, _, body, taken_up = self.take_up(request, received, 1 + number % 2)
+            self.assertEqual(status, 200, body)
             self.assertTrue(self.runs_of(began, taken_up))
 
     def test_a_stream_whose_version_has_left_is_refused_at_once(self):
@@ -99,6 +104,7 @@
         self.assertLess(time.monotonic() - before, 0.2)
         self.assertEqual(status, 503)
         self.assertFalse(self.runs_of(others, taken_up))
+        wait_until(lambda: self.gateway[1].lines_of("stream not resumed"), "log line")
         line = self.gateway[1].lines_of("stream not resumed")[0]
         self.assertEqual((line["request_id"], line["first_attempt"]), (taken_up, request))
         self.assertEqual(line["version"], began[0].version)
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -132,7 +132,7 @@
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", 1), Start);
     const auto startable = [&](time_point now) {
-        return !itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, Start, now, 100).empty();
+        return !itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, {}, Start, now, 100).empty();
     };
     fold.confirm(Start);
     CHECK(startable(Start));
@@ -198,7 +198,7 @@
             busy.insert(key);
         const customer_batch &job = *fold.find(job_id("j"));
         for (const item_key &key :
-             itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, busy, now, now, 8)) {
+             itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, busy, now, now, 8)) {
             if (mustAbandon(job, key.item.value(), now)) {
                 ++abandoned;
                 fold.apply(finishedRecord("j", key.item.value(), 0, true), now);
@@ -206,7 +206,11 @@
             }
             const auto failedAt = usesFailures ? failedUpstreams(job.items[key.item.value()])
                                                : std::set<upstream_id>();
-            const auto upstream = allocator.pickForItem(group_id("engines"), failedAt, now);
+            placement_request placement;
+            placement.group = group_id("engines");
+            placement.work = work_class::Batch;
+            placement.excluded = failedAt;
+            const auto upstream = allocator.pick(placement, now);
             if (!upstream)
                 continue;
             allocator.acquire(*upstream, work_class::Batch, now);
@@ -269,7 +273,7 @@
     batch_fold fold(60s);
     const std::vector<vm_id> gateways{vm_id("a")};
     const auto startable = [&](time_point now) {
-        return itemsToStart({&fold}, vm_id("a"), gateways, {}, now - 2s, now, 100).size();
+        return itemsToStart({&fold}, vm_id("a"), gateways, {}, {}, now - 2s, now, 100).size();
     };
     fold.apply(acceptedRecord("j", 3), Start);
     fold.apply(acceptedRecord("k", 3), Start);
@@ -305,7 +309,7 @@
     const std::vector<vm_id> gateways{vm_id("a"), vm_id("b"), vm_id("c")};
     std::set<item_key> all;
     for (const vm_id &gateway : gateways) {
-        const auto items = itemsToStart({&fold}, gateway, gateways, {}, Start, Start, 100);
+        const auto items = itemsToStart({&fold}, gateway, gateways, {}, {}, Start, Start, 100);
         CHECK(std::is_sorted(items.begin(), items.end(), [](const auto &x, const auto &y) {
             return x.job == job_id("soon") && y.job == job_id("late");
         }));
@@ -320,8 +324,8 @@
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", 3), Start);
     fold.confirm(Start);
-    CHECK(itemsToStart({&fold}, vm_id("a"), {}, {}, Start, Start, 100).empty());
-    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("b")}, {}, Start, Start, 100).empty());
+    CHECK(itemsToStart({&fold}, vm_id("a"), {}, {}, {}, Start, Start, 100).empty());
+    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("b")}, {}, {}, Start, Start, 100).empty());
 }
 
 TEST_CASE("running items aren't started again")
@@ -330,8 +334,27 @@
     fold.apply(acceptedRecord("j", 3), Start);
     fold.confirm(Start);
     const std::set<item_key> running{{job_id("j"), item_index(1)}};
-    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, running, Start, Start, 100).size() == 2);
-    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, running, Start, Start, 1).size() == 1);
+    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, running, Start, Start, 100).size()
+          == 2);
+    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, running, Start, Start, 1).size()
+          == 1);
+}
+
+TEST_CASE("items with a part of their text are listed first and beyond the maximum")
+{
+    batch_fold fold(60s);
+    fold.apply(acceptedRecord("j", 3), Start);
+    fold.confirm(Start);
+    const auto all = itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, {}, Start, Start, 100);
+    REQUIRE(all.size() == 3);
+    const std::set<item_key> begun{all.back()};
+    const auto items = itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, begun, {}, Start, Start, 1);
+    REQUIRE(items.size() == 2);
+    CHECK(items[0] == all.back());
+    CHECK(items[1] == all.front());
+    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("b")}, begun, {}, Start, Start, 1).empty());
+    CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, begun, begun, Start, Start, 1).size()
+          == 1);
 }
 
 TEST_CASE("repeated and late records change no result")
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 using namespace tamarack;
@@ -557,3 +559,112 @@
     CHECK_FALSE(allocator.needsSlot(upstream_id("limited"), Start));
     CHECK(allocator.needsSlot(upstream_id("limited"), Start + 5s));
 }
+
+namespace {
+
+live_upstream upstreamOf(const std::string &id, const std::string &version, unsigned slots = 2)
+{
+    live_upstream upstream = upstreamNamed(id, "a", slots);
+    upstream.version = software_version(version);
+    return upstream;
+}
+
+placement_request goingOnAt(const std::string &version)
+{
+    placement_request request = requestOf(work_class::Online);
+    request.version = software_version(version);
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a stream that goes on gets only upstreams of its version")
+{
+    allocator_fixture fixture;
+    fixture.directory.put(upstreamOf("old", "v1"));
+    fixture.directory.put(upstreamOf("new", "v2"));
+    for (int i = 0; i < 10; ++i)
+        CHECK(fixture.allocator.pick(goingOnAt("v1"), Start) == upstream_id("old"));
+    CHECK_FALSE(fixture.allocator.pick(goingOnAt("v3"), Start));
+    CHECK_FALSE(fixture.allocator.pick(goingOnAt(""), Start));
+    CHECK(fixture.allocator.freeSlots(Engines, work_class::Online, Start, software_version("v1"))
+          == 2);
+
+    SUBCASE("an upstream that starts again under its id with another version is another one")
+    {
+        live_upstream restarted = upstreamOf("old", "v2");
+        restarted.incarnation = incarnation_number(2);
+        fixture.directory.put(restarted);
+        CHECK_FALSE(fixture.allocator.pick(goingOnAt("v1"), Start));
+        CHECK(fixture.directory.versionsOf(Engines) == std::set{software_version("v2")});
+    }
+    SUBCASE("another upstream at the same address doesn't stand in")
+    {
+        fixture.directory.remove(upstream_id("old"), Start);
+        fixture.directory.put(upstreamOf("next", "v2"));
+        CHECK_FALSE(fixture.allocator.pick(goingOnAt("v1"), Start));
+    }
+    SUBCASE("a leaving upstream takes nothing")
+    {
+        live_upstream leaving = upstreamOf("old", "v1");
+        leaving.leaving = true;
+        fixture.directory.put(leaving);
+        CHECK_FALSE(fixture.allocator.pick(goingOnAt("v1"), Start));
+        CHECK_FALSE(fixture.directory.versionsOf(Engines).contains(software_version("v1")));
+    }
+}
+
+TEST_CASE("a stream goes on at an upstream that was tried before if no other has its version")
+{
+    allocator_fixture fixture;
+    fixture.directory.put(upstreamOf("one", "v1"));
+    fixture.directory.put(upstreamOf("other", "v2"));
+    placement_request request = goingOnAt("v1");
+    request.excluded = {upstream_id("one")};
+    CHECK(fixture.allocator.pick(request, Start) == upstream_id("one"));
+    fixture.directory.put(upstreamOf("two", "v1"));
+    CHECK(fixture.allocator.pick(request, Start) == upstream_id("two"));
+    request.version.reset();
+    request.excluded.insert(upstream_id("two"));
+    request.excluded.insert(upstream_id("other"));
+    CHECK_FALSE(fixture.allocator.pick(request, Start));
+}
+
+TEST_CASE("a stream that waits for its version holds up neither new work nor other versions")
+{
+    allocator_fixture fixture;
+    fixture.directory.put(upstreamOf("old", "v1", 1));
+    fixture.directory.put(upstreamOf("new", "v2", 2));
+    REQUIRE(fixture.queue.tryAcquire(goingOnAt("v1"), Start));
+    const auto waiter =
+        fixture.queue.enqueueUnchecked({goingOnAt("v1"), customer_id("c"), 0, Start + 1s});
+    CHECK(fixture.queue.grant(Start).empty());
+    CHECK_FALSE(fixture.queue.tryAcquire(goingOnAt("v1"), Start));
+    CHECK(fixture.queue.tryAcquire(goingOnAt("v2"), Start) == upstream_id("new"));
+    CHECK(fixture.queue.tryAcquire(requestOf(work_class::Online), Start) == upstream_id("new"));
+
+    const auto newcomer = fixture.queue.enqueueUnchecked(waitingFor("d", 0, Start + 1s));
+    fixture.allocator.release(upstream_id("old"), work_class::Online);
+    // The slot that both can use goes to the stream that has no other.
+    const auto granted = fixture.queue.grant(Start);
+    REQUIRE(granted.size() == 1);
+    CHECK(granted[0].waiter == waiter);
+    fixture.allocator.release(upstream_id("new"), work_class::Online);
+    REQUIRE(fixture.queue.grant(Start).size() == 1);
+    fixture.queue.remove(newcomer);
+}
+
+TEST_CASE("new streams fill the upstreams of a rare version as evenly as those of a frequent one")
+{
+    allocator_fixture fixture;
+    for (int i = 0; i < 6; ++i)
+        fixture.directory.put(upstreamOf("new-" + std::to_string(i), "v2", 8));
+    fixture.directory.put(upstreamOf("old", "v1", 8));
+    for (int i = 0; i < 28; ++i)
+        REQUIRE(fixture.queue.tryAcquire(requestOf(work_class::Online), Start));
+    for (const auto &[id, use] : fixture.allocator.ownUse()) {
+        CHECK(use.total() >= 3);
+        CHECK(use.total() <= 5);
+    }
+    CHECK(fixture.allocator.ownUse().size() == 7);
+}
