--- a/include/tamarackglade/gateway/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch_runner.hpp
@@ -34,8 +34,10 @@
     bool yieldOne(const std::optional<software_version> &version = {});
     /// @brief Yields this gateway's share of slots to online requests that wait at another gateway.
     /// @param waiting requests that wait there
+    /// @param version of the upstreams whose slots they need; nullopt for any
     /// @param gateways that share the yielding
-    void onPeersWaiting(std::size_t waiting, std::size_t gateways);
+    void onPeersWaiting(std::size_t waiting, const std::optional<software_version> &version,
+                        std::size_t gateways);
     /// @brief Stops starting items; running items go on.
     void stop() { m_stopped = true; }
 
--- a/include/tamarackglade/gateway/blocking_slot_queue.hpp
+++ b/include/tamarackglade/gateway/blocking_slot_queue.hpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/future.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <unordered_map>
 
@@ -54,6 +55,11 @@
     void processQueue();
 
     [[nodiscard]] std::size_t waiting() const { return m_queue.size(); }
+    /// @return the number of waiting streams that go on, by version
+    [[nodiscard]] std::map<software_version, std::size_t> waitingStreams() const
+    {
+        return m_queue.waitingStreams();
+    }
     [[nodiscard]] duration expectedWait() const;
 
 private:
--- a/include/tamarackglade/gateway/peer_link.hpp
+++ b/include/tamarackglade/gateway/peer_link.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -21,8 +22,9 @@
 {
 public:
     /// Called when a peer reports waiting requests, with the number of gateways that run batch
-    /// items.
-    using waiting_listener = std::function<void(std::size_t waiting, std::size_t gateways)>;
+    /// items. version is that of streams that go on, nullopt for requests that need no certain one.
+    using waiting_listener = std::function<void(
+        std::size_t waiting, const std::optional<software_version> &version, std::size_t gateways)>;
 
     peer_link(io_thread &thread, record_store &store, gateway_context &context, gateway_member self,
               waiting_listener onWaiting);
@@ -50,6 +52,7 @@
     void receiveLoop();
     void onDatagram(std::string_view bytes, const boost::asio::ip::udp::endpoint &from);
     void onReport(std::string_view bytes);
+    void onWaiting(const schema::peer_report_message &report);
     void send(const gateway_member &to, const std::string &bytes);
     void sendReports(time_point now, bool allZones);
     std::string encodeReport(time_point now);
--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -34,7 +34,7 @@
     zone_id zone; // of this process; its upstreams are preferred
     double otherZoneCost = 3; // slots added to the cost of an upstream in another zone
     // Slots of an upstream in another zone that stay free for the gateways of that zone, as these
-    // receive each other's reports earlier.
+    // receive each other's reports earlier; a stream that goes on at its version may use them.
     unsigned otherZoneReserve = 2;
     unsigned batchReserve = 2; // slots of each upstream that batch work must leave free
     double failureCost = 3; // slots added to the cost for each point of the failure score
@@ -119,7 +119,8 @@
     [[nodiscard]] double occupiedCost(const live_upstream &upstream, unsigned used, work_class work,
                                       time_point now) const;
     [[nodiscard]] double failureCost(const upstream_id &id, time_point now) const;
-    [[nodiscard]] unsigned capacity(const live_upstream &upstream, work_class work) const;
+    [[nodiscard]] unsigned capacity(const live_upstream &upstream, work_class work,
+                                    bool goesOn) const;
 
     const upstream_directory &m_directory;
     upstream_rates &m_rates;
--- a/include/tamarackglade/placement/slot_queue.hpp
+++ b/include/tamarackglade/placement/slot_queue.hpp
@@ -72,6 +72,8 @@
     void onFinished(time_point now);
 
     [[nodiscard]] std::size_t size() const { return m_waiting.size(); }
+    /// @return the number of waiting streams that go on, by version
+    [[nodiscard]] std::map<software_version, std::size_t> waitingStreams() const;
     /// @return the expected time until a newly queued request gets a slot
     [[nodiscard]] duration expectedWait(time_point now) const;
 
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -251,11 +251,13 @@
     return true;
 }
 
-void batch_runner::onPeersWaiting(std::size_t waiting, std::size_t gateways)
+void batch_runner::onPeersWaiting(std::size_t waiting,
+                                  const std::optional<software_version> &version,
+                                  std::size_t gateways)
 {
     m_peersWaiting = m_peersWaiting || waiting > 0;
     const std::size_t share = (waiting + gateways - 1) / std::max<std::size_t>(gateways, 1);
-    for (std::size_t i = 0; i < share && yieldOne(); ++i) { }
+    for (std::size_t i = 0; i < share && yieldOne(version); ++i) { }
 }
 
 void batch_runner::start(const item_work &work, const upstream_id &upstreamId)
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -16,7 +16,10 @@
 namespace {
 
 constexpr unsigned MaxRefusals = 3; // the request fails if more upstreams than this refuse it
-constexpr std::chrono::milliseconds MaxResumeWait{250};
+constexpr std::chrono::milliseconds MaxRepeatWait{250};
+// A stream that goes on waits longer, as the caller would lose what it has of it. Callers leave
+// after a pause of two seconds.
+constexpr std::chrono::milliseconds MaxResumeWait{1'000};
 constexpr std::chrono::milliseconds DefaultTimeout{60'000};
 // The upstream may have closed an idle connection without this gateway noticing. A request that
 // can't be repeated only uses one that was idle for a short time.
@@ -117,8 +120,8 @@
         refuseResume(reason);
         return false;
     }
-    time_point latest = now + MaxResumeWait;
-    if (m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
+    time_point latest = now + (m_origin ? MaxResumeWait : MaxRepeatWait);
+    if (!m_origin && m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
         latest = m_arrivedAt + m_route.latencyObjective - m_context.options.firstEventReserve;
     latest = std::min(latest, m_deadline);
     const slot_request request{m_placement, m_customer.value_or(customer_id()), m_priority, latest};
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -152,7 +152,18 @@
     else
         m_servingPeers.erase(peer.vm);
     if (report.waiting > 0)
-        m_onWaiting(report.waiting, servingGateways().size());
+        onWaiting(report);
+}
+
+void peer_link::onWaiting(const schema::peer_report_message &report)
+{
+    const std::size_t gateways = servingGateways().size();
+    std::size_t others = report.waiting;
+    for (const auto &streams : report.waiting_streams) {
+        m_onWaiting(streams->count, software_version(streams->version), gateways);
+        others -= std::min<std::size_t>(others, streams->count);
+    }
+    m_onWaiting(others, std::nullopt, gateways);
 }
 
 void peer_link::sendReports(time_point now, bool allZones)
@@ -194,6 +205,12 @@
     report.zone = m_self.zone.value();
     report.waiting = static_cast<std::uint32_t>(m_context.blockingQueue.waiting());
     report.serving = m_serving;
+    for (const auto &[version, count] : m_context.blockingQueue.waitingStreams()) {
+        auto streams = std::make_unique<schema::waiting_stream_count_message>();
+        streams->version = version.value();
+        streams->count = static_cast<std::uint32_t>(count);
+        report.waiting_streams.push_back(std::move(streams));
+    }
     for (const auto &[id, use] : m_context.allocator.ownUse())
         report.upstreams.emplace_back(stableHash(id.value()),
                                       static_cast<std::uint16_t>(use.online),
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -40,7 +40,8 @@
             || (excludes && request.excluded.contains(id)))
             continue;
         const unsigned used = usedSlots(id);
-        if (used >= capacity(upstream, request.work) || !m_rates.maySend(id, request.work, now))
+        if (used >= capacity(upstream, request.work, request.version.has_value())
+            || !m_rates.maySend(id, request.work, now))
             continue;
         const double usedCost = occupiedCost(upstream, used, request.work, now);
         const double zoneCost = upstream.zone == m_options.zone ? 0.0 : m_options.otherZoneCost;
@@ -81,7 +82,7 @@
         if (!usable(upstream, group, version, now) || !m_rates.maySend(id, work, now))
             continue;
         const unsigned used = usedSlots(id);
-        const unsigned limit = capacity(upstream, work);
+        const unsigned limit = capacity(upstream, work, version.has_value());
         free += limit > used ? limit - used : 0;
     }
     return free;
@@ -192,7 +193,7 @@
 bool slot_allocator::needsSlot(const upstream_id &id, time_point now) const
 {
     const live_upstream *upstream = m_directory.find(id);
-    return upstream != nullptr && usedSlots(id) >= capacity(*upstream, work_class::Online)
+    return upstream != nullptr && usedSlots(id) >= capacity(*upstream, work_class::Online, false)
            && m_rates.maySend(id, work_class::Online, now);
 }
 
@@ -223,9 +224,11 @@
     return found == m_failures.end() || !found->second.ejected(now);
 }
 
-unsigned slot_allocator::capacity(const live_upstream &upstream, work_class work) const
+unsigned slot_allocator::capacity(const live_upstream &upstream, work_class work, bool goesOn) const
 {
-    const unsigned zoneReserve = upstream.zone == m_options.zone ? 0 : m_options.otherZoneReserve;
+    const bool sameZone = upstream.zone == m_options.zone;
+    const bool mayUseReserve = sameZone || (goesOn && work == work_class::Online);
+    const unsigned zoneReserve = mayUseReserve ? 0 : m_options.otherZoneReserve;
     const unsigned reserve =
         work == work_class::Online ? zoneReserve : zoneReserve + m_options.batchReserve;
     return upstream.slots > reserve ? upstream.slots - reserve : 0;
--- a/src/placement/slot_queue.cpp
+++ b/src/placement/slot_queue.cpp
@@ -110,6 +110,16 @@
     return fromSeconds(static_cast<double>(ahead + 1) / rate);
 }
 
+std::map<software_version, std::size_t> slot_queue::waitingStreams() const
+{
+    std::map<software_version, std::size_t> streams;
+    for (const auto &[key, level] : m_levels) {
+        if (!key.isNew)
+            streams[key.version] += level.size();
+    }
+    return streams;
+}
+
 bool slot_queue::othersWait(const placement_request &placement) const
 {
     return std::any_of(m_levels.begin(), m_levels.end(), [&](const auto &entry) {
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -4,9 +4,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace tamarack;
@@ -630,6 +632,19 @@
     CHECK_FALSE(fixture.allocator.pick(request, Start));
 }
 
+TEST_CASE("a stream that goes on may use the slots that are kept for other zones")
+{
+    allocator_fixture fixture;
+    live_upstream far = upstreamOf("far", "v1", 2);
+    far.zone = zone_id("b");
+    fixture.directory.put(far);
+    CHECK_FALSE(fixture.allocator.pick(requestOf(work_class::Online), Start));
+    CHECK(fixture.allocator.pick(goingOnAt("v1"), Start) == upstream_id("far"));
+    placement_request batch = goingOnAt("v1");
+    batch.work = work_class::Batch;
+    CHECK_FALSE(fixture.allocator.pick(batch, Start));
+}
+
 TEST_CASE("a stream that waits for its version holds up neither new work nor other versions")
 {
     allocator_fixture fixture;
@@ -639,6 +654,7 @@
     const auto waiter =
         fixture.queue.enqueueUnchecked({goingOnAt("v1"), customer_id("c"), 0, Start + 1s});
     CHECK(fixture.queue.grant(Start).empty());
+    CHECK(fixture.queue.waitingStreams() == std::map{std::pair(software_version("v1"), 1UL)});
     CHECK_FALSE(fixture.queue.tryAcquire(goingOnAt("v1"), Start));
     CHECK(fixture.queue.tryAcquire(goingOnAt("v2"), Start) == upstream_id("new"));
     CHECK(fixture.queue.tryAcquire(requestOf(work_class::Online), Start) == upstream_id("new"));
