--- a/include/tamarackglade/gateway/quarantine_exchange.hpp
+++ b/include/tamarackglade/gateway/quarantine_exchange.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/metrics/metric_registry.hpp>
+#include <tamarackglade/placement/upstream_directory.hpp>
 #include <tamarackglade/quarantine/prompt_quarantine.hpp>
 #include <tamarackglade/schema/peer_generated.h>
 
@@ -29,8 +30,9 @@
     void apply(const schema::member_record_message &record, time_point now);
 
     /// @brief Evaluates the evidence and logs the changes.
+    /// @param directory of the upstreams that serve
     /// @param serving the reachable gateways that serve requests, including this one if it does
-    void tick(std::vector<vm_id> serving, time_point now);
+    void tick(const upstream_directory &directory, std::vector<vm_id> serving, time_point now);
     /// @return this gateway's share of the recent runs of all reachable gateways, from 0 to 1
     [[nodiscard]] double loadShare(time_point now);
     /// @return whether a break or a change is in no report yet
--- a/include/tamarackglade/quarantine/crash_evidence.hpp
+++ b/include/tamarackglade/quarantine/crash_evidence.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include <tamarackglade/quarantine/early_break.hpp>
+#include <tamarackglade/quarantine/latest_times.hpp>
 #include <tamarackglade/quarantine/part_hash.hpp>
 #include <tamarackglade/quarantine/quarantine_options.hpp>
-#include <tamarackglade/quarantine/success_history.hpp>
 
 #include <deque>
 #include <functional>
@@ -21,6 +21,13 @@
     std::size_t requests = 0; // that they belong to
 };
 
+/// @brief A run that delivered an event.
+struct served_run
+{
+    instance_hash instance;
+    time_point sentAt{};
+};
+
 /// @brief A part that crashes the upstreams of a group, and the evidence.
 struct crash_finding
 {
@@ -33,13 +40,16 @@
 ///
 /// Only successive crashes count: the run of each was sent after the crash before. Many upstreams
 /// that are killed at once therefore count as one crash. A part's first event at any upstream
-/// proves that it is harmless and discards its earlier crashes.
+/// proves that it is harmless and discards its earlier crashes. A break at an instance that serves
+/// a later run was no crash.
 class crash_evidence
 {
 public:
     /// Whether the crashes of a part are known to be caused by it.
     using part_predicate = std::function<bool(part_hash)>;
 
+    using instance_set = std::set<instance_hash>;
+
     explicit crash_evidence(quarantine_options options);
 
     /// @brief Adds a break; one that was added before is ignored.
@@ -51,6 +61,18 @@
     {
         return m_successes.find(part);
     }
+    /// @brief Records that a run delivered an event. If it was sent after a break at the same
+    /// instance, that break was no crash.
+    void addServed(instance_hash instance, time_point sentAt) { m_served.add(instance, sentAt); }
+    /// @brief Replaces the instances that serve as far as is known. A run at one that is not among
+    /// them may have been served by its successor.
+    void setListed(instance_set listed) { m_listed = std::move(listed); }
+    /// @return the instances with a recent break that have served a run since, and when it was sent
+    [[nodiscard]] std::vector<served_run> servedSinceBreak(time_point now) const;
+    /// @return the crashes of the part since its last success
+    [[nodiscard]] crash_count crashesOf(part_hash part) const;
+    /// @return whether there are breaks
+    [[nodiscard]] bool empty() const { return m_entries.empty(); }
     /// @brief Evaluates the breaks that have settled, up to the first that shows a cause.
     /// @param isCause whether a part is already known to crash upstreams
     /// @param successes runs with a first event at all gateways, within about rateWindow
@@ -74,8 +96,6 @@
         bool evaluated = false;
     };
 
-    using instance_set = std::set<std::uint64_t>; // hashes as in early_break
-
     void dropOld(time_point now);
     [[nodiscard]] instance_set instancesWith(const part_predicate &matches) const;
     /// @return the crashes of the part since its last success, without those of these instances
@@ -84,6 +104,8 @@
     [[nodiscard]] double requiredCrashes(part_hash part, double successes, time_point now) const;
     /// @return whether a part that comes later in the prompts explains nearly all of its crashes
     [[nodiscard]] bool causedByLaterPart(part_hash part) const;
+    /// @return whether the instance has served a run that was sent after the break
+    [[nodiscard]] bool livesOn(const early_break &broken) const;
     [[nodiscard]] bool isBeforeSuccess(const entry &each, part_hash part) const;
     [[nodiscard]] std::optional<crash_finding> findCause(const entry &candidate,
                                                          const instance_set &explained,
@@ -91,7 +113,9 @@
 
     const quarantine_options m_options;
     std::deque<entry> m_entries; // in order of addition
-    success_history m_successes;
+    latest_times<part_hash> m_successes;
+    latest_times<instance_hash> m_served; // sending times of runs that delivered an event
+    instance_set m_listed; // instances that serve as far as is known
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/quarantine/early_break.hpp
+++ b/include/tamarackglade/quarantine/early_break.hpp
@@ -3,6 +3,7 @@
 
 #include <tamarackglade/core/ids.hpp>
 #include <tamarackglade/core/time.hpp>
+#include <tamarackglade/quarantine/instance_hash.hpp>
 
 #include <cstdint>
 #include <vector>
@@ -19,7 +20,7 @@
     group_id group; // of the upstream
     std::vector<prompt_part_id> parts; // shared parts of the prompt, in order
     std::uint64_t request = 0; // stable hash of the caller's request id
-    std::uint64_t instance = 0; // stable hash of the upstream's id and incarnation
+    instance_hash instance; // of the upstream
     time_point sentAt{}; // by this gateway's clock, also for breaks that peers report
     time_point brokeAt{};
 };
--- a/include/tamarackglade/quarantine/prompt_quarantine.hpp
+++ b/include/tamarackglade/quarantine/prompt_quarantine.hpp
@@ -23,6 +23,7 @@
     FailedTrial, // a trial request was sent and got no event
     Success, // a run with the part delivered its first event
     OtherPart, // another part causes its crashes
+    NoCrashes, // the upstreams that broke its runs off go on serving
     Reported // by another gateway or by a record in the store
 };
 
@@ -81,6 +82,18 @@
     /// @param serving the gateways that serve requests; one of them sends a part's trial requests
     void tick(double peerSuccesses, std::vector<vm_id> serving, time_point now);
 
+    /// @brief Records that an upstream delivered an event of a run, at this gateway or at a peer.
+    void onServed(const served_run &run) { m_evidence.addServed(run.instance, run.sentAt); }
+    /// @brief Replaces the upstream instances that are listed as serving.
+    void setListed(crash_evidence::instance_set listed) { m_evidence.setListed(std::move(listed)); }
+    /// @return whether there are breaks to explain
+    [[nodiscard]] bool hasBreaks() const { return !m_evidence.empty(); }
+    /// @return runs that prove that recent breaks were no crashes, for peers
+    [[nodiscard]] std::vector<served_run> servedSinceBreak(time_point now) const
+    {
+        return m_evidence.servedSinceBreak(now);
+    }
+
     /// @return the breaks that this gateway saw after the given time
     [[nodiscard]] std::vector<early_break> ownBreaks(time_point since) const
     {
@@ -103,12 +116,15 @@
         quarantined_part state;
         std::optional<time_point> trialSince; // while a trial request of this gateway runs
         time_point usedAt{}; // last change or refusal
+        bool decidedHere = false; // by the evidence of crashes
     };
 
     [[nodiscard]] bool maySendTrial(part_hash part, const entry &known, time_point now) const;
     [[nodiscard]] bool isQuarantined(part_hash part) const;
     void quarantine(const crash_finding &finding, quarantine_reason reason, time_point now);
     void releaseExplainedBy(part_hash cause, time_point now);
+    /// @brief Releases parts whose breaks have turned out to be no crashes.
+    void releaseWithoutCrashes(time_point now);
     void release(entry &known, quarantine_reason reason, time_point now);
     void adoptNew(const quarantined_part &state, time_point now);
     void store(const quarantined_part &state, time_point now);
--- a/include/tamarackglade/quarantine/quarantine_options.hpp
+++ b/include/tamarackglade/quarantine/quarantine_options.hpp
@@ -24,6 +24,9 @@
     duration rateWindow = std::chrono::seconds(10); // over which runs are counted for maxChance
     // Between a break and its evaluation; peers report successes of the same parts meanwhile.
     duration settleTime = std::chrono::milliseconds(400);
+    // Between a break and the proof by a later run that it was no crash.
+    duration livingWindow = std::chrono::seconds(3);
+    duration clockMargin = std::chrono::milliseconds(50); // of times that gateways report as ages
     duration firstLength = std::chrono::seconds(30); // until the first trial request
     unsigned lengthFactor = 4; // multiplies the length after each crash of a trial request
     duration maxLength = std::chrono::hours(1);
@@ -32,6 +35,7 @@
     std::size_t maxBreaks = 256;
     std::size_t maxParts = 64; // quarantined at the same time
     std::size_t maxSuccesses = 4096; // parts whose last success is kept
+    std::size_t maxInstances = 4096; // whose last served run is kept
 };
 
 } // namespace tamarack
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -119,7 +119,7 @@
 {
     for (;;) {
         m_blockingQueue.processQueue();
-        m_quarantineExchange.tick(m_peers.servingGateways(), bootNow());
+        m_quarantineExchange.tick(m_directory, m_peers.servingGateways(), bootNow());
         m_upstreamRates.setLoadShare(m_quarantineExchange.loadShare(bootNow()));
         m_batches.schedule();
         m_peers.tick();
--- a/src/gateway/quarantine_exchange.cpp
+++ b/src/gateway/quarantine_exchange.cpp
@@ -13,6 +13,7 @@
 constexpr std::chrono::milliseconds BreakRepeatWindow{1'200};
 constexpr std::size_t MaxBreaksPerReport = 32;
 constexpr std::size_t MaxSoundPartsPerReport = 64;
+constexpr std::size_t MaxServedRunsPerReport = 64;
 constexpr std::size_t MaxStatesPerReport = 16;
 constexpr std::chrono::milliseconds PeerSuccessLifetime{2'000};
 constexpr std::uint64_t MicrosPerMilli = 1'000;
@@ -42,6 +43,8 @@
         return "a run delivered its first event";
     case quarantine_reason::OtherPart:
         return "another part explains the crashes";
+    case quarantine_reason::NoCrashes:
+        return "the upstreams that broke its runs off go on serving";
     case quarantine_reason::Reported:
         return "reported by a gateway or the store";
     }
@@ -82,7 +85,7 @@
     for (const prompt_part_id &part : broken.parts)
         message->parts.push_back(part.value());
     message->request = broken.request;
-    message->instance = broken.instance;
+    message->instance = broken.instance.value();
     message->sent_age_ms = static_cast<std::uint32_t>(millisBetween(broken.sentAt, now));
     message->broke_age_ms = static_cast<std::uint32_t>(millisBetween(broken.brokeAt, now));
     return message;
@@ -99,7 +102,7 @@
     for (const std::string &part : message.parts)
         broken.parts.emplace_back(part);
     broken.request = message.request;
-    broken.instance = message.instance;
+    broken.instance = instance_hash(message.instance);
     broken.sentAt = now - durationOf(message.sent_age_ms);
     broken.brokeAt = now - durationOf(message.broke_age_ms);
     return broken;
@@ -120,6 +123,12 @@
         report.sound_parts.emplace_back(sound.part.value(),
                                         static_cast<std::uint32_t>(millisBetween(sound.at, now)));
     }
+    for (const served_run &run : m_quarantine.servedSinceBreak(now)) {
+        if (report.served_runs.size() == MaxServedRunsPerReport)
+            break;
+        report.served_runs.emplace_back(run.instance.value(),
+                                        static_cast<std::uint32_t>(millisBetween(run.sentAt, now)));
+    }
     const auto states = m_quarantine.states();
     const std::size_t sent = std::min(states.size(), MaxStatesPerReport);
     for (std::size_t i = 0; i < sent; ++i)
@@ -136,6 +145,8 @@
         m_quarantine.onPeerBreak(decodeBreak(*broken, report, now), now);
     for (const schema::sound_part &sound : report.sound_parts)
         m_quarantine.onPeerSuccess({part_hash(sound.part()), now - durationOf(sound.age_ms())});
+    for (const schema::served_run &run : report.served_runs)
+        m_quarantine.onServed({instance_hash(run.instance()), now - durationOf(run.sent_age_ms())});
     for (const auto &state : report.quarantine)
         m_quarantine.adopt(decodeState(*state, duration::zero(), now), now);
     m_peers[vm_id(report.vm)] = {static_cast<double>(report.successes), now};
@@ -157,8 +168,15 @@
         m_quarantine.adopt(decodeState(*state, recordAge, now), now);
 }
 
-void quarantine_exchange::tick(std::vector<vm_id> serving, time_point now)
+void quarantine_exchange::tick(const upstream_directory &directory, std::vector<vm_id> serving,
+                               time_point now)
 {
+    if (m_quarantine.hasBreaks()) {
+        crash_evidence::instance_set listed;
+        for (const auto &[id, upstream] : directory.upstreams())
+            listed.insert(hashOf(id, upstream.incarnation));
+        m_quarantine.setListed(std::move(listed));
+    }
     m_quarantine.tick(peerSuccesses(now), std::move(serving), now);
     for (const quarantine_change &change : m_quarantine.takeChanges()) {
         m_hasNews = true;
--- a/src/gateway/run_observer.cpp
+++ b/src/gateway/run_observer.cpp
@@ -19,7 +19,7 @@
     m_break.group = upstream.group;
     m_break.parts = parts;
     m_break.request = stableHash(request.value());
-    m_break.instance = stableHash(upstream.id.value(), upstream.incarnation.value());
+    m_break.instance = hashOf(upstream.id, upstream.incarnation);
     m_break.sentAt = bootNow();
 }
 
@@ -28,6 +28,7 @@
     if (m_hasEvents)
         return;
     m_hasEvents = true;
+    m_quarantine.onServed({m_break.instance, m_break.sentAt});
     m_quarantine.onFirstEvent(m_group, m_parts, bootNow());
 }
 
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 crash_evidence::crash_evidence(quarantine_options options)
-    : m_options(options), m_successes(options.maxSuccesses)
+    : m_options(options), m_successes(options.maxSuccesses), m_served(options.maxInstances)
 {
 }
 
@@ -85,7 +85,7 @@
     std::map<part_hash, instance_set> later;
     for (const entry &each : m_entries) {
         auto at = std::find(each.parts.begin(), each.parts.end(), part);
-        if (at == each.parts.end() || isBeforeSuccess(each, part))
+        if (at == each.parts.end() || isBeforeSuccess(each, part) || livesOn(each.broken))
             continue;
         own.insert(each.broken.instance);
         while (++at != each.parts.end())
@@ -102,13 +102,37 @@
     return succeededAt && each.broken.brokeAt <= *succeededAt;
 }
 
+bool crash_evidence::livesOn(const early_break &broken) const
+{
+    const auto served = m_served.find(broken.instance);
+    return served && *served > broken.brokeAt + m_options.clockMargin
+           && m_listed.contains(broken.instance);
+}
+
+std::vector<served_run> crash_evidence::servedSinceBreak(time_point now) const
+{
+    std::vector<served_run> runs;
+    instance_set added;
+    for (const entry &each : m_entries) {
+        const bool isRecent = now - each.broken.brokeAt < m_options.livingWindow;
+        if (isRecent && livesOn(each.broken) && added.insert(each.broken.instance).second)
+            runs.push_back({each.broken.instance, *m_served.find(each.broken.instance)});
+    }
+    return runs;
+}
+
+crash_count crash_evidence::crashesOf(part_hash part) const
+{
+    return crashesOf(part, {}, time_point::max());
+}
+
 crash_count crash_evidence::crashesOf(part_hash part, const instance_set &without,
                                       time_point addedUntil) const
 {
     std::vector<const early_break *> breaks;
     for (const entry &each : m_entries) {
         if (each.addedAt <= addedUntil && contains(each.parts, part) && !isBeforeSuccess(each, part)
-            && !without.contains(each.broken.instance))
+            && !without.contains(each.broken.instance) && !livesOn(each.broken))
             breaks.push_back(&each.broken);
     }
     std::sort(breaks.begin(), breaks.end(),
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -135,6 +135,7 @@
     const auto isCause = [this](part_hash part) { return isQuarantined(part); };
     while (const auto finding = m_evidence.evaluate(isCause, successes, now))
         quarantine(*finding, quarantine_reason::Crashes, now);
+    releaseWithoutCrashes(now);
     std::erase_if(m_parts, [&](const auto &each) {
         const time_point unusedSince = std::max(each.second.usedAt, each.second.state.trialAt());
         return now - unusedSince > m_options.forgetAfter;
@@ -159,6 +160,7 @@
             std::min(found->second.state.length * m_options.lengthFactor, m_options.maxLength);
     }
     store(state, now);
+    m_parts.at(hash).decidedHere = reason == quarantine_reason::Crashes;
     m_changes.push_back({state, reason, finding.count});
     releaseExplainedBy(hash, now);
 }
@@ -173,6 +175,16 @@
     }
 }
 
+void prompt_quarantine::releaseWithoutCrashes(time_point now)
+{
+    for (auto &[hash, each] : m_parts) {
+        const bool mayBeWrong = each.decidedHere && !each.state.released
+                                && now - each.state.since < m_options.livingWindow;
+        if (mayBeWrong && m_evidence.crashesOf(hash).crashes < m_options.minCrashes)
+            release(each, quarantine_reason::NoCrashes, now);
+    }
+}
+
 void prompt_quarantine::release(entry &known, quarantine_reason reason, time_point now)
 {
     known.state.released = true;
--- a/tests/unit-quarantine.cpp
+++ b/tests/unit-quarantine.cpp
@@ -69,14 +69,14 @@
             }
             ++crashes;
             crashTimes.push_back(m_now);
-            breakRun(index, names, request, ++m_instance, sentAt);
+            breakRun(index, names, request, nextInstance(), sentAt);
         }
         return maxAttempts;
     }
 
     /// Reports that an upstream broke a run off.
     void breakRun(std::size_t index, const std::vector<std::string> &names, std::uint64_t request,
-                  std::uint64_t instance, time_point sentAt)
+                  instance_hash instance, time_point sentAt)
     {
         early_break broken;
         broken.group = Engines;
@@ -121,7 +121,7 @@
     }
     [[nodiscard]] prompt_quarantine &at(std::size_t index) { return *m_gateways[index].quarantine; }
     [[nodiscard]] time_point now() const { return m_now; }
-    [[nodiscard]] std::uint64_t nextInstance() { return ++m_instance; }
+    [[nodiscard]] instance_hash nextInstance() { return instance_hash(++m_instance); }
     [[nodiscard]] std::uint64_t nextRequest() { return ++m_requests; }
 
     std::set<std::string> deadly; // parts that crash upstreams
@@ -166,6 +166,8 @@
                     to.quarantine->onPeerBreak(broken, m_now);
                 for (const sound_part &sound : from.quarantine->soundSuspects(m_now))
                     to.quarantine->onPeerSuccess(sound);
+                for (const served_run &run : from.quarantine->servedSinceBreak(m_now))
+                    to.quarantine->onServed(run);
                 for (const quarantined_part &state : from.quarantine->states())
                     to.quarantine->adopt(state, m_now);
             }
@@ -314,7 +316,7 @@
 {
     quarantine_fleet fleet(3);
     serveOthers(fleet, 30);
-    const std::uint64_t faulty = fleet.nextInstance();
+    const instance_hash faulty = fleet.nextInstance();
     for (unsigned i = 0; i < 30; ++i) {
         const time_point sentAt = fleet.now();
         fleet.advance(50ms);
@@ -324,6 +326,57 @@
     CHECK_FALSE(fleet.anyQuarantined());
 }
 
+TEST_CASE("upstreams that reset runs and go on serving quarantine nothing")
+{
+    quarantine_fleet fleet(3);
+    serveOthers(fleet, 30);
+    crash_evidence::instance_set listed;
+    for (unsigned i = 0; i < 6; ++i)
+        listed.insert(fleet.nextInstance());
+    for (unsigned i = 0; i < fleet.size(); ++i)
+        fleet.at(i).setListed(listed);
+    unsigned gateway = 0;
+    for (const instance_hash instance : listed) {
+        const time_point sentAt = fleet.now();
+        fleet.advance(30ms);
+        fleet.breakRun(0, {"shared", "unlucky"}, fleet.nextRequest(), instance, sentAt);
+    }
+    SUBCASE("seen before the breaks are evaluated")
+    {
+        fleet.advance(100ms);
+        for (const instance_hash instance : listed)
+            fleet.at(gateway++ % 3).onServed({instance, fleet.now()});
+        fleet.advance(2s);
+        CHECK_FALSE(fleet.anyQuarantined());
+    }
+    SUBCASE("seen after the part was quarantined")
+    {
+        fleet.advance(1s);
+        CHECK(fleet.anyQuarantined());
+        for (const instance_hash instance : listed)
+            fleet.at(gateway++ % 3).onServed({instance, fleet.now()});
+        fleet.advance(500ms);
+        CHECK_FALSE(fleet.anyQuarantined());
+    }
+    SUBCASE("runs that were sent before the breaks prove nothing")
+    {
+        for (const instance_hash instance : listed)
+            fleet.at(gateway++ % 3).onServed({instance, fleet.now() - 300ms});
+        fleet.advance(1s);
+        CHECK(fleet.anyQuarantined());
+    }
+    SUBCASE("a run at the successor of an instance proves nothing")
+    {
+        for (unsigned i = 0; i < fleet.size(); ++i)
+            fleet.at(i).setListed({});
+        fleet.advance(100ms);
+        for (const instance_hash instance : listed)
+            fleet.at(gateway++ % 3).onServed({instance, fleet.now()});
+        fleet.advance(1s);
+        CHECK(fleet.anyQuarantined());
+    }
+}
+
 TEST_CASE("a part is quarantined for one group of upstreams only")
 {
     quarantine_fleet fleet(2);
@@ -465,7 +518,7 @@
         early_break broken;
         broken.group = Engines;
         broken.parts = parts;
-        broken.instance = i;
+        broken.instance = instance_hash(i);
         broken.request = i;
         broken.sentAt = now;
         broken.brokeAt = now;
