--- a/include/tamarackglade/gateway/call_relay.hpp
+++ b/include/tamarackglade/gateway/call_relay.hpp
@@ -54,6 +54,9 @@
     [[nodiscard]] std::string notResumableReason() const;
     /// @brief Logs why the stream doesn't go on, and ends the request.
     void refuseResume(const std::string &reason, duration retryAfter = {});
+    /// @brief Ends a request whose group has no upstream that accepts work. How soon one comes
+    /// isn't known.
+    void refuseWithoutUpstream();
     /// @brief Ends a request whose prompt holds a quarantined part.
     void refuseQuarantined(const blocked_part &blocked);
     void forwardResponse(const attempt_result &result);
--- a/include/tamarackglade/gateway/gateway_context.hpp
+++ b/include/tamarackglade/gateway/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/gateway/blocking_slot_queue.hpp>
 #include <tamarackglade/gateway/config_watch.hpp>
 #include <tamarackglade/gateway/gateway_options.hpp>
+#include <tamarackglade/gateway/leaving_exchange.hpp>
 #include <tamarackglade/gateway/origin_exchange.hpp>
 #include <tamarackglade/gateway/platform_protocol.hpp>
 #include <tamarackglade/gateway/quarantine_exchange.hpp>
@@ -31,6 +32,7 @@
     rate_exchange &rateExchange;
     prompt_quarantine &quarantine;
     quarantine_exchange &quarantineExchange;
+    leaving_exchange &leavingExchange;
     origin_exchange &origins;
     metric_registry &metrics;
 };
--- a/include/tamarackglade/gateway/gateway_process.hpp
+++ b/include/tamarackglade/gateway/gateway_process.hpp
@@ -59,6 +59,7 @@
     blocking_slot_queue m_blockingQueue;
     config_watch m_config;
     rate_exchange m_rateExchange;
+    leaving_exchange m_leavingExchange;
     upstream_pool m_pool;
     upstream_caller m_caller;
     prompt_quarantine m_quarantine;
--- a/include/tamarackglade/gateway/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream_caller.hpp
@@ -8,6 +8,9 @@
 #include <tamarackglade/gateway/response_sink.hpp>
 #include <tamarackglade/gateway/upstream_pool.hpp>
 
+#include <utility>
+#include <vector>
+
 namespace tamarack {
 
 /// @brief Time limits of one attempt.
@@ -38,9 +41,10 @@
 class upstream_caller
 {
 public:
+    /// @param listeners of all responses; must outlive the caller
     upstream_caller(upstream_pool &pool, const platform_protocol &protocol,
-                    response_listener &listener)
-        : m_pool(pool), m_protocol(protocol), m_listener(listener)
+                    std::vector<response_listener *> listeners)
+        : m_pool(pool), m_protocol(protocol), m_listeners(std::move(listeners))
     {
     }
 
@@ -52,6 +56,7 @@
                        stream_progress &progress, response_sink &sink, attempt_handle &handle);
 
 private:
+    void notifyListeners(const live_upstream &upstream, const response_metadata &metadata);
     attempt_result readResponse(http_client &client, const http_response &head,
                                 const response_metadata &metadata, bool streamed,
                                 const attempt_limits &limits, stream_progress &progress,
@@ -64,7 +69,7 @@
 
     upstream_pool &m_pool;
     const platform_protocol &m_protocol;
-    response_listener &m_listener;
+    const std::vector<response_listener *> m_listeners;
     std::size_t m_bufferedBytes = 0; // of all bodies that are being read and are no event stream
 };
 
--- a/include/tamarackglade/placement/upstream_directory.hpp
+++ b/include/tamarackglade/placement/upstream_directory.hpp
@@ -22,7 +22,18 @@
     duration removalGrace = std::chrono::milliseconds(1'300);
 };
 
-/// @brief Folds the records of the upstreams.
+/// @brief An upstream's own statement that this start of it leaves.
+struct leaving_statement
+{
+    upstream_id upstream;
+    incarnation_number incarnation;
+    time_point at{};
+};
+
+/// @brief Folds the records of the upstreams, and what upstreams state themselves.
+///
+/// An upstream that states that it leaves counts as leaving, whatever its record says; a later
+/// start under the same id doesn't.
 ///
 /// An upstream whose record expired while the store was unavailable stays usable for a grace period
 /// in which a running upstream renews its record. This is returnGrace if more than half of the
@@ -41,6 +52,15 @@
     /// @brief Replaces all upstreams; those that are missing are removed as by remove().
     void replaceAll(const std::vector<live_upstream> &upstreams, time_point now);
 
+    /// @brief Applies a statement of an upstream, which may be older than its record.
+    /// @return whether it takes an upstream out of placement
+    bool onLeaving(const leaving_statement &statement);
+    /// @return the statements whose upstreams still have a record that says otherwise
+    [[nodiscard]] std::vector<leaving_statement> unconfirmedLeaving() const;
+    /// @brief Returns the statements that were confirmed by a record, or the lack of one, since the
+    /// last call.
+    [[nodiscard]] std::vector<leaving_statement> takeConfirmedLeaving();
+
     /// @brief Marks the store as unavailable after a failed read; the time is not used.
     void onStoreFailure(time_point now);
     /// @brief Marks the store as available; starts the grace periods if it was unavailable.
@@ -63,12 +83,25 @@
     [[nodiscard]] const live_upstream *findByHash(std::uint64_t hash) const;
 
 private:
+    struct stated_leaving
+    {
+        leaving_statement statement;
+        bool confirmed = false; // by the record, or by its end
+    };
+
+    /// @return whether this start of the upstream has stated that it leaves
+    [[nodiscard]] bool statedLeaving(const live_upstream &upstream) const;
+    void confirmLeaving(const upstream_id &id);
     void erase(const upstream_id &id);
     [[nodiscard]] bool inGrace(time_point now) const;
 
     const directory_options m_options;
     std::map<upstream_id, live_upstream> m_upstreams;
     std::unordered_map<std::uint64_t, upstream_id> m_idByHash; // of m_upstreams
+    // The latest statement of each upstream, at most MaxStatements. It outlasts the upstream's
+    // record, as an old record may come again.
+    std::map<upstream_id, stated_leaving> m_stated;
+    std::vector<leaving_statement> m_confirmed; // since takeConfirmedLeaving()
     std::map<upstream_id, time_point> m_lapsed; // times of removal, during the grace period
     bool m_storeUnavailable = false;
     std::optional<time_point> m_storeReturnedAt; // end of the last outage; nullopt before one
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -120,6 +120,10 @@
         refuseResume(reason);
         return false;
     }
+    if (m_context.directory.versionsOf(m_placement.group).empty()) {
+        refuseWithoutUpstream();
+        return false;
+    }
     time_point latest = now + (m_origin ? MaxResumeWait : MaxRepeatWait);
     if (!m_origin && m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
         latest = m_arrivedAt + m_route.latencyObjective - m_context.options.firstEventReserve;
@@ -273,6 +277,18 @@
     m_exchange.respond(refusal(503, code, wait));
 }
 
+void call_relay::refuseWithoutUpstream()
+{
+    m_outcome = "no upstream";
+    if (m_exchange.started()) {
+        m_exchange.abortStream();
+        return;
+    }
+    m_status = m_mayHaveRun ? 502 : 503;
+    m_exchange.respond(
+        refusal(m_status, "no_upstream", m_mayHaveRun ? duration::zero() : MaxRetryAfter));
+}
+
 void call_relay::refuseQuarantined(const blocked_part &blocked)
 {
     m_outcome = "prompt part quarantined";
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -37,14 +37,15 @@
       m_config(store, protocol, m_options.keyFreshness,
                [this](const forward_config &config) { onConfig(config); }),
       m_rateExchange(m_rates, m_upstreamRates, m_directory, m_config, m_metrics),
-      m_pool(thread.io()), m_caller(m_pool, protocol, m_rateExchange),
+      m_leavingExchange(m_directory, m_metrics), m_pool(thread.io()),
+      m_caller(m_pool, protocol, {&m_rateExchange, &m_leavingExchange}),
       m_quarantine(m_self.vm, m_self.incarnation, quarantine_options()),
       m_quarantineExchange(m_quarantine, m_metrics), m_origins(m_self.vm, m_peerTable, m_metrics),
       m_upstreams(store, protocol, m_directory, [this] { m_blockingQueue.processQueue(); }),
-      m_context{m_options,   protocol,        m_config,     m_directory,
-                m_allocator, m_blockingQueue, m_caller,     m_peerTable,
-                m_rates,     m_rateExchange,  m_quarantine, m_quarantineExchange,
-                m_origins,   m_metrics},
+      m_context{m_options,         protocol,        m_config,     m_directory,
+                m_allocator,       m_blockingQueue, m_caller,     m_peerTable,
+                m_rates,           m_rateExchange,  m_quarantine, m_quarantineExchange,
+                m_leavingExchange, m_origins,       m_metrics},
       m_batchStore(store, m_options.batchPartitions, m_options.batchKeepTime),
       m_batchApi(m_context, m_batchStore),
       m_peers(
@@ -145,6 +146,7 @@
         m_batchStore.tick(now);
         m_allocator.tick(now);
         m_rateExchange.tick();
+        m_leavingExchange.tick();
         m_origins.tick();
         m_metrics.set("tamarack_waiting_requests", static_cast<double>(m_blockingQueue.waiting()));
         m_metrics.set("tamarack_batch_runs", static_cast<double>(m_batches.running()));
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/peer_link.cpp
@@ -147,6 +147,7 @@
     m_context.rateExchange.apply(report, wasReachable, now);
     m_context.allocator.onPeerUse(peer.vm, useOf(report), ejectedBy(report), now);
     m_context.quarantineExchange.apply(report, now);
+    m_context.leavingExchange.apply(report);
     if (report.serving)
         m_servingPeers.insert(peer.vm);
     else
@@ -219,6 +220,7 @@
         report.ejected.push_back(stableHash(id.value()));
     m_context.rateExchange.addTo(report, now);
     m_context.quarantineExchange.addTo(report, now);
+    m_context.leavingExchange.addTo(report);
     return encodeFlat<schema::peer_report>(report, default_fields::Written);
 }
 
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream_caller.cpp
@@ -119,7 +119,7 @@
             result = makeResult(attempt_outcome::Broken, "response has another request id");
         } else {
             if (isFromUpstream(*head, metadata))
-                m_listener.onResponse(upstream, metadata);
+                notifyListeners(upstream, metadata);
             result = readResponse(*client, *head, metadata, streamed, limits, progress, sink);
         }
     }
@@ -138,6 +138,13 @@
     return result;
 }
 
+void upstream_caller::notifyListeners(const live_upstream &upstream,
+                                      const response_metadata &metadata)
+{
+    for (response_listener *listener : m_listeners)
+        listener->onResponse(upstream, metadata);
+}
+
 attempt_result upstream_caller::readResponse(http_client &client, const http_response &head,
                                              const response_metadata &metadata, bool streamed,
                                              const attempt_limits &limits,
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -193,7 +193,8 @@
 bool slot_allocator::needsSlot(const upstream_id &id, time_point now) const
 {
     const live_upstream *upstream = m_directory.find(id);
-    return upstream != nullptr && usedSlots(id) >= capacity(*upstream, work_class::Online, false)
+    return upstream != nullptr && !upstream->leaving
+           && usedSlots(id) >= capacity(*upstream, work_class::Online, false)
            && m_rates.maySend(id, work_class::Online, now);
 }
 
--- a/src/placement/upstream_directory.cpp
+++ b/src/placement/upstream_directory.cpp
@@ -1,11 +1,24 @@
 // Folds the records of upstreams, with a grace period after an outage of the store.
 #include <tamarackglade/core/hash.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
+
+#include <algorithm>
+#include <utility>
 namespace tamarack {
 
+namespace {
+
+constexpr std::size_t MaxStatements = 4'096; // more than the upstreams of a fleet
+
+} // namespace
+
 void upstream_directory::put(const live_upstream &upstream)
 {
-    m_upstreams.insert_or_assign(upstream.id, upstream);
+    if (upstream.leaving || !statedLeaving(upstream))
+        confirmLeaving(upstream.id);
+    live_upstream &known = m_upstreams[upstream.id];
+    known = upstream;
+    known.leaving = upstream.leaving || statedLeaving(upstream);
     m_idByHash.insert_or_assign(stableHash(upstream.id.value()), upstream.id);
     m_lapsed.erase(upstream.id);
 }
@@ -38,6 +51,55 @@
         remove(id, now);
 }
 
+bool upstream_directory::onLeaving(const leaving_statement &statement)
+{
+    const auto known = m_stated.find(statement.upstream);
+    if (known != m_stated.end() && known->second.statement.incarnation >= statement.incarnation)
+        return false;
+    if (m_stated.size() >= MaxStatements && known == m_stated.end())
+        m_stated.erase(std::min_element(
+            m_stated.begin(), m_stated.end(), [](const auto &left, const auto &right) {
+                return left.second.statement.at < right.second.statement.at;
+            }));
+    const auto found = m_upstreams.find(statement.upstream);
+    const bool takesOut = found != m_upstreams.end() && !found->second.leaving
+                          && found->second.incarnation <= statement.incarnation;
+    m_stated.insert_or_assign(statement.upstream, stated_leaving{statement, !takesOut});
+    if (takesOut)
+        found->second.leaving = true;
+    return takesOut;
+}
+
+std::vector<leaving_statement> upstream_directory::unconfirmedLeaving() const
+{
+    std::vector<leaving_statement> statements;
+    for (const auto &[id, stated] : m_stated) {
+        if (!stated.confirmed)
+            statements.push_back(stated.statement);
+    }
+    return statements;
+}
+
+std::vector<leaving_statement> upstream_directory::takeConfirmedLeaving()
+{
+    return std::exchange(m_confirmed, {});
+}
+
+bool upstream_directory::statedLeaving(const live_upstream &upstream) const
+{
+    const auto stated = m_stated.find(upstream.id);
+    return stated != m_stated.end() && upstream.incarnation <= stated->second.statement.incarnation;
+}
+
+void upstream_directory::confirmLeaving(const upstream_id &id)
+{
+    const auto stated = m_stated.find(id);
+    if (stated == m_stated.end() || stated->second.confirmed)
+        return;
+    stated->second.confirmed = true;
+    m_confirmed.push_back(stated->second.statement);
+}
+
 void upstream_directory::onStoreFailure(time_point)
 {
     m_storeUnavailable = true;
@@ -91,6 +153,7 @@
 
 void upstream_directory::erase(const upstream_id &id)
 {
+    confirmLeaving(id);
     m_idByHash.erase(stableHash(id.value()));
     m_lapsed.erase(id);
     m_upstreams.erase(id);
--- a/tests/mutants/faulty_protocol.cpp
+++ b/tests/mutants/faulty_protocol.cpp
@@ -32,6 +32,8 @@
     response_metadata metadata = http_protocol::decodeResponseHead(head);
     if (m_mutation == gateway_mutation::ClaimNotRun && head.status >= 500)
         metadata.notRun = true;
+    if (m_mutation == gateway_mutation::IgnoreLeavingHeader)
+        metadata.leaving = false;
     if (m_mutation == gateway_mutation::AnyAnswer) {
         metadata.answeredRequest.reset();
         metadata.isSigned = true;
--- a/tests/mutants/gateway_mutation.cpp
+++ b/tests/mutants/gateway_mutation.cpp
@@ -14,11 +14,12 @@
         std::string_view name;
         gateway_mutation mutation;
     };
-    static constexpr std::array<row, 12> Rows{{{"", None},
+    static constexpr std::array<row, 13> Rows{{{"", None},
                                                {"ClaimNotRun", ClaimNotRun},
                                                {"AnyAnswer", AnyAnswer},
                                                {"AnyInstance", AnyInstance},
                                                {"IgnoreLeaving", IgnoreLeaving},
+                                               {"IgnoreLeavingHeader", IgnoreLeavingHeader},
                                                {"KeepCustomerHeader", KeepCustomerHeader},
                                                {"ForwardKey", ForwardKey},
                                                {"AcknowledgeUnstored", AcknowledgeUnstored},
--- a/tests/mutants/gateway_mutation.hpp
+++ b/tests/mutants/gateway_mutation.hpp
@@ -12,6 +12,7 @@
     AnyAnswer, // answers count whatever request they belong to and whoever signed them
     AnyInstance, // another upstream at the address may run the request
     IgnoreLeaving, // an upstream that leaves gets new work
+    IgnoreLeavingHeader, // so does one that says so in its responses alone
     KeepCustomerHeader, // the customer's name isn't set
     ForwardKey, // the caller's key is passed on
     AcknowledgeUnstored, // an append without an answer counts as done
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -159,7 +159,7 @@
         const platform::http_protocol protocol;
         ignoring_listener listener;
         listener.slow = slow;
-        upstream_caller caller(pool, protocol, listener);
+        upstream_caller caller(pool, protocol, {&listener});
         live_upstream upstream;
         upstream.address = server.address();
         stream_progress progress;
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -684,3 +684,77 @@
     }
     CHECK(fixture.allocator.ownUse().size() == 7);
 }
+
+TEST_CASE("an upstream that states that it leaves gets nothing, whatever its record says")
+{
+    allocator_fixture fixture;
+    upstream_directory &directory = fixture.directory;
+    directory.put(upstreamNamed("one"));
+    const leaving_statement statement{upstream_id("one"), incarnation_number(1), Start};
+    REQUIRE(directory.onLeaving(statement));
+    CHECK_FALSE(directory.onLeaving(statement));
+    CHECK_FALSE(fixture.allocator.pick(requestOf(work_class::Online), Start));
+    CHECK(fixture.allocator.freeSlots(Engines, work_class::Online, Start) == 0);
+    CHECK_FALSE(fixture.allocator.needsSlot(upstream_id("one"), Start));
+    CHECK(directory.unconfirmedLeaving().size() == 1);
+
+    SUBCASE("a record that calls it sound doesn't bring it back, also after its removal")
+    {
+        directory.put(upstreamNamed("one"));
+        CHECK(directory.find(upstream_id("one"))->leaving);
+        directory.remove(upstream_id("one"), Start);
+        CHECK(directory.takeConfirmedLeaving().size() == 1);
+        directory.replaceAll({upstreamNamed("one")}, Start);
+        CHECK(directory.find(upstream_id("one"))->leaving);
+    }
+    SUBCASE("a later start under its id is free, an earlier one is not")
+    {
+        live_upstream later = upstreamNamed("one");
+        later.incarnation = incarnation_number(2);
+        directory.put(later);
+        CHECK_FALSE(directory.find(upstream_id("one"))->leaving);
+        CHECK(directory.unconfirmedLeaving().empty());
+        CHECK(fixture.allocator.pick(requestOf(work_class::Online), Start));
+        directory.put(upstreamNamed("one"));
+        CHECK(directory.find(upstream_id("one"))->leaving);
+    }
+    SUBCASE("another upstream at its address is free")
+    {
+        directory.put(upstreamNamed("two"));
+        CHECK(fixture.allocator.pick(requestOf(work_class::Online), Start) == upstream_id("two"));
+    }
+    SUBCASE("its record confirms it")
+    {
+        live_upstream leaving = upstreamNamed("one");
+        leaving.leaving = true;
+        directory.put(leaving);
+        CHECK(directory.unconfirmedLeaving().empty());
+        CHECK(directory.takeConfirmedLeaving().size() == 1);
+        CHECK(directory.takeConfirmedLeaving().empty());
+    }
+}
+
+TEST_CASE("a statement that comes before the record or belongs to an earlier start")
+{
+    upstream_directory directory{directory_options()};
+    CHECK_FALSE(directory.onLeaving({upstream_id("one"), incarnation_number(1), Start}));
+    directory.put(upstreamNamed("one"));
+    CHECK(directory.find(upstream_id("one"))->leaving);
+
+    live_upstream later = upstreamNamed("two");
+    later.incarnation = incarnation_number(5);
+    directory.put(later);
+    CHECK_FALSE(directory.onLeaving({upstream_id("two"), incarnation_number(4), Start}));
+    CHECK_FALSE(directory.find(upstream_id("two"))->leaving);
+}
+
+TEST_CASE("statements are bounded under any number of upstreams")
+{
+    upstream_directory directory{directory_options()};
+    for (int i = 0; i < 5'000; ++i) {
+        const std::string name = "engine-" + std::to_string(i);
+        directory.put(upstreamNamed(name));
+        directory.onLeaving({upstream_id(name), incarnation_number(1), Start + i * 1ms});
+    }
+    CHECK(directory.unconfirmedLeaving().size() == 4'096);
+}
