--- a/include/tamarackglade/placement/upstream_directory.hpp
+++ b/include/tamarackglade/placement/upstream_directory.hpp
@@ -45,7 +45,8 @@
     explicit upstream_directory(directory_options options) : m_options(options) { }
 
     /// @brief Adds or replaces an upstream.
-    void put(const live_upstream &upstream);
+    /// @return whether it was unknown or differs from before
+    bool put(const live_upstream &upstream);
     /// @brief Removes an upstream whose record was removed or is malformed, or starts its grace
     /// period.
     void remove(const upstream_id &id, time_point now);
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -6,8 +6,6 @@
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
-#include <absl/strings/str_join.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -27,8 +25,6 @@
 constexpr std::chrono::milliseconds MinFirstEventWait{100};
 constexpr double FirstEventShare = 2.0 / 3; // share of the latency objective for the first upstream
 constexpr std::chrono::milliseconds MaxIdleTimeRepeatable{60'000};
-constexpr std::chrono::milliseconds MinRetryAfter{250};
-constexpr std::chrono::milliseconds MaxRetryAfter{1'500};
 
 } // namespace
 
@@ -236,149 +232,6 @@
     return idempotent() && m_runs < m_route.attempts;
 }
 
-void call_relay::forwardResponse(const attempt_result &result)
-{
-    m_outcome = "answered";
-    m_status = result.response.status;
-    if (m_exchange.started()) {
-        // The caller has part of the stream; an error response can't follow it.
-        m_exchange.abortStream();
-        return;
-    }
-    http_response response = result.response;
-    response.contentType.clear();
-    response.headers = result.metadata.headers;
-    m_exchange.respond(response);
-}
-
-void call_relay::respondWithFailure(const attempt_result &result)
-{
-    m_outcome = nameOf(result.outcome);
-    if (m_callerDisconnected || m_exchange.started()) {
-        m_exchange.abortStream();
-        return;
-    }
-    if (!m_mayHaveRun) {
-        refuseUnavailable("no_upstream");
-        return;
-    }
-    m_status = result.outcome == attempt_outcome::DeadlineExceeded ? 504 : 502;
-    m_exchange.respond(refusal(m_status, result.outcome == attempt_outcome::DeadlineExceeded
-                                             ? "upstream_timeout"
-                                             : "upstream_failed"));
-}
-
-void call_relay::refuseUnavailable(const std::string &code)
-{
-    m_outcome = code;
-    m_status = 503;
-    const duration wait = std::clamp<duration>(2 * m_context.blockingQueue.expectedWait(),
-                                               MinRetryAfter, MaxRetryAfter);
-    m_exchange.respond(refusal(503, code, wait));
-}
-
-void call_relay::refuseWithoutUpstream()
-{
-    m_outcome = "no upstream";
-    if (m_exchange.started()) {
-        m_exchange.abortStream();
-        return;
-    }
-    m_status = m_mayHaveRun ? 502 : 503;
-    m_exchange.respond(
-        refusal(m_status, "no_upstream", m_mayHaveRun ? duration::zero() : MaxRetryAfter));
-}
-
-void call_relay::refuseQuarantined(const blocked_part &blocked)
-{
-    m_outcome = "prompt part quarantined";
-    if (m_exchange.started()) {
-        m_exchange.abortStream();
-        return;
-    }
-    m_status = m_mayHaveRun ? 502 : 503;
-    const duration wait = std::max<duration>(blocked.wait, MinRetryAfter);
-    m_exchange.respond(
-        refusal(m_status, "prompt_part_quarantined", m_mayHaveRun ? duration::zero() : wait));
-}
-
-bool call_relay::findOrigin()
-{
-    origin_lookup lookup;
-    if (!m_call.firstAttempt.value().empty())
-        lookup = m_context.origins.find(
-            streamKey(m_call.firstAttempt, m_customer.value_or(customer_id())));
-    log_event(log_level::Info, "stream taken up")
-        .request(m_call.id.value())
-        .with("first_attempt", m_call.firstAttempt.value())
-        .with("version", lookup.origin ? lookup.origin->version.value() : "")
-        .with("source", lookup.source)
-        .with("asked", lookup.asked)
-        .with("silent", lookup.silent);
-    if (!lookup.origin) {
-        // A gateway that was silent may answer the next time.
-        refuseResume("the version that began it is unknown",
-                     lookup.silent > 0 ? duration(MinRetryAfter) : duration::zero());
-        return false;
-    }
-    setOrigin(*lookup.origin);
-    const bool inRoute =
-        std::any_of(m_route.groups.begin(), m_route.groups.end(),
-                    [&](const weighted_group &each) { return each.group == m_origin->group; });
-    if (!inRoute)
-        refuseResume("the route has no longer the group that began it");
-    return inRoute;
-}
-
-void call_relay::beginStream()
-{
-    const stream_origin origin{m_placement.group, m_runVersion, *m_firstEventAt};
-    setOrigin(origin);
-    if (m_route.resumable && !origin.version.value().empty())
-        m_context.origins.share(streamKey(m_call.id, m_customer.value_or(customer_id())), origin);
-}
-
-void call_relay::setOrigin(const stream_origin &origin)
-{
-    m_origin = origin;
-    m_placement.group = origin.group;
-    m_placement.version = origin.version;
-}
-
-std::string call_relay::notResumableReason() const
-{
-    if (!m_origin)
-        return "";
-    if (m_origin->version.value().empty())
-        return "the version that began it is unknown";
-    if (!m_context.directory.versionsOf(m_origin->group).contains(m_origin->version))
-        return "no upstream of its version";
-    return "";
-}
-
-void call_relay::refuseResume(const std::string &reason, duration retryAfter)
-{
-    const auto versions = m_context.directory.versionsOf(m_placement.group);
-    std::vector<std::string> available;
-    for (const software_version &version : versions)
-        available.push_back(version.value());
-    log_event line(log_level::Warning, "stream not resumed");
-    line.request(m_call.id.value())
-        .with("reason", reason)
-        .with("first_attempt", m_call.firstAttempt.value())
-        .with("available", absl::StrJoin(available, ","));
-    if (m_origin)
-        line.with("version", m_origin->version.value())
-            .with("begun_ms_ago", toSeconds(bootNow() - m_origin->begunAt) * 1000);
-    m_outcome = "version unavailable";
-    if (m_exchange.started()) {
-        m_exchange.abortStream();
-        return;
-    }
-    m_status = m_mayHaveRun ? 502 : 503;
-    m_exchange.respond(refusal(m_status, "stream_version_unavailable", retryAfter));
-}
-
 // The head is sent with the first events, so that another upstream can still answer if this one
 // fails before its first event.
 bool call_relay::onHead(const http_response &head, const response_metadata &metadata)
--- /dev/null
+++ b/src/gateway/call_relay_answers.cpp
@@ -0,0 +1,82 @@
+// Responses to the caller that don't stream: an upstream's whole response, failures and refusals.
+#include <tamarackglade/gateway/call_relay.hpp>
+#include <tamarackglade/gateway/gateway_refusal.hpp>
+
+#include <algorithm>
+
+namespace tamarack {
+
+namespace {
+
+constexpr std::chrono::milliseconds MinRetryAfter{250};
+constexpr std::chrono::milliseconds MaxRetryAfter{1'500};
+
+} // namespace
+
+void call_relay::forwardResponse(const attempt_result &result)
+{
+    m_outcome = "answered";
+    m_status = result.response.status;
+    if (m_exchange.started()) {
+        // The caller has part of the stream; an error response can't follow it.
+        m_exchange.abortStream();
+        return;
+    }
+    http_response response = result.response;
+    response.contentType.clear();
+    response.headers = result.metadata.headers;
+    m_exchange.respond(response);
+}
+
+void call_relay::respondWithFailure(const attempt_result &result)
+{
+    m_outcome = nameOf(result.outcome);
+    if (m_callerDisconnected || m_exchange.started()) {
+        m_exchange.abortStream();
+        return;
+    }
+    if (!m_mayHaveRun) {
+        refuseUnavailable("no_upstream");
+        return;
+    }
+    m_status = result.outcome == attempt_outcome::DeadlineExceeded ? 504 : 502;
+    m_exchange.respond(refusal(m_status, result.outcome == attempt_outcome::DeadlineExceeded
+                                             ? "upstream_timeout"
+                                             : "upstream_failed"));
+}
+
+void call_relay::refuseUnavailable(const std::string &code)
+{
+    m_outcome = code;
+    m_status = 503;
+    const duration wait = std::clamp<duration>(2 * m_context.blockingQueue.expectedWait(),
+                                               MinRetryAfter, MaxRetryAfter);
+    m_exchange.respond(refusal(503, code, wait));
+}
+
+void call_relay::refuseWithoutUpstream()
+{
+    m_outcome = "no upstream";
+    if (m_exchange.started()) {
+        m_exchange.abortStream();
+        return;
+    }
+    m_status = m_mayHaveRun ? 502 : 503;
+    m_exchange.respond(
+        refusal(m_status, "no_upstream", m_mayHaveRun ? duration::zero() : MaxRetryAfter));
+}
+
+void call_relay::refuseQuarantined(const blocked_part &blocked)
+{
+    m_outcome = "prompt part quarantined";
+    if (m_exchange.started()) {
+        m_exchange.abortStream();
+        return;
+    }
+    m_status = m_mayHaveRun ? 502 : 503;
+    const duration wait = std::max<duration>(blocked.wait, MinRetryAfter);
+    m_exchange.respond(
+        refusal(m_status, "prompt_part_quarantined", m_mayHaveRun ? duration::zero() : wait));
+}
+
+} // namespace tamarack
--- a/src/gateway/upstream_watch.cpp
+++ b/src/gateway/upstream_watch.cpp
@@ -58,10 +58,7 @@
 
 void upstream_watch::put(const live_upstream &upstream)
 {
-    const live_upstream *known = m_directory.find(upstream.id);
-    const bool changed = known == nullptr || *known != upstream;
-    m_directory.put(upstream);
-    if (!changed)
+    if (!m_directory.put(upstream))
         return;
     log_event(log_level::Info, "upstream changed")
         .upstream(upstream.id.value())
--- a/src/placement/upstream_directory.cpp
+++ b/src/placement/upstream_directory.cpp
@@ -12,15 +12,18 @@
 
 } // namespace
 
-void upstream_directory::put(const live_upstream &upstream)
+bool upstream_directory::put(const live_upstream &upstream)
 {
     if (upstream.leaving || !statedLeaving(upstream))
         confirmLeaving(upstream.id);
-    live_upstream &known = m_upstreams[upstream.id];
-    known = upstream;
-    known.leaving = upstream.leaving || statedLeaving(upstream);
+    live_upstream applied = upstream;
+    applied.leaving = upstream.leaving || statedLeaving(upstream);
     m_idByHash.insert_or_assign(stableHash(upstream.id.value()), upstream.id);
     m_lapsed.erase(upstream.id);
+    const auto [known, isNew] = m_upstreams.try_emplace(upstream.id, applied);
+    const bool changed = isNew || known->second != applied;
+    known->second = std::move(applied);
+    return changed;
 }
 
 void upstream_directory::remove(const upstream_id &id, time_point now)
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -700,7 +700,7 @@
 
     SUBCASE("a record that calls it sound doesn't bring it back, also after its removal")
     {
-        directory.put(upstreamNamed("one"));
+        CHECK_FALSE(directory.put(upstreamNamed("one")));
         CHECK(directory.find(upstream_id("one"))->leaving);
         directory.remove(upstream_id("one"), Start);
         CHECK(directory.takeConfirmedLeaving().size() == 1);
