--- a/include/tamarackglade/placement/slot_queue.hpp
+++ b/include/tamarackglade/placement/slot_queue.hpp
@@ -4,10 +4,10 @@
 #include <tamarackglade/gate/fair_queue.hpp>
 #include <tamarackglade/placement/slot_allocator.hpp>
 
-#include <compare>
 #include <deque>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -92,7 +92,12 @@
         group_id group;
         software_version version; // empty if isNew
 
-        friend auto operator<=>(const level_key &, const level_key &) = default;
+        friend bool operator==(const level_key &, const level_key &) = default;
+        friend bool operator<(const level_key &left, const level_key &right)
+        {
+            return std::tie(left.priority, left.isNew, left.group, left.version)
+                   < std::tie(right.priority, right.isNew, right.group, right.version);
+        }
     };
 
     static level_key levelOf(const slot_request &request);
