--- a/src/gateway/call_relay_resume.cpp
+++ b/src/gateway/call_relay_resume.cpp
@@ -76,6 +76,7 @@
 {
     const auto versions = m_context.directory.versionsOf(m_placement.group);
     std::vector<std::string> available;
+    available.reserve(versions.size());
     for (const software_version &version : versions)
         available.push_back(version.value());
     log_event line(log_level::Warning, "stream not resumed");
--- a/tests/unit-resumption.cpp
+++ b/tests/unit-resumption.cpp
@@ -63,7 +63,7 @@
 
     std::optional<stream_origin> find(std::size_t at, stream_key stream)
     {
-        if (const auto own = m_tables[m_members[at].vm].find(stream, Start))
+        if (auto own = m_tables[m_members[at].vm].find(stream, Start))
             return own;
         std::set<vm_id> asked;
         for (const auto &keeper : originKeepers(stream, othersOf(at), MaxAsked))
