--- a/tests/e2e/gateway.py
+++ b/tests/e2e/gateway.py
@@ -23,10 +23,12 @@
                                work_dir)
 
     def write(self, values):
-        """Writes the settings file."""
+        """Replaces the settings file at once, as a gateway may be reading it."""
         self.values = values
         lines = ["[tamarack-gateway]"] + [f"{name}={value}" for name, value in values.items()]
-        self.path.write_text("\n".join(lines) + "\n")
+        written = self.path.with_suffix(".new")
+        written.write_text("\n".join(lines) + "\n")
+        written.replace(self.path)
 
     def ready(self):
         """Returns whether the readiness check succeeds; raises if there is no answer."""
