A stream is complete only behind an event that is new to its reader

Cause: a resumed stream without length or chunks that ended in order behind its head counted as complete, as the check for a first event was left out for resumes; a block of comments counted as an event; on a route without streams nothing checked that an event stream ends behind an event. Change: only a response with a length or chunks may be empty, and only to a resume; comments are no events; bodies of event streams must end behind an event. An item whose resumes bring no event three times in a row starts over.

--- a/include/tamarackglade/gateway/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch_runner.hpp
@@ -60,7 +60,7 @@
     void runItem(const item_work &work, const live_upstream &upstream,
                  const std::shared_ptr<item_run> &run);
     attempt_result runAttempt(const item_work &work, const live_upstream &upstream, item_run &run);
-    void pauseAfterEarlyFailure(const item_key &key, const attempt_result &result,
+    void pauseAfterEarlyFailure(const item_work &work, const attempt_result &result,
                                 std::size_t events);
     void handleResult(const item_work &work, const upstream_id &upstream,
                       const attempt_result &result);
--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -57,6 +57,10 @@
     /// @brief Sends a request and reads the head of its response; the body is empty.
     absl::StatusOr<http_response> start(const http_client_request &request);
 
+    /// @return whether the response that is being read has a length or chunks; otherwise the end of
+    /// its connection is its end
+    [[nodiscard]] bool isDelimited() const;
+
     /// @brief Reads the next part of the body.
     /// @return its bytes; empty at the proper end of the body
     absl::StatusOr<std::string> readSome();
--- a/src/gateway/batch_runner_runs.cpp
+++ b/src/gateway/batch_runner_runs.cpp
@@ -15,6 +15,7 @@
 // Pause after a run that failed before its first event; doubles with each one in a row.
 constexpr std::chrono::milliseconds FirstFailurePause{250};
 constexpr std::chrono::seconds MaxFailurePause{8};
+constexpr unsigned MaxFailedResumes = 3; // in a row, before a text is written anew
 constexpr unsigned SilenceFactor = 2; // items may be silent longer than online requests
 constexpr unsigned UnprocessableContent = 422; // the upstream reports that no run can succeed
 
@@ -73,7 +74,7 @@
     if (run->yielding) {
         m_onYielded();
     } else {
-        pauseAfterEarlyFailure(work.key, result, run->events);
+        pauseAfterEarlyFailure(work, result, run->events);
         handleResult(work, upstream.id, result);
     }
     m_context.blockingQueue.release(upstream.id, work_class::Batch);
@@ -115,10 +116,10 @@
 }
 
 // The item itself may break its upstreams, so it isn't sent to one after the other without a pause.
-void batch_runner::pauseAfterEarlyFailure(const item_key &key, const attempt_result &result,
+void batch_runner::pauseAfterEarlyFailure(const item_work &work, const attempt_result &result,
                                           std::size_t events)
 {
-    item_progress &progress = m_progress[key];
+    item_progress &progress = m_progress[work.key];
     if (events > 0) {
         progress.earlyFailures = 0;
         return;
@@ -130,6 +131,9 @@
         pause *= 2;
     ++progress.earlyFailures;
     progress.startableAt = bootNow() + std::min<duration>(pause, MaxFailurePause);
+    // Nothing may be left of the text, without a response that shows so.
+    if (progress.origin && progress.earlyFailures >= MaxFailedResumes)
+        startOver(work, "its resumes got no event");
 }
 
 void batch_runner::handleResult(const item_work &work, const upstream_id &upstream,
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream_caller.cpp
@@ -3,6 +3,8 @@
 #include <tamarackglade/gateway/upstream_caller.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
+#include <absl/strings/match.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -16,6 +18,7 @@
 constexpr std::chrono::seconds MaxOperationTime{60}; // of one read or write
 constexpr unsigned Misdirected = 421; // another upstream is at the address
 constexpr std::chrono::milliseconds ConnectTimeout{400};
+constexpr absl::string_view EventStreamType = "text/event-stream";
 
 // Sets the time by which the response has to make progress: a head, a body part or an event that is
 // new to the caller.
@@ -68,6 +71,23 @@
     std::size_t m_own = 0;
 };
 
+// Comments and blank lines have neither an id nor data.
+bool hasContent(const stream_event &event)
+{
+    return event.id || !eventData(event.text).empty();
+}
+
+// Routes without streams may pass on event streams too.
+bool endsInsideEvent(const http_response &response)
+{
+    if (!absl::StartsWithIgnoreCase(response.contentType, EventStreamType))
+        return false;
+    event_splitter splitter;
+    splitter.feed(response.body);
+    while (splitter.next()) { }
+    return splitter.hasPartial();
+}
+
 attempt_result makeResult(attempt_outcome outcome, std::string reason)
 {
     attempt_result result;
@@ -172,7 +192,8 @@
                                            stream_progress &progress, response_sink &sink)
 {
     event_splitter splitter;
-    bool streamStarted = false;
+    const bool isDelimited = client.isDelimited();
+    bool hasNewEvent = false;
     setProgressDeadline(client, limits, false);
     for (;;) {
         const auto part = client.readSome();
@@ -182,12 +203,12 @@
             break;
         splitter.feed(*part);
         while (const auto event = splitter.next()) {
-            streamStarted = true;
             const event_check verdict = progress.advance(*event);
             if (verdict == event_check::Gap)
                 return makeResult(attempt_outcome::Broken, "gap in the event ids of the stream");
             if (verdict != event_check::Pass)
                 continue;
+            hasNewEvent = hasNewEvent || hasContent(*event);
             setProgressDeadline(client, limits, true);
             if (!sink.onEvent(*event))
                 return makeResult(attempt_outcome::Cancelled, "caller gone");
@@ -199,8 +220,9 @@
     }
     if (splitter.hasPartial())
         return makeResult(attempt_outcome::Broken, "stream ended in the middle of an event");
-    // Without a length or chunks, the end of the connection is the only end of a stream.
-    if (!streamStarted && !progress.last())
+    // A resumed stream may have nothing left, but only a delimited response shows that it ended.
+    const bool mayBeEmpty = isDelimited && progress.last();
+    if (!hasNewEvent && !mayBeEmpty)
         return makeResult(attempt_outcome::Broken, "stream ended before its first event");
     return makeResult(attempt_outcome::Complete, "");
 }
@@ -212,6 +234,7 @@
     attempt_result result;
     result.outcome = attempt_outcome::Answered;
     result.response.status = head.status;
+    result.response.contentType = head.contentType;
     result.metadata = metadata;
     buffered_bytes buffered(m_bufferedBytes);
     for (;;) {
@@ -220,7 +243,9 @@
         if (!part.ok())
             return failureOf(part.status(), limits);
         if (part->empty())
-            return result;
+            return endsInsideEvent(result.response)
+                       ? makeResult(attempt_outcome::Broken, "body ended in the middle of an event")
+                       : result;
         result.response.body += *part;
         buffered.add(part->size());
         if (result.response.body.size() > maxBytes || m_bufferedBytes > MaxBufferedBytes) {
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -125,6 +125,11 @@
     http::read_some(reader, m_response->buffer, *m_response->parser, error);
 }
 
+bool http_client::isDelimited() const
+{
+    return m_response && m_response->parser && !m_response->parser->need_eof();
+}
+
 absl::StatusOr<std::string> http_client::readSome()
 {
     if (!m_stream || !m_response->parser)
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -217,6 +217,19 @@
         self.engine[1].ends_after_head = True
         self.assertEqual(self.call("/once/x")[0], 502)
 
+    def test_a_stream_is_not_completed_by_a_resume_without_events(self):
+        for engine in self.engine:
+            engine.unframed = True
+            engine.break_at = 2
+
+        def end_after_head(engine, other):
+            wait_until(lambda: engine.runs, "first run")
+            other.ends_after_head = True
+        for engine, other in (self.engine, reversed(self.engine)):
+            threading.Thread(target=end_after_head, args=(engine, other), daemon=True).start()
+        with self.assertRaises(http.client.IncompleteRead):
+            self.call()
+
     def test_a_leaving_callers_request_is_dropped(self):
         for engine in self.engine:
             engine.events = 10000
@@ -734,6 +747,19 @@
             engine.break_at = None
         self.assertEqual(self.finished("j", 1)[0]["state"], "done")
 
+    def test_an_item_is_not_done_by_a_resume_without_events(self):
+        for engine in self.engine:
+            engine.unframed = True
+            engine.break_at = 2
+        self.assertEqual(self.submit("j", items=1), 202)
+        wait_until(lambda: self.engine[0].runs + self.engine[1].runs, "first run")
+        for engine in self.engine:
+            engine.ends_after_head = True
+        time.sleep(1)
+        for engine in self.engine:
+            engine.break_at, engine.ends_after_head = None, False
+        self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
+
     def test_large_jobs(self):
         self.publish(config(2, limits={"maxBodyBytes": 4000000}))
         self.assertEqual(self.submit("j", items=8, size=200000), 202)
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -11,6 +11,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -43,9 +45,11 @@
         std::string text = head + "Transfer-Encoding: chunked\r\n\r\n";
         const auto half = body.size() / 2;
         for (const std::string &part : {body.substr(0, half), body.substr(half)}) {
-            char size[16];
-            std::snprintf(size, sizeof size, "%zx\r\n", part.size());
-            text += size + part + "\r\n";
+            if (part.empty())
+                continue; // an empty chunk would end the body
+            std::ostringstream size;
+            size << std::hex << part.size();
+            text += size.str() + "\r\n" + part + "\r\n";
         }
         return text + "0\r\n\r\n";
     }
@@ -150,7 +154,7 @@
 };
 
 received_response receive(io_thread &thread, const upstream_script &script, bool streamed,
-                          bool slow)
+                          bool slow, std::optional<std::uint64_t> resumeAfter = std::nullopt)
 {
     const scripted_upstream server(script);
     received_response received{};
@@ -162,7 +166,7 @@
         upstream_caller caller(pool, protocol, {&listener});
         live_upstream upstream;
         upstream.address = server.address();
-        stream_progress progress;
+        stream_progress progress(resumeAfter);
         collecting_sink sink(slow);
         attempt_handle handle;
         const attempt_limits limits{bootNow() + 10s, duration::zero(), std::nullopt, 1s};
@@ -222,6 +226,69 @@
     CHECK(holds);
 }
 
+TEST_CASE("a stream that ends inside any event is broken, although its framing is complete")
+{
+    io_thread thread;
+    const std::string events = "id: 0\ndata: a\n\nid: 1\r\ndata: b\r\n\r\nid: 2\ndata: c\n\n";
+    const std::set<std::size_t> eventEnds{15, 33, 48};
+    for (const framing framed : {framing::Length, framing::Chunks, framing::UntilClose}) {
+        for (std::size_t cut = 1; cut <= events.size(); ++cut) {
+            CAPTURE(cut);
+            const std::string text = responseText(framed, events.substr(0, cut));
+            const std::size_t split = text.size() - std::min(text.size(), cut / 2);
+            const auto received =
+                receive(thread, {text.substr(0, split), text.substr(split)}, true, false);
+            CHECK(looksComplete(received) == eventEnds.contains(cut));
+            const auto resumed =
+                receive(thread, {text.substr(0, split), text.substr(split)}, true, false, 0);
+            const bool hasNewEvent = cut > *eventEnds.begin() || framed != framing::UntilClose;
+            CHECK(looksComplete(resumed) == (eventEnds.contains(cut) && hasNewEvent));
+        }
+    }
+}
+
+TEST_CASE("a stream without length or chunks that ends before any new event is broken")
+{
+    io_thread thread;
+    for (const std::string body : {"", ": comment\n\n", "id: 3\ndata: old\n\n"}) {
+        CAPTURE(body);
+        const auto received = receive(
+            thread, {responseText(framing::UntilClose, body), "", ending::Close}, true, false, 3);
+        CHECK_FALSE(looksComplete(received));
+    }
+    for (const framing framed : {framing::Length, framing::Chunks}) {
+        const auto received =
+            receive(thread, {responseText(framed, ""), "", ending::Close}, true, false, 3);
+        CHECK(looksComplete(received));
+    }
+}
+
+TEST_CASE("a stream of comments alone is broken")
+{
+    io_thread thread;
+    for (const framing framed : {framing::Length, framing::Chunks, framing::UntilClose}) {
+        const auto received = receive(
+            thread, {responseText(framed, ": comment\n\n"), "", ending::Close}, true, false);
+        CHECK_FALSE(looksComplete(received));
+    }
+}
+
+TEST_CASE("an event stream on a route without streams is broken if it ends inside an event")
+{
+    io_thread thread;
+    const std::string events = "id: 0\ndata: a\n\nid: 1\ndata: b\n";
+    for (const framing framed : {framing::Length, framing::Chunks, framing::UntilClose}) {
+        const std::string type = "Content-Type: text/event-stream\r\n";
+        const auto withType = [&](const std::string &body) {
+            std::string text = responseText(framed, body);
+            text.insert(text.find("\r\n") + 2, type);
+            return text;
+        };
+        CHECK_FALSE(looksComplete(receive(thread, {withType(events), ""}, false, false)));
+        CHECK(looksComplete(receive(thread, {withType(events + "\n"), ""}, false, false)));
+    }
+}
+
 TEST_CASE("a whole response of any framing is complete, also for a slow caller")
 {
     io_thread thread;
