Quarantine of requests that crash the upstreams that run them

Cause: the evidence of crashes was kept by prompt part alone. A request whose parts others use, or without shared parts, was never found, and one whose parts were found took the sound requests with these parts along, since each of its tries counted as a request of its own. Change: quarantine/request_quarantine decides by the whole request: customer, target and body. Breaks behind events count too; requests that ran beside it are exonerated by what the culprit crashed without them; trials are bounded. Prompt parts count the tries of a request as one, and leave out breaks that a quarantined request explains.

--- a/include/tamarackglade/gateway/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch_runner.hpp
@@ -48,7 +48,7 @@
 
     /// @return whether the item's content is loaded; otherwise starts to read it
     bool contentReady(const item_key &key, const customer_batch &job);
-    void readContent(const item_key &key, const content_place &place);
+    void readContent(const item_key &key, const content_place &place, const customer_id &customer);
     /// @return an upstream with a slot that can begin the item or go on with its text
     std::optional<upstream_id> pickUpstream(const item_work &work, const group_id &group,
                                             std::set<upstream_id> failedAt);
--- a/include/tamarackglade/gateway/call_relay.hpp
+++ b/include/tamarackglade/gateway/call_relay.hpp
@@ -36,6 +36,9 @@
     /// @return whether a slot was granted; otherwise the request has been answered or its stream
     /// aborted
     bool acquireSlot();
+    /// @brief Registers a run at the quarantines.
+    /// @return why the request must not run; empty if it may
+    std::string beginRun(const live_upstream &upstream);
     /// @brief Sends the request to m_upstream.
     attempt_result attempt();
     /// @brief Logs a failed attempt and excludes its upstream.
@@ -59,6 +62,8 @@
     void refuseWithoutUpstream();
     /// @brief Ends a request whose prompt holds a quarantined part.
     void refuseQuarantined(const blocked_part &blocked);
+    /// @brief Ends a request that crashes upstreams, or may do so.
+    void refuseCrashing(const blocked_request &blocked);
     void forwardResponse(const attempt_result &result);
     [[nodiscard]] bool idempotent() const;
     [[nodiscard]] group_id chooseGroup() const;
@@ -74,6 +79,7 @@
     const std::optional<customer_id> m_customer;
     const int m_priority;
     const time_point m_arrivedAt;
+    const request_fingerprint m_fingerprint;
     time_point m_deadline;
     placement_request m_placement;
     upstream_id m_upstream; // of the current or last attempt
--- a/include/tamarackglade/gateway/gateway_context.hpp
+++ b/include/tamarackglade/gateway/gateway_context.hpp
@@ -31,6 +31,7 @@
     shared_rates<customer_id> &rates;
     rate_exchange &rateExchange;
     prompt_quarantine &quarantine;
+    request_quarantine &requestQuarantine;
     quarantine_exchange &quarantineExchange;
     leaving_exchange &leavingExchange;
     origin_exchange &origins;
--- a/include/tamarackglade/gateway/gateway_process.hpp
+++ b/include/tamarackglade/gateway/gateway_process.hpp
@@ -63,6 +63,7 @@
     upstream_pool m_pool;
     upstream_caller m_caller;
     prompt_quarantine m_quarantine;
+    request_quarantine m_requestQuarantine;
     quarantine_exchange m_quarantineExchange;
     origin_exchange m_origins;
     upstream_watch m_upstreams;
--- a/include/tamarackglade/gateway/item_run.hpp
+++ b/include/tamarackglade/gateway/item_run.hpp
@@ -3,6 +3,7 @@
 
 #include <tamarackglade/gateway/upstream_caller.hpp>
 #include <tamarackglade/jobs/item_key.hpp>
+#include <tamarackglade/quarantine/request_fingerprint.hpp>
 #include <tamarackglade/resumption/stream_origin.hpp>
 #include <tamarackglade/schema/batches_generated.h>
 
@@ -30,6 +31,7 @@
     std::optional<schema::batch_item_message> content; // the request to send
     // Parts of the prompt that other requests may share; valid if content is set.
     std::vector<prompt_part_id> sharedParts;
+    request_fingerprint fingerprint; // valid if content is set
     bool reading = false; // the content is being read
     std::string text; // output of the events so far
     std::optional<std::uint64_t> lastEvent;
--- a/include/tamarackglade/gateway/quarantine_exchange.hpp
+++ b/include/tamarackglade/gateway/quarantine_exchange.hpp
@@ -1,6 +1,7 @@
-// Exchange of the prompt quarantine with other gateways and with the store.
+// Exchange of the quarantines with other gateways and with the store.
 #pragma once
 
+#include <tamarackglade/gateway/request_quarantine_exchange.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
 #include <tamarackglade/quarantine/prompt_quarantine.hpp>
@@ -10,13 +11,14 @@
 
 namespace tamarack {
 
-/// @brief Encodes and applies the quarantine's part of peer reports and membership records, and
+/// @brief Encodes and applies the quarantines' part of peer reports and membership records, and
 /// logs its changes. All calls on the gateway's thread.
 class quarantine_exchange
 {
 public:
-    quarantine_exchange(prompt_quarantine &quarantine, metric_registry &metrics)
-        : m_quarantine(quarantine), m_metrics(metrics)
+    quarantine_exchange(prompt_quarantine &parts, request_quarantine &requests,
+                        metric_registry &metrics)
+        : m_quarantine(parts), m_requests(requests, metrics), m_metrics(metrics)
     {
     }
 
@@ -36,7 +38,10 @@
     /// @return this gateway's share of the recent runs of all reachable gateways, from 0 to 1
     [[nodiscard]] double loadShare(time_point now);
     /// @return whether a break or a change is in no report yet
-    [[nodiscard]] bool hasNews() const { return m_hasNews || m_lastBreakAt > m_reportedAt; }
+    [[nodiscard]] bool hasNews() const
+    {
+        return m_hasNews || m_requests.hasNews() || m_lastBreakAt > m_reportedAt;
+    }
     /// @brief Marks that there is a new break of this gateway.
     void onBreak(time_point now) { m_lastBreakAt = now; }
 
@@ -51,6 +56,7 @@
     [[nodiscard]] double peerSuccesses(time_point now);
 
     prompt_quarantine &m_quarantine;
+    request_quarantine_exchange m_requests;
     metric_registry &m_metrics;
     std::unordered_map<vm_id, peer_successes> m_peers;
     std::size_t m_nextState = 0; // index of the state that the next report begins with
--- a/include/tamarackglade/gateway/run_observer.hpp
+++ b/include/tamarackglade/gateway/run_observer.hpp
@@ -1,4 +1,4 @@
-// Reports the outcome of one run to the prompt quarantine.
+// Reports the outcome of one run to the quarantines of prompt parts and of requests.
 #pragma once
 
 #include <tamarackglade/gateway/attempt_result.hpp>
@@ -7,14 +7,22 @@
 
 namespace tamarack {
 
+/// @brief What is run, as far as the quarantines are concerned.
+struct observed_request
+{
+    const std::vector<prompt_part_id> &parts; // shared parts of the prompt
+    request_fingerprint fingerprint;
+    bool isBatchItem = false;
+};
+
 /// @brief Observes a run from its sending to its end. Lives as long as the run.
 class run_observer
 {
 public:
-    /// @param parts shared parts of the prompt; must outlive the observer
-    run_observer(prompt_quarantine &quarantine, quarantine_exchange &exchange,
-                 const live_upstream &upstream, const std::vector<prompt_part_id> &parts,
-                 const request_id &request);
+    /// @param request its parts must outlive the observer
+    run_observer(prompt_quarantine &parts, request_quarantine &requests,
+                 quarantine_exchange &exchange, const live_upstream &upstream,
+                 const observed_request &request);
 
     /// @brief Call for each event; only the first of the run counts.
     void onEvent();
@@ -22,11 +30,14 @@
     void onEnd(const attempt_result &result);
 
 private:
-    prompt_quarantine &m_quarantine;
+    void onBroken(time_point now);
+
+    prompt_quarantine &m_partQuarantine;
+    request_quarantine &m_requestQuarantine;
     quarantine_exchange &m_exchange;
     const group_id m_group;
     const std::vector<prompt_part_id> &m_parts;
-    early_break m_break; // if the run ends as one; brokeAt is set at its end
+    broken_run m_break; // if the run ends as one; its parts and brokeAt are set at the end
     bool m_hasEvents = false;
 };
 
--- a/include/tamarackglade/quarantine/crash_evidence.hpp
+++ b/include/tamarackglade/quarantine/crash_evidence.hpp
@@ -1,7 +1,7 @@
-// Early breaks and successes of runs, and what they say of prompt parts.
+// Broken runs and successes of runs, and what they say of prompt parts.
 #pragma once
 
-#include <tamarackglade/quarantine/early_break.hpp>
+#include <tamarackglade/quarantine/broken_run.hpp>
 #include <tamarackglade/quarantine/latest_times.hpp>
 #include <tamarackglade/quarantine/part_hash.hpp>
 #include <tamarackglade/quarantine/quarantine_options.hpp>
@@ -48,13 +48,16 @@
     /// Whether the crashes of a part are known to be caused by it.
     using part_predicate = std::function<bool(part_hash)>;
 
+    /// Whether another request than that of the run is known to have crashed its upstream.
+    using fault_predicate = std::function<bool(const broken_run &)>;
+
     using instance_set = std::set<instance_hash>;
 
     explicit crash_evidence(quarantine_options options);
 
     /// @brief Adds a break; one that was added before is ignored.
     /// @return whether it is new
-    bool add(const early_break &broken, time_point now);
+    bool add(const broken_run &broken, time_point now);
     /// @brief Records a first event of a run with the part.
     void addSuccess(part_hash part, time_point at) { m_successes.add(part, at); }
     [[nodiscard]] std::optional<time_point> lastSuccess(part_hash part) const
@@ -64,6 +67,13 @@
     /// @brief Records that a run delivered an event. If it was sent after a break at the same
     /// instance, that break was no crash.
     void addServed(instance_hash instance, time_point sentAt) { m_served.add(instance, sentAt); }
+    /// @brief Sets how breaks are found that no part is to blame for.
+    void setFaultOfAnother(fault_predicate isFaultOfAnother)
+    {
+        m_isFaultOfAnother = std::move(isFaultOfAnother);
+    }
+    /// @return whether the instance has served a run that was sent after the given time
+    [[nodiscard]] bool livesOn(instance_hash instance, time_point since) const;
     /// @brief Replaces the instances that serve as far as is known. A run at one that is not among
     /// them may have been served by its successor.
     void setListed(instance_set listed) { m_listed = std::move(listed); }
@@ -85,12 +95,12 @@
     /// @return whether there are breaks with the part, and all of them hold the other part too
     [[nodiscard]] bool onlyWith(part_hash part, part_hash other) const;
     /// @return the breaks that this reporter saw after the given time
-    [[nodiscard]] std::vector<early_break> breaksOf(const vm_id &reporter, time_point since) const;
+    [[nodiscard]] std::vector<broken_run> breaksOf(const vm_id &reporter, time_point since) const;
 
 private:
     struct entry
     {
-        early_break broken;
+        broken_run broken;
         std::vector<part_hash> parts; // of broken.parts, in the same order
         time_point addedAt{};
         bool evaluated = false;
@@ -104,8 +114,8 @@
     [[nodiscard]] double requiredCrashes(part_hash part, double successes, time_point now) const;
     /// @return whether a part that comes later in the prompts explains nearly all of its crashes
     [[nodiscard]] bool causedByLaterPart(part_hash part) const;
-    /// @return whether the instance has served a run that was sent after the break
-    [[nodiscard]] bool livesOn(const early_break &broken) const;
+    /// @return whether the break says nothing about the parts of its run
+    [[nodiscard]] bool isRefuted(const broken_run &broken) const;
     [[nodiscard]] bool isBeforeSuccess(const entry &each, part_hash part) const;
     [[nodiscard]] std::optional<crash_finding> findCause(const entry &candidate,
                                                          const instance_set &explained,
@@ -116,6 +126,7 @@
     latest_times<part_hash> m_successes;
     latest_times<instance_hash> m_served; // sending times of runs that delivered an event
     instance_set m_listed; // instances that serve as far as is known
+    fault_predicate m_isFaultOfAnother = [](const broken_run &) { return false; };
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/quarantine/prompt_quarantine.hpp
+++ b/include/tamarackglade/quarantine/prompt_quarantine.hpp
@@ -62,8 +62,9 @@
     /// @brief Records that a run delivered its first event.
     void onFirstEvent(const group_id &group, const std::vector<prompt_part_id> &parts,
                       time_point now);
-    /// @brief Records an early break of this gateway; sets its reporter and number.
-    void onBreak(early_break broken, time_point now);
+    /// @brief Records a break of this gateway.
+    /// @return the break with its reporter and number
+    broken_run onBreak(broken_run broken, time_point now);
     /// @brief Records the end of a run. A trial request without an event extends the quarantine, as
     /// its upstream may have crashed unnoticed.
     /// @param sent whether the upstream may have run the request
@@ -71,7 +72,7 @@
                 time_point now);
 
     /// @brief Applies a break that a peer reported.
-    void onPeerBreak(const early_break &broken, time_point now);
+    void onPeerBreak(const broken_run &broken, time_point now);
     /// @brief Applies a success that a peer reported.
     void onPeerSuccess(const sound_part &sound);
     /// @brief Applies a state that a peer reported or that was read from the store.
@@ -86,6 +87,16 @@
     void onServed(const served_run &run) { m_evidence.addServed(run.instance, run.sentAt); }
     /// @brief Replaces the upstream instances that are listed as serving.
     void setListed(crash_evidence::instance_set listed) { m_evidence.setListed(std::move(listed)); }
+    /// @brief Sets how breaks are found that another request is to blame for.
+    void setFaultOfAnother(crash_evidence::fault_predicate isFaultOfAnother)
+    {
+        m_evidence.setFaultOfAnother(std::move(isFaultOfAnother));
+    }
+    /// @return whether the instance has served a run that was sent after the given time
+    [[nodiscard]] bool livesOn(instance_hash instance, time_point since) const
+    {
+        return m_evidence.livesOn(instance, since);
+    }
     /// @return whether there are breaks to explain
     [[nodiscard]] bool hasBreaks() const { return !m_evidence.empty(); }
     /// @return runs that prove that recent breaks were no crashes, for peers
@@ -95,7 +106,7 @@
     }
 
     /// @return the breaks that this gateway saw after the given time
-    [[nodiscard]] std::vector<early_break> ownBreaks(time_point since) const
+    [[nodiscard]] std::vector<broken_run> ownBreaks(time_point since) const
     {
         return m_evidence.breaksOf(m_self, since);
     }
--- a/include/tamarackglade/quarantine/quarantine_options.hpp
+++ b/include/tamarackglade/quarantine/quarantine_options.hpp
@@ -32,7 +32,7 @@
     duration maxLength = std::chrono::hours(1);
     duration trialTimeout = std::chrono::seconds(15); // of a trial request without a result
     duration forgetAfter = std::chrono::minutes(10); // released and unused entries are dropped
-    std::size_t maxBreaks = 256;
+    std::size_t maxBreaks = 512;
     std::size_t maxParts = 64; // quarantined at the same time
     std::size_t maxSuccesses = 4096; // parts whose last success is kept
     std::size_t maxInstances = 4096; // whose last served run is kept
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch_runner.cpp
@@ -166,14 +166,16 @@
         return true;
     if (!progress.reading) {
         progress.reading = true;
-        boost::fibers::fiber([this, key, place = job.items[key.item.value()].content] {
-            readContent(key, place);
+        boost::fibers::fiber([this, key, place = job.items[key.item.value()].content,
+                              customer = job.customer] {
+            readContent(key, place, customer);
         }).detach();
     }
     return false;
 }
 
-void batch_runner::readContent(const item_key &key, const content_place &place)
+void batch_runner::readContent(const item_key &key, const content_place &place,
+                               const customer_id &customer)
 {
     const auto bytes = m_store.contents().read(place);
     auto content = bytes ? decodeBatchItem(*bytes) : std::nullopt;
@@ -190,6 +192,9 @@
     if (!content)
         return;
     found->second.sharedParts = m_context.protocol.sharedPartsOf(*content);
+    const std::string_view body(reinterpret_cast<const char *>(content->body.data()),
+                                content->body.size());
+    found->second.fingerprint = fingerprintOf(customer, content->path, body);
     found->second.content = std::move(*content);
 }
 
--- a/src/gateway/batch_runner_runs.cpp
+++ b/src/gateway/batch_runner_runs.cpp
@@ -102,8 +102,9 @@
         blocked.reason = "prompt part quarantined";
         return blocked;
     }
-    run_observer observer(m_context.quarantine, m_context.quarantineExchange, upstream,
-                          progress.sharedParts, work.request);
+    run_observer observer(m_context.quarantine, m_context.requestQuarantine,
+                          m_context.quarantineExchange, upstream,
+                          {progress.sharedParts, progress.fingerprint, true});
     stream_progress events(progress.lastEvent);
     output_sink sink(progress, run, observer, upstream);
     attempt_result result = m_context.caller.run(
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -1,6 +1,7 @@
 // Slot, attempts, retries and response of one online request.
 #include <tamarackglade/core/hash.hpp>
 #include <tamarackglade/gateway/call_relay.hpp>
+#include <tamarackglade/gateway/fingerprint_text.hpp>
 #include <tamarackglade/gateway/gateway_refusal.hpp>
 #include <tamarackglade/gateway/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
@@ -33,6 +34,7 @@
                        int priority, time_point arrivedAt)
     : m_context(context), m_exchange(exchange), m_call(std::move(call)), m_route(route),
       m_customer(std::move(customer)), m_priority(priority), m_arrivedAt(arrivedAt),
+      m_fingerprint(fingerprintOf(m_customer.value_or(customer_id()), m_call.target, m_call.body)),
       m_progress(m_call.resumeAfter)
 {
     duration timeout = route.timeout > duration::zero() ? route.timeout : duration(DefaultTimeout);
@@ -112,6 +114,11 @@
         refuseQuarantined(*blocked);
         return false;
     }
+    if (const auto blocked =
+            m_context.requestQuarantine.check(m_fingerprint, m_placement.group, now)) {
+        refuseCrashing(*blocked);
+        return false;
+    }
     if (const std::string reason = notResumableReason(); !reason.empty()) {
         refuseResume(reason);
         return false;
@@ -164,14 +171,15 @@
     }
     const live_upstream upstream = *known;
     m_runVersion = upstream.version;
-    if (m_context.quarantine.beginRun(upstream.group, m_call.sharedParts, bootNow())) {
+    result.reason = beginRun(upstream);
+    if (!result.reason.empty()) {
         m_context.blockingQueue.release(m_upstream, work_class::Online);
         result.outcome = attempt_outcome::NotRun;
-        result.reason = "prompt part quarantined";
         return result;
     }
-    run_observer observer(m_context.quarantine, m_context.quarantineExchange, upstream,
-                          m_call.sharedParts, m_call.id);
+    run_observer observer(m_context.quarantine, m_context.requestQuarantine,
+                          m_context.quarantineExchange, upstream,
+                          {m_call.sharedParts, m_fingerprint});
     m_observer = &observer;
     upstream_attempt message;
     message.upstream = upstream.id;
@@ -203,6 +211,17 @@
     return result;
 }
 
+std::string call_relay::beginRun(const live_upstream &upstream)
+{
+    const time_point now = bootNow();
+    if (m_context.requestQuarantine.beginRun(m_fingerprint, upstream.group, now))
+        return "request quarantined";
+    if (!m_context.quarantine.beginRun(upstream.group, m_call.sharedParts, now))
+        return "";
+    m_context.requestQuarantine.endRun(m_fingerprint, run_end::NotRun, now);
+    return "prompt part quarantined";
+}
+
 // Leaves enough of the latency objective for another upstream to meet it.
 duration call_relay::maxFirstEventWait() const
 {
@@ -222,6 +241,7 @@
         .with("run_events", m_runEvents)
         .with("version", m_runVersion.value())
         .with("prompt_parts", joinIds(m_call.sharedParts))
+        .with("fingerprint", textOf(m_fingerprint))
         .with("left_ms", toSeconds(timeLeft()) * 1000);
     m_placement.excluded.insert(m_upstream);
     if (m_callerDisconnected || result.outcome == attempt_outcome::DeadlineExceeded
@@ -297,6 +317,7 @@
         .with("first_attempt", m_call.firstAttempt.value())
         .with("waited_ms", toSeconds(m_waited) * 1000)
         .with("prompt_parts", joinIds(m_call.sharedParts))
+        .with("fingerprint", textOf(m_fingerprint))
         .with("total_ms", toSeconds(now - m_arrivedAt) * 1000)
         .with("config", activeConfig.current()->version().value())
         .with("config_age_ms", toSeconds(now - activeConfig.confirmedAt().value_or(now)) * 1000);
--- a/src/gateway/call_relay_answers.cpp
+++ b/src/gateway/call_relay_answers.cpp
@@ -79,4 +79,17 @@
         refusal(m_status, "prompt_part_quarantined", m_mayHaveRun ? duration::zero() : wait));
 }
 
+void call_relay::refuseCrashing(const blocked_request &blocked)
+{
+    m_outcome = blocked.quarantined ? "request quarantined" : "request put off";
+    if (m_exchange.started()) {
+        m_exchange.abortStream();
+        return;
+    }
+    m_status = m_mayHaveRun ? 502 : 503;
+    m_exchange.respond(refusal(m_status,
+                               blocked.quarantined ? "request_quarantined" : "request_put_off",
+                               m_mayHaveRun ? duration::zero() : blocked.retryAfter));
+}
+
 } // namespace tamarack
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -40,12 +40,26 @@
       m_leavingExchange(m_directory, m_metrics), m_pool(thread.io()),
       m_caller(m_pool, protocol, {&m_rateExchange, &m_leavingExchange}),
       m_quarantine(m_self.vm, m_self.incarnation, quarantine_options()),
-      m_quarantineExchange(m_quarantine, m_metrics), m_origins(m_self.vm, m_peerTable, m_metrics),
+      m_requestQuarantine(m_self.vm, request_quarantine_options()),
+      m_quarantineExchange(m_quarantine, m_requestQuarantine, m_metrics),
+      m_origins(m_self.vm, m_peerTable, m_metrics),
       m_upstreams(store, protocol, m_directory, [this] { m_blockingQueue.processQueue(); }),
-      m_context{m_options,         protocol,        m_config,     m_directory,
-                m_allocator,       m_blockingQueue, m_caller,     m_peerTable,
-                m_rates,           m_rateExchange,  m_quarantine, m_quarantineExchange,
-                m_leavingExchange, m_origins,       m_metrics},
+      m_context{m_options,
+                protocol,
+                m_config,
+                m_directory,
+                m_allocator,
+                m_blockingQueue,
+                m_caller,
+                m_peerTable,
+                m_rates,
+                m_rateExchange,
+                m_quarantine,
+                m_requestQuarantine,
+                m_quarantineExchange,
+                m_leavingExchange,
+                m_origins,
+                m_metrics},
       m_batchStore(store, m_options.batchPartitions, m_options.batchKeepTime),
       m_batchApi(m_context, m_batchStore),
       m_peers(
@@ -62,6 +76,8 @@
 {
     m_blockingQueue.setBatchYield(
         [this](const placement_request &request) { return m_batches.yieldOne(request.version); });
+    m_quarantine.setFaultOfAnother(
+        [this](const broken_run &broken) { return m_requestQuarantine.isFaultOfAnother(broken); });
 }
 
 absl::Status gateway_process::start()
--- a/src/gateway/quarantine_exchange.cpp
+++ b/src/gateway/quarantine_exchange.cpp
@@ -1,4 +1,5 @@
 // Encodes times as ages, since the clocks of gateways differ.
+#include <tamarackglade/gateway/message_age.hpp>
 #include <tamarackglade/gateway/quarantine_exchange.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
@@ -17,21 +18,6 @@
 constexpr std::size_t MaxStatesPerReport = 16;
 constexpr std::chrono::milliseconds PeerSuccessLifetime{2'000};
 constexpr std::uint64_t MicrosPerMilli = 1'000;
-constexpr std::chrono::hours MaxAge{24}; // bounds the ages that a message may contain
-
-std::uint64_t millisBetween(time_point from, time_point to)
-{
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(to - from);
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
-}
-
-duration durationOf(std::uint64_t millis)
-{
-    constexpr auto MaxMillis = std::chrono::milliseconds(MaxAge).count();
-    const auto bounded = std::min<std::uint64_t>(millis, MaxMillis);
-    return std::chrono::milliseconds(static_cast<std::int64_t>(bounded));
-}
-
 const char *nameOf(quarantine_reason reason)
 {
     switch (reason) {
@@ -77,31 +63,34 @@
     return state;
 }
 
-std::unique_ptr<schema::early_break_message> encodeBreak(const early_break &broken, time_point now)
+std::unique_ptr<schema::early_break_message> encodeBreak(const broken_run &broken, time_point now)
 {
     auto message = std::make_unique<schema::early_break_message>();
     message->number = broken.number;
     message->group = broken.group.value();
     for (const prompt_part_id &part : broken.parts)
         message->parts.push_back(part.value());
-    message->request = broken.request;
+    message->request = broken.request.content;
+    message->customer = broken.request.customer;
+    message->batch_item = broken.ofBatchItem;
     message->instance = broken.instance.value();
     message->sent_age_ms = static_cast<std::uint32_t>(millisBetween(broken.sentAt, now));
     message->broke_age_ms = static_cast<std::uint32_t>(millisBetween(broken.brokeAt, now));
     return message;
 }
 
-early_break decodeBreak(const schema::early_break_message &message,
-                        const schema::peer_report_message &report, time_point now)
+broken_run decodeBreak(const schema::early_break_message &message,
+                       const schema::peer_report_message &report, time_point now)
 {
-    early_break broken;
+    broken_run broken;
     broken.reporter = vm_id(report.vm);
     broken.incarnation = incarnation_number(report.incarnation);
     broken.number = message.number;
     broken.group = group_id(message.group);
     for (const std::string &part : message.parts)
         broken.parts.emplace_back(part);
-    broken.request = message.request;
+    broken.request = {message.customer, message.request};
+    broken.ofBatchItem = message.batch_item;
     broken.instance = instance_hash(message.instance);
     broken.sentAt = now - durationOf(message.sent_age_ms);
     broken.brokeAt = now - durationOf(message.broke_age_ms);
@@ -135,14 +124,19 @@
         report.quarantine.push_back(encodeState(states[(m_nextState + i) % states.size()], now));
     m_nextState = states.empty() ? 0 : (m_nextState + sent) % states.size();
     report.successes = static_cast<std::uint32_t>(m_quarantine.recentSuccesses(now));
+    m_requests.addTo(report, now);
     m_reportedAt = now;
     m_hasNews = false;
 }
 
 void quarantine_exchange::apply(const schema::peer_report_message &report, time_point now)
 {
-    for (const auto &broken : report.breaks)
-        m_quarantine.onPeerBreak(decodeBreak(*broken, report, now), now);
+    for (const auto &message : report.breaks) {
+        const broken_run broken = decodeBreak(*message, report, now);
+        m_quarantine.onPeerBreak(broken, now);
+        m_requests.onPeerBreak(broken, now);
+    }
+    m_requests.apply(report, now);
     for (const schema::sound_part &sound : report.sound_parts)
         m_quarantine.onPeerSuccess({part_hash(sound.part()), now - durationOf(sound.age_ms())});
     for (const schema::served_run &run : report.served_runs)
@@ -156,6 +150,7 @@
 {
     for (const quarantined_part &state : m_quarantine.states())
         record.quarantine.push_back(encodeState(state, now));
+    m_requests.addTo(record, now);
     record.written_unix_ms = wallMicros() / MicrosPerMilli;
 }
 
@@ -166,17 +161,25 @@
     const duration recordAge = durationOf(wallNow > written ? wallNow - written : 0);
     for (const auto &state : record.quarantine)
         m_quarantine.adopt(decodeState(*state, recordAge, now), now);
+    m_requests.apply(record, recordAge, now);
 }
 
 void quarantine_exchange::tick(const upstream_directory &directory, std::vector<vm_id> serving,
                                time_point now)
 {
+    std::map<group_id, std::size_t> groupSizes;
     if (m_quarantine.hasBreaks()) {
         crash_evidence::instance_set listed;
-        for (const auto &[id, upstream] : directory.upstreams())
+        for (const auto &[id, upstream] : directory.upstreams()) {
             listed.insert(hashOf(id, upstream.incarnation));
+            ++groupSizes[upstream.group];
+        }
         m_quarantine.setListed(std::move(listed));
     }
+    const auto livesOn = [this](instance_hash instance, time_point since) {
+        return m_quarantine.livesOn(instance, since);
+    };
+    m_requests.tick(livesOn, serving, std::move(groupSizes), now);
     m_quarantine.tick(peerSuccesses(now), std::move(serving), now);
     for (const quarantine_change &change : m_quarantine.takeChanges()) {
         m_hasNews = true;
--- a/src/quarantine/crash_evidence.cpp
+++ b/src/quarantine/crash_evidence.cpp
@@ -22,7 +22,7 @@
 {
 }
 
-bool crash_evidence::add(const early_break &broken, time_point now)
+bool crash_evidence::add(const broken_run &broken, time_point now)
 {
     const auto isSame = [&](const entry &each) {
         return each.broken.number == broken.number && each.broken.reporter == broken.reporter
@@ -85,7 +85,7 @@
     std::map<part_hash, instance_set> later;
     for (const entry &each : m_entries) {
         auto at = std::find(each.parts.begin(), each.parts.end(), part);
-        if (at == each.parts.end() || isBeforeSuccess(each, part) || livesOn(each.broken))
+        if (at == each.parts.end() || isBeforeSuccess(each, part) || isRefuted(each.broken))
             continue;
         own.insert(each.broken.instance);
         while (++at != each.parts.end())
@@ -102,11 +102,15 @@
     return succeededAt && each.broken.brokeAt <= *succeededAt;
 }
 
-bool crash_evidence::livesOn(const early_break &broken) const
+bool crash_evidence::livesOn(instance_hash instance, time_point since) const
 {
-    const auto served = m_served.find(broken.instance);
-    return served && *served > broken.brokeAt + m_options.clockMargin
-           && m_listed.contains(broken.instance);
+    const auto served = m_served.find(instance);
+    return served && *served > since + m_options.clockMargin && m_listed.contains(instance);
+}
+
+bool crash_evidence::isRefuted(const broken_run &broken) const
+{
+    return livesOn(broken.instance, broken.brokeAt) || m_isFaultOfAnother(broken);
 }
 
 std::vector<served_run> crash_evidence::servedSinceBreak(time_point now) const
@@ -115,7 +119,8 @@
     instance_set added;
     for (const entry &each : m_entries) {
         const bool isRecent = now - each.broken.brokeAt < m_options.livingWindow;
-        if (isRecent && livesOn(each.broken) && added.insert(each.broken.instance).second)
+        if (isRecent && livesOn(each.broken.instance, each.broken.brokeAt)
+            && added.insert(each.broken.instance).second)
             runs.push_back({each.broken.instance, *m_served.find(each.broken.instance)});
     }
     return runs;
@@ -129,19 +134,19 @@
 crash_count crash_evidence::crashesOf(part_hash part, const instance_set &without,
                                       time_point addedUntil) const
 {
-    std::vector<const early_break *> breaks;
+    std::vector<const broken_run *> breaks;
     for (const entry &each : m_entries) {
         if (each.addedAt <= addedUntil && contains(each.parts, part) && !isBeforeSuccess(each, part)
-            && !without.contains(each.broken.instance) && !livesOn(each.broken))
+            && !without.contains(each.broken.instance) && !isRefuted(each.broken))
             breaks.push_back(&each.broken);
     }
     std::sort(breaks.begin(), breaks.end(),
-              [](const early_break *a, const early_break *b) { return a->brokeAt < b->brokeAt; });
+              [](const broken_run *a, const broken_run *b) { return a->brokeAt < b->brokeAt; });
     crash_count count;
     instance_set instances;
-    std::set<std::uint64_t> requests;
+    std::set<request_fingerprint> requests;
     std::optional<time_point> lastAt;
-    for (const early_break *each : breaks) {
+    for (const broken_run *each : breaks) {
         requests.insert(each->request);
         if ((lastAt && each->sentAt < *lastAt) || !instances.insert(each->instance).second)
             continue;
@@ -159,7 +164,7 @@
     const instance_set own = instancesWith([&](part_hash each) { return each == part; });
     const auto unrelated =
         std::count_if(m_entries.begin(), m_entries.end(), [&](const entry &each) {
-            return now - each.broken.brokeAt < m_options.rateWindow
+            return !each.parts.empty() && now - each.broken.brokeAt < m_options.rateWindow
                    && !own.contains(each.broken.instance);
         });
     const double breaks = static_cast<double>(unrelated) + 1;
@@ -206,9 +211,9 @@
     return found;
 }
 
-std::vector<early_break> crash_evidence::breaksOf(const vm_id &reporter, time_point since) const
+std::vector<broken_run> crash_evidence::breaksOf(const vm_id &reporter, time_point since) const
 {
-    std::vector<early_break> breaks;
+    std::vector<broken_run> breaks;
     for (const entry &each : m_entries) {
         if (each.broken.reporter == reporter && each.broken.brokeAt > since)
             breaks.push_back(each.broken);
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -1,5 +1,6 @@
 // Admission, trial requests and the exchange of quarantined parts.
 #include <tamarackglade/quarantine/prompt_quarantine.hpp>
+#include <tamarackglade/quarantine/trial_sender.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -47,17 +48,11 @@
     return blocked;
 }
 
-// One gateway of those that serve sends the trial requests of a part. It is chosen by rendezvous
-// hashing, so that all gateways choose the same one.
 bool prompt_quarantine::maySendTrial(part_hash part, const entry &known, time_point now) const
 {
     const bool trialRuns = known.trialSince && now - *known.trialSince < m_options.trialTimeout;
-    if (now < known.state.trialAt() || trialRuns || m_serving.empty())
-        return false;
-    const auto weight = [&](const vm_id &vm) { return stableHash(vm.value(), part.value()); };
-    return *std::max_element(m_serving.begin(), m_serving.end(), [&](const auto &a, const auto &b) {
-        return weight(a) < weight(b);
-    }) == m_self;
+    return now >= known.state.trialAt() && !trialRuns
+           && sendsTrials(m_self, m_serving, part.value());
 }
 
 void prompt_quarantine::onFirstEvent(const group_id &group,
@@ -74,12 +69,13 @@
     }
 }
 
-void prompt_quarantine::onBreak(early_break broken, time_point now)
+broken_run prompt_quarantine::onBreak(broken_run broken, time_point now)
 {
     broken.reporter = m_self;
     broken.incarnation = m_incarnation;
     broken.number = ++m_breaks;
     m_evidence.add(broken, now);
+    return broken;
 }
 
 void prompt_quarantine::endRun(const group_id &group, const std::vector<prompt_part_id> &parts,
@@ -95,7 +91,7 @@
     }
 }
 
-void prompt_quarantine::onPeerBreak(const early_break &broken, time_point now)
+void prompt_quarantine::onPeerBreak(const broken_run &broken, time_point now)
 {
     if (broken.reporter != m_self)
         m_evidence.add(broken, now);
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -38,14 +38,24 @@
         class Handler(handler):
             stand_in = owner
 
-        self.server = QuietServer(("127.0.0.1", 0), Handler)
+        self.handler = Handler
+        self.connections = set()
+        self.listen(0)
         self.address = "127.0.0.1:%d" % self.server.server_address[1]
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def listen(self, port):
+        self.server = QuietServer(("127.0.0.1", port), self.handler)
+        threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
 
     def stop(self):
         self.server.shutdown()
         self.server.server_close()
 
+    def cut_connections(self):
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
 
 class Handler(BaseHTTPRequestHandler):
     """Base of the request handlers."""
@@ -53,6 +63,15 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
 
+    def setup(self):
+        super().setup()
+        self.stand_in.connections.add(self.connection)
+
+    def finish(self):
+        self.stand_in.connections.discard(self.connection)
+        with contextlib.suppress(OSError):
+            super().finish()
+
     def log_message(self, *args):
         pass
 
@@ -220,6 +239,11 @@
             engine.crash(request)
             self.close_connection = True
             return
+        if engine.crashes_on_body(request) and engine.crash_at == 0:
+            engine.runs.append(request)
+            time.sleep(engine.step_s)
+            engine.end_process(request)
+            return
         status = request["status"] = engine.statuses.get(request["id"], engine.status)
         engine.runs.append(request)
         if status != 200:
@@ -268,6 +292,9 @@
         start = int(self.headers.get("Last-Event-Id", -1)) + 1
         for number in range(start, engine.events):
             time.sleep(engine.step_s)
+            if engine.crashes_on_body(request) and number == engine.crash_at:
+                engine.end_process(request)
+                return
             if engine.silent_at == number:
                 time.sleep(engine.silence_s)
             event = b"id: %d\ndata: %s-%d\n\n" % (number, request["id"].encode(), number)
@@ -348,8 +375,12 @@
         self.unframed = False  # streams have no chunks and end with the connection
         self.ends_after_head = False
         self.deadly_parts = set()  # ids of prompt parts that crash the engine
+        self.deadly_bodies = set()  # (customer, body) of requests that crash the engine
+        self.crash_at = 0  # number of the event before which it then crashes
+        self.down_s = 1.0  # until it listens again after such a crash
         self.crashed = []  # requests that crashed it
         self.born = 1000
+        self.running = True
         self.restarts = None  # called with the engine after a crash
         super().__init__(EngineHandler)
 
@@ -369,6 +400,29 @@
         if self.restarts:
             self.restarts(self)
 
+    def crashes_on_body(self, request):
+        return (request["headers"].get("Tenant"), request["body"]) in self.deadly_bodies
+
+    def end_process(self, request=None):
+        """Ends as a crashed process does, and starts again as another incarnation."""
+        with self.lock:
+            if request:
+                request["ended"] = time.monotonic()
+                self.crashed.append(request)
+            if not self.running:
+                return
+            self.running = False
+            self.born += 1
+        self.stop()
+        self.cut_connections()
+        threading.Timer(self.down_s, self.start_again).start()
+
+    def start_again(self):
+        self.listen(int(self.address.split(":")[1]))
+        self.running = True
+        if self.restarts:
+            self.restarts(self)
+
     def runs_of(self, request):
         return [run for run in self.runs if run["id"] == request]
 
--- a/tests/unit-quarantine.cpp
+++ b/tests/unit-quarantine.cpp
@@ -78,10 +78,10 @@
     void breakRun(std::size_t index, const std::vector<std::string> &names, std::uint64_t request,
                   instance_hash instance, time_point sentAt)
     {
-        early_break broken;
+        broken_run broken;
         broken.group = Engines;
         broken.parts = partsNamed(names);
-        broken.request = request;
+        broken.request = {0, request};
         broken.instance = instance;
         broken.sentAt = sentAt;
         broken.brokeAt = m_now;
@@ -162,7 +162,7 @@
             for (gateway &to : m_gateways) {
                 if (!connected(from, to))
                     continue;
-                for (const early_break &broken : from.quarantine->ownBreaks(m_now - 1200ms))
+                for (const broken_run &broken : from.quarantine->ownBreaks(m_now - 1200ms))
                     to.quarantine->onPeerBreak(broken, m_now);
                 for (const sound_part &sound : from.quarantine->soundSuspects(m_now))
                     to.quarantine->onPeerSuccess(sound);
@@ -235,6 +235,34 @@
     }
 }
 
+TEST_CASE("the tries of one request are not enough to quarantine its parts")
+{
+    quarantine_fleet fleet(3);
+    serveOthers(fleet, 30);
+    const std::uint64_t request = fleet.nextRequest();
+    for (std::size_t i = 0; i < 4; ++i) {
+        fleet.breakRun(i % 3, {"shared", "own"}, request, fleet.nextInstance(), fleet.now() - 30ms);
+        fleet.advance(500ms);
+    }
+    CHECK_FALSE(fleet.anyQuarantined());
+}
+
+TEST_CASE("breaks that are the fault of another request blame no part")
+{
+    for (const bool isFaultOfAnother : {true, false}) {
+        quarantine_fleet fleet(3);
+        for (std::size_t i = 0; i < 3; ++i)
+            fleet.at(i).setFaultOfAnother([=](const broken_run &) { return isFaultOfAnother; });
+        serveOthers(fleet, 30);
+        for (std::size_t i = 0; i < 4; ++i) {
+            fleet.breakRun(i % 3, {"shared", "own"}, fleet.nextRequest(), fleet.nextInstance(),
+                           fleet.now() - 30ms);
+            fleet.advance(500ms);
+        }
+        CHECK(fleet.anyQuarantined() != isFaultOfAnother);
+    }
+}
+
 TEST_CASE("requests that share the other parts of a quarantined prompt are served")
 {
     quarantine_fleet fleet(3);
@@ -515,11 +543,11 @@
     for (unsigned i = 0; i < 10'000; ++i) {
         const auto parts = partsNamed({"part-" + std::to_string(i)});
         const time_point now = Start + i * 1ms;
-        early_break broken;
+        broken_run broken;
         broken.group = Engines;
         broken.parts = parts;
         broken.instance = instance_hash(i);
-        broken.request = i;
+        broken.request = {0, i};
         broken.sentAt = now;
         broken.brokeAt = now;
         quarantine.onBreak(broken, now);
