--- a/include/tamarackglade/quarantine/request_fingerprint.hpp
+++ b/include/tamarackglade/quarantine/request_fingerprint.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <string_view>
+#include <utility>
 
 namespace tamarack {
 
@@ -18,7 +19,11 @@
     std::uint64_t customer = 0;
     std::uint64_t content = 0; // of the target and the body
 
-    friend auto operator<=>(const request_fingerprint &, const request_fingerprint &) = default;
+    friend bool operator==(const request_fingerprint &, const request_fingerprint &) = default;
+    friend bool operator<(const request_fingerprint &left, const request_fingerprint &right)
+    {
+        return std::pair(left.customer, left.content) < std::pair(right.customer, right.content);
+    }
 };
 
 inline request_fingerprint fingerprintOf(const customer_id &customer, std::string_view target,
