Jobs accepted just after an outage of the log are listed at every entry

Cause: an entry answers reads from its fold, and its log_tailer pauses 250 ms after a read that failed. The entries' pauses run in step when the log goes away from both at once, so it showed beside load only. Change: reads of files and jobs at an entry whose last read failed make it read again at once, and wait for that read, 500 ms at most; then they are answered from the fold as before.

--- a/include/tamarackglade/entry/job_controller.hpp
+++ b/include/tamarackglade/entry/job_controller.hpp
@@ -68,6 +68,8 @@
 private:
     /// @return the runner of the customer's partition, or an error while its jobs are being read
     api_result<partition_runner *> readyRunner(const customer_id &customer);
+    /// @brief Like readyRunner, for reads: its fold is current if the log answers.
+    api_result<partition_runner *> currentRunner(const customer_id &customer);
     api_result<job_request> checkRequest(const customer_id &customer,
                                          const batch_request &batchRequest,
                                          partition_runner &runner);
--- a/include/tamarackglade/entry/partition_runner.hpp
+++ b/include/tamarackglade/entry/partition_runner.hpp
@@ -52,6 +52,8 @@
     [[nodiscard]] partition_id partition() const { return m_partition; }
     /// @return the fold, or null while the stream's beginning is being read
     [[nodiscard]] const partition_fold *fold() const { return m_fold.get(); }
+    /// @brief If the last read of the stream failed, reads it again first; waits at most this long.
+    void refresh(std::chrono::milliseconds timeout);
     [[nodiscard]] log_batch_cache &batchCache() { return m_batchCache; }
     [[nodiscard]] bool caughtUp() const { return m_caughtUp; }
     /// @return the models of unfinished jobs, if this process owns the partition
--- a/include/tamarackglade/platform/log_tailer.hpp
+++ b/include/tamarackglade/platform/log_tailer.hpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/runtime/io_thread.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,6 +36,11 @@
     /// @brief Stops after the read under way.
     void stop();
 
+    /// @brief After a failed read, reads again at once, and waits in the caller's fiber until that
+    /// read has ended or the timeout has passed. Returns at once if the last read succeeded, as new
+    /// entries then arrive as soon as they are stored. Call on the tailer's thread only.
+    void retryNow(std::chrono::milliseconds timeout);
+
 private:
     struct shared_state;
 
--- a/src/entry/job_controller.cpp
+++ b/src/entry/job_controller.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+// How long a read waits for the log after an outage before it is answered from the fold.
+constexpr std::chrono::milliseconds MaxRefreshTime{500};
 constexpr std::chrono::milliseconds PollInterval{5};
 constexpr std::chrono::seconds FoldTimeout{10};
 constexpr std::chrono::milliseconds RetryDelay{2'000};
@@ -115,7 +117,7 @@
 api_result<job_controller::json> job_controller::showFile(const customer_id &customer,
                                                           const file_id &file)
 {
-    auto ready = readyRunner(customer);
+    auto ready = currentRunner(customer);
     if (const auto *error = std::get_if<api_error>(&ready))
         return *error;
     const partition_fold &fold = *std::get<partition_runner *>(ready)->fold();
@@ -130,7 +132,7 @@
 
 api_result<job_controller::json> job_controller::listFiles(const customer_id &customer)
 {
-    auto ready = readyRunner(customer);
+    auto ready = currentRunner(customer);
     if (const auto *error = std::get_if<api_error>(&ready))
         return *error;
     json list;
@@ -147,7 +149,7 @@
 api_result<content_part> job_controller::readContent(const customer_id &customer,
                                                      const file_id &file, std::size_t from)
 {
-    auto ready = readyRunner(customer);
+    auto ready = currentRunner(customer);
     if (const auto *error = std::get_if<api_error>(&ready))
         return *error;
     partition_runner &runner = *std::get<partition_runner *>(ready);
@@ -179,7 +181,7 @@
 api_result<job_controller::json> job_controller::show(const customer_id &customer,
                                                       const job_id &job)
 {
-    auto ready = readyRunner(customer);
+    auto ready = currentRunner(customer);
     if (const auto *error = std::get_if<api_error>(&ready))
         return *error;
     const partition_fold &fold = *std::get<partition_runner *>(ready)->fold();
@@ -192,7 +194,7 @@
 api_result<job_controller::json> job_controller::list(const customer_id &customer,
                                                       const std::string &after, std::size_t limit)
 {
-    auto ready = readyRunner(customer);
+    auto ready = currentRunner(customer);
     if (const auto *error = std::get_if<api_error>(&ready))
         return *error;
     const partition_fold &fold = *std::get<partition_runner *>(ready)->fold();
@@ -215,7 +217,7 @@
 api_result<job_controller::json> job_controller::cancel(const customer_id &customer,
                                                         const job_id &job)
 {
-    auto ready = readyRunner(customer);
+    auto ready = currentRunner(customer);
     if (const auto *error = std::get_if<api_error>(&ready))
         return *error;
     partition_runner &runner = *std::get<partition_runner *>(ready);
@@ -242,6 +244,14 @@
     return jobJson(*found);
 }
 
+// Another entry may have accepted a job after the read that failed here.
+api_result<partition_runner *> job_controller::currentRunner(const customer_id &customer)
+{
+    if (partition_runner *runner = m_jobs.runnerOf(customer))
+        runner->refresh(MaxRefreshTime);
+    return readyRunner(customer);
+}
+
 api_result<partition_runner *> job_controller::readyRunner(const customer_id &customer)
 {
     partition_runner *runner = m_jobs.runnerOf(customer);
--- a/src/entry/partition_runner.cpp
+++ b/src/entry/partition_runner.cpp
@@ -105,6 +105,12 @@
     return models;
 }
 
+void partition_runner::refresh(std::chrono::milliseconds timeout)
+{
+    if (m_tailer)
+        m_tailer->retryNow(timeout);
+}
+
 std::uint64_t partition_runner::addListener(fold_listener listener)
 {
     m_listeners.emplace(++m_lastListener, std::move(listener));
--- a/tests/e2e/scenario.py
+++ b/tests/e2e/scenario.py
@@ -259,6 +259,10 @@
         self.faults.setdefault(name, {})[switch] = int(value) if value.isdigit() else value
         self.fleet.fault(self.vm(name).upstream, **self.faults[name])
 
+    @statement(r"wait (\d+) ms")
+    def sleep_ms(self, milliseconds):
+        time.sleep(int(milliseconds) / 1000)
+
     @statement(r"wait (\d+) s")
     def wait(self, seconds):
         time.sleep(int(seconds))
@@ -432,6 +436,12 @@
         answer = self.call(entry, "GET", "/v1/batches?limit=100", None, self.headers(customer))
         assert len(json.loads(answer.body)["data"]) == 1, answer.body
 
+    @statement(r"expect job (\w+) listed at (\S+)")
+    def is_listed(self, name, entry):
+        job = self.jobs[name]
+        answer = self.call(entry, "GET", "/v1/batches?limit=100", None, self.headers(job.customer))
+        assert job.id in [each["id"] for each in json.loads(answer.body)["data"]], answer.body
+
     @statement(r"expect job (\w+) completed at (\S+) within (\d+) s")
     def job_completed(self, name, entry, seconds):
         job = self.jobs[name]
