Soak: requests that crash engines in half of the seeds

Two bodies of one caller crash each engine that runs them, at once or behind two events, at any gateway, while all other faults go on; a check counts the runs later than 3 s after the third crash, by gateways without faults of their own. The stand-in took a body that was cut off with its connection for a whole one and ran it, shown with ten of 100 bytes; it drops such a request now, as a server does. The check says which part differs.

--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -76,7 +76,12 @@
         pass
 
     def body(self):
-        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        """Returns the whole body; raises ConnectionError if the caller's connection ends before."""
+        size = int(self.headers.get("Content-Length", 0))
+        body = self.rfile.read(size)
+        if len(body) < size:
+            raise ConnectionError("the body is incomplete")
+        return body
 
     def answer(self, status, body=b"", headers=()):
         if isinstance(body, (dict, list)):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -33,9 +33,12 @@
         self.gateway = None
 
     def run(self):
-        while not self.site.stopping and not self.site.callers_stopped:
+        while not self.site.stopping and not self.site.callers_stopped and self.active():
             self.step()
 
+    def active(self):
+        return True
+
     def connect(self, gateway, timeout):
         host, port = gateway.address.split(":")
         return http.client.HTTPConnection(host, int(port), timeout=timeout)
@@ -108,6 +111,36 @@
         self.connection = None
 
 
+class DeadlyCaller(Caller):
+    """Sends a few requests again and again that crash each engine that runs them."""
+
+    BODIES = 2
+    PAUSE_S = 0.2
+
+    def __init__(self, site, seed):
+        super().__init__(site, seed, "deadly")
+        self.bodies = [b"deadly-%d" % i for i in range(self.BODIES)]
+        site.deadly_bodies.update(("north", body) for body in self.bodies)
+
+    def active(self):
+        """Returns whether the bodies still crash engines."""
+        return bool(self.site.deadly_bodies)
+
+    def step(self):
+        self.number += 1
+        gateway = self.site.pick_gateway(self.random)
+        call = Call(f"{self.name}-{self.number}", "deadly", f"{ROUTES['stream']}deadly",
+                    self.random.choice(self.bodies), "north", PERMANENT_KEYS["north"],
+                    gateway.name, time.monotonic())
+        self.site.ledger.add(self.site.ledger.calls, call)
+        headers = {"Host": HOST, "Request-Id": call.id, "Authorization": f"Bearer {call.key}",
+                   "Deadline-Ms": str(int(DEADLINE_S * 1000))}
+        connection = self.connect(gateway, DEADLINE_S + 1)
+        self.exchange(call, connection, "POST", headers)
+        connection.close()
+        time.sleep(self.PAUSE_S)
+
+
 class BatchCaller(Caller):
     """Submits jobs, resends them until accepted, reads their results and ends some of them."""
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -9,6 +9,7 @@
                         QUOTA_WINDOW_S, STABLE_S, PERMANENT_KEYS, WITHDRAWN_S)
 
 NOT_RUN = (408, 421, 429, 503)  # statuses that guarantee that the request has not run and won't
+MAX_LATE_RUNS = 3  # of a request that has crashed three engines
 DENIED = (400, 401, 403, 404, 405, 413, 431)
 
 
@@ -30,7 +31,7 @@
 
     def run_all(self):
         for check in (self.forwarded_requests, self.answers, self.repeats, self.refusals,
-                      self.denials, self.withdrawn_keys, self.quota, self.drains,
+                      self.denials, self.crashing_requests, self.withdrawn_keys, self.quota, self.drains,
                       self.planned_stops, self.results, self.ended_jobs, self.unrelated_group,
                       self.logs):
             check()
@@ -52,7 +53,9 @@
                 seen = (run["path"], run["body"], run["headers"].get("Tenant"))
                 if seen != expected or run["headers"].get("Host") != HOST:
                     self.add_violation("UNASKED",
-                                       f"{request} at {engine.id}: differs from the sent one")
+                                       f"{request} at {engine.id}: differs from the sent one, "
+                                       f"path {seen[0]}, {len(seen[1])} of {len(expected[1])} "
+                                       f"bytes, customer {seen[2]}")
                 if "Authorization" in run["headers"]:
                     self.add_violation("UNASKED",
                                        f"{request} at {engine.id}: the key was passed on")
@@ -105,6 +108,30 @@
             if not job_call:
                 self.add_violation("DENIED", f"{call.id}: {call.status}")
 
+    def crashing_requests(self):
+        """A request that has crashed three engines is sent three times more at most, later than
+        STABLE_S after that, by gateways that run. Faults of the store excuse nothing."""
+        crashes = collections.defaultdict(list)
+        for engine in self.site.all_engines:
+            for run in engine.crashed:
+                crashes[run["body"]].append(run["ended"])
+        for body, ends in crashes.items():
+            if len(ends) < 3:
+                continue
+            third = sorted(ends)[2]
+            late = []
+            for call in self.calls.values():
+                if call.body == body:
+                    late += [at for at, engine, _ in self.runs[call.id]
+                             if at > third + STABLE_S and self.ran_before(call.gateway, at)]
+            if len(late) > MAX_LATE_RUNS:
+                self.add_violation("BUDGET", f"{body.decode()}: {len(late)} runs later than "
+                                   f"{STABLE_S} s after its third crash, {len(ends)} crashes")
+
+    def ran_before(self, gateway, at):
+        touched = {gateway, f"stop of {gateway}", "gateways"}
+        return self.ledger.fault_free(touched, at - STABLE_S, at)
+
     def withdrawn_keys(self):
         ended = {each.key: each.at for each in self.ledger.withdrawals}
         for request, runs in self.runs.items():
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -37,6 +37,7 @@
 PERMANENT_KEYS = {"north": "key-north", "south": "key-south"}
 EVENTS = 8  # in each stream
 EVENT_S = 0.012
+ENGINE_DOWN_S = 0.7  # after a crash
 READY_POLL_S = 0.3
 START_TIMEOUT_S = 20
 
@@ -135,6 +136,7 @@
         self.mutation = mutation
         self.program = "mutant-gateway" if mutation else "tamarack-gateway"
         self.ledger = ledger
+        self.deadly_bodies = set()  # (customer, body) of requests that crash the engines
         self.poison = {}  # item id -> status that every engine answers
         self.store = Store()
         self.store.late_s = 1.5
@@ -196,6 +198,10 @@
         engine.events = EVENTS
         engine.step_s = EVENT_S
         engine.statuses = self.poison
+        engine.deadly_bodies = self.deadly_bodies
+        engine.crash_at = 2 * (self.engine_count % 2)  # at once, or behind two events
+        engine.down_s = ENGINE_DOWN_S
+        engine.restarts = self.engine_restarted
         link = FaultyLink(engine.address)
         engine.listed_address = link.address
         with self.lock:
@@ -209,6 +215,13 @@
         self.store.put("keyed.servers", engine.id,
                        dict(engine.record(state), address=engine.listed_address))
 
+    def engine_restarted(self, engine):
+        """Lists an engine again that has crashed, unless its record was removed."""
+        with self.lock:
+            listed = engine.id in self.engines
+        if listed:
+            self.list_engine(engine, "draining" if engine.id in self.ledger.drains else "ready")
+
     def drop_engine(self, engine):
         """Removes an engine's record from the store."""
         with self.lock:
@@ -264,6 +277,7 @@
 
     def end_all_faults(self):
         """Ends all faults of the store, links and engines."""
+        self.deadly_bodies.clear()
         self.store.set_down(False)
         self.store.refusing = 0
         self.store.delay = 0.0
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,7 +27,7 @@
     sys.path.insert(0, str(path))
 # pylint: disable=wrong-import-position
 import faults  # noqa: E402
-from callers import BatchCaller, StreamCaller  # noqa: E402
+from callers import BatchCaller, DeadlyCaller, StreamCaller  # noqa: E402
 from checks import Checks  # noqa: E402
 from deployment import FINISH_S, RECOVER_S, Site  # noqa: E402
 from ledger import Ledger  # noqa: E402
@@ -48,6 +48,8 @@
     callers = [StreamCaller(site, seed, f"{customer}-{i}", customer, CALLER_PAUSE_S)
                for customer in ("north", "south") for i in range(size["callers"])]
     callers += [BatchCaller(site, seed, f"batch-{i}", "north") for i in range(size["batch"])]
+    if seed % 4 in (2, 3):  # half of the seeds
+        callers.append(DeadlyCaller(site, seed))
     for caller in callers:
         caller.start()
     return callers
