--- a/include/tamarackglade/events/stream_event.hpp
+++ b/include/tamarackglade/events/stream_event.hpp
@@ -18,4 +18,7 @@
 /// @return the values of the event's data fields, joined by line feeds
 std::string eventData(std::string_view text);
 
+/// @return whether the event has an id or data; comments and blank lines have neither
+bool hasContent(const stream_event &event);
+
 } // namespace tamarack
--- a/include/tamarackglade/events/stream_progress.hpp
+++ b/include/tamarackglade/events/stream_progress.hpp
@@ -33,14 +33,21 @@
         if (m_last && *event.id != *m_last + 1)
             return event_check::Gap;
         m_last = event.id;
+        m_unfinished = false;
         return event_check::Pass;
     }
 
+    /// @brief Records that an upstream broke off inside the next event.
+    void setUnfinished() { m_unfinished = true; }
+    /// @return whether the next event is known to exist
+    [[nodiscard]] bool isUnfinished() const { return m_unfinished; }
+
     /// @return the id of the last event that passed, or resumeAfter before the first
     [[nodiscard]] std::optional<std::uint64_t> last() const { return m_last; }
 
 private:
     std::optional<std::uint64_t> m_last; // never decreases
+    bool m_unfinished = false; // a part of the event after m_last was received
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/attempt_result.hpp
+++ b/include/tamarackglade/gateway/attempt_result.hpp
@@ -42,6 +42,8 @@
     bool connected = true; // false if the upstream could not be reached
     // A reused connection broke before any response. The upstream may have closed it while idle.
     bool wasDropped = false;
+    // A stream ended in order, but without anything that shows that it was whole.
+    bool endedWithoutEvent = false;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/item_run.hpp
+++ b/include/tamarackglade/gateway/item_run.hpp
@@ -40,6 +40,8 @@
     // taken so far, writing it anew costs no more than waiting.
     std::optional<time_point> waitsSince;
     duration writingTime{}; // of the runs that wrote the text
+    bool isUnfinished = false; // a run broke off inside the event after lastEvent
+    unsigned emptyResumes = 0; // runs in a row that ended in order without an event
     unsigned earlyFailures = 0; // runs in a row that failed before their first event
     time_point startableAt{}; // after such a run; not started before
 
@@ -48,6 +50,8 @@
     {
         text.clear();
         lastEvent.reset();
+        isUnfinished = false;
+        emptyResumes = 0;
         origin.reset();
         waitsSince.reset();
         writingTime = duration::zero();
--- a/src/events/event_splitter.cpp
+++ b/src/events/event_splitter.cpp
@@ -68,6 +68,11 @@
     return data;
 }
 
+bool hasContent(const stream_event &event)
+{
+    return event.id || !eventData(event.text).empty();
+}
+
 void event_splitter::feed(std::string_view bytes)
 {
     m_buffer.erase(0, m_begin);
--- a/src/gateway/batch_runner_runs.cpp
+++ b/src/gateway/batch_runner_runs.cpp
@@ -15,7 +15,7 @@
 // Pause after a run that failed before its first event; doubles with each one in a row.
 constexpr std::chrono::milliseconds FirstFailurePause{250};
 constexpr std::chrono::seconds MaxFailurePause{8};
-constexpr unsigned MaxFailedResumes = 3; // in a row, before a text is written anew
+constexpr unsigned MaxEmptyResumes = 3; // in a row, before a text is written anew
 constexpr unsigned SilenceFactor = 2; // items may be silent longer than online requests
 constexpr unsigned UnprocessableContent = 422; // the upstream reports that no run can succeed
 
@@ -33,12 +33,15 @@
     bool onHead(const http_response &, const response_metadata &) override { return true; }
     bool onEvent(const stream_event &event) override
     {
+        if (!hasContent(event))
+            return true;
         if (!m_progress.origin)
             m_progress.origin = stream_origin{m_upstream.group, m_upstream.version, bootNow()};
         if (m_progress.lastEvent)
             m_progress.text.push_back('\n');
         m_progress.text += eventData(event.text);
-        m_progress.lastEvent = event.id;
+        m_progress.lastEvent = event.id ? event.id : m_progress.lastEvent;
+        m_progress.emptyResumes = 0;
         ++m_run.events;
         m_observer.onEvent();
         return true;
@@ -106,10 +109,13 @@
                           m_context.quarantineExchange, upstream,
                           {progress.sharedParts, progress.fingerprint, true});
     stream_progress events(progress.lastEvent);
+    if (progress.isUnfinished)
+        events.setUnfinished();
     output_sink sink(progress, run, observer, upstream);
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
+    progress.isUnfinished = events.isUnfinished();
     observer.onEnd(result);
     // An error response may be caused by the item. A single one does not eject the upstream.
     reportAttempt(m_context.allocator, upstream.id, result, bootNow());
@@ -133,7 +139,7 @@
     ++progress.earlyFailures;
     progress.startableAt = bootNow() + std::min<duration>(pause, MaxFailurePause);
     // Nothing may be left of the text, without a response that shows so.
-    if (progress.origin && progress.earlyFailures >= MaxFailedResumes)
+    if (result.endedWithoutEvent && ++progress.emptyResumes >= MaxEmptyResumes && progress.origin)
         startOver(work, "its resumes got no event");
 }
 
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/call_relay.cpp
@@ -167,6 +167,9 @@
 
 bool call_relay::onEvent(const stream_event &event)
 {
+    m_pending.append(event.text);
+    if (!hasContent(event))
+        return !m_callerDisconnected;
     if (!m_firstEventAt)
         m_firstEventAt = bootNow();
     if (!m_origin)
@@ -174,7 +177,6 @@
     ++m_events;
     ++m_runEvents;
     m_observer->onEvent();
-    m_pending.append(event.text);
     return !m_callerDisconnected;
 }
 
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream_caller.cpp
@@ -71,21 +71,18 @@
     std::size_t m_own = 0;
 };
 
-// Comments and blank lines have neither an id nor data.
-bool hasContent(const stream_event &event)
-{
-    return event.id || !eventData(event.text).empty();
-}
-
-// Routes without streams may pass on event streams too.
-bool endsInsideEvent(const http_response &response)
+// Routes without streams may pass on event streams too. An empty one is whole only if its response
+// is delimited.
+bool isCutEventStream(const http_response &response, bool isDelimited)
 {
     if (!absl::StartsWithIgnoreCase(response.contentType, EventStreamType))
         return false;
     event_splitter splitter;
     splitter.feed(response.body);
-    while (splitter.next()) { }
-    return splitter.hasPartial();
+    bool hasEvent = false;
+    while (const auto event = splitter.next())
+        hasEvent = hasEvent || hasContent(*event);
+    return splitter.hasPartial() || (!hasEvent && !isDelimited);
 }
 
 attempt_result makeResult(attempt_outcome outcome, std::string reason)
@@ -197,6 +194,8 @@
     setProgressDeadline(client, limits, false);
     for (;;) {
         const auto part = client.readSome();
+        if (!part.ok() && splitter.hasPartial())
+            progress.setUnfinished();
         if (!part.ok())
             return failureOf(part.status(), limits);
         if (part->empty())
@@ -218,13 +217,18 @@
         if (!sink.onFlush())
             return makeResult(attempt_outcome::Cancelled, "caller gone");
     }
-    if (splitter.hasPartial())
+    if (splitter.hasPartial()) {
+        progress.setUnfinished();
         return makeResult(attempt_outcome::Broken, "stream ended in the middle of an event");
+    }
     // A resumed stream may have nothing left, but only a delimited response shows that it ended.
-    const bool mayBeEmpty = isDelimited && progress.last();
-    if (!hasNewEvent && !mayBeEmpty)
-        return makeResult(attempt_outcome::Broken, "stream ended before its first event");
-    return makeResult(attempt_outcome::Complete, "");
+    const bool mayBeEmpty = isDelimited && progress.last() && !progress.isUnfinished();
+    if (hasNewEvent || mayBeEmpty)
+        return makeResult(attempt_outcome::Complete, "");
+    attempt_result result =
+        makeResult(attempt_outcome::Broken, "stream ended before its first event");
+    result.endedWithoutEvent = true;
+    return result;
 }
 
 attempt_result upstream_caller::readBody(http_client &client, const http_response &head,
@@ -236,6 +240,7 @@
     result.response.status = head.status;
     result.response.contentType = head.contentType;
     result.metadata = metadata;
+    const bool isDelimited = client.isDelimited();
     buffered_bytes buffered(m_bufferedBytes);
     for (;;) {
         setProgressDeadline(client, limits, true);
@@ -243,8 +248,8 @@
         if (!part.ok())
             return failureOf(part.status(), limits);
         if (part->empty())
-            return endsInsideEvent(result.response)
-                       ? makeResult(attempt_outcome::Broken, "body ended in the middle of an event")
+            return isCutEventStream(result.response, isDelimited)
+                       ? makeResult(attempt_outcome::Broken, "event stream ended early")
                        : result;
         result.response.body += *part;
         buffered.add(part->size());
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -291,7 +291,7 @@
         if not engine.unframed:
             self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
-        if engine.ends_after_head:
+        if engine.ends_after_head or (engine.empty_resumes and "Last-Event-Id" in self.headers):
             self.close_connection = True
             return
         start = int(self.headers.get("Last-Event-Id", -1)) + 1
@@ -309,6 +309,8 @@
                 self.close_connection = True
                 return
             self.chunk(event)
+            if engine.comments:
+                self.chunk(b": comment\n\n")
         if engine.unframed:
             self.close_connection = True
             return
@@ -379,6 +381,8 @@
         self.extra_headers = []  # (name, value) of all responses but 421
         self.unframed = False  # streams have no chunks and end with the connection
         self.ends_after_head = False
+        self.empty_resumes = False  # resumed streams have no event
+        self.comments = False  # a comment follows each event
         self.deadly_parts = set()  # ids of prompt parts that crash the engine
         self.deadly_bodies = set()  # (customer, body) of requests that crash the engine
         self.crash_at = 0  # number of the event before which it then crashes
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -221,14 +221,11 @@
         for engine in self.engine:
             engine.unframed = True
             engine.break_at = 2
-
-        def end_after_head(engine, other):
-            wait_until(lambda: engine.runs, "first run")
-            other.ends_after_head = True
-        for engine, other in (self.engine, reversed(self.engine)):
-            threading.Thread(target=end_after_head, args=(engine, other), daemon=True).start()
+            engine.empty_resumes = True
         with self.assertRaises(http.client.IncompleteRead):
             self.call()
+        self.assertTrue([run for engine in self.engine for run in engine.runs
+                         if run["headers"].get("Last-Event-Id") == "1"])
 
     def test_a_leaving_callers_request_is_dropped(self):
         for engine in self.engine:
@@ -751,13 +748,29 @@
         for engine in self.engine:
             engine.unframed = True
             engine.break_at = 2
+            engine.empty_resumes = True
         self.assertEqual(self.submit("j", items=1), 202)
-        wait_until(lambda: self.engine[0].runs + self.engine[1].runs, "first run")
+
+        def started_over():
+            return [line for gateway in self.gateway
+                    for line in gateway.lines_of("batch item starts over")
+                    if line["reason"] == "its resumes got no event"]
+        wait_until(started_over, "start over", 20)
+        resumes = [run for engine in self.engine for run in engine.runs
+                   if run["headers"].get("Last-Event-Id") == "1"]
+        self.assertGreaterEqual(len(resumes), 3)
         for engine in self.engine:
-            engine.ends_after_head = True
-        time.sleep(1)
+            engine.break_at, engine.empty_resumes = None, False
+        self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
+
+    def test_comments_are_no_part_of_an_items_text(self):
         for engine in self.engine:
-            engine.break_at, engine.ends_after_head = None, False
+            engine.comments = True
+            engine.break_at = 3
+        self.assertEqual(self.submit("j", items=1), 202)
+        wait_until(lambda: self.engine[0].runs + self.engine[1].runs, "first run")
+        for engine in self.engine:
+            engine.break_at = None
         self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
 
     def test_large_jobs(self):
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -154,7 +154,7 @@
 };
 
 received_response receive(io_thread &thread, const upstream_script &script, bool streamed,
-                          bool slow, std::optional<std::uint64_t> resumeAfter = std::nullopt)
+                          bool slow, stream_progress &progress)
 {
     const scripted_upstream server(script);
     received_response received{};
@@ -166,7 +166,6 @@
         upstream_caller caller(pool, protocol, {&listener});
         live_upstream upstream;
         upstream.address = server.address();
-        stream_progress progress(resumeAfter);
         collecting_sink sink(slow);
         attempt_handle handle;
         const attempt_limits limits{bootNow() + 10s, duration::zero(), std::nullopt, 1s};
@@ -178,6 +177,13 @@
     return received;
 }
 
+received_response receive(io_thread &thread, const upstream_script &script, bool streamed,
+                          bool slow, std::optional<std::uint64_t> resumeAfter = std::nullopt)
+{
+    stream_progress progress(resumeAfter);
+    return receive(thread, script, streamed, slow, progress);
+}
+
 bool looksComplete(const received_response &received)
 {
     return received.outcome == attempt_outcome::Complete
@@ -263,6 +269,23 @@
     }
 }
 
+TEST_CASE("a stream that broke off inside an event isn't whole at a resume without events")
+{
+    io_thread thread;
+    for (const ending end : {ending::Close, ending::Reset}) {
+        stream_progress progress;
+        const std::string cut = "id: 0\ndata: a\n\nid: 1\nda";
+        receive(thread, {responseText(framing::UntilClose, cut), "", end}, true, false, progress);
+        CHECK(progress.last() == 0);
+        const upstream_script empty{responseText(framing::Chunks, ""), "", ending::Close};
+        CHECK_FALSE(looksComplete(receive(thread, empty, true, false, progress)));
+        const upstream_script rest{responseText(framing::Chunks, "id: 1\ndata: b\n\n"), "",
+                                   ending::Close};
+        CHECK(looksComplete(receive(thread, rest, true, false, progress)));
+        CHECK(looksComplete(receive(thread, empty, true, false, progress)));
+    }
+}
+
 TEST_CASE("a stream of comments alone is broken")
 {
     io_thread thread;
@@ -286,6 +309,8 @@
         };
         CHECK_FALSE(looksComplete(receive(thread, {withType(events), ""}, false, false)));
         CHECK(looksComplete(receive(thread, {withType(events + "\n"), ""}, false, false)));
+        const auto empty = receive(thread, {withType(""), ""}, false, false);
+        CHECK(looksComplete(empty) == (framed != framing::UntilClose));
     }
 }
 
