--- a/include/tamarackglade/quarantine/request_quarantine.hpp
+++ b/include/tamarackglade/quarantine/request_quarantine.hpp
@@ -87,7 +87,7 @@
 
     /// @return successes of suspected requests within the last recentSuccess
     [[nodiscard]] std::vector<sound_request> soundSuspects(time_point now) const;
-    /// @return all states, also released ones; those that changed last come first
+    /// @return all states, also released ones; those that were used last come first
     [[nodiscard]] std::vector<quarantined_request> states() const;
     [[nodiscard]] const request_crashes &crashes() const { return m_crashes; }
     /// @return the requests with minSuspicion crashes or more that are not in quarantine
--- a/src/gateway/request_quarantine_exchange.cpp
+++ b/src/gateway/request_quarantine_exchange.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t NewestStatesPerReport = 16; // those that changed last
+constexpr std::size_t NewestStatesPerReport = 16; // those that were used last
 constexpr std::size_t OlderStatesPerReport = 8; // of the others, in turn
 constexpr std::size_t MaxSoundRequestsPerReport = 32;
 constexpr std::size_t MaxStatesPerRecord = 256;
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -193,7 +193,7 @@
     for (const auto &[request, each] : m_entries)
         states.push_back(each.state);
     std::sort(states.begin(), states.end(),
-              [](const auto &a, const auto &b) { return a.since > b.since; });
+              [](const auto &a, const auto &b) { return a.usedAt > b.usedAt; });
     return states;
 }
 
