src/ini: private members of ini_line_reader named for what they do

fill fillLineBuffer takeLine advanceLine openSection parseSectionHeader closeLine reportMissingEntry m_open m_awaitsEntry m_number m_lineNumber

--- a/src/ini/ini_document.cpp
+++ b/src/ini/ini_document.cpp
@@ -29,7 +29,7 @@
     ini_document read()
     {
         ini_parse_stream(&ini_line_reader::nextLine, this, &ini_line_reader::onEntry, this);
-        closeLine();
+        reportMissingEntry();
         return std::move(m_document);
     }
 
@@ -37,7 +37,8 @@
     // Called by inih like fgets.
     static char *nextLine(char *buffer, int size, void *self)
     {
-        return static_cast<ini_line_reader *>(self)->fill(buffer, static_cast<std::size_t>(size));
+        return static_cast<ini_line_reader *>(self)->fillLineBuffer(buffer,
+                                                                    static_cast<std::size_t>(size));
     }
 
     static int onEntry(void *self, const char * /*section*/, const char *key, const char *value)
@@ -46,18 +47,18 @@
         return 1;
     }
 
-    char *fill(char *buffer, std::size_t size)
+    char *fillLineBuffer(char *buffer, std::size_t size)
     {
-        closeLine();
+        reportMissingEntry();
         if (m_rest.empty())
             return nullptr;
-        takeLine();
+        advanceLine();
         std::string_view line = m_line;
         const bool unreadable = line.size() > std::min(MaxLineSize, size - 2)
                                 || std::any_of(line.begin(), line.end(), isControl);
         if (unreadable) {
             addFault("a line of at most 190 bytes without control characters");
-            m_open = false;
+            m_awaitsEntry = false;
             line = {};
         }
         std::copy(line.begin(), line.end(), buffer);
@@ -66,20 +67,20 @@
         return buffer;
     }
 
-    void takeLine()
+    void advanceLine()
     {
         const std::size_t end = std::min(m_rest.find('\n'), m_rest.size());
         m_line = trimmed(m_rest.substr(0, end));
         m_rest.remove_prefix(std::min(end + 1, m_rest.size()));
-        ++m_number;
-        m_open = !m_line.empty() && m_line.front() != ';' && m_line.front() != '#';
-        if (m_open && m_line.front() == '[')
-            openSection();
+        ++m_lineNumber;
+        m_awaitsEntry = !m_line.empty() && m_line.front() != ';' && m_line.front() != '#';
+        if (m_awaitsEntry && m_line.front() == '[')
+            parseSectionHeader();
     }
 
-    void openSection()
+    void parseSectionHeader()
     {
-        m_open = false;
+        m_awaitsEntry = false;
         const std::size_t end = m_line.find(']');
         if (end == std::string_view::npos || end == 1 || end > MaxHeaderSize) {
             addFault("a section such as [fleet] of at most 49 characters");
@@ -88,25 +89,25 @@
         const std::string_view after = trimmed(m_line.substr(end + 1));
         if (!after.empty() && after.front() != ';')
             addFault("nothing after the section's ]");
-        m_document.sections.push_back({m_number, std::string(m_line.substr(1, end - 1)), {}});
+        m_document.sections.push_back({m_lineNumber, std::string(m_line.substr(1, end - 1)), {}});
     }
 
     void addEntry(const char *key, const char *value)
     {
-        m_open = false;
+        m_awaitsEntry = false;
         if (m_document.sections.empty()) {
             addFault("a section before the first key");
             return;
         }
-        m_document.sections.back().entries.push_back({m_number, key, value});
+        m_document.sections.back().entries.push_back({m_lineNumber, key, value});
     }
 
     // A line that inih took for nothing is malformed.
-    void closeLine()
+    void reportMissingEntry()
     {
-        if (m_open)
+        if (m_awaitsEntry)
             addFault("key = value");
-        m_open = false;
+        m_awaitsEntry = false;
     }
 
     void addFault(std::string_view expected)
@@ -114,13 +115,13 @@
         const std::string section =
             m_document.sections.empty() ? "" : m_document.sections.back().header;
         m_document.faults.push_back(
-            {m_number, section, "", std::string(m_line.substr(0, 40)), std::string(expected)});
+            {m_lineNumber, section, "", std::string(m_line.substr(0, 40)), std::string(expected)});
     }
 
     std::string_view m_rest;
     std::string_view m_line;
-    unsigned m_number = 0;
-    bool m_open = false; // whether m_line still waits for its entry
+    unsigned m_lineNumber = 0;
+    bool m_awaitsEntry = false; // whether m_line still waits for its entry
     ini_document m_document;
 };
 
