src/ini: comments say what a newcomer needs

Doc comments state arguments, results and errors; the limits of inih (buffer of 200 bytes, section names of 49 characters, no line numbers for the handler) keep their reasons and name inih's macros where it has them. Messages are unchanged. unit-config, unit-manifest, shell-settings and fuzz-config pass with the same numbers of assertions as before (60, 196, 79, 7).

--- a/include/tamarackglade/ini/ini_entry.hpp
+++ b/include/tamarackglade/ini/ini_entry.hpp
@@ -1,4 +1,4 @@
-// One key and value of an INI text.
+// A key and its value in an INI text.
 #pragma once
 
 #include <string>
@@ -9,7 +9,7 @@
 {
     unsigned line = 0; // from 1
     std::string key;
-    std::string value;
+    std::string value; // without an inline comment; may be empty
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/ini/ini_section.hpp
+++ b/include/tamarackglade/ini/ini_section.hpp
@@ -1,4 +1,4 @@
-// One section of an INI text, with the lines that its parts stand on.
+// A section of an INI text, with line numbers.
 #pragma once
 
 #include <tamarackglade/ini/ini_entry.hpp>
@@ -9,8 +9,8 @@
 
 struct ini_section
 {
-    unsigned line = 0; // from 1
-    std::string header; // between the brackets
+    unsigned line = 0; // of the header, from 1
+    std::string header; // the text between the brackets, such as "customer a"
     std::vector<ini_entry> entries;
 };
 
--- a/src/ini/ini_document.cpp
+++ b/src/ini/ini_document.cpp
@@ -1,4 +1,5 @@
-// Reads INI through inih, one line at a time, so that line numbers are known.
+// Parses INI text with inih and counts the lines, because the packaged inih does not pass line
+// numbers to its handler (INI_HANDLER_LINENO is 0).
 #include <tamarackglade/ini/ini_document.hpp>
 #include <tamarackglade/ini/text.hpp>
 
@@ -10,9 +11,11 @@
 
 namespace {
 
-// inih holds a line, its end and a terminator in 200 bytes.
+// In bytes. The 200 bytes of inih's buffer (INI_MAX_LINE) hold a line, its line ending and a null
+// terminator.
 constexpr std::size_t MaxLineSize = 190;
-// inih cuts longer names.
+// inih truncates section names of more than 49 characters. The index of the ']' is compared with
+// this, so the longest header accepted has 48.
 constexpr std::size_t MaxHeaderSize = 49;
 
 bool isControl(char c)
@@ -21,6 +24,8 @@
     return (byte < ' ' && byte != '\t') || byte == 0x7f;
 }
 
+// Gives inih one line for each call of nextLine(), so that the next entry that inih reports is from
+// this line. Section headers are parsed here, since inih does not report them.
 class ini_line_reader
 {
 public:
@@ -34,19 +39,22 @@
     }
 
 private:
-    // Called by inih like fgets.
+    // Reader callback of inih, with the interface of fgets.
     static char *nextLine(char *buffer, int size, void *self)
     {
         return static_cast<ini_line_reader *>(self)->fillLineBuffer(buffer,
                                                                     static_cast<std::size_t>(size));
     }
 
+    // Handler callback of inih for a key and its value; 1 means success.
     static int onEntry(void *self, const char * /*section*/, const char *key, const char *value)
     {
         static_cast<ini_line_reader *>(self)->addEntry(key, value);
         return 1;
     }
 
+    // Copies the next line into the buffer, or an empty line if it is too long for inih or has
+    // control characters. Returns null at the end of the text.
     char *fillLineBuffer(char *buffer, std::size_t size)
     {
         reportMissingEntry();
@@ -67,6 +75,7 @@
         return buffer;
     }
 
+    // Takes the next line off the remaining text.
     void advanceLine()
     {
         const std::size_t end = std::min(m_rest.find('\n'), m_rest.size());
@@ -102,7 +111,7 @@
         m_document.sections.back().entries.push_back({m_lineNumber, key, value});
     }
 
-    // A line that inih took for nothing is malformed.
+    // Adds a fault if inih skipped the current line as malformed instead of reporting its entry.
     void reportMissingEntry()
     {
         if (m_awaitsEntry)
@@ -110,6 +119,7 @@
         m_awaitsEntry = false;
     }
 
+    // Adds a fault of the current line, of which it quotes the first 40 bytes.
     void addFault(std::string_view expected)
     {
         const std::string section =
@@ -118,10 +128,10 @@
             {m_lineNumber, section, "", std::string(m_line.substr(0, 40)), std::string(expected)});
     }
 
-    std::string_view m_rest;
-    std::string_view m_line;
-    unsigned m_lineNumber = 0;
-    bool m_awaitsEntry = false; // whether m_line still waits for its entry
+    std::string_view m_rest; // the text behind the current line
+    std::string_view m_line; // the current line, trimmed
+    unsigned m_lineNumber = 0; // of m_line, from 1; 0 before the first line
+    bool m_awaitsEntry = false; // whether m_line must be an entry that inih has not reported yet
     ini_document m_document;
 };
 
