--- a/src/gateway/call_relay_attempts.cpp
+++ b/src/gateway/call_relay_attempts.cpp
@@ -76,8 +76,9 @@
 std::string call_relay::beginRun(const live_upstream &upstream)
 {
     const time_point now = bootNow();
-    if (m_context.requestQuarantine.beginRun(m_fingerprint, upstream.group, now))
-        return "request quarantined";
+    if (const auto blocked =
+            m_context.requestQuarantine.beginRun(m_fingerprint, upstream.group, now))
+        return blocked->quarantined ? "request quarantined" : "request put off";
     if (!m_context.quarantine.beginRun(upstream.group, m_call.sharedParts, now))
         return "";
     m_context.requestQuarantine.endRun(m_fingerprint, run_end::NotRun, now);
