src/gateway in folders by job: process, relay, upstream, batch, exchange

Cause: 32 files in one flat folder, and the exchange between gateways is about to grow. No line of behaviour changes. Result: tamarack-gateway builds.

--- a/apps/tamarack-gateway.cpp
+++ b/apps/tamarack-gateway.cpp
@@ -1,7 +1,7 @@
 // The gateway: forwards callers' requests to upstreams on the users' platform.
 #include <platform/http_protocol.hpp>
 #include <platform/platform_store.hpp>
-#include <tamarackglade/gateway/gateway_process.hpp>
+#include <tamarackglade/gateway/process/gateway_process.hpp>
 #include <tamarackglade/logging/init_logging.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 #include <tamarackglade/settings/load_settings.hpp>
--- a/include/tamarackglade/gateway/batch_api.hpp
+++ b/include/tamarackglade/gateway/batch/batch_api.hpp
@@ -1,10 +1,10 @@
 // Handlers of the callers' requests about batch jobs: submit, read results, read bodies, end.
 #pragma once
 
-#include <tamarackglade/gateway/batch_call.hpp>
-#include <tamarackglade/gateway/batch_store.hpp>
-#include <tamarackglade/gateway/batch_submission.hpp>
-#include <tamarackglade/gateway/gateway_context.hpp>
+#include <tamarackglade/gateway/batch/batch_call.hpp>
+#include <tamarackglade/gateway/batch/batch_store.hpp>
+#include <tamarackglade/gateway/batch/batch_submission.hpp>
+#include <tamarackglade/gateway/process/gateway_context.hpp>
 #include <tamarackglade/http/http_exchange.hpp>
 
 namespace tamarack {
--- a/include/tamarackglade/gateway/batch_partition.hpp
+++ b/include/tamarackglade/gateway/batch/batch_partition.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <tamarackglade/batches/batch_fold.hpp>
-#include <tamarackglade/gateway/stream_follower.hpp>
+#include <tamarackglade/gateway/batch/stream_follower.hpp>
 
 #include <string>
 #include <vector>
--- a/include/tamarackglade/gateway/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -2,10 +2,10 @@
 #pragma once
 
 #include <tamarackglade/batches/batch_schedule.hpp>
-#include <tamarackglade/gateway/batch_store.hpp>
-#include <tamarackglade/gateway/gateway_context.hpp>
-#include <tamarackglade/gateway/item_run.hpp>
-#include <tamarackglade/gateway/run_observer.hpp>
+#include <tamarackglade/gateway/batch/batch_store.hpp>
+#include <tamarackglade/gateway/batch/item_run.hpp>
+#include <tamarackglade/gateway/process/gateway_context.hpp>
+#include <tamarackglade/gateway/upstream/run_observer.hpp>
 
 #include <functional>
 #include <map>
--- a/include/tamarackglade/gateway/batch_store.hpp
+++ b/include/tamarackglade/gateway/batch/batch_store.hpp
@@ -1,8 +1,8 @@
 // Access to all partitions of batch jobs and to the contents of their items.
 #pragma once
 
-#include <tamarackglade/gateway/batch_partition.hpp>
-#include <tamarackglade/gateway/content_store.hpp>
+#include <tamarackglade/gateway/batch/batch_partition.hpp>
+#include <tamarackglade/gateway/batch/content_store.hpp>
 
 #include <memory>
 #include <vector>
--- a/include/tamarackglade/gateway/batch_submission.hpp
+++ b/include/tamarackglade/gateway/batch/batch_submission.hpp
@@ -1,8 +1,8 @@
 // Submission of one batch job to the store.
 #pragma once
 
-#include <tamarackglade/gateway/batch_partition.hpp>
-#include <tamarackglade/gateway/content_store.hpp>
+#include <tamarackglade/gateway/batch/batch_partition.hpp>
+#include <tamarackglade/gateway/batch/content_store.hpp>
 #include <tamarackglade/schema/batches_generated.h>
 
 #include <boost/fiber/future/future.hpp>
--- a/include/tamarackglade/gateway/item_run.hpp
+++ b/include/tamarackglade/gateway/batch/item_run.hpp
@@ -1,7 +1,7 @@
 // State of a batch item at the gateway that runs it.
 #pragma once
 
-#include <tamarackglade/gateway/upstream_caller.hpp>
+#include <tamarackglade/gateway/upstream/upstream_caller.hpp>
 #include <tamarackglade/jobs/item_key.hpp>
 #include <tamarackglade/quarantine/request_fingerprint.hpp>
 #include <tamarackglade/resumption/stream_origin.hpp>
--- a/include/tamarackglade/gateway/stream_follower.hpp
+++ b/include/tamarackglade/gateway/batch/stream_follower.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <tamarackglade/core/time.hpp>
-#include <tamarackglade/gateway/stream_listener.hpp>
+#include <tamarackglade/gateway/batch/stream_listener.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 #include <tamarackglade/store/record_store.hpp>
 
--- a/include/tamarackglade/gateway/leaving_exchange.hpp
+++ b/include/tamarackglade/gateway/exchange/leaving_exchange.hpp
@@ -2,7 +2,7 @@
 // gateways.
 #pragma once
 
-#include <tamarackglade/gateway/response_listener.hpp>
+#include <tamarackglade/gateway/upstream/response_listener.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
 #include <tamarackglade/schema/peer_generated.h>
--- a/include/tamarackglade/gateway/member_registry.hpp
+++ b/include/tamarackglade/gateway/exchange/member_registry.hpp
@@ -1,7 +1,7 @@
 // Registration of this gateway in the store, and discovery of the others.
 #pragma once
 
-#include <tamarackglade/gateway/quarantine_exchange.hpp>
+#include <tamarackglade/gateway/exchange/quarantine_exchange.hpp>
 #include <tamarackglade/rates/peer_table.hpp>
 #include <tamarackglade/store/record_store.hpp>
 
--- a/include/tamarackglade/gateway/peer_link.hpp
+++ b/include/tamarackglade/gateway/exchange/peer_link.hpp
@@ -1,8 +1,8 @@
 // Datagram reports between gateways: reachability, slots in use, admitted requests.
 #pragma once
 
-#include <tamarackglade/gateway/gateway_context.hpp>
-#include <tamarackglade/gateway/member_registry.hpp>
+#include <tamarackglade/gateway/exchange/member_registry.hpp>
+#include <tamarackglade/gateway/process/gateway_context.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 #include <tamarackglade/schema/peer_generated.h>
 #include <tamarackglade/store/record_store.hpp>
--- a/include/tamarackglade/gateway/quarantine_exchange.hpp
+++ b/include/tamarackglade/gateway/exchange/quarantine_exchange.hpp
@@ -1,7 +1,7 @@
 // Exchange of the quarantines with other gateways and with the store.
 #pragma once
 
-#include <tamarackglade/gateway/request_quarantine_exchange.hpp>
+#include <tamarackglade/gateway/exchange/request_quarantine_exchange.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
 #include <tamarackglade/quarantine/prompt_quarantine.hpp>
--- a/include/tamarackglade/gateway/rate_exchange.hpp
+++ b/include/tamarackglade/gateway/exchange/rate_exchange.hpp
@@ -1,8 +1,8 @@
 // Exchange of admitted requests and of upstreams' rates between gateways.
 #pragma once
 
-#include <tamarackglade/gateway/config_watch.hpp>
-#include <tamarackglade/gateway/response_listener.hpp>
+#include <tamarackglade/gateway/process/config_watch.hpp>
+#include <tamarackglade/gateway/upstream/response_listener.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/placement/upstream_rates.hpp>
 #include <tamarackglade/schema/peer_generated.h>
--- a/include/tamarackglade/gateway/config_watch.hpp
+++ b/include/tamarackglade/gateway/process/config_watch.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <tamarackglade/forward/active_config.hpp>
-#include <tamarackglade/gateway/platform_protocol.hpp>
-#include <tamarackglade/gateway/stream_follower.hpp>
+#include <tamarackglade/gateway/batch/stream_follower.hpp>
+#include <tamarackglade/gateway/process/platform_protocol.hpp>
 
 #include <functional>
 
--- a/include/tamarackglade/gateway/gateway_context.hpp
+++ b/include/tamarackglade/gateway/process/gateway_context.hpp
@@ -1,15 +1,15 @@
 // References to the components that the gateway's request handlers share.
 #pragma once
 
-#include <tamarackglade/gateway/blocking_slot_queue.hpp>
-#include <tamarackglade/gateway/config_watch.hpp>
-#include <tamarackglade/gateway/gateway_options.hpp>
-#include <tamarackglade/gateway/leaving_exchange.hpp>
-#include <tamarackglade/gateway/origin_exchange.hpp>
-#include <tamarackglade/gateway/platform_protocol.hpp>
-#include <tamarackglade/gateway/quarantine_exchange.hpp>
-#include <tamarackglade/gateway/rate_exchange.hpp>
-#include <tamarackglade/gateway/upstream_caller.hpp>
+#include <tamarackglade/gateway/exchange/leaving_exchange.hpp>
+#include <tamarackglade/gateway/exchange/origin_exchange.hpp>
+#include <tamarackglade/gateway/exchange/quarantine_exchange.hpp>
+#include <tamarackglade/gateway/exchange/rate_exchange.hpp>
+#include <tamarackglade/gateway/process/config_watch.hpp>
+#include <tamarackglade/gateway/process/gateway_options.hpp>
+#include <tamarackglade/gateway/process/platform_protocol.hpp>
+#include <tamarackglade/gateway/relay/blocking_slot_queue.hpp>
+#include <tamarackglade/gateway/upstream/upstream_caller.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/placement/slot_allocator.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
--- a/include/tamarackglade/gateway/gateway_process.hpp
+++ b/include/tamarackglade/gateway/process/gateway_process.hpp
@@ -1,12 +1,12 @@
 // The gateway process: its components, start, readiness and stop.
 #pragma once
 
-#include <tamarackglade/gateway/batch_api.hpp>
-#include <tamarackglade/gateway/batch_runner.hpp>
-#include <tamarackglade/gateway/gateway_context.hpp>
-#include <tamarackglade/gateway/peer_link.hpp>
-#include <tamarackglade/gateway/request_router.hpp>
-#include <tamarackglade/gateway/upstream_watch.hpp>
+#include <tamarackglade/gateway/batch/batch_api.hpp>
+#include <tamarackglade/gateway/batch/batch_runner.hpp>
+#include <tamarackglade/gateway/exchange/peer_link.hpp>
+#include <tamarackglade/gateway/process/gateway_context.hpp>
+#include <tamarackglade/gateway/relay/request_router.hpp>
+#include <tamarackglade/gateway/upstream/upstream_watch.hpp>
 #include <tamarackglade/http/admin_server.hpp>
 #include <tamarackglade/http/http_server.hpp>
 #include <tamarackglade/settings/settings_watch.hpp>
--- a/include/tamarackglade/gateway/platform_protocol.hpp
+++ b/include/tamarackglade/gateway/process/platform_protocol.hpp
@@ -3,10 +3,10 @@
 
 #include <tamarackglade/batches/customer_batch.hpp>
 #include <tamarackglade/forward/forward_config.hpp>
-#include <tamarackglade/gateway/batch_call.hpp>
-#include <tamarackglade/gateway/forward_call.hpp>
-#include <tamarackglade/gateway/response_metadata.hpp>
-#include <tamarackglade/gateway/upstream_attempt.hpp>
+#include <tamarackglade/gateway/batch/batch_call.hpp>
+#include <tamarackglade/gateway/relay/forward_call.hpp>
+#include <tamarackglade/gateway/upstream/response_metadata.hpp>
+#include <tamarackglade/gateway/upstream/upstream_attempt.hpp>
 #include <tamarackglade/http/http_client.hpp>
 #include <tamarackglade/http/http_request.hpp>
 #include <tamarackglade/http/http_response.hpp>
--- a/include/tamarackglade/gateway/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -1,8 +1,8 @@
 // Forwards one online request to an upstream, and to others if that one fails.
 #pragma once
 
-#include <tamarackglade/gateway/gateway_context.hpp>
-#include <tamarackglade/gateway/run_observer.hpp>
+#include <tamarackglade/gateway/process/gateway_context.hpp>
+#include <tamarackglade/gateway/upstream/run_observer.hpp>
 #include <tamarackglade/http/http_exchange.hpp>
 #include <tamarackglade/resumption/stream_origin.hpp>
 
--- a/include/tamarackglade/gateway/request_router.hpp
+++ b/include/tamarackglade/gateway/relay/request_router.hpp
@@ -1,8 +1,8 @@
 // Checks route, key and rate of a request, then passes it to the handler that serves it.
 #pragma once
 
-#include <tamarackglade/gateway/batch_api.hpp>
-#include <tamarackglade/gateway/gateway_context.hpp>
+#include <tamarackglade/gateway/batch/batch_api.hpp>
+#include <tamarackglade/gateway/process/gateway_context.hpp>
 #include <tamarackglade/http/http_exchange.hpp>
 
 namespace tamarack {
--- a/include/tamarackglade/gateway/response_sink.hpp
+++ b/include/tamarackglade/gateway/relay/response_sink.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <tamarackglade/events/stream_event.hpp>
-#include <tamarackglade/gateway/response_metadata.hpp>
+#include <tamarackglade/gateway/upstream/response_metadata.hpp>
 #include <tamarackglade/http/http_response.hpp>
 
 namespace tamarack {
--- a/include/tamarackglade/gateway/attempt_result.hpp
+++ b/include/tamarackglade/gateway/upstream/attempt_result.hpp
@@ -1,7 +1,7 @@
 // Result of one attempt to run a request at an upstream.
 #pragma once
 
-#include <tamarackglade/gateway/response_metadata.hpp>
+#include <tamarackglade/gateway/upstream/response_metadata.hpp>
 #include <tamarackglade/http/http_response.hpp>
 #include <tamarackglade/placement/slot_allocator.hpp>
 
--- a/include/tamarackglade/gateway/response_listener.hpp
+++ b/include/tamarackglade/gateway/upstream/response_listener.hpp
@@ -1,7 +1,7 @@
 // Receiver of what upstreams state about themselves in their responses.
 #pragma once
 
-#include <tamarackglade/gateway/response_metadata.hpp>
+#include <tamarackglade/gateway/upstream/response_metadata.hpp>
 #include <tamarackglade/placement/live_upstream.hpp>
 
 namespace tamarack {
--- a/include/tamarackglade/gateway/run_observer.hpp
+++ b/include/tamarackglade/gateway/upstream/run_observer.hpp
@@ -1,8 +1,8 @@
 // Reports the outcome of one run to the quarantines of prompt parts and of requests.
 #pragma once
 
-#include <tamarackglade/gateway/attempt_result.hpp>
-#include <tamarackglade/gateway/quarantine_exchange.hpp>
+#include <tamarackglade/gateway/exchange/quarantine_exchange.hpp>
+#include <tamarackglade/gateway/upstream/attempt_result.hpp>
 #include <tamarackglade/placement/live_upstream.hpp>
 
 namespace tamarack {
--- a/include/tamarackglade/gateway/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_caller.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include <tamarackglade/events/stream_progress.hpp>
-#include <tamarackglade/gateway/attempt_result.hpp>
-#include <tamarackglade/gateway/platform_protocol.hpp>
-#include <tamarackglade/gateway/response_listener.hpp>
-#include <tamarackglade/gateway/response_sink.hpp>
-#include <tamarackglade/gateway/upstream_pool.hpp>
+#include <tamarackglade/gateway/process/platform_protocol.hpp>
+#include <tamarackglade/gateway/relay/response_sink.hpp>
+#include <tamarackglade/gateway/upstream/attempt_result.hpp>
+#include <tamarackglade/gateway/upstream/response_listener.hpp>
+#include <tamarackglade/gateway/upstream/upstream_pool.hpp>
 
 #include <utility>
 #include <vector>
--- a/include/tamarackglade/gateway/upstream_watch.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_watch.hpp
@@ -1,8 +1,8 @@
 // Keeps the directory of upstreams up to date from their records in the store.
 #pragma once
 
-#include <tamarackglade/gateway/platform_protocol.hpp>
-#include <tamarackglade/gateway/stream_follower.hpp>
+#include <tamarackglade/gateway/batch/stream_follower.hpp>
+#include <tamarackglade/gateway/process/platform_protocol.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
 
 #include <functional>
--- a/src/gateway/append_until.cpp
+++ b/src/gateway/batch/append_until.cpp
@@ -1,5 +1,5 @@
 // Retry loop for idempotent appends.
-#include <tamarackglade/gateway/append_until.hpp>
+#include <tamarackglade/gateway/batch/append_until.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <boost/fiber/operations.hpp>
--- a/src/gateway/batch_api.cpp
+++ b/src/gateway/batch/batch_api.cpp
@@ -1,7 +1,7 @@
 // Request handlers for batch jobs, answered from the folded job partitions.
 #include <tamarackglade/batches/batch_codec.hpp>
-#include <tamarackglade/gateway/batch_api.hpp>
-#include <tamarackglade/gateway/gateway_refusal.hpp>
+#include <tamarackglade/gateway/batch/batch_api.hpp>
+#include <tamarackglade/gateway/relay/gateway_refusal.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/batch_partition.cpp
+++ b/src/gateway/batch/batch_partition.cpp
@@ -1,6 +1,6 @@
 // Applies followed records to the fold and appends new ones.
-#include <tamarackglade/gateway/append_until.hpp>
-#include <tamarackglade/gateway/batch_partition.hpp>
+#include <tamarackglade/gateway/batch/append_until.hpp>
+#include <tamarackglade/gateway/batch/batch_partition.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -1,6 +1,6 @@
 // Selects the batch items to run and their upstreams, and makes items yield their slots.
 #include <tamarackglade/batches/batch_codec.hpp>
-#include <tamarackglade/gateway/batch_runner.hpp>
+#include <tamarackglade/gateway/batch/batch_runner.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/batch_runner_records.cpp
+++ b/src/gateway/batch/batch_runner_records.cpp
@@ -1,6 +1,6 @@
 // Stores the records of batch items that ended or failed.
 #include <tamarackglade/batches/batch_codec.hpp>
-#include <tamarackglade/gateway/batch_runner.hpp>
+#include <tamarackglade/gateway/batch/batch_runner.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/random_bytes.hpp>
--- a/src/gateway/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -1,6 +1,6 @@
 // Runs batch items at upstreams and decides what follows from the results.
-#include <tamarackglade/gateway/batch_runner.hpp>
-#include <tamarackglade/gateway/join_ids.hpp>
+#include <tamarackglade/gateway/batch/batch_runner.hpp>
+#include <tamarackglade/gateway/relay/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/batch_store.cpp
+++ b/src/gateway/batch/batch_store.cpp
@@ -1,6 +1,6 @@
 // Maps customers to batch partitions.
 #include <tamarackglade/core/partition.hpp>
-#include <tamarackglade/gateway/batch_store.hpp>
+#include <tamarackglade/gateway/batch/batch_store.hpp>
 
 namespace tamarack {
 
--- a/src/gateway/batch_submission.cpp
+++ b/src/gateway/batch/batch_submission.cpp
@@ -1,6 +1,6 @@
 // Stores a job's contents and its acceptance record, and determines the outcome of the append.
 #include <tamarackglade/batches/batch_codec.hpp>
-#include <tamarackglade/gateway/batch_submission.hpp>
+#include <tamarackglade/gateway/batch/batch_submission.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <boost/fiber/future/async.hpp>
--- a/src/gateway/content_store.cpp
+++ b/src/gateway/batch/content_store.cpp
@@ -1,7 +1,7 @@
 // Appends and reads of batch contents, with a cache of the most recently used ones.
 #include <tamarackglade/core/partition.hpp>
-#include <tamarackglade/gateway/append_until.hpp>
-#include <tamarackglade/gateway/content_store.hpp>
+#include <tamarackglade/gateway/batch/append_until.hpp>
+#include <tamarackglade/gateway/batch/content_store.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 
 #include <boost/fiber/fiber.hpp>
--- a/src/gateway/stream_follower.cpp
+++ b/src/gateway/batch/stream_follower.cpp
@@ -1,5 +1,5 @@
 // Long polls, snapshots and on-demand reads of a stream partition.
-#include <tamarackglade/gateway/stream_follower.hpp>
+#include <tamarackglade/gateway/batch/stream_follower.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <boost/fiber/fiber.hpp>
--- a/src/gateway/leaving_exchange.cpp
+++ b/src/gateway/exchange/leaving_exchange.cpp
@@ -1,6 +1,6 @@
 // Logs when an upstream is taken out of placement, and when its record says so too.
 #include <tamarackglade/core/hash.hpp>
-#include <tamarackglade/gateway/leaving_exchange.hpp>
+#include <tamarackglade/gateway/exchange/leaving_exchange.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/member_registry.cpp
+++ b/src/gateway/exchange/member_registry.cpp
@@ -1,6 +1,6 @@
 // Periodically writes this gateway's membership record and reads all members.
 #include <tamarackglade/core/flat_codec.hpp>
-#include <tamarackglade/gateway/member_registry.hpp>
+#include <tamarackglade/gateway/exchange/member_registry.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/schema/peer_generated.h>
 
--- a/src/gateway/origin_exchange.cpp
+++ b/src/gateway/exchange/origin_exchange.cpp
@@ -1,6 +1,6 @@
 // Encodes times as ages, since the clocks of gateways differ.
 #include <tamarackglade/core/flat_codec.hpp>
-#include <tamarackglade/gateway/origin_exchange.hpp>
+#include <tamarackglade/gateway/exchange/origin_exchange.hpp>
 #include <tamarackglade/resumption/origin_keepers.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/peer_link.cpp
+++ b/src/gateway/exchange/peer_link.cpp
@@ -1,7 +1,7 @@
 // Schedules, encodes, sends and applies the reports between gateways.
 #include <tamarackglade/core/flat_codec.hpp>
 #include <tamarackglade/core/hash.hpp>
-#include <tamarackglade/gateway/peer_link.hpp>
+#include <tamarackglade/gateway/exchange/peer_link.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/fiber_token.hpp>
--- a/src/gateway/quarantine_exchange.cpp
+++ b/src/gateway/exchange/quarantine_exchange.cpp
@@ -1,6 +1,6 @@
 // Encodes times as ages, since the clocks of gateways differ.
-#include <tamarackglade/gateway/message_age.hpp>
-#include <tamarackglade/gateway/quarantine_exchange.hpp>
+#include <tamarackglade/gateway/exchange/message_age.hpp>
+#include <tamarackglade/gateway/exchange/quarantine_exchange.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
 
--- a/src/gateway/rate_exchange.cpp
+++ b/src/gateway/exchange/rate_exchange.cpp
@@ -1,6 +1,6 @@
 // Encodes ages instead of times, since the clocks of gateways differ.
 #include <tamarackglade/core/hash.hpp>
-#include <tamarackglade/gateway/rate_exchange.hpp>
+#include <tamarackglade/gateway/exchange/rate_exchange.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/request_quarantine_exchange.cpp
+++ b/src/gateway/exchange/request_quarantine_exchange.cpp
@@ -1,7 +1,7 @@
 // Encodes times as ages, since the clocks of gateways differ.
-#include <tamarackglade/gateway/fingerprint_text.hpp>
-#include <tamarackglade/gateway/message_age.hpp>
-#include <tamarackglade/gateway/request_quarantine_exchange.hpp>
+#include <tamarackglade/gateway/exchange/message_age.hpp>
+#include <tamarackglade/gateway/exchange/request_quarantine_exchange.hpp>
+#include <tamarackglade/gateway/relay/fingerprint_text.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 
 #include <algorithm>
--- a/src/gateway/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -1,5 +1,5 @@
 // Decodes the configuration's records and puts the highest version in force.
-#include <tamarackglade/gateway/config_watch.hpp>
+#include <tamarackglade/gateway/process/config_watch.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/process/gateway_options.cpp
@@ -1,5 +1,5 @@
 // Converts validated settings to typed values.
-#include <tamarackglade/gateway/gateway_options.hpp>
+#include <tamarackglade/gateway/process/gateway_options.hpp>
 
 namespace tamarack {
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -1,6 +1,6 @@
 // Start, periodic work, readiness and planned stop of a gateway.
-#include <tamarackglade/gateway/gateway_process.hpp>
-#include <tamarackglade/gateway/gateway_refusal.hpp>
+#include <tamarackglade/gateway/process/gateway_process.hpp>
+#include <tamarackglade/gateway/relay/gateway_refusal.hpp>
 #include <tamarackglade/logging/init_logging.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
--- a/src/gateway/blocking_slot_queue.cpp
+++ b/src/gateway/relay/blocking_slot_queue.cpp
@@ -1,5 +1,5 @@
 // Blocks fibers on promises that the slot queue resolves.
-#include <tamarackglade/gateway/blocking_slot_queue.hpp>
+#include <tamarackglade/gateway/relay/blocking_slot_queue.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 namespace tamarack {
--- a/src/gateway/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -1,9 +1,9 @@
 // Course of one online request: slots, events and the log line at its end.
 #include <tamarackglade/core/hash.hpp>
-#include <tamarackglade/gateway/call_relay.hpp>
-#include <tamarackglade/gateway/fingerprint_text.hpp>
-#include <tamarackglade/gateway/gateway_refusal.hpp>
-#include <tamarackglade/gateway/join_ids.hpp>
+#include <tamarackglade/gateway/relay/call_relay.hpp>
+#include <tamarackglade/gateway/relay/fingerprint_text.hpp>
+#include <tamarackglade/gateway/relay/gateway_refusal.hpp>
+#include <tamarackglade/gateway/relay/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/call_relay_answers.cpp
+++ b/src/gateway/relay/call_relay_answers.cpp
@@ -1,6 +1,6 @@
 // Responses to the caller that don't stream: an upstream's whole response, failures and refusals.
-#include <tamarackglade/gateway/call_relay.hpp>
-#include <tamarackglade/gateway/gateway_refusal.hpp>
+#include <tamarackglade/gateway/relay/call_relay.hpp>
+#include <tamarackglade/gateway/relay/gateway_refusal.hpp>
 
 #include <algorithm>
 
--- a/src/gateway/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -1,7 +1,7 @@
 // Single attempts of an online request at upstreams, and whether another one follows.
-#include <tamarackglade/gateway/call_relay.hpp>
-#include <tamarackglade/gateway/fingerprint_text.hpp>
-#include <tamarackglade/gateway/join_ids.hpp>
+#include <tamarackglade/gateway/relay/call_relay.hpp>
+#include <tamarackglade/gateway/relay/fingerprint_text.hpp>
+#include <tamarackglade/gateway/relay/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/call_relay_resume.cpp
+++ b/src/gateway/relay/call_relay_resume.cpp
@@ -1,6 +1,6 @@
 // Keeps a stream at the software version that began it, over the gateway's and the caller's tries.
-#include <tamarackglade/gateway/call_relay.hpp>
-#include <tamarackglade/gateway/gateway_refusal.hpp>
+#include <tamarackglade/gateway/relay/call_relay.hpp>
+#include <tamarackglade/gateway/relay/gateway_refusal.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/gateway_refusal.cpp
+++ b/src/gateway/relay/gateway_refusal.cpp
@@ -1,5 +1,5 @@
 // JSON body and Retry-After header of error responses.
-#include <tamarackglade/gateway/gateway_refusal.hpp>
+#include <tamarackglade/gateway/relay/gateway_refusal.hpp>
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
--- a/src/gateway/request_router.cpp
+++ b/src/gateway/relay/request_router.cpp
@@ -1,7 +1,7 @@
 // Checks route, key and rate of requests against the configuration in force.
-#include <tamarackglade/gateway/call_relay.hpp>
-#include <tamarackglade/gateway/gateway_refusal.hpp>
-#include <tamarackglade/gateway/request_router.hpp>
+#include <tamarackglade/gateway/relay/call_relay.hpp>
+#include <tamarackglade/gateway/relay/gateway_refusal.hpp>
+#include <tamarackglade/gateway/relay/request_router.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/src/gateway/attempt_result.cpp
+++ b/src/gateway/upstream/attempt_result.cpp
@@ -1,5 +1,5 @@
 // Names of attempt outcomes and the upstream faults that they indicate.
-#include <tamarackglade/gateway/attempt_result.hpp>
+#include <tamarackglade/gateway/upstream/attempt_result.hpp>
 
 namespace tamarack {
 
--- a/src/gateway/run_observer.cpp
+++ b/src/gateway/upstream/run_observer.cpp
@@ -1,5 +1,5 @@
 // Distinguishes first events, breaks and other ends of runs.
-#include <tamarackglade/gateway/run_observer.hpp>
+#include <tamarackglade/gateway/upstream/run_observer.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 namespace tamarack {
--- a/src/gateway/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -1,6 +1,6 @@
 // Runs one attempt: connection, response head and body, and the outcome of each failure.
 #include <tamarackglade/events/event_splitter.hpp>
-#include <tamarackglade/gateway/upstream_caller.hpp>
+#include <tamarackglade/gateway/upstream/upstream_caller.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <absl/strings/match.h>
--- a/src/gateway/upstream_pool.cpp
+++ b/src/gateway/upstream/upstream_pool.cpp
@@ -1,5 +1,5 @@
 // Keeps idle connections and reuses the most recently used one first.
-#include <tamarackglade/gateway/upstream_pool.hpp>
+#include <tamarackglade/gateway/upstream/upstream_pool.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <algorithm>
--- a/src/gateway/upstream_watch.cpp
+++ b/src/gateway/upstream/upstream_watch.cpp
@@ -1,5 +1,5 @@
 // Applies upstream records to the directory and logs each change.
-#include <tamarackglade/gateway/upstream_watch.hpp>
+#include <tamarackglade/gateway/upstream/upstream_watch.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
--- a/tests/mutants/mutant-gateway.cpp
+++ b/tests/mutants/mutant-gateway.cpp
@@ -1,7 +1,7 @@
 // tamarack-gateway with a planted fault, for the soak's failing counterparts only.
 #include "faulty_protocol.hpp"
 #include "faulty_store.hpp"
-#include <tamarackglade/gateway/gateway_process.hpp>
+#include <tamarackglade/gateway/process/gateway_process.hpp>
 #include <tamarackglade/logging/init_logging.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 #include <tamarackglade/settings/load_settings.hpp>
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -1,6 +1,6 @@
 // Tests that a response which breaks off at an upstream is never taken for a complete one.
 #include <platform/http_protocol.hpp>
-#include <tamarackglade/gateway/upstream_caller.hpp>
+#include <tamarackglade/gateway/upstream/upstream_caller.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 
