--- a/include/tamarackglade/gateway/batch/batch_partition.hpp
+++ b/include/tamarackglade/gateway/batch/batch_partition.hpp
@@ -23,6 +23,8 @@
 
     void start() { m_follower.start(); }
     void tick(time_point now) { m_fold.tick(now); }
+    /// @brief Sets whether the store has so many readers that each of them reads less often.
+    void setLargeFleet(bool isLarge) { m_follower.setPause(isLarge ? LargeFleetPause : PollPause); }
 
     /// @brief Reads until the fold holds all records that were stored before since.
     /// @return false if the store gave no answer
@@ -39,6 +41,10 @@
     append_reply appendAtEnd(const std::string &record);
 
 private:
+    // Records come several times a second; reading several at once saves calls to the store.
+    static constexpr std::chrono::milliseconds PollPause{150};
+    static constexpr std::chrono::milliseconds LargeFleetPause{300};
+
     void onRecord(const std::string &record, time_point sentAt) override;
     void onSkipped(stream_position to) override { m_fold.skipTo(to); }
     void onComplete(time_point sentAt) override { m_fold.confirm(sentAt); }
--- a/include/tamarackglade/gateway/batch/batch_store.hpp
+++ b/include/tamarackglade/gateway/batch/batch_store.hpp
@@ -17,6 +17,8 @@
 
     void start();
     void tick(time_point now);
+    /// @brief Sets whether the store has so many readers that each of them reads less often.
+    void setLargeFleet(bool isLarge);
 
     [[nodiscard]] content_store &contents() { return m_contents; }
     [[nodiscard]] batch_partition &partitionOf(const customer_id &customer);
--- a/include/tamarackglade/gateway/batch/stream_follower.hpp
+++ b/include/tamarackglade/gateway/batch/stream_follower.hpp
@@ -34,6 +34,9 @@
     /// @brief Starts the read loop in a fiber of the calling thread.
     void start();
 
+    /// @brief Sets the pause between reads from now on.
+    void setPause(std::chrono::milliseconds pause) { m_options.pause = pause; }
+
     /// @brief Reads until all records that were stored before since have been delivered. Concurrent
     /// calls share a read.
     /// @return false if the store gave no answer
@@ -54,7 +57,7 @@
 
     record_store &m_store;
     const stream_partition m_partition;
-    const follow_options m_options;
+    follow_options m_options;
     stream_listener &m_listener;
     bool m_needSnapshot;
     stream_position m_position;
--- a/include/tamarackglade/gateway/process/gateway_options.hpp
+++ b/include/tamarackglade/gateway/process/gateway_options.hpp
@@ -30,6 +30,7 @@
     std::chrono::milliseconds silenceLimit{};
     std::chrono::milliseconds firstEventReserve{};
     std::uint32_t batchPartitions = 1;
+    std::size_t maxDirectFleet = 1; // gateways
 };
 
 /// @return the options from validated settings
--- a/include/tamarackglade/gateway/upstream/upstream_watch.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_watch.hpp
@@ -18,11 +18,17 @@
 
     void start() { m_follower.start(); }
     /// @brief Removes upstreams whose return grace has expired; call several times a second.
+    /// @brief Sets whether the store has so many readers that each of them reads less often.
+    void setLargeFleet(bool isLarge) { m_follower.setPause(isLarge ? LargeFleetPause : PollPause); }
     void tick();
     /// @return whether all records have been read at least once
     [[nodiscard]] bool ready() const { return m_follower.ready(); }
 
 private:
+    // Upstreams write often; reading several records at once saves calls to the store.
+    static constexpr std::chrono::milliseconds PollPause{250};
+    static constexpr std::chrono::milliseconds LargeFleetPause{400};
+
     void onSnapshot(const std::vector<keyed_record> &records, time_point sentAt) override;
     void onRecord(const std::string &record, time_point sentAt) override;
     void onComplete(time_point sentAt) override;
--- a/src/gateway/batch/batch_partition.cpp
+++ b/src/gateway/batch/batch_partition.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollWait{700};
-// Records come several times a second; reading several at once saves calls to the store.
-constexpr std::chrono::milliseconds PollPause{150};
 
 const stream_name BatchStream("batches");
 
--- a/src/gateway/batch/batch_store.cpp
+++ b/src/gateway/batch/batch_store.cpp
@@ -23,6 +23,12 @@
         partition->tick(now);
 }
 
+void batch_store::setLargeFleet(bool isLarge)
+{
+    for (const auto &partition : m_partitions)
+        partition->setLargeFleet(isLarge);
+}
+
 batch_partition &batch_store::partitionOf(const customer_id &customer)
 {
     const auto count = static_cast<std::uint32_t>(m_partitions.size());
--- a/src/gateway/exchange/zone_exchange.cpp
+++ b/src/gateway/exchange/zone_exchange.cpp
@@ -256,6 +256,8 @@
         std::any_of(report.heard.begin(), report.heard.end(), [&](const schema::zone_sender &each) {
             return each.zone() == hashOf(m_self.zone);
         });
+    if (receivesOurs)
+        logContact(zone_id(report.zone), report.members.size(), now);
     std::vector<std::vector<schema::customer_count>> counts(report.members.size());
     for (const schema::zone_customer_count &count : report.counts) {
         if (count.member() < counts.size())
@@ -277,6 +279,16 @@
     }
 }
 
+void zone_exchange::logContact(const zone_id &zone, std::size_t gateways, time_point now)
+{
+    const auto [known, isNew] = m_contactAt.try_emplace(zone, now);
+    if (isNew || now - known->second > HeardLifetime)
+        log_event(log_level::Info, "zone in contact")
+            .with("zone", zone.value())
+            .with("gateways", gateways);
+    known->second = now;
+}
+
 // The zone counts as one peer of the allocator.
 void zone_exchange::applyUse(const schema::zone_report_message &report, time_point now)
 {
--- a/src/gateway/process/gateway_options.cpp
+++ b/src/gateway/process/gateway_options.cpp
@@ -22,6 +22,7 @@
     options.silenceLimit = settings.milliseconds("silence-limit");
     options.firstEventReserve = settings.milliseconds("first-event-reserve");
     options.batchPartitions = static_cast<std::uint32_t>(settings.integer("batch-partitions"));
+    options.maxDirectFleet = static_cast<std::size_t>(settings.integer("direct-fleet"));
     return options;
 }
 
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -23,6 +23,13 @@
 constexpr std::chrono::seconds WriteTimeout{10};
 constexpr std::chrono::milliseconds PauseAfterDrain{100};
 
+shared_rate_options rateOptions(const gateway_options &options)
+{
+    shared_rate_options rates;
+    rates.maxDirectFleet = options.maxDirectFleet;
+    return rates;
+}
+
 } // namespace
 
 gateway_process::gateway_process(io_thread &thread, const setting_values &settings,
@@ -30,7 +37,7 @@
     : m_thread(thread), m_options(gatewayOptionsFrom(settings)), m_startedAt(bootNow()),
       m_directory(directory_options{m_options.upstreamReturnGrace}),
       m_self{m_options.vm, incarnation_number(wallMicros()), m_options.peerAddress, m_options.zone},
-      m_peerTable(m_self, shared_rate_options()), m_rates(m_peerTable),
+      m_peerTable(m_self, rateOptions(m_options)), m_rates(m_peerTable),
       m_upstreamRates(m_self.vm, m_peerTable),
       m_allocator(m_directory, m_upstreamRates, placement_options{m_options.zone}, wallMicros()),
       m_queue(m_allocator), m_blockingQueue(m_allocator, m_queue),
@@ -157,6 +164,8 @@
         m_pool.tick(now);
         m_upstreams.tick();
         m_batchStore.tick(now);
+        m_batchStore.setLargeFleet(m_peerTable.reportsByZone());
+        m_upstreams.setLargeFleet(m_peerTable.reportsByZone());
         m_allocator.tick(now);
         m_rateExchange.tick();
         m_leavingExchange.tick();
--- a/src/gateway/upstream/upstream_watch.cpp
+++ b/src/gateway/upstream/upstream_watch.cpp
@@ -10,8 +10,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollWait{1'500};
-// Upstreams write often; reading several records at once saves calls to the store.
-constexpr std::chrono::milliseconds PollPause{250};
 
 } // namespace
 
--- a/src/settings/option_table.cpp
+++ b/src/settings/option_table.cpp
@@ -182,6 +182,9 @@
              "Time kept for the first event when a request waits for a slot"},
             {"batch-partitions", Integer, "partitions", 1, 100, "4", false,
              "Partitions of batch jobs in the store; the same on all gateways for ever"},
+            {"direct-fleet", Integer, "gateways", 1, 1'000, "48", false,
+             "Gateways of a larger fleet report directly only within their zone; the same on all "
+             "gateways"},
         }};
     return Table;
 }
