Lists of gateways at each tick in small fleets

Cause: a gateway learnt up to 300 ms later that a new one runs items, as the lists of serving gateways and of receivers were made only each 100 and 200 ms. Change: at each tick, and each 60 ms in fleets that report by zone.

--- a/include/tamarackglade/gateway/exchange/peer_link.hpp
+++ b/include/tamarackglade/gateway/exchange/peer_link.hpp
@@ -90,7 +90,6 @@
     yield_planner m_yields;
     std::vector<gateway_member> m_cellPeers; // that prefer the same upstreams
     std::vector<gateway_member> m_otherCellPeers; // of this zone
-    time_point m_cellFormedAt{};
     report_schedule m_cellSchedule;
     report_schedule m_otherCellsSchedule;
     report_schedule m_otherZonesSchedule;
@@ -98,7 +97,7 @@
     std::unordered_map<upstream_id, slot_use> m_reportedUse; // to the cell
     std::set<vm_id> m_askers; // gateways for which a batch run is yielding
     std::vector<vm_id> m_servingGateways;
-    time_point m_listedAt{}; // of m_servingGateways
+    time_point m_listedAt{}; // of m_servingGateways and the cell
     bool m_hasNews = false; // of the quarantine, for the gateways of other zones
     bool m_serving = false;
 };
--- a/src/gateway/exchange/peer_link.cpp
+++ b/src/gateway/exchange/peer_link.cpp
@@ -21,8 +21,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds QuarantineInterval{100}; // of reports of its changes
-constexpr std::chrono::milliseconds ServingListInterval{100};
-constexpr std::chrono::milliseconds CellInterval{200}; // the cell is formed anew
+// In large fleets, lists of gateways are made anew after this time; in others at each tick.
+constexpr std::chrono::milliseconds ListInterval{60};
 constexpr std::size_t MaxDatagramBytes = 60 * 1024; // bytes
 constexpr std::size_t MaxDatagramsPerWake = 64; // then other fibers run
 constexpr std::size_t MaxEndpoints = 4'096; // more than the gateways of a fleet
@@ -98,8 +98,11 @@
 void peer_link::tick()
 {
     const time_point now = bootNow();
-    listServingGateways(now);
-    formCell(now);
+    if (!m_context.peerTable.reportsByZone() || now - m_listedAt >= ListInterval) {
+        m_listedAt = now;
+        listServingGateways(now);
+        formCell(now);
+    }
     m_zones.tick(now);
     askForSlots(now);
     m_hasNews = m_hasNews || m_context.quarantineExchange.hasNews();
@@ -109,9 +112,6 @@
 
 void peer_link::listServingGateways(time_point now)
 {
-    if (now - m_listedAt < ServingListInterval)
-        return;
-    m_listedAt = now;
     m_servingGateways = m_context.peerTable.servingPeers(now);
     if (m_serving)
         m_servingGateways.push_back(m_self.vm);
@@ -119,9 +119,6 @@
 
 void peer_link::formCell(time_point now)
 {
-    if (now - m_cellFormedAt < CellInterval)
-        return;
-    m_cellFormedAt = now;
     m_cellPeers = m_context.peerTable.zonePeers();
     m_otherCellPeers.clear();
     if (!m_context.peerTable.reportsByZone()) {
