Reports between zones: what several gateways tell alike travels once

Cause: while engines reset answers, each gateway repeats breaks, successes and served runs for 1.2 s in each report, and the relays passed each of these on whole ten times a second. Change: details go out every 300 ms, entries without an author are merged, and what is older than 0.7 s stays out.

--- a/include/tamarackglade/gateway/exchange/zone_exchange.hpp
+++ b/include/tamarackglade/gateway/exchange/zone_exchange.hpp
@@ -93,6 +93,7 @@
     zone_counts m_counts;
     std::map<vm_id, zone_peer> m_peers; // of this zone, with this gateway
     std::unordered_map<vm_id, remote_sender> m_senders; // of other zones
+    report_schedule m_detailsSchedule;
     std::map<zone_id, time_point> m_contactAt; // last report of a zone that receives ours
     std::uint64_t m_number = 0; // of the last report
     std::size_t m_attempts = 0; // reports to each zone so far
--- a/src/gateway/exchange/zone_exchange.cpp
+++ b/src/gateway/exchange/zone_exchange.cpp
@@ -20,6 +20,10 @@
 // A zone counts as heard for this time after its last report.
 constexpr std::chrono::milliseconds HeardLifetime{1'000};
 constexpr std::chrono::seconds SenderLifetime{30}; // afterwards its numbers are forgotten
+constexpr std::chrono::milliseconds DetailsInterval{300};
+// Details are repeated in the reports that they come from for longer than this; it covers the loss
+// of a datagram.
+constexpr std::chrono::milliseconds MaxDetailsAge{700};
 constexpr std::size_t MaxDetailsPerDatagram = 4; // each has a few KB at most
 
 std::uint64_t hashOf(const vm_id &vm)
@@ -172,9 +176,11 @@
     }
 }
 
-// Details are sent once. What they hold is repeated in the reports that they come from.
 void zone_exchange::addDetails(std::vector<schema::zone_report_message> &reports, time_point now)
 {
+    if (!m_detailsSchedule.isDue({DetailsInterval, DetailsInterval}, true, now))
+        return;
+    m_detailsSchedule.onSent(now);
     std::vector<std::unique_ptr<schema::peer_report_message>> details;
     for (auto &[vm, peer] : m_peers) {
         if (!peer.details)
@@ -184,6 +190,7 @@
         addAge(*message, millisBetween(peer.receivedAt, now));
         details.push_back(std::move(message));
     }
+    mergeDetails(details, static_cast<std::uint64_t>(MaxDetailsAge.count()));
     for (auto &each : details) {
         if (reports.size() == 1 || reports.back().details.size() == MaxDetailsPerDatagram)
             reports.push_back(newReport());
