--- a/src/reports/report_schedule.cpp
+++ b/src/reports/report_schedule.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds MinChangeInterval{20};
-// At most 250 datagrams a second for changes.
-constexpr std::chrono::milliseconds ChangeIntervalPerReceiver{4};
+// At most 500 datagrams a second for changes, and 250 to other cells.
+constexpr std::chrono::milliseconds ChangeIntervalPerReceiver{2};
+constexpr std::chrono::milliseconds OtherCellIntervalPerReceiver{4};
 constexpr std::chrono::milliseconds MinInterval{100};
 constexpr std::chrono::milliseconds MaxInterval{330};
 constexpr std::chrono::milliseconds IntervalPerReceiver{10};
@@ -34,8 +35,8 @@
 
 report_intervals otherCellIntervals(std::size_t receivers)
 {
-    const duration interval =
-        std::max<duration>(MinOtherCellInterval, receivers * duration(ChangeIntervalPerReceiver));
+    const duration interval = std::max<duration>(
+        MinOtherCellInterval, receivers * duration(OtherCellIntervalPerReceiver));
     return {interval, std::max<duration>(interval, MaxInterval)};
 }
 
