--- a/tests/e2e/test_versions.py
+++ b/tests/e2e/test_versions.py
@@ -115,6 +115,60 @@
         self.assertEqual(status, 503)
         self.assertFalse(self.runs_of(self.engine, taken_up))
 
+    def lose_all_gateways(self):
+        for gateway in self.gateway:
+            gateway.process.kill()
+        for gateway in self.gateway:
+            gateway.process.start()
+        for gateway in self.gateway:
+            wait_until(gateway.ready, "ready")
+
+    def take_up_everywhere(self, begun):
+        """Takes streams up at gateways that know nothing of them; checks that no texts are joined.
+
+        A take-up may be refused. If it is answered, the engines that began the stream go on with it.
+        """
+        for number, (request, received, began) in enumerate(begun):
+            others = self.new() if began == self.old() else self.old()
+            whole = received[:received.rfind(b"\n\n") + 2]
+            for last in (str(whole.count(b"id: ") - 1), "0", None):
+                headers = {"Resumes": request}
+                if last is not None:
+                    headers["Last-Event-Id"] = last
+                status, _, _, taken_up = self.call(gateway=number % self.gateways, **headers)
+                self.assertIn(status, (200, 503))
+                if last is None:
+                    continue  # begins anew, so any version may write it
+                self.assertFalse(self.runs_of(others, taken_up), f"joined after event {last}")
+
+    def begin_some(self):
+        begun = []
+        for number in range(6):
+            close, request, received = self.begin(number % self.gateways)
+            began = self.old() if self.runs_of(self.old(), request) else self.new()
+            begun.append((request, received, began))
+            close()
+        return begun
+
+    def test_no_texts_are_joined_after_the_loss_of_all_gateways(self):
+        begun = self.begin_some()
+        self.lose_all_gateways()
+        self.take_up_everywhere(begun)
+
+    def test_no_texts_are_joined_while_the_old_version_drains(self):
+        begun = self.begin_some()
+        for engine in self.old():
+            self.store.put("keyed.servers", engine.id, engine.record("draining"))
+        self.lose_all_gateways()
+        self.take_up_everywhere(begun)
+
+    def test_no_texts_are_joined_after_the_old_version_is_gone(self):
+        begun = self.begin_some()
+        for engine in self.old():
+            self.store.put("keyed.servers", engine.id, b"")
+        self.lose_all_gateways()
+        self.take_up_everywhere(begun)
+
     def test_the_text_of_a_batch_item_is_of_one_version(self):
         for engine in self.engine:
             engine.break_at = 20
