--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -147,6 +147,14 @@
             status, _, body, request = self.call()
             self.assertEqual((status, body), (200, complete_stream(request)))
 
+    def test_a_slow_but_sound_stream_is_not_cut(self):
+        for engine in self.engine:
+            engine.step_s = 0.15
+            engine.events = 30
+        status, _, body, request = self.call()
+        self.assertEqual((status, body), (200, complete_stream(request, 30)))
+        self.assertEqual(sum(len(engine.runs_of(request)) for engine in self.engine), 1)
+
     def test_what_may_not_repeat_runs_once(self):
         for engine in self.engine:
             engine.break_at = 0
