--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -56,7 +56,7 @@
             command.append(f"--mutation={site.mutation}")
         settings = {"zone": random.Random(name).choice("ab"),
                     "key-freshness": int(WITHDRAWN_S * 1000), "drain-notice": 600,
-                    "drain-limit": 5000}
+                    "drain-limit": 5000, "direct-fleet": site.direct_fleet}
         super().__init__(name, self.link.address, site.work_dir, command, **settings)
 
     def answers_ready(self):
@@ -131,6 +131,7 @@
 
     def __init__(self, seed, work_dir, bin_dir, ledger, size, mutation):
         self.random = random.Random(seed)
+        self.direct_fleet = 48 if seed % 2 else 1  # with 1, the gateways report by zone
         self.work_dir = work_dir
         self.bin = bin_dir
         self.mutation = mutation
