--- a/src/gateway/exchange/zone_exchange.cpp
+++ b/src/gateway/exchange/zone_exchange.cpp
@@ -108,6 +108,7 @@
     reports.push_back(summary(now));
     addDetails(reports, now);
     std::vector<std::string> encoded;
+    encoded.reserve(reports.size());
     for (const auto &report : reports)
         encoded.push_back(
             encodeFlat<schema::zone_report>(report, default_fields::Written, Identifier));
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -347,13 +347,16 @@
 
 TEST_CASE("each item has one owner whichever gateways come and go")
 {
+    constexpr std::size_t Gateways = 133;
     std::vector<vm_id> gateways;
-    for (int i = 0; i < 133; ++i)
+    gateways.reserve(Gateways);
+    for (std::size_t i = 0; i < Gateways; ++i)
         gateways.emplace_back("g" + std::to_string(i));
     std::vector<item_owners> owners;
+    owners.reserve(Gateways);
     for (const vm_id &gateway : gateways)
         owners.emplace_back(gateway);
-    for (const std::size_t count : {133U, 100U, 133U, 1U}) {
+    for (const std::size_t count : {Gateways, std::size_t(100), Gateways, std::size_t(1)}) {
         const std::vector<vm_id> present(gateways.begin(),
                                          gateways.begin() + static_cast<std::ptrdiff_t>(count));
         std::vector<std::uint32_t> owned;
