--- a/tests/unit-rates.cpp
+++ b/tests/unit-rates.cpp
@@ -25,6 +25,24 @@
     return {vm_id(name), incarnation_number(incarnation), "10.0.0.1:1", zone_id("a")};
 }
 
+/// @return the largest number of times in any window of this length
+std::size_t mostWithin(const std::vector<time_point> &times, duration window)
+{
+    std::size_t maxCount = 0;
+    for (std::size_t from = 0, to = 0; to < times.size(); ++to) {
+        while (times[to] - times[from] > window)
+            ++from;
+        maxCount = std::max(maxCount, to - from + 1);
+    }
+    return maxCount;
+}
+
+/// @return the requests that the deployment tolerates in a window, with its excess of the limit
+double allowedWithin(duration window, double rate, double burst)
+{
+    return (rate * toSeconds(window) + burst) * 1.1 + 20;
+}
+
 /// Gateways that report to each other every 100 ms of virtual time, unless they are partitioned.
 class rate_fleet
 {
@@ -69,18 +87,12 @@
 
     [[nodiscard]] std::size_t admittedIn(duration window) const
     {
-        std::size_t maxCount = 0;
-        for (std::size_t from = 0, to = 0; to < m_admitted.size(); ++to) {
-            while (m_admitted[to] - m_admitted[from] > window)
-                ++from;
-            maxCount = std::max(maxCount, to - from + 1);
-        }
-        return maxCount;
+        return mostWithin(m_admitted, window);
     }
     [[nodiscard]] std::size_t admitted() const { return m_admitted.size(); }
     [[nodiscard]] double allowedIn(duration window) const
     {
-        return (m_rate * toSeconds(window) + m_burst) * 1.1 + 20;
+        return allowedWithin(window, m_rate, m_burst);
     }
 
 private:
@@ -303,17 +315,11 @@
     [[nodiscard]] std::size_t admitted() const { return m_admitted.size(); }
     [[nodiscard]] std::size_t admittedIn(duration window) const
     {
-        std::size_t maxCount = 0;
-        for (std::size_t from = 0, to = 0; to < m_admitted.size(); ++to) {
-            while (m_admitted[to] - m_admitted[from] > window)
-                ++from;
-            maxCount = std::max(maxCount, to - from + 1);
-        }
-        return maxCount;
+        return mostWithin(m_admitted, window);
     }
     [[nodiscard]] double allowedIn(duration window) const
     {
-        return (m_rate * toSeconds(window) + m_burst) * 1.1 + 20;
+        return allowedWithin(window, m_rate, m_burst);
     }
     [[nodiscard]] double share(std::size_t gateway) const
     {
