--- a/include/tamarackglade/gateway/exchange/peer_link.hpp
+++ b/include/tamarackglade/gateway/exchange/peer_link.hpp
@@ -50,7 +50,7 @@
     absl::Status start();
     /// @brief Sends what is due; call many times a second.
     void tick();
-    /// @brief Tells the gateways that asked for a slot that a batch run has yielded one.
+    /// @brief Sends a report to the gateways that asked for a slot, as a batch run has yielded one.
     void onBatchSlotFreed();
     /// @brief Sets whether the reports announce that this gateway runs batch items.
     void setServing(bool serving) { m_serving = serving; }
--- a/include/tamarackglade/gateway/exchange/zone_exchange.hpp
+++ b/include/tamarackglade/gateway/exchange/zone_exchange.hpp
@@ -47,7 +47,7 @@
     /// @return false if the datagram is no such report
     bool onDatagram(std::string_view bytes, std::string &passOn, time_point now);
 
-    /// @brief Forgets gateways and zones that are silent; call several times a second.
+    /// @brief Removes gateways and zones without recent reports; call several times a second.
     void tick(time_point now);
 
 private:
