Names and comments of the exchange between gateways: received instead of heard

Cause: comments and names leaned on figures of speech (tells, hears, forgets). No behaviour changes.

--- a/include/tamarackglade/gateway/exchange/report_details.hpp
+++ b/include/tamarackglade/gateway/exchange/report_details.hpp
@@ -1,4 +1,4 @@
-// The parts of a report that all gateways need and that are seldom there.
+// The parts of a report that all gateways need, and that most reports lack.
 #pragma once
 
 #include <tamarackglade/schema/peer_generated.h>
@@ -12,10 +12,10 @@
 /// @return whether a report holds breaks, quarantines, upstreams' rates or leaving upstreams
 bool hasDetails(const schema::peer_report_message &report);
 
-/// @brief Prepares the details of several gateways' reports for other zones. What doesn't depend on
-/// the gateway that tells it is moved to the first report and listed once there, with its lowest
-/// age; breaks, successes and proper ends that are older than maxAge are dropped, as earlier
-/// reports told them. Reports that have no details left are removed.
+/// @brief Prepares the details of several gateways' reports for other zones. Successes, served runs
+/// and proper ends don't depend on their reporter: the first report lists each once, with its
+/// lowest age. Breaks, successes and proper ends older than maxAgeMillis are removed, as earlier
+/// reports contained them. Reports without details are removed.
 void mergeDetails(std::vector<std::unique_ptr<schema::peer_report_message>> &reports,
                   std::uint64_t maxAgeMillis);
 
--- a/include/tamarackglade/gateway/exchange/zone_exchange.hpp
+++ b/include/tamarackglade/gateway/exchange/zone_exchange.hpp
@@ -76,10 +76,10 @@
     [[nodiscard]] schema::zone_report_message summary(time_point now);
     void addMembers(schema::zone_report_message &report, time_point now);
     void addUse(schema::zone_report_message &report) const;
-    void addHeard(schema::zone_report_message &report, time_point now) const;
+    void addReceivedFrom(schema::zone_report_message &report, time_point now) const;
     void addDetails(std::vector<schema::zone_report_message> &reports, time_point now);
     [[nodiscard]] schema::zone_report_message newReport();
-    [[nodiscard]] bool isHeard(const zone_id &zone, time_point now) const;
+    [[nodiscard]] bool receivesFrom(const zone_id &zone, time_point now) const;
     /// @return false if the report, or a newer one of its sender, was applied before
     bool recordSender(const schema::zone_report_message &report, time_point now);
     void apply(const schema::zone_report_message &report, time_point now);
--- a/include/tamarackglade/rates/peer_table.hpp
+++ b/include/tamarackglade/rates/peer_table.hpp
@@ -28,9 +28,9 @@
 ///
 /// A peer is reachable if, within the peer timeout, a report arrived from it that confirms that it
 /// receives the reports of this gateway. The timeout grows with the number of gateways that report
-/// directly. In large fleets, zones report to each other: a gateway of another zone is reachable if
-/// it was heard there lately, and if this gateway is in contact with one of its own zone or is
-/// heard in another zone itself.
+/// directly. In large fleets, zones report to each other. A gateway of another zone is then
+/// reachable if its zone received a report of it within the timeout, and if some gateway receives
+/// the reports of this one: a reachable one of its own zone, or any of another zone.
 class peer_table
 {
 public:
@@ -49,14 +49,14 @@
     /// @return whether the peer was reachable before the report
     bool onReport(const gateway_member &peer, bool receivesOurs, time_point now);
 
-    /// @brief Records that a gateway of another zone was heard there, by a report that its zone
-    /// passed on; unknown members and older incarnations are ignored.
-    /// @param heardAt when it was heard
+    /// @brief Records that a gateway of another zone received a report of this peer; unknown
+    /// members and older incarnations are ignored.
+    /// @param receivedAt when it received that report
     /// @return whether the peer was reachable before
-    bool onRelayed(const vm_id &vm, incarnation_number incarnation, time_point heardAt,
+    bool onRelayed(const vm_id &vm, incarnation_number incarnation, time_point receivedAt,
                    time_point now);
     /// @brief Records that a gateway of another zone receives the reports of this one.
-    void onHeardElsewhere(time_point now) { m_heardElsewhereAt = now; }
+    void onReceivedElsewhere(time_point now) { m_receivedElsewhereAt = now; }
     /// @brief Records whether a peer takes batch work.
     void setServing(const vm_id &vm, bool serving);
 
@@ -129,7 +129,7 @@
     std::size_t m_zonePeers = 0; // members of m_peers in this zone
     std::size_t m_otherZones = 0; // zones of the other members
     std::optional<time_point> m_ownMembershipAt;
-    std::optional<time_point> m_heardElsewhereAt;
+    std::optional<time_point> m_receivedElsewhereAt;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/rates/shared_rate_options.hpp
+++ b/include/tamarackglade/rates/shared_rate_options.hpp
@@ -19,7 +19,7 @@
     duration timeoutPerZonePeer = std::chrono::milliseconds(6);
     /// Added for gateways of other zones there, as their reports are passed on by others.
     duration relayedDelay = std::chrono::milliseconds(300);
-    /// There, a gateway that was heard longer ago has no part in the share of the rates. It is
+    /// There, a gateway whose last report is older has no part in the share of the rates. It is
     /// shorter than the timeouts, as the two sides of a partition both use the whole rate until
     /// they notice.
     duration shareTimeoutByZone = std::chrono::milliseconds(400);
--- a/include/tamarackglade/reports/report_schedule.hpp
+++ b/include/tamarackglade/reports/report_schedule.hpp
@@ -31,7 +31,7 @@
 class report_schedule
 {
 public:
-    /// @param changed whether there is something that no report has told yet
+    /// @param changed whether something has changed since the last report
     [[nodiscard]] bool isDue(const report_intervals &intervals, bool changed, time_point now) const
     {
         return now - m_sentAt >= (changed ? intervals.changed : intervals.unchanged);
--- a/include/tamarackglade/reports/zone_relays.hpp
+++ b/include/tamarackglade/reports/zone_relays.hpp
@@ -29,10 +29,10 @@
 /// report to each other.
 /// @param rank of the sender
 /// @param gateways of the other zone; must not be empty
-/// @param isHeard whether reports of that zone arrive; otherwise each attempt asks another gateway,
-/// since the first choices may be lost
+/// @param isReceived whether reports of that zone arrive; otherwise each attempt asks another
+/// gateway, since the first choices may be lost
 /// @param attempt number of the report
 const gateway_member &relayTarget(std::size_t rank, const std::vector<gateway_member> &gateways,
-                                  bool isHeard, std::size_t attempt);
+                                  bool isReceived, std::size_t attempt);
 
 } // namespace tamarack
--- a/src/gateway/exchange/peer_link.cpp
+++ b/src/gateway/exchange/peer_link.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t MaxDatagramBytes = 60 * 1024; // bytes
 constexpr std::size_t MaxDatagramsPerWake = 64; // then other fibers run
 constexpr std::size_t MaxEndpoints = 4'096; // more than the gateways of a fleet
-constexpr const char *YieldIdentifier = "TGYL"; // tells these datagrams from others
+constexpr const char *YieldIdentifier = "TGYL"; // distinguishes these datagrams from others
 
 absl::StatusOr<asio::ip::udp::endpoint> udpEndpoint(const std::string &address)
 {
@@ -276,7 +276,7 @@
         m_zones.onPeerReport(std::move(report), now);
 }
 
-// Each receiver's copy says whether that receiver was heard.
+// Each copy holds the receiver's incarnation if a report of that receiver arrived lately.
 void peer_link::sendReports(const std::vector<gateway_member> &receivers, time_point now)
 {
     schema::peer_report_message report = makeReport(now);
--- a/src/gateway/exchange/report_details.cpp
+++ b/src/gateway/exchange/report_details.cpp
@@ -33,8 +33,8 @@
         reports.front()->sound_parts.emplace_back(part, age);
 }
 
-// A run may deliver its event long after it was sent, so the age of its start says nothing about
-// whether it was told before.
+// A run may deliver its event long after it was sent, so the age of its start doesn't show whether
+// an earlier report contained it.
 void mergeServedRuns(report_list &reports)
 {
     std::map<std::uint64_t, std::uint32_t> ages;
--- a/src/gateway/exchange/zone_exchange.cpp
+++ b/src/gateway/exchange/zone_exchange.cpp
@@ -14,11 +14,11 @@
 
 namespace {
 
-constexpr const char *Identifier = "TGZN"; // tells these datagrams from others
-// A gateway of this zone that is silent for longer isn't reported.
+constexpr const char *Identifier = "TGZN"; // distinguishes these datagrams from others
+// A gateway of this zone without a report for longer is left out.
 constexpr std::chrono::milliseconds PeerLifetime{3'000};
-// A zone counts as heard for this time after its last report.
-constexpr std::chrono::milliseconds HeardLifetime{1'000};
+// Reports of a zone count as arriving for this time after the last one.
+constexpr std::chrono::milliseconds SenderTimeout{1'000};
 constexpr std::chrono::seconds SenderLifetime{30}; // afterwards its numbers are forgotten
 constexpr std::chrono::milliseconds DetailsInterval{300};
 // Details are repeated in the reports that they come from for longer than this; it covers the loss
@@ -85,7 +85,8 @@
                 reachable.push_back(gateway);
         }
         const auto ranked = rankRelays(reachable.empty() ? gateways : reachable);
-        const gateway_member &target = relayTarget(*rank, ranked, isHeard(zone, now), m_attempts);
+        const gateway_member &target =
+            relayTarget(*rank, ranked, receivesFrom(zone, now), m_attempts);
         for (const std::string &bytes : encoded)
             outgoing.push_back({target, bytes});
     }
@@ -130,7 +131,7 @@
     schema::zone_report_message report = newReport();
     addMembers(report, now);
     addUse(report);
-    addHeard(report, now);
+    addReceivedFrom(report, now);
     return report;
 }
 
@@ -169,11 +170,11 @@
         report.upstreams.emplace_back(upstream, toShort(sum.used), toShort(sum.ejecting));
 }
 
-void zone_exchange::addHeard(schema::zone_report_message &report, time_point now) const
+void zone_exchange::addReceivedFrom(schema::zone_report_message &report, time_point now) const
 {
     for (const auto &[vm, sender] : m_senders) {
-        if (sender.receivedAt && now - *sender.receivedAt < HeardLifetime)
-            report.heard.emplace_back(hashOf(vm), hashOf(sender.zone));
+        if (sender.receivedAt && now - *sender.receivedAt < SenderTimeout)
+            report.received_from.emplace_back(hashOf(vm), hashOf(sender.zone));
     }
 }
 
@@ -199,11 +200,11 @@
     }
 }
 
-bool zone_exchange::isHeard(const zone_id &zone, time_point now) const
+bool zone_exchange::receivesFrom(const zone_id &zone, time_point now) const
 {
     return std::any_of(m_senders.begin(), m_senders.end(), [&](const auto &entry) {
         const remote_sender &sender = entry.second;
-        return sender.zone == zone && sender.receivedAt && now - *sender.receivedAt < HeardLifetime;
+        return sender.zone == zone && sender.receivedAt && now - *sender.receivedAt < SenderTimeout;
     });
 }
 
@@ -240,9 +241,9 @@
 
 void zone_exchange::apply(const schema::zone_report_message &report, time_point now)
 {
-    for (const schema::zone_sender &heard : report.heard) {
-        if (heard.vm() == hashOf(m_self.vm))
-            m_context.peerTable.onHeardElsewhere(now);
+    for (const schema::zone_sender &sender : report.received_from) {
+        if (sender.vm() == hashOf(m_self.vm))
+            m_context.peerTable.onReceivedElsewhere(now);
     }
     if (!report.members.empty()) {
         applyMembers(report, now);
@@ -260,10 +261,9 @@
 // nobody there knows what this zone admits.
 void zone_exchange::applyMembers(const schema::zone_report_message &report, time_point now)
 {
-    const bool receivesOurs =
-        std::any_of(report.heard.begin(), report.heard.end(), [&](const schema::zone_sender &each) {
-            return each.zone() == hashOf(m_self.zone);
-        });
+    const bool receivesOurs = std::any_of(
+        report.received_from.begin(), report.received_from.end(),
+        [&](const schema::zone_sender &each) { return each.zone() == hashOf(m_self.zone); });
     if (receivesOurs)
         logContact(zone_id(report.zone), report.members.size(), now);
     std::vector<std::vector<schema::customer_count>> counts(report.members.size());
@@ -290,7 +290,7 @@
 void zone_exchange::logContact(const zone_id &zone, std::size_t gateways, time_point now)
 {
     const auto [known, isNew] = m_contactAt.try_emplace(zone, now);
-    if (isNew || now - known->second > HeardLifetime)
+    if (isNew || now - known->second > SenderTimeout)
         log_event(log_level::Info, "zone in contact")
             .with("zone", zone.value())
             .with("gateways", gateways);
--- a/src/rates/peer_table.cpp
+++ b/src/rates/peer_table.cpp
@@ -66,7 +66,7 @@
 
 // The zones confirm to each other that they receive their reports, so what is passed on counts as
 // confirmed.
-bool peer_table::onRelayed(const vm_id &vm, incarnation_number incarnation, time_point heardAt,
+bool peer_table::onRelayed(const vm_id &vm, incarnation_number incarnation, time_point receivedAt,
                            time_point now)
 {
     const auto found = m_peers.find(vm);
@@ -79,8 +79,8 @@
         insert(restarted, 0, now);
     }
     const bool wasReachable = isReachable(state, reachLimits(now), now);
-    state.lastReceivedAt = std::max(state.lastReceivedAt.value_or(heardAt), heardAt);
-    state.receivesOursAt = std::max(state.receivesOursAt.value_or(heardAt), heardAt);
+    state.lastReceivedAt = std::max(state.lastReceivedAt.value_or(receivedAt), receivedAt);
+    state.receivesOursAt = std::max(state.receivesOursAt.value_or(receivedAt), receivedAt);
     return wasReachable;
 }
 
@@ -256,7 +256,7 @@
 {
     if (!reportsByZone())
         return true;
-    if (m_heardElsewhereAt && now - *m_heardElsewhereAt < timeout)
+    if (m_receivedElsewhereAt && now - *m_receivedElsewhereAt < timeout)
         return true;
     return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
         const peer_state &peer = entry.second;
--- a/src/reports/report_schedule.cpp
+++ b/src/reports/report_schedule.cpp
@@ -14,11 +14,10 @@
 constexpr std::chrono::milliseconds MinInterval{100};
 constexpr std::chrono::milliseconds MaxInterval{330};
 constexpr std::chrono::milliseconds IntervalPerReceiver{10};
-// Reports to other cells are about customers' admissions; the slots of their upstreams are told by
-// the gateways that use them.
+// Gateways of other cells mostly need the customers' admissions; they use few slots of this cell.
 constexpr std::chrono::milliseconds MinOtherCellInterval{150};
 // Customers' admissions reach the other zones by these reports, so they decide by how much all
-// gateways together can exceed a rate before they know.
+// gateways together can exceed a rate.
 constexpr std::chrono::milliseconds MinZoneInterval{50};
 constexpr std::chrono::milliseconds ZoneIntervalPerZone{25};
 
--- a/src/reports/zone_relays.cpp
+++ b/src/reports/zone_relays.cpp
@@ -39,9 +39,9 @@
 }
 
 const gateway_member &relayTarget(std::size_t rank, const std::vector<gateway_member> &gateways,
-                                  bool isHeard, std::size_t attempt)
+                                  bool isReceived, std::size_t attempt)
 {
-    const std::size_t index = isHeard ? rank : rank + RelaysPerZone * attempt;
+    const std::size_t index = isReceived ? rank : rank + RelaysPerZone * attempt;
     return gateways[index % gateways.size()];
 }
 
--- a/tests/unit-rates.cpp
+++ b/tests/unit-rates.cpp
@@ -477,7 +477,7 @@
         peerTable.onRelayed(far.vm, far.incarnation, Start, Start);
     }
     CHECK(peerTable.share(Start) == doctest::Approx(1.0 / 60));
-    peerTable.onHeardElsewhere(Start);
+    peerTable.onReceivedElsewhere(Start);
     CHECK(peerTable.share(Start) == 1);
     CHECK(peerTable.share(Start + 2s) == doctest::Approx(1.0 / 60));
 }
