--- a/review/harness.py
+++ b/review/harness.py
@@ -120,6 +120,20 @@
         print(line, flush=True)
         print(line, file=self.record_file, flush=True)
 
+    def record(self, text):
+        """Writes a line to record.txt only."""
+        print("%7.3f %s" % (time.monotonic() - self.started, text), file=self.record_file)
+
+    def record_runs(self):
+        """Writes what reached each engine, and what of it the engine has run."""
+        for engine in self.engines:
+            runs = {id(run) for run in engine.runs}
+            for request in engine.arrived:
+                self.record("%s at %.3f: %s %s for tenant %s %s"
+                            % (engine.id, request["at"] - self.started, request["path"],
+                               request["id"], request["headers"].get("Tenant"),
+                               "runs" if id(request) in runs else "is refused"))
+
     def violation(self, text):
         self.broken.append(text)
         self.note("RULE BROKEN: " + text)
@@ -164,14 +178,20 @@
         Returns (status, headers, body); the status is 0 if there was no whole answer."""
         host, port = gateway.address.split(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+        sent_at = time.monotonic() - self.started
+        status, answer_headers, text = 0, {}, b""
         try:
             connection.request(method, path, body=body, headers=headers or {})
             answer = connection.getresponse()
-            return answer.status, dict(answer.getheaders()), answer.read()
+            status, answer_headers, text = answer.status, dict(answer.getheaders()), answer.read()
         except (OSError, http.client.HTTPException) as error:
-            return 0, {}, repr(error).encode()
+            status, text = 0, repr(error).encode()
         finally:
             connection.close()
+        self.record("client at %.3f: %s %s %s at %s -> %s %r"
+                    % (sent_at, method, path, (headers or {}).get("Request-Id", ""), gateway.name,
+                       status, text[:300]))
+        return status, answer_headers, text
 
     def submit(self, gateway, job, items, key, prefix="/jobs/"):
         """Sends a batch job, again after each answer that is no 202, for up to five attempts."""
@@ -246,6 +266,7 @@
         case = Case(folder)
         case.note("TROUBLE=%d" % TROUBLE)
         body(case)
+        case.record_runs()
         code = 1 if case.broken else 0
         case.note("the rule was broken" if code else "the rule held")
     except BaseException:  # pylint: disable=broad-except
