--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,7 +16,7 @@
 
 def body(case):
     lost = [case.add_engine("engine-a0", group="service-a")]
-    sound = [case.add_engine(f"engine-b{number}", group="service-b") for number in range(3)]
+    sound = [case.add_engine(f"engine-b{number}", group="service-b") for number in range(5)]
     routes = [harness.route("checks-a", "/a/", "batch", service="service-a"),
               harness.route("checks-b", "/b/", "batch", service="service-b")]
     case.publish(harness.config(1, routes, {"north": KEY}, ["service-a", "service-b"]))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -16,7 +16,7 @@
 
 def body(case):
     lost = [case.add_engine("engine-a0", group="service-a")]
-    sound = [case.add_engine(f"engine-b{number}", group="service-b") for number in range(3)]
+    sound = [case.add_engine(f"engine-b{number}", group="service-b") for number in range(5)]
     split = [{"service": "service-a", "weight": 10}, {"service": "service-b", "weight": 90}]
     checks = harness.route("checks", "/jobs/", "batch", trafficSplit=split)
     del checks["service"]
