Logs of attempts say what their connection had carried and what the response named

A gateway sends one again only if an attempt ends as not run, and no line showed what that rested on: whether the connection was new or kept, for how long it had been idle, how many requests it had carried and whether this one was among them, whether an earlier response on it had named no request; and of the response the status, the request and the instance that it names, whether it is signed, whether it says that nothing ran, and the time from send to head.

'attempt failed' and 'batch item run ended' hold all of these now. The field status of these lines stays as it was: 200 for an attempt without a whole response. head_status holds the status that came. No decision changed.

--- a/include/tamarackglade/gateway/batch/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -65,6 +65,8 @@
     void start(const item_work &work, const upstream_id &upstream);
     void runItem(const item_work &work, const live_upstream &upstream,
                  const std::shared_ptr<item_run> &run);
+    void logRunEnd(const item_work &work, const live_upstream &upstream, const item_run &run,
+                   const attempt_result &result, duration time);
     attempt_result runAttempt(const item_work &work, const live_upstream &upstream, item_run &run);
     void pauseAfterEarlyFailure(const item_work &work, const attempt_result &result,
                                 std::size_t events);
--- /dev/null
+++ b/include/tamarackglade/gateway/upstream/attempt_evidence.hpp
@@ -0,0 +1,25 @@
+// What shows to which request a response belongs, for logs.
+#pragma once
+
+#include <tamarackglade/attribution/connection_history.hpp>
+#include <tamarackglade/attribution/response_facts.hpp>
+#include <tamarackglade/core/time.hpp>
+#include <tamarackglade/logging/log_event.hpp>
+
+#include <optional>
+
+namespace tamarack {
+
+/// @brief State of an attempt's connection before the request, and the head of the response.
+struct attempt_evidence
+{
+    connection_history before; // of the connection, without the present request
+    std::optional<duration> idleFor; // nullopt for a new connection
+    std::optional<response_facts> response; // nullopt if no head came
+    duration headAfter{}; // from the start of sending to the head
+};
+
+/// @brief Adds the evidence's fields to a log line.
+void addEvidence(log_event &line, const attempt_evidence &evidence, const request_id &request);
+
+} // namespace tamarack
--- a/include/tamarackglade/gateway/upstream/attempt_result.hpp
+++ b/include/tamarackglade/gateway/upstream/attempt_result.hpp
@@ -1,6 +1,7 @@
 // Result of one attempt to run a request at an upstream.
 #pragma once
 
+#include <tamarackglade/gateway/upstream/attempt_evidence.hpp>
 #include <tamarackglade/gateway/upstream/response_metadata.hpp>
 #include <tamarackglade/http/http_response.hpp>
 #include <tamarackglade/placement/slot_allocator.hpp>
@@ -39,6 +40,7 @@
     http_response response;
     response_metadata metadata;
     std::string reason; // why the attempt failed, for logs
+    attempt_evidence evidence; // for logs
     bool connected = true; // false if the upstream could not be reached
     // A reused connection broke before any response. The upstream may have closed it while idle.
     bool wasDropped = false;
--- a/include/tamarackglade/gateway/upstream/response_metadata.hpp
+++ b/include/tamarackglade/gateway/upstream/response_metadata.hpp
@@ -16,6 +16,7 @@
 {
     std::optional<request_id> answeredRequest; // id of the request that the response belongs to
     bool notRun = false; // the upstream did not and will not run the request
+    std::optional<upstream_id> instance; // the upstream that answers, if it says so
     bool isSigned = false; // the response carries an upstream's signature
     bool leaving = false; // the upstream states that it leaves and accepts no new work
     // Requests per second that the upstream accepts from all gateways together, as of this
--- a/include/tamarackglade/gateway/upstream/upstream_pool.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_pool.hpp
@@ -1,6 +1,7 @@
 // Pool of idle keep-alive connections to upstreams.
 #pragma once
 
+#include <tamarackglade/attribution/connection_history.hpp>
 #include <tamarackglade/core/time.hpp>
 #include <tamarackglade/http/http_client.hpp>
 
@@ -15,11 +16,12 @@
 
 namespace tamarack {
 
-/// @brief A client and the idle time of its connection; nullopt if it is not connected yet.
+/// @brief A client with what its connection has carried.
 struct pooled_client
 {
     std::unique_ptr<http_client> client;
-    std::optional<duration> idleFor;
+    std::optional<duration> idleFor; // nullopt if it is not connected yet
+    connection_history history;
 };
 
 /// @brief Idle connections by address. All calls on the io_context's thread.
@@ -38,7 +40,7 @@
 
     /// @brief Returns a connection to the pool after a complete response.
     /// @param keepAlive idle timeout that the upstream announced, if any
-    void release(const std::string &address, std::unique_ptr<http_client> client,
+    void release(const std::string &address, pooled_client client,
                  std::optional<std::chrono::seconds> keepAlive);
 
     /// @brief Closes idle connections that have expired.
@@ -47,7 +49,7 @@
 private:
     struct idle_client
     {
-        std::unique_ptr<http_client> client;
+        pooled_client pooled;
         time_point idleSince;
         time_point expiresAt;
     };
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -63,17 +63,7 @@
     run->holdsSlot = false;
     m_progress[work.key].writingTime += bootNow() - startedAt;
     m_runs.erase(work.key);
-    log_event(log_level::Info, "batch item run ended")
-        .request(work.request.value())
-        .upstream(upstream.id.value())
-        .with("job", work.key.job.value())
-        .with("end", run->yielding ? "yielded to online work" : nameOf(result.outcome))
-        .with("status", result.response.status)
-        .with("reason", result.reason)
-        .with("events", run->events)
-        .with("version", upstream.version.value())
-        .with("prompt_parts", joinIds(m_progress[work.key].sharedParts))
-        .with("run_ms", toSeconds(bootNow() - startedAt) * 1000);
+    logRunEnd(work, upstream, *run, result, bootNow() - startedAt);
     if (!run->yielding) {
         pauseAfterEarlyFailure(work, result, run->events);
         handleResult(work, upstream.id, result);
@@ -83,6 +73,23 @@
         m_onYielded();
 }
 
+void batch_runner::logRunEnd(const item_work &work, const live_upstream &upstream,
+                             const item_run &run, const attempt_result &result, duration time)
+{
+    log_event line(log_level::Info, "batch item run ended");
+    line.request(work.request.value())
+        .upstream(upstream.id.value())
+        .with("job", work.key.job.value())
+        .with("end", run.yielding ? "yielded to online work" : nameOf(result.outcome))
+        .with("status", result.response.status)
+        .with("reason", result.reason)
+        .with("events", run.events)
+        .with("version", upstream.version.value())
+        .with("prompt_parts", joinIds(m_progress[work.key].sharedParts))
+        .with("run_ms", toSeconds(time) * 1000);
+    addEvidence(line, result.evidence, work.request);
+}
+
 attempt_result batch_runner::runAttempt(const item_work &work, const live_upstream &upstream,
                                         item_run &run)
 {
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -94,8 +94,8 @@
 
 bool call_relay::mayRetry(const attempt_result &result)
 {
-    log_event(log_level::Info, "attempt failed")
-        .request(m_call.id.value())
+    log_event line(log_level::Info, "attempt failed");
+    line.request(m_call.id.value())
         .upstream(m_upstream.value())
         .with("end", nameOf(result.outcome))
         .with("status", result.response.status)
@@ -106,6 +106,7 @@
         .with("prompt_parts", joinIds(m_call.sharedParts))
         .with("fingerprint", textOf(m_fingerprint))
         .with("left_ms", toSeconds(timeLeft()) * 1000);
+    addEvidence(line, result.evidence, m_call.id);
     m_placement.excluded.insert(m_upstream);
     if (m_callerDisconnected || result.outcome == attempt_outcome::DeadlineExceeded
         || timeLeft() <= duration::zero())
--- /dev/null
+++ b/src/gateway/upstream/attempt_evidence.cpp
@@ -0,0 +1,34 @@
+// Names of the evidence's fields in logs.
+#include <tamarackglade/gateway/upstream/attempt_evidence.hpp>
+
+namespace tamarack {
+
+namespace {
+
+double millisecondsOf(duration time)
+{
+    return toSeconds(time) * 1000;
+}
+
+} // namespace
+
+void addEvidence(log_event &line, const attempt_evidence &evidence, const request_id &request)
+{
+    line.with("connection", evidence.idleFor ? "kept" : "new")
+        .with("carried", evidence.before.requests())
+        .with("carried_this", evidence.before.carried(request))
+        .with("carried_unnamed", evidence.before.hasUnnamedResponse());
+    if (evidence.idleFor)
+        line.with("idle_ms", millisecondsOf(*evidence.idleFor));
+    if (!evidence.response)
+        return;
+    const response_facts &response = *evidence.response;
+    line.with("head_status", response.status)
+        .with("head_ms", millisecondsOf(evidence.headAfter))
+        .with("names", response.names ? response.names->value() : "")
+        .with("instance", response.instance ? response.instance->value() : "")
+        .with("signed", response.isSigned)
+        .with("claims_not_run", response.claimsNotRun);
+}
+
+} // namespace tamarack
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -51,6 +51,12 @@
     return metadata.isSigned || (metadata.notRun && head.status != Misdirected);
 }
 
+response_facts factsOf(const http_response &head, const response_metadata &metadata)
+{
+    return {head.status, metadata.answeredRequest, metadata.instance, metadata.isSigned,
+            metadata.notRun};
+}
+
 /// Counts the bytes of one body in the total of all bodies, until its end.
 class buffered_bytes
 {
@@ -116,6 +122,11 @@
     setProgressDeadline(*client, limits, false);
     client->setConnectTimeout(ConnectTimeout);
     handle.m_client = client.get();
+    attempt_evidence evidence;
+    evidence.before = pooled.history;
+    evidence.idleFor = pooled.idleFor;
+    pooled.history.onSent(id);
+    const time_point sentAt = bootNow();
     const auto head = client->start(request);
     attempt_result result;
     response_metadata metadata;
@@ -131,6 +142,9 @@
         }
     } else {
         metadata = m_protocol.decodeResponseHead(*head);
+        pooled.history.onResponse(metadata.answeredRequest.has_value());
+        evidence.headAfter = bootNow() - sentAt;
+        evidence.response = factsOf(*head, metadata);
         if (metadata.answeredRequest && *metadata.answeredRequest != id) {
             client->close();
             result = makeResult(attempt_outcome::Broken, "response has another request id");
@@ -143,13 +157,14 @@
     handle.m_client = nullptr;
     if (handle.aborted()) {
         client->close();
-        return makeResult(attempt_outcome::Cancelled, "aborted");
+        result = makeResult(attempt_outcome::Cancelled, "aborted");
     }
+    result.evidence = std::move(evidence);
     const bool whole = result.outcome == attempt_outcome::Complete
                        || result.outcome == attempt_outcome::Answered
                        || result.outcome == attempt_outcome::NotRun;
     if (whole && client->idle())
-        m_pool.release(upstream.address, std::move(client), metadata.keepAlive);
+        m_pool.release(upstream.address, std::move(pooled), metadata.keepAlive);
     else
         client->close();
     return result;
--- a/src/gateway/upstream/upstream_pool.cpp
+++ b/src/gateway/upstream/upstream_pool.cpp
@@ -25,11 +25,13 @@
         idle_client newest = std::move(found->second.back());
         found->second.pop_back();
         const bool usable = now < newest.expiresAt && now - newest.idleSince <= maxIdleTime;
-        if (usable && newest.client->reusable())
-            return {std::move(newest.client), now - newest.idleSince};
-        newest.client->close();
+        if (usable && newest.pooled.client->reusable()) {
+            newest.pooled.idleFor = now - newest.idleSince;
+            return std::move(newest.pooled);
+        }
+        newest.pooled.client->close();
     }
-    return {std::make_unique<http_client>(m_io, address), std::nullopt};
+    return {std::make_unique<http_client>(m_io, address), std::nullopt, {}};
 }
 
 void upstream_pool::onDropped(const std::string &address, duration idleFor)
@@ -42,11 +44,11 @@
                   [&](const idle_client &each) { return now - each.idleSince >= idleFor; });
 }
 
-void upstream_pool::release(const std::string &address, std::unique_ptr<http_client> client,
+void upstream_pool::release(const std::string &address, pooled_client client,
                             std::optional<std::chrono::seconds> keepAlive)
 {
     auto &idle = m_idle[address];
-    if (!client->idle() || idle.size() >= MaxIdlePerAddress)
+    if (!client.client->idle() || idle.size() >= MaxIdlePerAddress)
         return;
     const duration idleTime = keepAlive ? duration(*keepAlive) : duration(DefaultKeepAlive);
     const time_point now = bootNow();
