--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -3,7 +3,8 @@
 The store keeps partitioned streams of records in memory. Its faults: unavailability, refusals,
 delays, appends whose answer is lost and that take effect at once, late or never, and lost history.
 An engine serves event streams and records every request that it starts to run. Its faults: broken
-streams, silence, refusals, failures, and a second answer on the same connection.
+streams, silence, refusals, failures, a second answer on the same connection, and refusals that are
+sent once more when the next request has arrived there.
 """
 
 import base64
@@ -223,18 +224,21 @@
 class EngineHandler(Handler):
     """Handles the requests to an engine."""
 
+    copy = b""  # a refusal of this connection that is sent once more
+
     def do_POST(self):
         engine = self.stand_in
         body = self.body()
         request = {"id": self.headers.get("Request-Id"), "path": self.path, "body": body,
                    "headers": dict(self.headers.items()), "at": time.monotonic()}
         engine.arrived.append(request)
+        self.send_copy()
         if self.headers.get("Expect-Instance") != engine.id:
-            self.answer(421, headers=[("Instance-Id", engine.id)])
+            self.refuse(421, request, [("Instance-Id", engine.id)])
             return
         if engine.shed > 0:
             engine.shed -= 1
-            self.answer(503, headers=[("Not-Executed", "1"), *engine.extra_headers])
+            self.refuse(503, request, [("Not-Executed", "1"), *engine.extra_headers])
             return
         if engine.endless:
             engine.runs.append(request)
@@ -266,6 +270,23 @@
             with engine.lock:
                 engine.active -= 1
 
+    def refuse(self, status, request, headers):
+        """Refuses the request, and keeps the bytes if they are to be sent once more."""
+        engine = self.stand_in
+        if engine.names_refusals:
+            headers = [("Request-Id", request["id"]), *headers]
+        fields = "".join("%s: %s\r\n" % field for field in headers)
+        text = "HTTP/1.1 %d Refused\r\n%sContent-Length: 0\r\n\r\n" % (status, fields)
+        self.wfile.write(text.encode())
+        if engine.repeats_refusals:
+            self.copy = text.encode()
+
+    def send_copy(self):
+        if self.copy:
+            self.stand_in.copies_sent += 1
+            self.wfile.write(self.copy)
+            self.copy = b""
+
     def send_endless(self, request):
         """Sends bytes until the caller closes, or for at most ten seconds."""
         self.close_connection = True
@@ -372,6 +393,9 @@
         self.status = 200
         self.statuses = {}  # request id -> status that replaces `status`
         self.shed = 0  # number of requests to refuse
+        self.names_refusals = False  # refusals name their request
+        self.repeats_refusals = False  # they are sent once more when the next request has arrived
+        self.copies_sent = 0
         self.break_at = None  # number of the event within which the connection is cut
         self.silent_at = None
         self.silence_s = 5.0
