A response that may be a late copy of an earlier one no longer says that a request hasn't run

Cause: whether a response belongs to the present request was decided by its id alone, and only if it had one. A copy of an earlier refusal on a kept connection without an id always counted. With an id it counted when the request came back to the connection that had brought its own refusal: the pool is kept by address, upstreams that were tried are left out by id, and after a 421 the upstream that has taken the address over has another id. Batch items come back in any case.

Listeners hear only of responses that count. The pool doesn't offer a connection on which a copy could be taken for the response to the request: it closes those with a response that named no request, and passes over those that have carried this one. What may still be a copy ends the attempt as broken: it isn't repeated if it may run once, and its caller isn't told 'not run'.

Why it works: a copy names what the response that it repeats named. If every response of a connection named its request, and the present one wasn't among them, no copy can name it or name none.

--- a/include/tamarackglade/attribution/connection_history.hpp
+++ b/include/tamarackglade/attribution/connection_history.hpp
@@ -31,6 +31,12 @@
     [[nodiscard]] bool carried(const request_id &request) const;
     /// @return whether a response named no request
     [[nodiscard]] bool hasUnnamedResponse() const { return m_hasUnnamedResponse; }
+    /// @return whether a copy of each response so far could be told from the response to this
+    /// request
+    [[nodiscard]] bool mayCarry(const request_id &request) const
+    {
+        return !m_hasUnnamedResponse && !carried(request);
+    }
 
 private:
     std::deque<std::uint64_t> m_recent; // hashes of the last request ids, newest last
--- a/include/tamarackglade/gateway/upstream/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_caller.hpp
@@ -1,6 +1,7 @@
 // Sends a request to an upstream and reads its response.
 #pragma once
 
+#include <tamarackglade/attribution/response_verdict.hpp>
 #include <tamarackglade/events/stream_progress.hpp>
 #include <tamarackglade/gateway/process/platform_protocol.hpp>
 #include <tamarackglade/gateway/relay/response_sink.hpp>
@@ -49,7 +50,8 @@
     }
 
     /// @brief Sends the request and passes the events of a streamed response to the sink.
-    /// @param id request id that the response must carry if it carries any
+    /// @param id request id that the response must name if it names any; the request isn't sent on
+    /// a connection on which a copy of an earlier response could be taken for its response
     /// @param streamed whether a successful response is an event stream
     attempt_result run(const live_upstream &upstream, const http_client_request &request,
                        const request_id &id, bool streamed, const attempt_limits &limits,
@@ -58,9 +60,9 @@
 private:
     void notifyListeners(const live_upstream &upstream, const response_metadata &metadata);
     attempt_result readResponse(http_client &client, const http_response &head,
-                                const response_metadata &metadata, bool streamed,
-                                const attempt_limits &limits, stream_progress &progress,
-                                response_sink &sink);
+                                const response_metadata &metadata, response_verdict verdict,
+                                bool streamed, const attempt_limits &limits,
+                                stream_progress &progress, response_sink &sink);
     attempt_result readStream(http_client &client, const attempt_limits &limits,
                               stream_progress &progress, response_sink &sink);
     attempt_result readBody(http_client &client, const http_response &head,
--- a/include/tamarackglade/gateway/upstream/upstream_pool.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_pool.hpp
@@ -30,15 +30,17 @@
 public:
     explicit upstream_pool(boost::asio::io_context &io) : m_io(io) { }
 
-    /// @brief Removes the most recently used connection from the pool, or creates a client that
-    /// will connect.
+    /// @brief Removes the most recently used connection that may carry the request from the pool,
+    /// or creates a client that will connect.
     /// @param maxIdleTime connections that were idle longer are closed
-    pooled_client acquire(const std::string &address, duration maxIdleTime);
+    pooled_client acquire(const std::string &address, duration maxIdleTime,
+                          const request_id &request);
     /// @brief Called when a reused connection broke. The upstream may close idle connections
     /// earlier than it announces, so this closes all that have been idle for at least as long.
     void onDropped(const std::string &address, duration idleFor);
 
-    /// @brief Returns a connection to the pool after a complete response.
+    /// @brief Returns a connection to the pool after a complete response. Connections with a
+    /// response that named no request are closed.
     /// @param keepAlive idle timeout that the upstream announced, if any
     void release(const std::string &address, pooled_client client,
                  std::optional<std::chrono::seconds> keepAlive);
@@ -47,6 +49,7 @@
     void tick(time_point now);
 
 private:
+    /// Invariant: no response on the connection was unnamed.
     struct idle_client
     {
         pooled_client pooled;
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -1,4 +1,5 @@
 // Runs one attempt: connection, response head and body, and the outcome of each failure.
+#include <tamarackglade/attribution/response_verdict.hpp>
 #include <tamarackglade/events/event_splitter.hpp>
 #include <tamarackglade/gateway/upstream/upstream_caller.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
@@ -46,9 +47,10 @@
 }
 
 // Another upstream may have the address by now, and other bytes may look like a response.
-bool isFromUpstream(const http_response &head, const response_metadata &metadata)
+bool showsItsSender(response_verdict verdict, unsigned status)
 {
-    return metadata.isSigned || (metadata.notRun && head.status != Misdirected);
+    return verdict == response_verdict::Answer
+           || (verdict == response_verdict::NotRun && status != Misdirected);
 }
 
 response_facts factsOf(const http_response &head, const response_metadata &metadata)
@@ -116,7 +118,7 @@
 {
     if (handle.aborted())
         return makeResult(attempt_outcome::Cancelled, "aborted");
-    pooled_client pooled = m_pool.acquire(upstream.address, limits.maxIdleTime);
+    pooled_client pooled = m_pool.acquire(upstream.address, limits.maxIdleTime, id);
     auto &client = pooled.client;
     client->setTimeout(MaxOperationTime);
     setProgressDeadline(*client, limits, false);
@@ -145,14 +147,10 @@
         pooled.history.onResponse(metadata.answeredRequest.has_value());
         evidence.headAfter = bootNow() - sentAt;
         evidence.response = factsOf(*head, metadata);
-        if (metadata.answeredRequest && *metadata.answeredRequest != id) {
-            client->close();
-            result = makeResult(attempt_outcome::Broken, "response has another request id");
-        } else {
-            if (isFromUpstream(*head, metadata))
-                notifyListeners(upstream, metadata);
-            result = readResponse(*client, *head, metadata, streamed, limits, progress, sink);
-        }
+        const response_verdict verdict = judgeResponse(*evidence.response, id, evidence.before);
+        if (showsItsSender(verdict, head->status))
+            notifyListeners(upstream, metadata);
+        result = readResponse(*client, *head, metadata, verdict, streamed, limits, progress, sink);
     }
     handle.m_client = nullptr;
     if (handle.aborted()) {
@@ -178,19 +176,20 @@
 }
 
 attempt_result upstream_caller::readResponse(http_client &client, const http_response &head,
-                                             const response_metadata &metadata, bool streamed,
+                                             const response_metadata &metadata,
+                                             response_verdict verdict, bool streamed,
                                              const attempt_limits &limits,
                                              stream_progress &progress, response_sink &sink)
 {
-    if (metadata.notRun) {
+    if (verdict == response_verdict::NotRun) {
         attempt_result refused = readBody(client, head, metadata, limits, MaxRefusalBytes);
         refused.outcome = attempt_outcome::NotRun;
         refused.reason = "refused with status " + std::to_string(head.status);
         return refused;
     }
-    if (!metadata.isSigned) {
+    if (verdict != response_verdict::Answer) {
         client.close();
-        return makeResult(attempt_outcome::Broken, "response has no signature");
+        return makeResult(attempt_outcome::Broken, rejectionReason(verdict));
     }
     const bool success = head.status >= 200 && head.status < 300;
     if (!success || !streamed)
--- a/src/gateway/upstream/upstream_pool.cpp
+++ b/src/gateway/upstream/upstream_pool.cpp
@@ -17,13 +17,16 @@
 
 } // namespace
 
-pooled_client upstream_pool::acquire(const std::string &address, duration maxIdleTime)
+pooled_client upstream_pool::acquire(const std::string &address, duration maxIdleTime,
+                                     const request_id &request)
 {
-    const auto found = m_idle.find(address);
+    auto &idle = m_idle[address];
     const time_point now = bootNow();
-    while (found != m_idle.end() && !found->second.empty()) {
-        idle_client newest = std::move(found->second.back());
-        found->second.pop_back();
+    for (std::size_t i = idle.size(); i-- > 0;) {
+        if (!idle[i].pooled.history.mayCarry(request))
+            continue;
+        idle_client newest = std::move(idle[i]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
         const bool usable = now < newest.expiresAt && now - newest.idleSince <= maxIdleTime;
         if (usable && newest.pooled.client->reusable()) {
             newest.pooled.idleFor = now - newest.idleSince;
@@ -48,7 +51,8 @@
                             std::optional<std::chrono::seconds> keepAlive)
 {
     auto &idle = m_idle[address];
-    if (!client.client->idle() || idle.size() >= MaxIdlePerAddress)
+    if (!client.client->idle() || client.history.hasUnnamedResponse()
+        || idle.size() >= MaxIdlePerAddress)
         return;
     const duration idleTime = keepAlive ? duration(*keepAlive) : duration(DefaultKeepAlive);
     const time_point now = bootNow();
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -201,6 +201,8 @@
         engine.statuses = self.poison
         engine.deadly_bodies = self.deadly_bodies
         engine.crash_at = 2 * (self.engine_count % 2)  # at once, or behind two events
+        engine.repeats_refusals = self.engine_count % 2 == 0
+        engine.names_refusals = self.engine_count % 4 == 0
         engine.down_s = ENGINE_DOWN_S
         engine.restarts = self.engine_restarted
         link = FaultyLink(engine.address)
