An attempt at an address that can't be connected to counts as not run

What callers saw: 502 for a request that no engine had got, and no other engine was tried if it may run once.

Cause: http_client promises Unavailable when nothing was sent, but passed on InvalidArgument for an address that it couldn't parse. The caller took that for a broken run: it also counted against the upstream and as evidence in the quarantines.

Evidence: the new case of shell-gateway-responses, 8 of its checks failed before; all pass now.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -203,7 +203,7 @@
         m_connectTimeout.count() > 0 ? std::min(m_timeout, m_connectTimeout) : m_timeout;
     auto stream = tcp_stream::connect(m_io, m_address, timeout);
     if (!stream.ok())
-        return stream.status();
+        return absl::UnavailableError(stream.status().message());
     m_stream = std::move(*stream);
     m_stream->setTimeout(m_timeout);
     m_response = std::make_unique<response_state>();
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -328,3 +328,27 @@
         }
     }
 }
+
+TEST_CASE("a request to an address that can't be connected to surely wasn't run")
+{
+    io_thread thread;
+    thread.run([&] {
+        upstream_pool pool(thread.io());
+        const platform::http_protocol protocol;
+        upstream_caller caller(pool, protocol, {});
+        for (const std::string address : {"127.0.0.1:70000", "engine.example:80", "", ":"}) {
+            CAPTURE(address);
+            live_upstream upstream;
+            upstream.address = address;
+            stream_progress progress(std::nullopt);
+            collecting_sink sink(false);
+            attempt_handle handle;
+            const attempt_limits limits{bootNow() + 5s, duration::zero(), std::nullopt, 1s};
+            const attempt_result result =
+                caller.run(upstream, http_client_request{}, request_id("r1"), true, limits,
+                           progress, sink, handle);
+            CHECK(result.outcome == attempt_outcome::NotRun);
+            CHECK_FALSE(result.connected);
+        }
+    });
+}
