Tests of streams at a gateway that was out of step while a version joined

Two tests of test_versions: each take-up goes on at the new version or is refused. They pass on the code as it was: origins come from other gateways, and an unknown one is refused.

--- a/tests/e2e/test_versions.py
+++ b/tests/e2e/test_versions.py
@@ -169,6 +169,47 @@
         self.lose_all_gateways()
         self.take_up_everywhere(begun)
 
+    def test_no_texts_are_joined_at_a_gateway_that_stood_still_while_a_version_joined(self):
+        begun = self.begin_while_out_of_step(2)
+        self.gateway[2].process.signal(signal.SIGCONT)
+        self.take_up_newest_at(2, begun)
+
+    def test_no_texts_are_joined_at_a_gateway_that_was_cut_off_while_a_version_joined(self):
+        begun = self.begin_while_out_of_step(2)
+        self.store.set_down(True)
+        for gateway in self.gateway[:2]:
+            gateway.process.signal(signal.SIGSTOP)
+            self.addCleanup(gateway.process.signal, signal.SIGCONT)
+        self.gateway[2].process.signal(signal.SIGCONT)
+        self.take_up_newest_at(2, begun)
+
+    def begin_while_out_of_step(self, stopped):
+        """Begins streams at engines of a third version, which join while a gateway stands still.
+
+        Returns the streams' ids and first bytes. Their connections are closed.
+        """
+        self.gateway[stopped].process.signal(signal.SIGSTOP)
+        self.newest = [test_gateway.SiteTestCase.add_engine(self, f"newest-{i}", version="v1.2",
+                                                            zone="a") for i in range(2)]
+        for engine in self.newest:
+            engine.events = self.events
+        wait_until(lambda: any(line["version"] == "v1.2" for line in
+                               self.gateway[0].lines_of("upstream changed")), "third version known")
+        begun = []
+        while len(begun) < 4:
+            close, request, received = self.begin(0)
+            close()
+            if self.runs_of(self.newest, request):
+                begun.append((request, received))
+        return begun
+
+    def take_up_newest_at(self, gateway, begun):
+        for request, received in begun:
+            status, _, _, taken_up = self.take_up(request, received, gateway)
+            self.assertIn(status, (200, 503))
+            self.assertEqual(len(self.runs_of(self.newest, taken_up)), int(status == 200))
+            self.assertFalse(self.runs_of(self.engine, taken_up))
+
     def test_the_text_of_a_batch_item_is_of_one_version(self):
         for engine in self.engine:
             engine.break_at = 20
