Texts of batch items and records can't become a second request or another header

Cause: http_client wrote method, target, host and headers as they came. JSON strings, ids of jobs' items and keys of records may hold any character.

Evidence: the new test of e2e-test_gateway fails on the code before (202 instead of 400), and passes now.

Change: a job with such an item is refused at submission with a 400 that names the item and the field; nothing is stored. writeRequest() checks every part before a byte is written, whoever calls it, and answers with InvalidArgument; such an attempt is not run, no upstream's fault, and isn't tried elsewhere: 400 online, a dead item for one that was stored before.

Looked at too: log lines and answers are JSON and escape, headers passed on to callers come from Beast's parser, metric labels are names of our own.

--- a/include/tamarackglade/gateway/relay/gateway_refusal.hpp
+++ b/include/tamarackglade/gateway/relay/gateway_refusal.hpp
@@ -12,6 +12,8 @@
 /// with 502 or 504 it may have run.
 /// @param code error code in the JSON body
 /// @param retryAfter value of Retry-After; zero omits the header
-http_response refusal(unsigned status, const std::string &code, duration retryAfter = {});
+/// @param message for people, in the JSON body; empty omits it
+http_response refusal(unsigned status, const std::string &code, duration retryAfter = {},
+                      const std::string &message = {});
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/upstream/attempt_result.hpp
+++ b/include/tamarackglade/gateway/upstream/attempt_result.hpp
@@ -42,6 +42,7 @@
     std::string reason; // why the attempt failed, for logs
     attempt_evidence evidence; // for logs
     bool connected = true; // false if the upstream could not be reached
+    bool isUnsendable = false; // the request can't be written, so no upstream can run it
     // A reused connection broke before any response. The upstream may have closed it while idle.
     bool wasDropped = false;
     // A stream ended in order, but without anything that shows that it was whole.
--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/core/time.hpp>
+#include <tamarackglade/http/http_client_request.hpp>
 #include <tamarackglade/http/http_response.hpp>
 #include <tamarackglade/runtime/byte_stream.hpp>
 
@@ -13,26 +14,14 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace tamarack {
 
-/// @brief A request to send.
-struct http_client_request
-{
-    std::string method = "GET";
-    std::string target = "/";
-    std::string host; // of the Host header; empty for the connection's address
-    std::vector<std::pair<std::string, std::string>> headers;
-    std::string contentType;
-    std::string body;
-};
-
 /// @brief One connection to "ip:port". Used by one fiber at a time, on the io_context's thread.
 ///
-/// Errors: Unavailable if the request surely never reached the server (no connection), Aborted if
-/// the connection failed after the request may have been sent, DeadlineExceeded on a timeout.
+/// Errors: InvalidArgument if the request can't be written as one, and Unavailable if there was no
+/// connection: no byte of it was sent. Aborted if the connection failed after the request may have
+/// been sent, DeadlineExceeded on a timeout.
 ///
 /// Memory is bounded whatever the server sends: heads, chunk headers and trailers that are too long
 /// fail, and bodies are handed out in parts.
@@ -88,7 +77,7 @@
     absl::Status connect();
     /// @brief Reads until the parser has made a step or fails.
     void readStep(boost::system::error_code &error);
-    absl::Status send(const http_client_request &request);
+    absl::Status send(std::string_view text);
     absl::Status readFailure(const boost::system::error_code &error);
 
     boost::asio::io_context &m_io;
--- a/src/gateway/batch/batch_api.cpp
+++ b/src/gateway/batch/batch_api.cpp
@@ -68,11 +68,13 @@
 {
     auto items = m_context.protocol.decodeBatchItems(exchange.request().body);
     if (!items.ok() || call.id.value().empty()) {
+        const std::string reason =
+            items.ok() ? "job has no id" : std::string(items.status().message());
         log_event(log_level::Info, "batch job malformed")
             .request(call.id.value())
             .customer(customer.value())
-            .with("reason", std::string(items.status().message()));
-        exchange.respond(refusal(400, "malformed_job"));
+            .with("reason", reason);
+        exchange.respond(refusal(400, "malformed_job", duration::zero(), reason));
         return;
     }
     if (std::any_of(items->begin(), items->end(), isTooLarge)) {
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -157,6 +157,8 @@
         recordFinish(work, false, "");
         return;
     }
+    if (result.isUnsendable)
+        recordFinish(work, true, "its request can't be written");
     if (result.outcome != attempt_outcome::Answered)
         return;
     if (result.response.status == UnprocessableContent)
--- a/src/gateway/relay/call_relay_answers.cpp
+++ b/src/gateway/relay/call_relay_answers.cpp
@@ -35,6 +35,11 @@
         m_exchange.abortStream();
         return;
     }
+    if (result.isUnsendable && !m_mayHaveRun) {
+        m_status = 400;
+        m_exchange.respond(refusal(m_status, "malformed_request"));
+        return;
+    }
     if (!m_mayHaveRun) {
         refuseUnavailable("no_upstream");
         return;
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -108,8 +108,8 @@
         .with("left_ms", toSeconds(timeLeft()) * 1000);
     addEvidence(line, result.evidence, m_call.id);
     m_placement.excluded.insert(m_upstream);
-    if (m_callerDisconnected || result.outcome == attempt_outcome::DeadlineExceeded
-        || timeLeft() <= duration::zero())
+    if (m_callerDisconnected || result.isUnsendable
+        || result.outcome == attempt_outcome::DeadlineExceeded || timeLeft() <= duration::zero())
         return false;
     if (result.outcome == attempt_outcome::NotRun)
         return m_refusals <= MaxRefusals;
--- a/src/gateway/upstream/attempt_result.cpp
+++ b/src/gateway/upstream/attempt_result.cpp
@@ -18,6 +18,8 @@
             return std::nullopt;
         return attempt_fault::Failed;
     case attempt_outcome::NotRun:
+        if (result.isUnsendable)
+            return std::nullopt;
         if (!result.connected)
             return attempt_fault::Unreachable;
         return result.response.status == Misdirected ? attempt_fault::Replaced
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -134,10 +134,10 @@
     response_metadata metadata;
     if (!head.ok()) {
         result = failureOf(head.status(), limits);
-        if (absl::IsUnavailable(head.status())) {
+        result.connected = !absl::IsUnavailable(head.status());
+        result.isUnsendable = absl::IsInvalidArgument(head.status());
+        if (!result.connected || result.isUnsendable)
             result.outcome = attempt_outcome::NotRun;
-            result.connected = false;
-        }
         if (result.outcome == attempt_outcome::Broken && pooled.idleFor) {
             result.wasDropped = true;
             m_pool.onDropped(upstream.address, *pooled.idleFor);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,6 @@
 // Requests written as text, responses parsed with Beast.
 #include <tamarackglade/http/http_client.hpp>
+#include <tamarackglade/http/request_syntax.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/tcp_stream.hpp>
 
@@ -91,6 +92,9 @@
 
 absl::StatusOr<http_response> http_client::start(const http_client_request &request)
 {
+    const auto text = writeRequest(request, m_address);
+    if (!text.ok())
+        return text.status();
     if (m_stream && !reusable())
         close();
     if (!m_stream) {
@@ -98,7 +102,7 @@
         if (!connected.ok())
             return connected;
     }
-    const absl::Status sent = send(request);
+    const absl::Status sent = send(*text);
     if (!sent.ok())
         return sent;
     auto &parser = m_response->parser.emplace();
@@ -210,22 +214,12 @@
     return absl::OkStatus();
 }
 
-absl::Status http_client::send(const http_client_request &request)
-{
-    std::string text = absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\nHost: ",
-                                    request.host.empty() ? m_address : request.host, "\r\n");
-    for (const auto &[name, value] : request.headers)
-        absl::StrAppend(&text, name, ": ", value, "\r\n");
-    if (!request.contentType.empty())
-        absl::StrAppend(&text, "Content-Type: ", request.contentType, "\r\n");
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
-        absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n");
-    absl::StrAppend(&text, "\r\n", request.body);
-    std::string_view left = text;
-    while (!left.empty()) {
+absl::Status http_client::send(std::string_view text)
+{
+    while (!text.empty()) {
         boost::system::error_code error;
-        left.remove_prefix(
-            m_stream->writeSome(boost::asio::buffer(left.data(), left.size()), error));
+        text.remove_prefix(
+            m_stream->writeSome(boost::asio::buffer(text.data(), text.size()), error));
         if (error)
             return readFailure(error);
     }
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -714,6 +714,18 @@
                      '{"items": [{"id": "a", "path": "/p", "body": "%%%"}]}'):
             self.assertEqual(self.call("/jobs/x", body=body)[0], 400, body)
 
+    def test_a_line_break_in_an_items_header_reaches_no_engine(self):
+        smuggled = "a\r\nContent-Length: 0\r\n\r\nPOST /stream/x HTTP/1.1\r\nRequest-Id: smuggled"
+        item = {"id": "j-0", "path": "/jobs/x", "headers": {"X-A": smuggled},
+                "body": base64.b64encode(b"b").decode(), "tokens": 10}
+        status, _, body, _ = self.call("/jobs/x", body=json.dumps({"items": [item]}),
+                                       **{"Request-Id": "j"})
+        self.assertEqual(status, 400)
+        self.assertIn("header X-A", json.loads(body)["error"]["message"])
+        self.assertEqual(self.call("/tamarackglade/lots/j", body=None, method="GET")[0], 404)
+        for engine in self.engine:
+            self.assertEqual(engine.runs_of("smuggled"), [])
+
     def test_too_many_waiting_tokens(self):
         for engine in self.engine:
             engine.step_s = 0.5
