The soak's engines refuse one request in fifteen and send each refusal once more

Half of them name the request in their refusals. Ordinary shedding was missing: engines refused all or nothing, for seconds, so that the connection was idle for too long, or gone, before a copy could meet another request.

--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -236,8 +236,7 @@
         if self.headers.get("Expect-Instance") != engine.id:
             self.refuse(421, request, [("Instance-Id", engine.id)])
             return
-        if engine.shed > 0:
-            engine.shed -= 1
+        if engine.sheds_now():
             self.refuse(503, request, [("Not-Executed", "1"), *engine.extra_headers])
             return
         if engine.endless:
@@ -393,6 +392,7 @@
         self.status = 200
         self.statuses = {}  # request id -> status that replaces `status`
         self.shed = 0  # number of requests to refuse
+        self.sheds_every = 0  # every so many requests one is refused; 0 for none
         self.names_refusals = False  # refusals name their request
         self.repeats_refusals = False  # they are sent once more when the next request has arrived
         self.copies_sent = 0
@@ -422,6 +422,12 @@
                 "version": self.version, "slots": self.slots, "state": state, "coldRemainingMs": 0, "sequence": 1,
                 "born": self.born}
 
+    def sheds_now(self):
+        if self.shed > 0:
+            self.shed -= 1
+            return True
+        return self.sheds_every > 0 and len(self.arrived) % self.sheds_every == 0
+
     def crashes_on(self, parts):
         return any(part.split(":")[0] in self.deadly_parts for part in parts.split(","))
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -25,6 +25,7 @@
 DRAIN_S = 2.0  # until a draining engine gets no new requests
 CANCEL_S = 3.0  # until items of an ended job no longer start
 RECOVER_S = 12.0  # until service works after the last fault
+SHEDS_EVERY = 15  # requests at an engine of which it refuses one
 FINISH_S = 18.0  # until jobs have finished after the last fault
 STOP_S = 8.0  # until a planned stop has ended
 STABLE_S = 3.0  # without faults before a bound applies
@@ -201,8 +202,9 @@
         engine.statuses = self.poison
         engine.deadly_bodies = self.deadly_bodies
         engine.crash_at = 2 * (self.engine_count % 2)  # at once, or behind two events
-        engine.repeats_refusals = self.engine_count % 2 == 0
-        engine.names_refusals = self.engine_count % 4 == 0
+        engine.sheds_every = SHEDS_EVERY
+        engine.repeats_refusals = True
+        engine.names_refusals = self.engine_count % 2 == 0
         engine.down_s = ENGINE_DOWN_S
         engine.restarts = self.engine_restarted
         link = FaultyLink(engine.address)
