A batch job is named by its customer and its id

Cause: the id alone was the key of jobs, items, owners and progress. Of two customers in one partition the second was told 202 though nothing was stored; over partitions the first one found was taken, with an item index that might lie beyond its items.

Change: batch_id (customer and job) and batch_item_key are the keys from the fold to the callers' paths; a guessed id takes the same path as an unknown one. An index beyond the items counts as finished.

Records: the finish, failure and end of an item or job carry customer and id in new fields. 'job', which the version before reads, is filled only if the job was the first accepted under its id in the partition, as that version knows just this one: it ignores the others instead of taking their results for those of the first. Owners are still chosen by id and index, as the version before does.

--- a/include/tamarackglade/batches/batch_fold.hpp
+++ b/include/tamarackglade/batches/batch_fold.hpp
@@ -48,8 +48,22 @@
     /// was sent; nullopt before the first
     [[nodiscard]] std::optional<time_point> completeAt() const { return m_completeAt; }
     /// @return the job, or null
-    [[nodiscard]] const customer_batch *find(const job_id &id) const;
-    [[nodiscard]] const std::unordered_map<job_id, customer_batch> &jobs() const { return m_jobs; }
+    [[nodiscard]] const customer_batch *find(const batch_id &id) const;
+    [[nodiscard]] const std::unordered_map<batch_id, customer_batch> &jobs() const
+    {
+        return m_jobs;
+    }
+    /// @brief Sets the fields of a record that name its job.
+    /// @tparam Record a message of the item or the end of a job
+    template <class Record>
+    void nameJob(Record &record, const batch_id &id) const
+    {
+        record.customer = id.customer.value();
+        record.customer_job = id.job.value();
+        const auto first = m_firstOfId.find(id.job);
+        const bool isFirst = first != m_firstOfId.end() && first->second == id.customer;
+        record.job = isFirst ? id.job.value() : std::string();
+    }
     /// @return the tokens of a customer's unfinished items on a route, without ended jobs
     [[nodiscard]] std::uint64_t waitingTokens(const customer_id &customer,
                                               std::string_view routeName) const;
@@ -59,11 +73,16 @@
     void finish(const schema::item_finished_message &record);
     void fail(const schema::item_failed_message &record, time_point now);
     void endJob(const schema::batch_ended_message &record);
+    /// @return the job that the record names, or null
+    template <class Record>
+    customer_batch *jobOf(const Record &record);
 
     const duration m_keepTime;
     stream_position m_end;
     std::optional<time_point> m_completeAt;
-    std::unordered_map<job_id, customer_batch> m_jobs;
+    std::unordered_map<batch_id, customer_batch> m_jobs;
+    // Customers whose jobs were the first accepted under their ids; only of jobs in m_jobs.
+    std::unordered_map<job_id, customer_id> m_firstOfId;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/batches/batch_schedule.hpp
+++ b/include/tamarackglade/batches/batch_schedule.hpp
@@ -3,8 +3,8 @@
 
 #include <tamarackglade/batches/batch_fold.hpp>
 #include <tamarackglade/batches/item_owners.hpp>
-#include <tamarackglade/jobs/item_key.hpp>
 
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -12,7 +12,7 @@
 
 /// @brief Lists the items that this gateway should start: those with a part of their text first, as
 /// only some upstreams can go on with it, then new ones. Both are ordered by the due time of their
-/// job, then by job id. The number of a customer's jobs doesn't affect the order.
+/// job, then by their id. The number of a customer's jobs doesn't affect the order.
 ///
 /// An item that failed waits before it is listed again, longer after each failure, as the cause of
 /// the failure may be temporary.
@@ -22,10 +22,11 @@
 /// @param currentSince no item is listed from a fold that may lack records of this time, since its
 /// finished items and the items of its ended jobs could still appear as waiting
 /// @param maxItems maximum number of new items
-std::vector<item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
-                                   item_owners &owners, const std::set<item_key> &begun,
-                                   const std::set<item_key> &running, time_point currentSince,
-                                   time_point now, std::size_t maxItems);
+std::vector<batch_item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
+                                         item_owners &owners, const std::set<batch_item_key> &begun,
+                                         const std::set<batch_item_key> &running,
+                                         time_point currentSince, time_point now,
+                                         std::size_t maxItems);
 
 /// @return the upstreams at which the item failed, so that the next run can use another one
 std::set<upstream_id> failedUpstreams(const batch_job_item &item);
--- a/include/tamarackglade/batches/customer_batch.hpp
+++ b/include/tamarackglade/batches/customer_batch.hpp
@@ -1,6 +1,7 @@
 // State of a batch job as folded from the records of its partition.
 #pragma once
 
+#include <tamarackglade/batches/batch_id.hpp>
 #include <tamarackglade/batches/content_place.hpp>
 #include <tamarackglade/core/ids.hpp>
 #include <tamarackglade/core/time.hpp>
@@ -36,8 +37,7 @@
 /// @brief A job, its items and the order of its results.
 struct customer_batch
 {
-    job_id id;
-    customer_id customer;
+    batch_id id;
     std::string routeName;
     std::string host;
     duration completionObjective{}; // from the acceptance
--- a/include/tamarackglade/batches/item_owners.hpp
+++ b/include/tamarackglade/batches/item_owners.hpp
@@ -1,7 +1,7 @@
 // Remembers which batch items a gateway runs.
 #pragma once
 
-#include <tamarackglade/core/ids.hpp>
+#include <tamarackglade/batches/batch_id.hpp>
 
 #include <cstdint>
 #include <unordered_map>
@@ -33,10 +33,10 @@
 
     /// @return the numbers of the job's items that this gateway owns, in ascending order; valid
     /// until the next call of another function
-    const std::vector<std::uint32_t> &ownItems(const job_id &job, std::size_t items);
+    const std::vector<std::uint32_t> &ownItems(const batch_id &batch, std::size_t items);
 
     /// @return whether this gateway owns the item
-    [[nodiscard]] bool owns(const job_id &job, std::size_t item) const;
+    [[nodiscard]] bool owns(const batch_id &batch, std::size_t item) const;
 
     /// @brief Discards jobs that weren't asked for since the last call.
     void dropUnused();
@@ -53,7 +53,7 @@
 
     const vm_id m_self;
     std::vector<vm_id> m_gateways;
-    std::unordered_map<job_id, owned_items> m_jobs; // invariant: computed for m_gateways
+    std::unordered_map<batch_id, owned_items> m_jobs; // invariant: computed for m_gateways
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/batch/batch_api.hpp
+++ b/include/tamarackglade/gateway/batch/batch_api.hpp
@@ -30,8 +30,8 @@
     /// @brief Finds a job, reading newer records if the fold is too old or lacks it.
     /// @param known set to false if the store gave no answer
     /// @return the customer's job, or nullptr
-    const customer_batch *findJob(batch_partition &partition, const job_id &job,
-                                  const customer_id &customer, time_point arrivedAt, bool &known);
+    const customer_batch *findJob(batch_partition &partition, const batch_id &id,
+                                  time_point arrivedAt, bool &known);
     void answerCall(http_exchange &exchange, const read_results_call &call, batch_partition &jobs,
                     const customer_batch &job);
     void answerCall(http_exchange &exchange, const read_item_call &call, batch_partition &jobs,
--- a/include/tamarackglade/gateway/batch/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -53,8 +53,9 @@
 
     bool yield(item_run *run);
     /// @return whether the item's content is loaded; otherwise starts to read it
-    bool contentReady(const item_key &key, const customer_batch &job);
-    void readContent(const item_key &key, const content_place &place, const customer_id &customer);
+    bool contentReady(const batch_item_key &key, const customer_batch &job);
+    void readContent(const batch_item_key &key, const content_place &place,
+                     const customer_id &customer);
     /// @return an upstream with a slot that can begin the item or go on with its text
     std::optional<upstream_id> pickUpstream(const item_work &work, const group_id &group,
                                             std::set<upstream_id> failedAt);
@@ -80,21 +81,21 @@
     durable_result storeFinishedItem(const item_work &work, schema::item_finished_message record,
                                      const std::string &output, time_point deadline);
     void removeFinished();
-    [[nodiscard]] std::set<item_key> occupiedItems() const;
+    [[nodiscard]] std::set<batch_item_key> occupiedItems() const;
     /// @return the items of which a part of the text is here
-    [[nodiscard]] std::set<item_key> begunItems() const;
+    [[nodiscard]] std::set<batch_item_key> begunItems() const;
     /// @return the items that wait because their prompt holds a quarantined part
-    [[nodiscard]] std::set<item_key> quarantinedItems(const forward_config &config) const;
+    [[nodiscard]] std::set<batch_item_key> quarantinedItems(const forward_config &config) const;
 
     gateway_context &m_context;
     batch_store &m_store;
     const gateway_list m_gateways;
     const std::function<void()> m_onYielded;
-    std::map<item_key, std::shared_ptr<item_run>> m_runs;
-    std::map<item_key, item_progress> m_progress; // of started, unfinished items
+    std::map<batch_item_key, std::shared_ptr<item_run>> m_runs;
+    std::map<batch_item_key, item_progress> m_progress; // of started, unfinished items
     // Items whose record of an end or a failed run is not in the fold yet; the value is the name of
     // the failed run, empty for an end.
-    std::map<item_key, std::string> m_pendingRecords;
+    std::map<batch_item_key, std::string> m_pendingRecords;
     item_owners m_owners;
     time_point m_peersWaitUntil{};
     bool m_stopped = false;
--- a/include/tamarackglade/gateway/batch/batch_store.hpp
+++ b/include/tamarackglade/gateway/batch/batch_store.hpp
@@ -24,9 +24,11 @@
     [[nodiscard]] batch_partition &partitionOf(const customer_id &customer);
     /// @return the folds of all partitions
     [[nodiscard]] std::vector<const batch_fold *> folds() const;
-    [[nodiscard]] const customer_batch *findJob(const job_id &id) const;
+    [[nodiscard]] const customer_batch *findJob(const batch_id &id) const;
 
 private:
+    [[nodiscard]] std::size_t indexOf(const customer_id &customer) const;
+
     content_store m_contents;
     std::vector<std::unique_ptr<batch_partition>> m_partitions;
 };
--- a/include/tamarackglade/gateway/batch/item_run.hpp
+++ b/include/tamarackglade/gateway/batch/item_run.hpp
@@ -1,8 +1,8 @@
 // State of a batch item at the gateway that runs it.
 #pragma once
 
+#include <tamarackglade/batches/batch_id.hpp>
 #include <tamarackglade/gateway/upstream/upstream_caller.hpp>
-#include <tamarackglade/jobs/item_key.hpp>
 #include <tamarackglade/quarantine/request_fingerprint.hpp>
 #include <tamarackglade/resumption/stream_origin.hpp>
 #include <tamarackglade/schema/batches_generated.h>
@@ -16,9 +16,8 @@
 /// @brief Copy of an item's values from the fold at its start, as the fold may change meanwhile.
 struct item_work
 {
-    item_key key;
+    batch_item_key key;
     request_id request; // request id of all its runs
-    customer_id customer;
     std::string host; // Host header of the job's request
     duration retention{}; // after this time since acceptance it is abandoned; zero for never
     time_point seenAt{}; // when this gateway first read the job
--- a/src/batches/batch_fold.cpp
+++ b/src/batches/batch_fold.cpp
@@ -63,9 +63,12 @@
         const duration kept = std::max(m_keepTime, job.open() ? 2 * job.retention : m_keepTime);
         return now - job.firstReadAt > kept;
     });
+    std::erase_if(m_firstOfId, [&](const auto &entry) {
+        return !m_jobs.contains({entry.second, entry.first});
+    });
 }
 
-const customer_batch *batch_fold::find(const job_id &id) const
+const customer_batch *batch_fold::find(const batch_id &id) const
 {
     const auto found = m_jobs.find(id);
     return found == m_jobs.end() ? nullptr : &found->second;
@@ -76,7 +79,7 @@
 {
     std::uint64_t tokens = 0;
     for (const auto &[id, job] : m_jobs) {
-        if (job.customer != customer || job.routeName != routeName || job.ended)
+        if (id.customer != customer || job.routeName != routeName || job.ended)
             continue;
         for (const batch_job_item &item : job.items)
             tokens += item.state == batch_item_state::Waiting ? item.tokens : 0;
@@ -86,12 +89,12 @@
 
 void batch_fold::accept(schema::batch_accepted_message &record, time_point now)
 {
-    const job_id id(record.job);
+    const batch_id id{customer_id(std::move(record.customer)), job_id(std::move(record.job))};
     if (m_jobs.contains(id))
         return;
+    m_firstOfId.try_emplace(id.job, id.customer);
     customer_batch job;
     job.id = id;
-    job.customer = customer_id(std::move(record.customer));
     job.routeName = std::move(record.route);
     job.host = std::move(record.host);
     job.completionObjective = fromMilliseconds(record.due_ms);
@@ -103,36 +106,49 @@
     m_jobs.emplace(id, std::move(job));
 }
 
+// Writers of the version before name the job by its id alone, and mean the first one under it.
+template <class Record>
+customer_batch *batch_fold::jobOf(const Record &record)
+{
+    batch_id id{customer_id(record.customer), job_id(record.customer_job)};
+    if (record.customer_job.empty()) {
+        const auto first = m_firstOfId.find(job_id(record.job));
+        if (first == m_firstOfId.end())
+            return nullptr;
+        id = {first->second, first->first};
+    }
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
 void batch_fold::finish(const schema::item_finished_message &record)
 {
-    const auto found = m_jobs.find(job_id(record.job));
-    if (found == m_jobs.end() || record.item >= found->second.items.size())
+    customer_batch *job = jobOf(record);
+    if (job == nullptr || record.item >= job->items.size())
         return;
-    customer_batch &job = found->second;
-    batch_job_item &item = job.items[record.item];
+    batch_job_item &item = job->items[record.item];
     if (item.state != batch_item_state::Waiting)
         return;
     if (record.output)
         item.output = decodePlace(*record.output);
     item.state = record.abandoned ? batch_item_state::Abandoned : batch_item_state::Done;
-    job.results.push_back(record.item);
+    job->results.push_back(record.item);
 }
 
 void batch_fold::fail(const schema::item_failed_message &record, time_point now)
 {
-    const auto found = m_jobs.find(job_id(record.job));
-    if (found == m_jobs.end() || record.item >= found->second.items.size())
+    customer_batch *job = jobOf(record);
+    if (job == nullptr || record.item >= job->items.size())
         return;
-    batch_job_item &item = found->second.items[record.item];
+    batch_job_item &item = job->items[record.item];
     if (item.failedRuns.emplace(record.run, upstream_id(record.upstream)).second)
         item.lastFailedAt = now;
 }
 
 void batch_fold::endJob(const schema::batch_ended_message &record)
 {
-    const auto found = m_jobs.find(job_id(record.job));
-    if (found != m_jobs.end())
-        found->second.ended = true;
+    if (customer_batch *job = jobOf(record))
+        job->ended = true;
 }
 
 } // namespace tamarack
--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -22,10 +22,11 @@
 
 } // namespace
 
-std::vector<item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
-                                   item_owners &owners, const std::set<item_key> &begun,
-                                   const std::set<item_key> &running, time_point currentSince,
-                                   time_point now, std::size_t maxItems)
+std::vector<batch_item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
+                                         item_owners &owners, const std::set<batch_item_key> &begun,
+                                         const std::set<batch_item_key> &running,
+                                         time_point currentSince, time_point now,
+                                         std::size_t maxItems)
 {
     std::vector<const customer_batch *> open;
     for (const batch_fold *fold : folds) {
@@ -43,16 +44,16 @@
     std::sort(open.begin(), open.end(), [&](const customer_batch *a, const customer_batch *b) {
         return std::pair(dueAt(a), a->id) < std::pair(dueAt(b), b->id);
     });
-    const auto mayStart = [&](const customer_batch &job, const item_key &key) {
+    const auto mayStart = [&](const customer_batch &job, const batch_item_key &key) {
         const batch_job_item &item = job.items[key.item.value()];
         return item.state == batch_item_state::Waiting && now >= startableAt(item)
                && !running.contains(key);
     };
-    std::vector<item_key> items;
+    std::vector<batch_item_key> items;
     for (const customer_batch *job : open) {
         const auto &own = owners.ownItems(job->id, job->items.size());
-        const item_key first{job->id, item_index(0)};
-        for (auto key = begun.lower_bound(first); key != begun.end() && key->job == job->id;
+        const batch_item_key first{job->id, item_index(0)};
+        for (auto key = begun.lower_bound(first); key != begun.end() && key->batch == job->id;
              ++key) {
             if (std::binary_search(own.begin(), own.end(), key->item.value())
                 && mayStart(*job, *key))
@@ -64,7 +65,7 @@
         for (const std::uint32_t number : owners.ownItems(job->id, job->items.size())) {
             if (items.size() >= maxListed)
                 return items;
-            const item_key key{job->id, item_index(number)};
+            const batch_item_key key{job->id, item_index(number)};
             if (!begun.contains(key) && mayStart(*job, key))
                 items.push_back(key);
         }
--- a/src/batches/item_owners.cpp
+++ b/src/batches/item_owners.cpp
@@ -27,29 +27,29 @@
     m_jobs.clear();
 }
 
-const std::vector<std::uint32_t> &item_owners::ownItems(const job_id &job, std::size_t items)
+const std::vector<std::uint32_t> &item_owners::ownItems(const batch_id &batch, std::size_t items)
 {
-    const auto [found, isNew] = m_jobs.try_emplace(job);
+    const auto [found, isNew] = m_jobs.try_emplace(batch);
     owned_items &owned = found->second;
     owned.used = true;
     if (!isNew)
         return owned.numbers;
     for (std::size_t i = 0; i < items; ++i) {
-        if (owns(job, i))
+        if (owns(batch, i))
             owned.numbers.push_back(static_cast<std::uint32_t>(i));
     }
     return owned.numbers;
 }
 
-bool item_owners::owns(const job_id &job, std::size_t item) const
+bool item_owners::owns(const batch_id &batch, std::size_t item) const
 {
-    return !m_gateways.empty() && ownerOf(job, item, m_gateways) == m_self;
+    return !m_gateways.empty() && ownerOf(batch.job, item, m_gateways) == m_self;
 }
 
 void item_owners::dropUnused()
 {
     std::erase_if(m_jobs, [](const auto &entry) { return !entry.second.used; });
-    for (auto &[job, owned] : m_jobs)
+    for (auto &[batch, owned] : m_jobs)
         owned.used = false;
 }
 
--- a/src/gateway/batch/batch_api.cpp
+++ b/src/gateway/batch/batch_api.cpp
@@ -127,9 +127,8 @@
         exchange.respond(refusal(answer.status, answer.code, answer.retryAfter));
 }
 
-const customer_batch *batch_api::findJob(batch_partition &partition, const job_id &id,
-                                         const customer_id &customer, time_point arrivedAt,
-                                         bool &known)
+const customer_batch *batch_api::findJob(batch_partition &partition, const batch_id &id,
+                                         time_point arrivedAt, bool &known)
 {
     known = partition.completeSince(arrivedAt - m_context.options.batchFreshness)
             || partition.refresh(arrivedAt);
@@ -138,23 +137,23 @@
         known = partition.refresh(arrivedAt);
         job = partition.fold().find(id);
     }
-    return job != nullptr && job->customer == customer ? job : nullptr;
+    return job;
 }
 
 void batch_api::answer(http_exchange &exchange, const batch_call &call, const customer_id &customer,
                        time_point arrivedAt)
 {
-    const job_id id = std::visit([](const auto &each) { return each.job; }, call);
+    const batch_id id{customer, std::visit([](const auto &each) { return each.job; }, call)};
     batch_partition &partition = m_store.partitionOf(customer);
     bool known = false;
-    const customer_batch *job = findJob(partition, id, customer, arrivedAt, known);
+    const customer_batch *job = findJob(partition, id, arrivedAt, known);
     if (!known) {
         exchange.respond(refusal(503, "jobs_not_current", UnavailableRetryAfter));
         return;
     }
     if (job == nullptr) {
         log_event(log_level::Info, "batch job unknown")
-            .with("job", id.value())
+            .with("job", id.job.value())
             .customer(customer.value())
             .with("end", partition.fold().end().value());
         exchange.respond(refusal(404, "no_such_job"));
@@ -166,13 +165,13 @@
 void batch_api::answerCall(http_exchange &exchange, const read_results_call &call,
                            batch_partition &partition, const customer_batch &job)
 {
-    const customer_id customer = job.customer;
+    const batch_id id = job.id;
     const customer_batch *current = &job;
     const time_point until = bootNow() + std::min(call.wait, MaxResultWait);
     while (current->results.size() <= call.from && current->open() && bootNow() < until
            && !exchange.callerDisconnected()) {
         boost::this_fiber::sleep_for(ResultPollInterval);
-        current = partition.fold().find(call.job);
+        current = partition.fold().find(id);
         if (current == nullptr) {
             exchange.respond(refusal(404, "no_such_job"));
             return;
@@ -180,7 +179,7 @@
     }
     const auto outputs = m_store.contents().readAll(pageOf(*current, call.from));
     // The fold may have dropped the job while its outputs were read.
-    current = partition.fold().find(call.job);
+    current = partition.fold().find(id);
     if (!outputs || current == nullptr) {
         exchange.respond(refusal(503, "results_not_read", UnavailableRetryAfter));
         return;
@@ -214,7 +213,7 @@
     durable_result stored = durable_result::Stored;
     if (!job.ended) {
         schema::batch_ended_message record;
-        record.job = call.job.value();
+        partition.fold().nameJob(record, job.id);
         stored = partition.append({encodeBatchRecord(std::move(record))}, bootNow() + EndTimeout);
     }
     log_event(log_level::Info, "batch job end asked")
--- a/src/gateway/batch/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -18,10 +18,10 @@
 constexpr std::chrono::milliseconds MaxFoldAge{2'000};
 constexpr std::chrono::milliseconds ReadRetryPause{300};
 
-item_work workOf(const item_key &key, const customer_batch &job)
+item_work workOf(const batch_item_key &key, const customer_batch &job)
 {
     const batch_job_item &item = job.items[key.item.value()];
-    return {key,           request_id(item.id), job.customer,          job.host,
+    return {key,           request_id(item.id), job.host,
             job.retention, job.firstReadAt,     item.failedRuns.size()};
 }
 
@@ -41,13 +41,13 @@
     if (m_stopped || onlineWaits || !m_context.config.activeConfig().current())
         return;
     const auto config = m_context.config.activeConfig().current();
-    std::set<item_key> excluded = occupiedItems();
+    std::set<batch_item_key> excluded = occupiedItems();
     excluded.merge(quarantinedItems(*config));
     m_owners.setGateways(m_gateways());
     const auto items = itemsToStart(m_store.folds(), m_owners, begunItems(), excluded,
                                     bootNow() - MaxFoldAge, bootNow(), MaxStartsPerRound);
-    for (const item_key &key : items) {
-        const customer_batch &job = *m_store.findJob(key.job);
+    for (const batch_item_key &key : items) {
+        const customer_batch &job = *m_store.findJob(key.batch);
         const forward_route *route = config->findRouteByName(job.routeName);
         if (route == nullptr) {
             recordFinish(workOf(key, job), true, "route removed");
@@ -107,16 +107,16 @@
     item_progress &progress = m_progress[work.key];
     log_event(log_level::Info, "batch item starts over")
         .request(work.request.value())
-        .with("job", work.key.job.value())
+        .with("job", work.key.batch.job.value())
         .with("reason", reason)
         .with("version", progress.origin->version.value())
         .with("begun_ms_ago", toSeconds(bootNow() - progress.origin->begunAt) * 1000);
     progress.restart();
 }
 
-std::set<item_key> batch_runner::occupiedItems() const
+std::set<batch_item_key> batch_runner::occupiedItems() const
 {
-    std::set<item_key> busy;
+    std::set<batch_item_key> busy;
     for (const auto &[key, run] : m_runs)
         busy.insert(key);
     for (const auto &[key, failedRun] : m_pendingRecords)
@@ -129,9 +129,9 @@
     return busy;
 }
 
-std::set<item_key> batch_runner::begunItems() const
+std::set<batch_item_key> batch_runner::begunItems() const
 {
-    std::set<item_key> begun;
+    std::set<batch_item_key> begun;
     for (const auto &[key, progress] : m_progress) {
         if (progress.origin)
             begun.insert(key);
@@ -140,14 +140,14 @@
 }
 
 // Items past their retention are left out, so that they are abandoned.
-std::set<item_key> batch_runner::quarantinedItems(const forward_config &config) const
+std::set<batch_item_key> batch_runner::quarantinedItems(const forward_config &config) const
 {
-    std::set<item_key> items;
+    std::set<batch_item_key> items;
     const time_point now = bootNow();
     if (m_context.quarantine.size() == 0)
         return items;
     for (const auto &[key, progress] : m_progress) {
-        const customer_batch *job = m_store.findJob(key.job);
+        const customer_batch *job = m_store.findJob(key.batch);
         const forward_route *route =
             job == nullptr ? nullptr : config.findRouteByName(job->routeName);
         if (route == nullptr || mustAbandon(*job, key.item.value(), now))
@@ -158,7 +158,7 @@
     return items;
 }
 
-bool batch_runner::contentReady(const item_key &key, const customer_batch &job)
+bool batch_runner::contentReady(const batch_item_key &key, const customer_batch &job)
 {
     item_progress &progress = m_progress[key];
     if (progress.content)
@@ -166,21 +166,21 @@
     if (!progress.reading) {
         progress.reading = true;
         boost::fibers::fiber([this, key, place = job.items[key.item.value()].content,
-                              customer = job.customer] {
+                              customer = job.id.customer] {
             readContent(key, place, customer);
         }).detach();
     }
     return false;
 }
 
-void batch_runner::readContent(const item_key &key, const content_place &place,
+void batch_runner::readContent(const batch_item_key &key, const content_place &place,
                                const customer_id &customer)
 {
     const auto bytes = m_store.contents().read(place);
     auto content = bytes ? decodeBatchItem(*bytes) : std::nullopt;
     if (!content) {
         log_event(log_level::Warning, "content of a batch item not read")
-            .with("job", key.job.value())
+            .with("job", key.batch.job.value())
             .with("item", key.item.value());
         boost::this_fiber::sleep_for(ReadRetryPause);
     }
@@ -247,15 +247,16 @@
 
 void batch_runner::removeFinished()
 {
-    const auto finished = [&](const item_key &key) {
-        const customer_batch *job = m_store.findJob(key.job);
-        return job == nullptr || !job->open()
+    const auto finished = [&](const batch_item_key &key) {
+        const customer_batch *job = m_store.findJob(key.batch);
+        return job == nullptr || !job->open() || key.item.value() >= job->items.size()
                || job->items[key.item.value()].state != batch_item_state::Waiting;
     };
     std::erase_if(m_pendingRecords, [&](const auto &entry) {
         const auto &[key, failedRun] = entry;
         return finished(key)
-               || m_store.findJob(key.job)->items[key.item.value()].failedRuns.contains(failedRun);
+               || m_store.findJob(key.batch)->items[key.item.value()].failedRuns.contains(
+                   failedRun);
     });
     std::erase_if(m_progress, [&](const auto &entry) {
         return !m_runs.contains(entry.first) && finished(entry.first);
--- a/src/gateway/batch/batch_runner_records.cpp
+++ b/src/gateway/batch/batch_runner_records.cpp
@@ -21,11 +21,11 @@
 {
     log_event(log_level::Info, abandoned ? "batch item abandoned" : "batch item done")
         .request(work.request.value())
-        .with("job", work.key.job.value())
+        .with("job", work.key.batch.job.value())
         .with("failed_runs", work.failedRuns)
         .with("reason", reason);
     schema::item_finished_message record;
-    record.job = work.key.job.value();
+    m_store.partitionOf(work.key.batch.customer).fold().nameJob(record, work.key.batch);
     record.item = work.key.item.value();
     record.abandoned = abandoned;
     std::string output = abandoned ? std::string() : m_progress[work.key].text;
@@ -39,12 +39,12 @@
                                                const std::string &output, time_point deadline)
 {
     if (!output.empty()) {
-        const auto places = m_store.contents().append(work.customer, {output}, deadline);
+        const auto places = m_store.contents().append(work.key.batch.customer, {output}, deadline);
         if (!places)
             return durable_result::NotStored;
         record.output = encodePlace(places->front());
     }
-    return m_store.partitionOf(work.customer)
+    return m_store.partitionOf(work.key.batch.customer)
         .append({encodeBatchRecord(std::move(record))}, deadline);
 }
 
@@ -54,18 +54,19 @@
     log_event(log_level::Info, "batch item failed")
         .request(work.request.value())
         .upstream(upstream.value())
-        .with("job", work.key.job.value())
+        .with("job", work.key.batch.job.value())
         .with("status", status)
         .with("failed_runs", work.failedRuns + 1);
     m_progress[work.key].restart();
     schema::item_failed_message record;
-    record.job = work.key.job.value();
+    m_store.partitionOf(work.key.batch.customer).fold().nameJob(record, work.key.batch);
     record.item = work.key.item.value();
     record.run = randomId("run_");
     record.upstream = upstream.value();
     const std::string run = record.run;
     appendAsync(work, run, [this, work, record](time_point deadline) {
-        return m_store.partitionOf(work.customer).append({encodeBatchRecord(record)}, deadline);
+        return m_store.partitionOf(work.key.batch.customer)
+            .append({encodeBatchRecord(record)}, deadline);
     });
 }
 
@@ -79,8 +80,8 @@
             return;
         log_event(log_level::Warning, "record of a batch item not stored")
             .request(work.request.value())
-            .customer(work.customer.value())
-            .with("job", work.key.job.value());
+            .customer(work.key.batch.customer.value())
+            .with("job", work.key.batch.job.value());
         m_pendingRecords.erase(work.key);
     }).detach();
 }
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -79,7 +79,7 @@
     log_event line(log_level::Info, "batch item run ended");
     line.request(work.request.value())
         .upstream(upstream.id.value())
-        .with("job", work.key.job.value())
+        .with("job", work.key.batch.job.value())
         .with("end", run.yielding ? "yielded to online work" : nameOf(result.outcome))
         .with("status", result.response.status)
         .with("reason", result.reason)
@@ -103,7 +103,7 @@
     limits.maxIdleTime = MaxIdleTime;
     upstream_attempt message;
     message.upstream = upstream.id;
-    message.customer = work.customer;
+    message.customer = work.key.batch.customer;
     message.timeLeft = limits.deadline - now;
     message.resumeAfter = progress.lastEvent;
     if (m_context.quarantine.beginRun(upstream.group, progress.sharedParts, now)) {
--- a/src/gateway/batch/batch_store.cpp
+++ b/src/gateway/batch/batch_store.cpp
@@ -31,8 +31,7 @@
 
 batch_partition &batch_store::partitionOf(const customer_id &customer)
 {
-    const auto count = static_cast<std::uint32_t>(m_partitions.size());
-    return *m_partitions[tamarack::partitionOf(customer, count).value()];
+    return *m_partitions[indexOf(customer)];
 }
 
 std::vector<const batch_fold *> batch_store::folds() const
@@ -43,13 +42,15 @@
     return all;
 }
 
-const customer_batch *batch_store::findJob(const job_id &id) const
+const customer_batch *batch_store::findJob(const batch_id &id) const
 {
-    for (const auto &partition : m_partitions) {
-        if (const customer_batch *job = partition->fold().find(id))
-            return job;
-    }
-    return nullptr;
+    return m_partitions[indexOf(id.customer)]->fold().find(id);
+}
+
+std::size_t batch_store::indexOf(const customer_id &customer) const
+{
+    const auto count = static_cast<std::uint32_t>(m_partitions.size());
+    return tamarack::partitionOf(customer, count).value();
 }
 
 } // namespace tamarack
--- a/src/gateway/batch/batch_submission.cpp
+++ b/src/gateway/batch/batch_submission.cpp
@@ -77,7 +77,8 @@
 
 bool batch_submission::accepted() const
 {
-    return m_partition.fold().find(job_id(m_record.job)) != nullptr;
+    return m_partition.fold().find({customer_id(m_record.customer), job_id(m_record.job)})
+           != nullptr;
 }
 
 bool batch_submission::exceedsLimit() const
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -709,6 +709,21 @@
         self.assertEqual(self.results("j", key="key-south")[0], 404)
         self.assertEqual(self.results("none")[0], 404)
 
+    def test_jobs_of_two_customers_under_one_id_stay_apart(self):
+        other = {"key": "key-south"}
+        self.assertEqual(self.submit("j", items=3), 202)
+        status, _, _, _ = self.call("/jobs/x", 1, self.job("j", 5).replace("j-", "s-"),
+                                    **other, **{"Request-Id": "j"})
+        self.assertEqual(status, 202)
+        wait_until(lambda: self.results("j", 0, **other)[1]["next"] == 5, "south's job finished")
+        self.assertEqual({r["id"]: r["outputText"] for r in self.finished("j")},
+                         {f"j-{i}": output_text(f"j-{i}") for i in range(3)})
+        for gateway in (0, 1):
+            results = self.results("j", gateway, **other)[1]["results"]
+            self.assertEqual({r["id"]: r["outputText"] for r in results},
+                             {f"s-{i}": output_text(f"s-{i}") for i in range(5)})
+        self.assertEqual(sum(len(e.runs_of(f"s-{i}")) for e in self.engine for i in range(5)), 5)
+
     def test_malformed_jobs_are_refused(self):
         for body in ("", "{", "[]", '{"items": 3}', '{"items": [{"id": "a"}]}',
                      '{"items": [{"id": "a", "path": "/p", "body": "%%%"}]}'):
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -15,6 +15,11 @@
 const time_point Start{};
 const customer_id North("north");
 
+batch_id batchOf(const std::string &job)
+{
+    return {North, job_id(job)};
+}
+
 content_place placeOf(std::uint64_t position)
 {
     return {0, stream_position(position), 1, 4};
@@ -75,11 +80,12 @@
     return owners;
 }
 
-std::vector<item_key> itemsToStart(const std::vector<const batch_fold *> &folds, const vm_id &self,
-                                   const std::vector<vm_id> &gateways,
-                                   const std::set<item_key> &begun,
-                                   const std::set<item_key> &running, time_point currentSince,
-                                   time_point now, std::size_t maxItems)
+std::vector<batch_item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
+                                         const vm_id &self, const std::vector<vm_id> &gateways,
+                                         const std::set<batch_item_key> &begun,
+                                         const std::set<batch_item_key> &running,
+                                         time_point currentSince, time_point now,
+                                         std::size_t maxItems)
 {
     item_owners owners = ownersOf(self, gateways);
     return itemsToStart(folds, owners, begun, running, currentSince, now, maxItems);
@@ -95,7 +101,7 @@
     fold.apply(finishedRecord("j", 0, 10), Start);
     fold.apply(finishedRecord("j", 2, 13), Start);
     fold.apply(finishedRecord("j", 0, 14, true), Start);
-    const customer_batch &job = *fold.find(job_id("j"));
+    const customer_batch &job = *fold.find(batchOf("j"));
     CHECK(job.results == std::vector<std::size_t>{2, 0});
     CHECK(job.items[2].output == placeOf(12));
     CHECK(job.items[0].state == batch_item_state::Done);
@@ -110,7 +116,7 @@
     fold.apply(acceptedRecord("j", 2), Start);
     fold.apply(finishedRecord("j", 0, 10), Start);
     fold.apply(acceptedRecord("j", 2), Start + 1s);
-    CHECK(fold.find(job_id("j"))->results.size() == 1);
+    CHECK(fold.find(batchOf("j"))->results.size() == 1);
     CHECK(fold.waitingTokens(North, "checks") == 100);
     CHECK(fold.waitingTokens(North, "other") == 0);
 }
@@ -121,13 +127,13 @@
     fold.apply(acceptedRecord("j", 2), Start);
     fold.apply(finishedRecord("j", 1, 11), Start);
     fold.apply(endedRecord("j"), Start);
-    CHECK_FALSE(fold.find(job_id("j"))->open());
-    CHECK(fold.find(job_id("j"))->results.size() == 1);
+    CHECK_FALSE(fold.find(batchOf("j"))->open());
+    CHECK(fold.find(batchOf("j"))->results.size() == 1);
     CHECK(fold.waitingTokens(North, "checks") == 0);
     fold.tick(Start + 59s);
-    CHECK(fold.find(job_id("j")) != nullptr);
+    CHECK(fold.find(batchOf("j")) != nullptr);
     fold.tick(Start + 61s);
-    CHECK(fold.find(job_id("j")) == nullptr);
+    CHECK(fold.find(batchOf("j")) == nullptr);
 }
 
 TEST_CASE("each failed run counts once, and an item without attempts left is abandoned")
@@ -137,11 +143,11 @@
     fold.apply(failedRecord("j", 1, "a"), Start);
     fold.apply(failedRecord("j", 1, "a"), Start);
     fold.apply(failedRecord("j", 1, "b"), Start);
-    CHECK_FALSE(mustAbandon(*fold.find(job_id("j")), 1, Start));
+    CHECK_FALSE(mustAbandon(*fold.find(batchOf("j")), 1, Start));
     fold.apply(failedRecord("j", 1, "c"), Start);
-    CHECK(mustAbandon(*fold.find(job_id("j")), 1, Start));
-    CHECK_FALSE(mustAbandon(*fold.find(job_id("j")), 0, Start + 59s));
-    CHECK(mustAbandon(*fold.find(job_id("j")), 0, Start + 61s));
+    CHECK(mustAbandon(*fold.find(batchOf("j")), 1, Start));
+    CHECK_FALSE(mustAbandon(*fold.find(batchOf("j")), 0, Start + 59s));
+    CHECK(mustAbandon(*fold.find(batchOf("j")), 0, Start + 61s));
 }
 
 TEST_CASE("the pause before a retry grows with each failure, and failed upstreams are listed")
@@ -159,7 +165,7 @@
     fold.apply(failedRecord("j", 0, "second", "two"), Start + 1s);
     CHECK_FALSE(startable(Start + 2'900ms));
     CHECK(startable(Start + 3s));
-    const batch_job_item &item = fold.find(job_id("j"))->items[0];
+    const batch_job_item &item = fold.find(batchOf("j"))->items[0];
     CHECK(failedUpstreams(item) == std::set{upstream_id("one"), upstream_id("two")});
 }
 
@@ -188,7 +194,8 @@
     slot_allocator allocator(directory, rates, options, 1);
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", Items), Start);
-    std::map<item_key, std::pair<upstream_id, time_point>> runs; // upstream and end of each run
+    std::map<batch_item_key, std::pair<upstream_id, time_point>>
+        runs; // upstream and end of each run
     unsigned abandoned = 0;
     unsigned runNumber = 0;
     for (time_point now = Start; now < Start + 20s; now += 10ms) {
@@ -210,11 +217,11 @@
                        usesFailures ? now : Start - 60s);
             run = runs.erase(run);
         }
-        std::set<item_key> busy;
+        std::set<batch_item_key> busy;
         for (const auto &[key, run] : runs)
             busy.insert(key);
-        const customer_batch &job = *fold.find(job_id("j"));
-        for (const item_key &key :
+        const customer_batch &job = *fold.find(batchOf("j"));
+        for (const batch_item_key &key :
              itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, busy, now, now, 8)) {
             if (mustAbandon(job, key.item.value(), now)) {
                 ++abandoned;
@@ -314,7 +321,7 @@
     CHECK(fold.apply(finishedRecord("unknown", 0, 1), Start));
     CHECK(fold.apply(acceptedRecord("j", 1), Start));
     CHECK(fold.apply(finishedRecord("j", 7, 1), Start));
-    CHECK(fold.find(job_id("j"))->results.empty());
+    CHECK(fold.find(batchOf("j"))->results.empty());
 }
 
 TEST_CASE("each item has one owner, and items are ordered by due time")
@@ -324,11 +331,11 @@
     fold.apply(acceptedRecord("soon", 20, 10'000), Start);
     fold.confirm(Start);
     const std::vector<vm_id> gateways{vm_id("a"), vm_id("b"), vm_id("c")};
-    std::set<item_key> all;
+    std::set<batch_item_key> all;
     for (const vm_id &gateway : gateways) {
         const auto items = itemsToStart({&fold}, gateway, gateways, {}, {}, Start, Start, 100);
         CHECK(std::is_sorted(items.begin(), items.end(), [](const auto &x, const auto &y) {
-            return x.job == job_id("soon") && y.job == job_id("late");
+            return x.batch == batchOf("soon") && y.batch == batchOf("late");
         }));
         all.insert(items.begin(), items.end());
         CHECK(items.size() > 4);
@@ -362,7 +369,7 @@
         std::vector<std::uint32_t> owned;
         for (item_owners &each : owners) {
             each.setGateways(present);
-            const auto &own = each.ownItems(job_id("j"), 500);
+            const auto &own = each.ownItems(batchOf("j"), 500);
             owned.insert(owned.end(), own.begin(), own.end());
         }
         std::sort(owned.begin(), owned.end());
@@ -391,7 +398,7 @@
     batch_fold fold(60s);
     fold.apply(acceptedRecord("j", 3), Start);
     fold.confirm(Start);
-    const std::set<item_key> running{{job_id("j"), item_index(1)}};
+    const std::set<batch_item_key> running{{batchOf("j"), item_index(1)}};
     CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, running, Start, Start, 100).size()
           == 2);
     CHECK(itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, running, Start, Start, 1).size()
@@ -405,7 +412,7 @@
     fold.confirm(Start);
     const auto all = itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, {}, Start, Start, 100);
     REQUIRE(all.size() == 3);
-    const std::set<item_key> begun{all.back()};
+    const std::set<batch_item_key> begun{all.back()};
     const auto items = itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, begun, {}, Start, Start, 1);
     REQUIRE(items.size() == 2);
     CHECK(items[0] == all.back());
@@ -426,7 +433,7 @@
             const auto item = *rc::gen::inRange<std::uint32_t>(0, 4);
             const auto output = *rc::gen::inRange<std::uint64_t>(0, 1000);
             fold.apply(finishedRecord("j", item, output), Start);
-            const customer_batch &job = *fold.find(job_id("j"));
+            const customer_batch &job = *fold.find(batchOf("j"));
             for (std::size_t place = 0; place < listed.size(); ++place) {
                 RC_ASSERT(job.results[place] == listed[place].first);
                 RC_ASSERT(job.items[listed[place].first].output == listed[place].second);
