--- a/tests/shell-gateway-requests.cpp
+++ b/tests/shell-gateway-requests.cpp
@@ -101,6 +101,12 @@
                        rc::gen::inRange<char>(32, 127), rc::gen::arbitrary<char>()));
 }
 
+rc::Gen<std::string> soundOrAnyText()
+{
+    return rc::gen::oneOf(rc::gen::container<std::string>(rc::gen::inRange<char>(33, 127)),
+                          anyText());
+}
+
 std::string jobWith(const nlohmann::json &item)
 {
     return nlohmann::json{{"items", {item}}}.dump(-1, ' ', false,
@@ -118,14 +124,14 @@
 {
     const platform::http_protocol protocol;
     std::size_t accepted = 0;
-    rc::check([&] {
+    const bool held = rc::check([&] {
         nlohmann::json item = soundItem();
         if (*rc::gen::arbitrary<bool>())
-            item["id"] = *anyText();
+            item["id"] = *soundOrAnyText();
         if (*rc::gen::arbitrary<bool>())
-            item["path"] = "/" + *anyText();
-        const std::string name = *rc::gen::element<std::string>("X-A", "Model", "X B", "X:", "");
-        item["headers"] = {{name, *anyText()}};
+            item["path"] = "/" + *soundOrAnyText();
+        const std::string name = *rc::gen::element<std::string>("X-A", "Model", "X-B", "X B", "");
+        item["headers"] = {{name, *soundOrAnyText()}};
         const auto items = protocol.decodeBatchItems(jobWith(item));
         if (!items.ok())
             return;
@@ -147,7 +153,8 @@
         expected.emplace_back("Expect-Instance", "u1");
         RC_ASSERT(read->headers == expected);
     });
-    CHECK(accepted > 0);
+    CHECK(held);
+    CHECK(accepted > 10);
 }
 
 TEST_CASE("a batch item with a line break in a field is refused by the name of the field")
--- a/tests/unit-attribution.cpp
+++ b/tests/unit-attribution.cpp
@@ -133,7 +133,7 @@
 
 TEST_CASE("no copy of an earlier response on a connection counts for a later request")
 {
-    rc::check([] {
+    const bool held = rc::check([] {
         const auto count = *rc::gen::inRange<std::size_t>(1, connection_history::MaxRequests);
         connection_history history;
         std::vector<sent_response> sent;
@@ -149,11 +149,12 @@
         RC_ASSERT(verdict == response_verdict::OtherRequest
                   || verdict == response_verdict::MayBeCopy);
     });
+    CHECK(held);
 }
 
 TEST_CASE("a response on a connection that may carry its request always counts")
 {
-    rc::check([] {
+    const bool held = rc::check([] {
         connection_history history;
         const auto count = *rc::gen::inRange<std::size_t>(0, 100);
         for (std::size_t i = 0; i < count; ++i) {
@@ -166,6 +167,7 @@
         RC_ASSERT(judgeResponse(factsOf(response), Present, history)
                   == (isRefusal ? response_verdict::NotRun : response_verdict::Answer));
     });
+    CHECK(held);
 }
 
 TEST_CASE("a connection's history is bounded and forgets the oldest requests first")
