Items of a job that was read before its route aren't given up

Cause: a gateway takes a route that its configuration lacks for removed. Configuration and jobs come by separate long polls, so it may read a job before the configuration under which another gateway accepted it.

Change: the item is given up only if the read that last confirmed the configuration was sent after the job had been read (routeWasRemoved()). The accepting gateway had read the route from the store, whose answers are linearizable, so such a configuration holds the route unless it was removed since. An item of a removed route is given up one poll later.

--- a/include/tamarackglade/batches/batch_schedule.hpp
+++ b/include/tamarackglade/batches/batch_schedule.hpp
@@ -35,4 +35,10 @@
 /// job's retention has passed
 bool mustAbandon(const customer_batch &job, std::size_t item, time_point now);
 
+/// @brief Tells a removed route from one that isn't known yet, for a job whose route the present
+/// configuration lacks. The gateway that accepted the job had read the route from the store, so a
+/// configuration that was read after the job is new enough.
+/// @param confirmedAt when the read that last confirmed the configuration was sent; nullopt if none
+bool routeWasRemoved(const customer_batch &job, std::optional<time_point> confirmedAt);
+
 } // namespace tamarack
--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -88,4 +88,9 @@
     return job.retention > duration::zero() && now - job.firstReadAt > job.retention;
 }
 
+bool routeWasRemoved(const customer_batch &job, std::optional<time_point> confirmedAt)
+{
+    return confirmedAt && *confirmedAt >= job.firstReadAt;
+}
+
 } // namespace tamarack
--- a/src/gateway/batch/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -50,7 +50,8 @@
         const customer_batch &job = *m_store.findJob(key.batch);
         const forward_route *route = config->findRouteByName(job.routeName);
         if (route == nullptr) {
-            recordFinish(workOf(key, job), true, "route removed");
+            if (routeWasRemoved(job, m_context.config.activeConfig().confirmedAt()))
+                recordFinish(workOf(key, job), true, "route removed");
             continue;
         }
         if (mustAbandon(job, key.item.value(), bootNow())) {
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -155,6 +155,7 @@
                 store.changed.wait(left)
             first = store.first.get(partition, 0)
             records = store.records(partition)
+        store.withhold(partition[0])
         if start < first:
             self.answer(410, {"first": first})
             return
@@ -185,6 +186,10 @@
         self.refusing = 0  # status of every answer, or 0 for normal service
         self.delay = 0.0  # seconds before each answer
         self.late_s = 0.5
+        self.lock = threading.Lock()
+        self.withheld = None  # stream of which reads are answered late
+        self.withheld_passes = 0  # reads of it that are answered in time before
+        self.withheld_s = 2.5
         self.append_faults = {}  # stream -> list of "lost", "never", "late"
         super().__init__(StoreHandler)
 
@@ -205,6 +210,14 @@
             self.changed.notify_all()
             return offset, len(stored)
 
+    def withhold(self, stream):
+        """Delays the answers of reads of the withheld stream, but for the first."""
+        with self.lock:
+            waits = stream == self.withheld and self.withheld_passes <= 0
+            self.withheld_passes -= stream == self.withheld
+        if waits:
+            time.sleep(self.withheld_s)
+
     def drop_history(self, partition):
         """Expires the records of a partition; the newest record of each key stays readable."""
         with self.changed:
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -724,6 +724,22 @@
                              {f"s-{i}": output_text(f"s-{i}") for i in range(5)})
         self.assertEqual(sum(len(e.runs_of(f"s-{i}")) for e in self.engine for i in range(5)), 5)
 
+    def test_a_job_read_before_its_route_is_not_given_up(self):
+        added = dict(next(r for r in config()["routes"] if r["name"] == "batch"), name="added",
+                     pathPrefix="/added/")
+        self.store.withheld, self.store.withheld_passes = "keyed.op", 1
+        value = config(2, routes=config()["routes"] + [added])
+        self.store.put("keyed.op", "config", value)
+        knows = []
+        wait_until(lambda: knows.extend(i for i in (0, 1) if any(
+            line["version"] == 2 for line in self.gateway[i].lines_of("configuration in force")))
+            or knows, "configuration at one gateway")
+        body = self.job("j", 20).replace("/jobs/x", "/added/x")
+        self.assertEqual(self.call("/added/j", knows[0], body, **{"Request-Id": "j"})[0], 202)
+        time.sleep(1.5)
+        self.store.withheld = None
+        self.assertEqual({r["state"] for r in self.finished("j", 20)}, {"done"})
+
     def test_malformed_jobs_are_refused(self):
         for body in ("", "{", "[]", '{"items": 3}', '{"items": [{"id": "a"}]}',
                      '{"items": [{"id": "a", "path": "/p", "body": "%%%"}]}'):
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -110,6 +110,16 @@
     CHECK(fold.end() == stream_position(5));
 }
 
+TEST_CASE("a route counts as removed only if the configuration was read after the job")
+{
+    batch_fold fold(60s);
+    fold.apply(acceptedRecord("j", 1), Start + 10s);
+    const customer_batch &job = *fold.find(batchOf("j"));
+    CHECK_FALSE(routeWasRemoved(job, std::nullopt));
+    CHECK_FALSE(routeWasRemoved(job, Start + 9s));
+    CHECK(routeWasRemoved(job, Start + 10s));
+}
+
 TEST_CASE("a job is accepted once")
 {
     batch_fold fold(60s);
