Batch items follow a split route by weight, and move on when their group has no upstream

Cause: schedule() and quarantinedItems() took route->groups.front().

Change: chooseGroup() (forward/) is what online requests already used, now shared. An item's group is chosen by its id and the weights among the groups that have an upstream; a text that has begun stays in its group while the route leads there and an upstream of its version serves. unit-forward checks weights and left-out groups.

--- a/include/tamarackglade/gateway/batch/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -59,6 +59,9 @@
     /// @return an upstream with a slot that can begin the item or go on with its text
     std::optional<upstream_id> pickUpstream(const item_work &work, const group_id &group,
                                             std::set<upstream_id> failedAt);
+    /// @return the group whose upstreams are to run the item
+    [[nodiscard]] group_id groupOf(const forward_route &route, const batch_item_key &key,
+                                   const request_id &request) const;
     /// @return whether the group has upstreams that can go on with a text of the origin
     [[nodiscard]] bool canGoOn(const stream_origin &origin, const group_id &group) const;
     /// @brief Discards the text of an item, so that its next run writes it anew.
--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -66,7 +66,6 @@
     void refuseCrashing(const blocked_request &blocked);
     void forwardResponse(const attempt_result &result);
     [[nodiscard]] bool idempotent() const;
-    [[nodiscard]] group_id chooseGroup() const;
     [[nodiscard]] duration timeLeft() const;
     [[nodiscard]] duration maxFirstEventWait() const;
     void onCallerDisconnected();
--- a/src/gateway/batch/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -1,5 +1,6 @@
 // Selects the batch items to run and their upstreams, and makes items yield their slots.
 #include <tamarackglade/batches/batch_codec.hpp>
+#include <tamarackglade/forward/group_choice.hpp>
 #include <tamarackglade/gateway/batch/batch_runner.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
@@ -61,7 +62,7 @@
         if (!contentReady(key, job))
             continue;
         const item_work work = workOf(key, job);
-        const auto upstream = pickUpstream(work, route->groups.front().group,
+        const auto upstream = pickUpstream(work, groupOf(*route, key, work.request),
                                            failedUpstreams(job.items[key.item.value()]));
         if (upstream)
             start(work, *upstream);
@@ -97,6 +98,23 @@
     return upstream;
 }
 
+// A text goes on in its group while the route leads there.
+group_id batch_runner::groupOf(const forward_route &route, const batch_item_key &key,
+                               const request_id &request) const
+{
+    const auto progress = m_progress.find(key);
+    if (progress != m_progress.end() && progress->second.origin) {
+        const group_id &origin = progress->second.origin->group;
+        if (std::any_of(route.groups.begin(), route.groups.end(),
+                        [&](const weighted_group &each) { return each.group == origin; })
+            && canGoOn(*progress->second.origin, origin))
+            return origin;
+    }
+    return chooseUsableGroup(route.groups, request, [this](const group_id &group) {
+        return !m_context.directory.versionsOf(group).empty();
+    });
+}
+
 bool batch_runner::canGoOn(const stream_origin &origin, const group_id &group) const
 {
     return origin.isKnownFor(group)
@@ -153,7 +171,8 @@
             job == nullptr ? nullptr : config.findRouteByName(job->routeName);
         if (route == nullptr || mustAbandon(*job, key.item.value(), now))
             continue;
-        if (m_context.quarantine.check(route->groups.front().group, progress.sharedParts, now))
+        const request_id request(job->items[key.item.value()].id);
+        if (m_context.quarantine.check(groupOf(*route, key, request), progress.sharedParts, now))
             items.insert(key);
     }
     return items;
--- a/src/gateway/relay/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -1,5 +1,5 @@
 // Course of one online request: slots, events and the log line at its end.
-#include <tamarackglade/core/hash.hpp>
+#include <tamarackglade/forward/group_choice.hpp>
 #include <tamarackglade/gateway/relay/call_relay.hpp>
 #include <tamarackglade/gateway/relay/fingerprint_text.hpp>
 #include <tamarackglade/gateway/relay/gateway_refusal.hpp>
@@ -34,7 +34,7 @@
     if (m_call.timeLeft)
         timeout = std::min(timeout, *m_call.timeLeft);
     m_deadline = arrivedAt + timeout;
-    m_placement.group = chooseGroup();
+    m_placement.group = chooseGroup(m_route.groups, m_call.id);
     m_placement.prefixHash = m_call.prefixHash;
 }
 
@@ -49,21 +49,6 @@
            || (m_route.kind == route_kind::Stream && m_route.resumable);
 }
 
-group_id call_relay::chooseGroup() const
-{
-    double sum = 0;
-    for (const weighted_group &group : m_route.groups)
-        sum += group.weight;
-    constexpr std::uint64_t Steps = 1'000'000;
-    double remaining = sum * static_cast<double>(stableHash(m_call.id.value()) % Steps) / Steps;
-    for (const weighted_group &group : m_route.groups) {
-        remaining -= group.weight;
-        if (remaining < 0)
-            return group.group;
-    }
-    return m_route.groups.back().group;
-}
-
 void call_relay::serve()
 {
     m_exchange.watchCaller([this] { onCallerDisconnected(); });
--- a/tests/unit-forward.cpp
+++ b/tests/unit-forward.cpp
@@ -1,8 +1,13 @@
 // Tests of routes, keys and the age of the active configuration.
 #include <tamarackglade/forward/active_config.hpp>
+#include <tamarackglade/forward/group_choice.hpp>
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <string>
+#include <vector>
+
 using namespace tamarack;
 using namespace std::chrono_literals;
 
@@ -96,3 +101,23 @@
     activeConfig.confirm(start + 1s);
     CHECK(activeConfig.confirmedAt() == start + 3s);
 }
+
+TEST_CASE("a split route is followed by weight, and groups that can't be used are left out")
+{
+    const std::vector<weighted_group> groups{{group_id("a"), 10}, {group_id("b"), 90}};
+    std::map<group_id, int> chosen;
+    std::map<group_id, int> chosenWithoutB;
+    const auto isA = [](const group_id &group) { return group == group_id("a"); };
+    for (int i = 0; i < 10'000; ++i) {
+        const request_id id("r" + std::to_string(i));
+        ++chosen[chooseGroup(groups, id)];
+        ++chosenWithoutB[chooseUsableGroup(groups, id, isA)];
+        const auto none = [](const group_id &) { return false; };
+        CHECK(chooseUsableGroup(groups, id, none) == chooseGroup(groups, id));
+    }
+    CHECK(chosen[group_id("a")] > 900);
+    CHECK(chosen[group_id("a")] < 1'100);
+    CHECK(chosenWithoutB[group_id("a")] == 10'000);
+    const std::vector<weighted_group> unused{{group_id("a"), 0}, {group_id("b"), 1}};
+    CHECK(chooseUsableGroup(unused, request_id("r"), isA) == group_id("b"));
+}
