Batch items that wait for one group don't stand before those of others

Cause: each round listed the eight items that were due first, whether or not their group had an upstream. Eight that can't start stayed there for good.

Evidence: the new case of unit-batches (100 items that are due first, five of another group): the former list has none of the five.

Change: the maximum holds for each group (item_groups, group_quota). A job all of whose groups have used theirs up is passed over without a look at its items, so a round grows with jobs and with what may start.

--- a/include/tamarackglade/batches/batch_schedule.hpp
+++ b/include/tamarackglade/batches/batch_schedule.hpp
@@ -4,12 +4,20 @@
 #include <tamarackglade/batches/batch_fold.hpp>
 #include <tamarackglade/batches/item_owners.hpp>
 
+#include <functional>
 #include <optional>
 #include <set>
 #include <vector>
 
 namespace tamarack {
 
+/// @brief Tells which group's upstreams are to run an item.
+struct item_groups
+{
+    std::function<std::vector<group_id>(const customer_batch &)> ofJob; // of all of its items
+    std::function<group_id(const customer_batch &, const batch_item_key &)> ofItem;
+};
+
 /// @brief Lists the items that this gateway should start: those with a part of their text first, as
 /// only some upstreams can go on with it, then new ones. Both are ordered by the due time of their
 /// job, then by their id. The number of a customer's jobs doesn't affect the order.
@@ -21,9 +29,11 @@
 /// @param running items that already run at this gateway
 /// @param currentSince no item is listed from a fold that may lack records of this time, since its
 /// finished items and the items of its ended jobs could still appear as waiting
-/// @param maxItems maximum number of new items
+/// @param maxItems maximum number of new items of each group, so that items of a group without a
+/// free slot don't stand before those of others
 std::vector<batch_item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
-                                         item_owners &owners, const std::set<batch_item_key> &begun,
+                                         item_owners &owners, const item_groups &groups,
+                                         const std::set<batch_item_key> &begun,
                                          const std::set<batch_item_key> &running,
                                          time_point currentSince, time_point now,
                                          std::size_t maxItems);
--- a/include/tamarackglade/gateway/batch/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -59,6 +59,7 @@
     /// @return an upstream with a slot that can begin the item or go on with its text
     std::optional<upstream_id> pickUpstream(const item_work &work, const group_id &group,
                                             std::set<upstream_id> failedAt);
+    [[nodiscard]] item_groups groupsIn(const forward_config &config) const;
     /// @return the group whose upstreams are to run the item
     [[nodiscard]] group_id groupOf(const forward_route &route, const batch_item_key &key,
                                    const request_id &request) const;
--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -2,6 +2,7 @@
 #include <tamarackglade/batches/batch_schedule.hpp>
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace tamarack {
 
@@ -20,10 +21,39 @@
     return item.lastFailedAt + pause;
 }
 
+/// Counts the listed items of each group.
+class group_quota
+{
+public:
+    explicit group_quota(std::size_t most) : m_most(most) { }
+
+    [[nodiscard]] bool isUsedUp(const std::vector<group_id> &groups) const
+    {
+        return std::all_of(groups.begin(), groups.end(), [this](const group_id &each) {
+            const auto found = m_taken.find(each);
+            return found != m_taken.end() ? found->second >= m_most : m_most == 0;
+        });
+    }
+    // Returns false if the group's quota is used up.
+    bool take(const group_id &group)
+    {
+        std::size_t &taken = m_taken[group];
+        if (taken >= m_most)
+            return false;
+        ++taken;
+        return true;
+    }
+
+private:
+    const std::size_t m_most;
+    std::unordered_map<group_id, std::size_t> m_taken;
+};
+
 } // namespace
 
 std::vector<batch_item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
-                                         item_owners &owners, const std::set<batch_item_key> &begun,
+                                         item_owners &owners, const item_groups &groups,
+                                         const std::set<batch_item_key> &begun,
                                          const std::set<batch_item_key> &running,
                                          time_point currentSince, time_point now,
                                          std::size_t maxItems)
@@ -60,13 +90,13 @@
                 items.push_back(*key);
         }
     }
-    const std::size_t maxListed = items.size() + maxItems;
+    group_quota quota(maxItems);
     for (const customer_batch *job : open) {
+        if (quota.isUsedUp(groups.ofJob(*job)))
+            continue;
         for (const std::uint32_t number : owners.ownItems(job->id, job->items.size())) {
-            if (items.size() >= maxListed)
-                return items;
             const batch_item_key key{job->id, item_index(number)};
-            if (!begun.contains(key) && mayStart(*job, key))
+            if (!begun.contains(key) && mayStart(*job, key) && quota.take(groups.ofItem(*job, key)))
                 items.push_back(key);
         }
     }
--- a/src/gateway/batch/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t MaxStartsPerRound = 8; // per call of schedule()
+constexpr std::size_t MaxStartsPerRound = 8; // of each group, per call of schedule()
 // No items start from older folds, as an item may be finished or its job ended by now.
 constexpr std::chrono::milliseconds MaxFoldAge{2'000};
 constexpr std::chrono::milliseconds ReadRetryPause{300};
@@ -45,8 +45,8 @@
     std::set<batch_item_key> excluded = occupiedItems();
     excluded.merge(quarantinedItems(*config));
     m_owners.setGateways(m_gateways());
-    const auto items = itemsToStart(m_store.folds(), m_owners, begunItems(), excluded,
-                                    bootNow() - MaxFoldAge, bootNow(), MaxStartsPerRound);
+    const auto items = itemsToStart(m_store.folds(), m_owners, groupsIn(*config), begunItems(),
+                                    excluded, bootNow() - MaxFoldAge, bootNow(), MaxStartsPerRound);
     for (const batch_item_key &key : items) {
         const customer_batch &job = *m_store.findJob(key.batch);
         const forward_route *route = config->findRouteByName(job.routeName);
@@ -98,6 +98,26 @@
     return upstream;
 }
 
+// Items of a route that the configuration lacks are listed under an empty group.
+item_groups batch_runner::groupsIn(const forward_config &config) const
+{
+    item_groups groups;
+    groups.ofJob = [&config](const customer_batch &job) {
+        std::vector<group_id> ids;
+        if (const forward_route *route = config.findRouteByName(job.routeName)) {
+            for (const weighted_group &each : route->groups)
+                ids.push_back(each.group);
+        }
+        return ids.empty() ? std::vector<group_id>(1) : ids;
+    };
+    groups.ofItem = [this, &config](const customer_batch &job, const batch_item_key &key) {
+        const forward_route *route = config.findRouteByName(job.routeName);
+        const request_id request(job.items[key.item.value()].id);
+        return route == nullptr ? group_id() : groupOf(*route, key, request);
+    };
+    return groups;
+}
+
 // A text goes on in its group while the route leads there.
 group_id batch_runner::groupOf(const forward_route &route, const batch_item_key &key,
                                const request_id &request) const
--- a/tests/unit-batch-identity.cpp
+++ b/tests/unit-batch-identity.cpp
@@ -141,9 +141,13 @@
         (inOne ? first : second).apply(acceptedRecord(batchOf("south", "nightly"), 5), Start);
         first.confirm(Start);
         second.confirm(Start);
+        const item_groups groups{
+            [](const customer_batch &) { return std::vector<group_id>(1); },
+            [](const customer_batch &, const batch_item_key &) { return group_id(); }};
         item_owners owners(vm_id("a"));
         owners.setGateways({vm_id("a")});
-        const auto items = itemsToStart({&first, &second}, owners, {}, {}, Start, Start, 100);
+        const auto items =
+            itemsToStart({&first, &second}, owners, groups, {}, {}, Start, Start, 100);
         CHECK(items.size() == 7);
         CHECK(std::set<batch_item_key>(items.begin(), items.end()).size() == 7);
     }
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -73,6 +73,13 @@
     return encodeBatchRecord(std::move(record));
 }
 
+// All items are for the same upstreams.
+item_groups oneGroup()
+{
+    return {[](const customer_batch &) { return std::vector<group_id>(1); },
+            [](const customer_batch &, const batch_item_key &) { return group_id(); }};
+}
+
 item_owners ownersOf(const vm_id &self, const std::vector<vm_id> &gateways)
 {
     item_owners owners(self);
@@ -88,7 +95,7 @@
                                          std::size_t maxItems)
 {
     item_owners owners = ownersOf(self, gateways);
-    return itemsToStart(folds, owners, begun, running, currentSince, now, maxItems);
+    return itemsToStart(folds, owners, oneGroup(), begun, running, currentSince, now, maxItems);
 }
 
 } // namespace
@@ -395,11 +402,11 @@
     fold.apply(acceptedRecord("j", 3), Start);
     fold.apply(acceptedRecord("k", 3), Start);
     fold.confirm(Start);
-    CHECK(itemsToStart({&fold}, owners, {}, {}, Start, Start, 100).size() == 6);
+    CHECK(itemsToStart({&fold}, owners, oneGroup(), {}, {}, Start, Start, 100).size() == 6);
     CHECK(owners.size() == 2);
     fold.apply(endedRecord("j"), Start);
     for (int round = 0; round < 2; ++round)
-        CHECK(itemsToStart({&fold}, owners, {}, {}, Start, Start, 100).size() == 3);
+        CHECK(itemsToStart({&fold}, owners, oneGroup(), {}, {}, Start, Start, 100).size() == 3);
     CHECK(owners.size() == 1);
 }
 
@@ -415,6 +422,26 @@
           == 1);
 }
 
+TEST_CASE("items that wait for one group don't stand before those of others")
+{
+    batch_fold fold(60s);
+    fold.apply(acceptedRecord("soon", 100, 1'000), Start);
+    fold.apply(acceptedRecord("late", 5, 30'000), Start);
+    fold.confirm(Start);
+    const auto groupOfJob = [](const customer_batch &job) { return group_id(job.id.job.value()); };
+    const item_groups groups{
+        [&](const customer_batch &job) { return std::vector<group_id>{groupOfJob(job)}; },
+        [&](const customer_batch &job, const batch_item_key &) { return groupOfJob(job); }};
+    item_owners owners = ownersOf(vm_id("a"), {vm_id("a")});
+    const auto items = itemsToStart({&fold}, owners, groups, {}, {}, Start, Start, 8);
+    const auto count = [&](const std::string &job) {
+        return std::count_if(items.begin(), items.end(),
+                             [&](const auto &each) { return each.batch == batchOf(job); });
+    };
+    CHECK(count("soon") == 8);
+    CHECK(count("late") == 5);
+}
+
 TEST_CASE("items with a part of their text are listed first and beyond the maximum")
 {
     batch_fold fold(60s);
