--- a/include/tamarackglade/node/shell_mutation.hpp
+++ b/include/tamarackglade/node/shell_mutation.hpp
@@ -10,7 +10,7 @@
     None,
     IgnoreCustomer, // every valid key is attributed to the same customer
     AcceptAnyKey, // a request without a valid key runs for some customer
-    ForwardKey, // upstreams receive the caller's Authorization header
+    ForwardKey, // upstreams receive the caller's key, in a header
     EndBrokenStream, // a broken stream ends in [DONE]
     KeepWithdrawnStream, // streams of a withdrawn key continue
     StopAtOnce, // a planned stop skips the drain and waits for nothing
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -60,8 +60,8 @@
 void answer_relay::run(call_request call)
 {
     if (m_context.mutation == shell_mutation::ForwardKey)
-        call.contentType += "\r\nAuthorization: "
-                            + std::string(m_request.exchange.request().header("authorization"));
+        call.contentType +=
+            "; key=" + std::string(m_request.exchange.request().header("authorization"));
     if (m_context.mutation == shell_mutation::RunTwice)
         m_context.calls.start(duplicateCall(call), std::make_shared<answer_channel>());
     m_deadline = m_started + call.timeout;
