--- a/include/tamarackglade/attribution/connection_history.hpp
+++ b/include/tamarackglade/attribution/connection_history.hpp
@@ -31,8 +31,7 @@
     [[nodiscard]] bool carried(const request_id &request) const;
     /// @return whether a response named no request
     [[nodiscard]] bool hasUnnamedResponse() const { return m_hasUnnamedResponse; }
-    /// @return whether a copy of each response so far could be told from the response to this
-    /// request
+    /// @return whether no copy of a response so far could pass for the response to this request
     [[nodiscard]] bool mayCarry(const request_id &request) const
     {
         return !m_hasUnnamedResponse && !carried(request);
--- a/include/tamarackglade/attribution/response_facts.hpp
+++ b/include/tamarackglade/attribution/response_facts.hpp
@@ -7,7 +7,7 @@
 
 namespace tamarack {
 
-/// @brief The parts of a response's head that tell to which request it belongs and what it claims.
+/// @brief The parts of a response's head that identify its request, and what it claims.
 struct response_facts
 {
     unsigned status = 0;
--- a/include/tamarackglade/batches/batch_schedule.hpp
+++ b/include/tamarackglade/batches/batch_schedule.hpp
@@ -11,7 +11,7 @@
 
 namespace tamarack {
 
-/// @brief Tells which group's upstreams are to run an item.
+/// @brief Selects the group whose upstreams are to run an item.
 struct item_groups
 {
     std::function<std::vector<group_id>(const customer_batch &)> ofJob; // of all of its items
@@ -45,9 +45,9 @@
 /// job's retention has passed
 bool mustAbandon(const customer_batch &job, std::size_t item, time_point now);
 
-/// @brief Tells a removed route from one that isn't known yet, for a job whose route the present
-/// configuration lacks. The gateway that accepted the job had read the route from the store, so a
-/// configuration that was read after the job is new enough.
+/// @brief Distinguishes a removed route from one that isn't known yet, for a job whose route the
+/// present configuration lacks. The gateway that accepted the job had read the route from the
+/// store, so a configuration that was read after the job is new enough.
 /// @param confirmedAt when the read that last confirmed the configuration was sent; nullopt if none
 bool routeWasRemoved(const customer_batch &job, std::optional<time_point> confirmedAt);
 
