A test of items waits until the gateways divide them; metric tamarack_serving_gateways

The count stays. Before it, the test waits until each gateway divides the items with the other, which the new metric tells.

--- a/tests/e2e/gateway.py
+++ b/tests/e2e/gateway.py
@@ -41,3 +41,9 @@
 
     def lines_of(self, message):
         return [line for line in self.lines() if line["message"] == message]
+
+    def metric(self, name):
+        """Returns the value of a metric without labels; None before it is set."""
+        page = http_call(self.admin_address, "GET", "/metrics")[2].decode()
+        values = [line.split()[1] for line in page.splitlines() if line.split()[:1] == [name]]
+        return float(values[0]) if values else None
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -690,6 +690,12 @@
         wait_until(lambda: self.results(name, gateway)[1]["next"] == items, f"{name} finished")
         return self.results(name, gateway)[1]["results"]
 
+    def wait_for_shared_items(self):
+        """Waits until each gateway runs only its own items; before, two may run the same one."""
+        for gateway in self.gateway:
+            wait_until(lambda: gateway.metric("tamarack_serving_gateways")  # noqa: B023
+                       == self.gateways, "gateways that share the items")
+
     def test_results_are_the_same_at_all_gateways(self):
         self.assertEqual(self.submit("j"), 202)
         results = self.finished("j")
@@ -710,6 +716,7 @@
         self.assertEqual(self.results("none")[0], 404)
 
     def test_jobs_of_two_customers_under_one_id_stay_apart(self):
+        self.wait_for_shared_items()
         other = {"key": "key-south"}
         self.assertEqual(self.submit("j", items=3), 202)
         status, _, _, _ = self.call("/jobs/x", 1, self.job("j", 5).replace("j-", "s-"),
