Streams and batch texts go on only at an upstream whose record is of its present start

What callers saw (own tests only): without the store, or at a gateway that was out of step, a stream went on at an engine that had started again under its id with another version (ORDER). A stream that began there was recorded under the version of the old record, so its resume was joined to another version as well.

Cause: the version was taken from a record read in the past, however old; the id in a request, which engines check, is the same for two starts.

Change: upstream_directory knows whether its records are current (read within 2 s, store not away within the grace after an outage). If not, upstream_caller asks the upstream for its start on the connection that the request then uses, so that both concern one process. What goes on is sent only if the start is the record's; a new resumable stream is sent in any case, without a version if the start isn't confirmed. An upstream that states another start has no known version until its next record. upstream_caller::run() is split into its steps on the way.

--- a/include/tamarackglade/gateway/process/gateway_process.hpp
+++ b/include/tamarackglade/gateway/process/gateway_process.hpp
@@ -64,12 +64,12 @@
     rate_exchange m_rateExchange;
     leaving_exchange m_leavingExchange;
     upstream_pool m_pool;
+    upstream_watch m_upstreams;
     upstream_caller m_caller;
     prompt_quarantine m_quarantine;
     request_quarantine m_requestQuarantine;
     quarantine_exchange m_quarantineExchange;
     origin_exchange m_origins;
-    upstream_watch m_upstreams;
     gateway_context m_context;
     batch_store m_batchStore;
     batch_api m_batchApi;
--- a/include/tamarackglade/gateway/process/platform_protocol.hpp
+++ b/include/tamarackglade/gateway/process/platform_protocol.hpp
@@ -72,6 +72,11 @@
     /// @return the parts of the item's prompt that other requests may share, in order
     [[nodiscard]] virtual std::vector<prompt_part_id>
     sharedPartsOf(const schema::batch_item_message &item) const = 0;
+    /// @return the request for what an upstream states about itself; it needs no slot
+    [[nodiscard]] virtual http_client_request encodeStateQuery() const = 0;
+    /// @return the start that the answer to a state query names, or nullopt if it names none
+    [[nodiscard]] virtual std::optional<incarnation_number>
+    decodeStart(const http_response &answer) const = 0;
     /// @return the metadata in the headers of an upstream's response
     [[nodiscard]] virtual response_metadata decodeResponseHead(const http_response &head) const = 0;
 };
--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -29,6 +29,7 @@
     void serve();
 
 private:
+    void onUnknownStart() override;
     bool onHead(const http_response &head, const response_metadata &metadata) override;
     bool onEvent(const stream_event &event) override;
     bool onFlush() override;
@@ -66,6 +67,8 @@
     void refuseCrashing(const blocked_request &blocked);
     void forwardResponse(const attempt_result &result);
     [[nodiscard]] bool idempotent() const;
+    /// @return whether the upstream has to confirm that its record is of its present start
+    [[nodiscard]] start_check startCheck() const;
     [[nodiscard]] duration timeLeft() const;
     [[nodiscard]] duration maxFirstEventWait() const;
     void onCallerDisconnected();
--- a/include/tamarackglade/gateway/relay/response_sink.hpp
+++ b/include/tamarackglade/gateway/relay/response_sink.hpp
@@ -16,6 +16,9 @@
     response_sink &operator=(const response_sink &) = delete;
     virtual ~response_sink() = default;
 
+    /// @brief Called before the request is sent if the upstream doesn't confirm the start that its
+    /// record names, so that its version is unknown.
+    virtual void onUnknownStart() { }
     /// @brief Called with the response head; again for each upstream that continues the stream.
     virtual bool onHead(const http_response &head, const response_metadata &metadata) = 0;
     /// @brief Called with the next event. Events come once each and in order.
--- a/include/tamarackglade/gateway/upstream/response_listener.hpp
+++ b/include/tamarackglade/gateway/upstream/response_listener.hpp
@@ -1,4 +1,4 @@
-// Receiver of what upstreams state about themselves in their responses.
+// Receivers of what upstreams state about themselves.
 #pragma once
 
 #include <tamarackglade/gateway/upstream/response_metadata.hpp>
@@ -18,4 +18,16 @@
     virtual void onResponse(const live_upstream &upstream, const response_metadata &metadata) = 0;
 };
 
+/// @brief Receives the start that an upstream states, whatever its record says.
+class start_listener
+{
+public:
+    start_listener() = default;
+    start_listener(const start_listener &) = delete;
+    start_listener &operator=(const start_listener &) = delete;
+    virtual ~start_listener() = default;
+
+    virtual void onStart(const upstream_id &upstream, incarnation_number start) = 0;
+};
+
 } // namespace tamarack
--- a/include/tamarackglade/gateway/upstream/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_caller.hpp
@@ -14,13 +14,21 @@
 
 namespace tamarack {
 
-/// @brief Time limits of one attempt.
+/// Whether the upstream has to be at the start that its record names, so that its version is known.
+enum class start_check {
+    None, // the record is current, or the version doesn't matter
+    Wanted, // the request is sent in any case; response_sink::onUnknownStart() tells the result
+    Required // the request is sent only if the upstream confirms the start
+};
+
+/// @brief Time limits and conditions of one attempt.
 struct attempt_limits
 {
     time_point deadline; // of the whole request
     duration silenceTimeout; // maximum time without progress; zero for no limit
     std::optional<time_point> firstEventDeadline; // deadline of a stream's first event
     duration maxIdleTime; // a connection that was idle longer is not reused
+    start_check startCheck = start_check::None;
 };
 
 /// @brief Lets another fiber cancel an attempt.
@@ -43,9 +51,12 @@
 {
 public:
     /// @param listeners of all responses; must outlive the caller
+    /// @param startListener of starts that upstreams state; null for none; must outlive the caller
     upstream_caller(upstream_pool &pool, const platform_protocol &protocol,
-                    std::vector<response_listener *> listeners)
-        : m_pool(pool), m_protocol(protocol), m_listeners(std::move(listeners))
+                    std::vector<response_listener *> listeners,
+                    start_listener *startListener = nullptr)
+        : m_pool(pool), m_protocol(protocol), m_listeners(std::move(listeners)),
+          m_startListener(startListener)
     {
     }
 
@@ -58,11 +69,17 @@
                        stream_progress &progress, response_sink &sink, attempt_handle &handle);
 
 private:
+    struct attempt; // what run() is called with
+
+    /// @return the result if the request must not be sent
+    std::optional<attempt_result> checkStart(const attempt &call, pooled_client &pooled);
+    /// @brief Sends the request and reads its response.
+    attempt_result exchange(const attempt &call, pooled_client &pooled);
+    attempt_result failToSend(const attempt &call, const pooled_client &pooled,
+                              const absl::Status &status);
     void notifyListeners(const live_upstream &upstream, const response_metadata &metadata);
-    attempt_result readResponse(http_client &client, const http_response &head,
-                                const response_metadata &metadata, response_verdict verdict,
-                                bool streamed, const attempt_limits &limits,
-                                stream_progress &progress, response_sink &sink);
+    attempt_result readResponse(const attempt &call, http_client &client, const http_response &head,
+                                const response_metadata &metadata, response_verdict verdict);
     attempt_result readStream(http_client &client, const attempt_limits &limits,
                               stream_progress &progress, response_sink &sink);
     attempt_result readBody(http_client &client, const http_response &head,
@@ -72,6 +89,7 @@
     upstream_pool &m_pool;
     const platform_protocol &m_protocol;
     const std::vector<response_listener *> m_listeners;
+    start_listener *const m_startListener;
     std::size_t m_bufferedBytes = 0; // of all bodies that are being read and are no event stream
 };
 
--- a/include/tamarackglade/gateway/upstream/upstream_pool.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_pool.hpp
@@ -22,6 +22,7 @@
     std::unique_ptr<http_client> client;
     std::optional<duration> idleFor; // nullopt if it is not connected yet
     connection_history history;
+    std::optional<std::chrono::seconds> keepAlive; // idle timeout that the upstream announced last
 };
 
 /// @brief Idle connections by address. All calls on the io_context's thread.
@@ -41,9 +42,7 @@
 
     /// @brief Returns a connection to the pool after a complete response. Connections with a
     /// response that named no request are closed.
-    /// @param keepAlive idle timeout that the upstream announced, if any
-    void release(const std::string &address, pooled_client client,
-                 std::optional<std::chrono::seconds> keepAlive);
+    void release(const std::string &address, pooled_client client);
 
     /// @brief Closes idle connections that have expired.
     void tick(time_point now);
--- a/include/tamarackglade/gateway/upstream/upstream_watch.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_watch.hpp
@@ -3,6 +3,7 @@
 
 #include <tamarackglade/gateway/batch/stream_follower.hpp>
 #include <tamarackglade/gateway/process/platform_protocol.hpp>
+#include <tamarackglade/gateway/upstream/response_listener.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
 
 #include <functional>
@@ -10,17 +11,18 @@
 namespace tamarack {
 
 /// @brief Follows the stream in which upstreams write their records.
-class upstream_watch final : private stream_listener
+class upstream_watch final : public start_listener, private stream_listener
 {
 public:
     upstream_watch(record_store &store, const platform_protocol &protocol,
                    upstream_directory &directory, std::function<void()> onChange);
 
     void start() { m_follower.start(); }
-    /// @brief Removes upstreams whose return grace has expired; call several times a second.
     /// @brief Sets whether the store has so many readers that each of them reads less often.
     void setLargeFleet(bool isLarge) { m_follower.setPause(isLarge ? LargeFleetPause : PollPause); }
+    /// @brief Removes upstreams whose return grace has expired; call several times a second.
     void tick();
+    void onStart(const upstream_id &upstream, incarnation_number start) override;
     /// @return whether all records have been read at least once
     [[nodiscard]] bool ready() const { return m_follower.ready(); }
 
--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -55,8 +55,9 @@
     absl::StatusOr<std::string> readSome();
 
     /// @brief Sends a request and reads the whole response.
-    /// @return Aborted if the body exceeds MaxFetchBytes
-    absl::StatusOr<http_response> fetch(const http_client_request &request);
+    /// @return Aborted if the body exceeds maxBytes
+    absl::StatusOr<http_response> fetch(const http_client_request &request,
+                                        std::size_t maxBytes = MaxFetchBytes);
 
     /// @brief Closes the connection; the next request opens another.
     void close();
--- a/include/tamarackglade/placement/upstream_directory.hpp
+++ b/include/tamarackglade/placement/upstream_directory.hpp
@@ -20,6 +20,8 @@
     /// From the removal of a single record, which may have expired in the outage or may belong to
     /// an upstream that has left.
     duration removalGrace = std::chrono::milliseconds(1'300);
+    /// From a read of all records; upstreams may have started again since an older one.
+    duration maxRecordAge = std::chrono::seconds(2);
 };
 
 /// @brief An upstream's own statement that this start of it leaves.
@@ -67,6 +69,17 @@
     /// @brief Marks the store as available; starts the grace periods if it was unavailable.
     void onStoreAnswer(time_point now);
 
+    /// @brief Records that the directory contains all records that existed when a read was sent.
+    void confirm(time_point sentAt);
+    /// @return whether the records tell the present start of each upstream: they were read recently
+    /// and the store was available since each running upstream has renewed its own
+    [[nodiscard]] bool isCurrent(time_point now) const;
+
+    /// @brief Applies the start that an upstream states. If its record is of another one, its
+    /// version is unknown until its next record.
+    /// @return whether the record is of another start
+    bool onStart(const upstream_id &id, incarnation_number start);
+
     /// @brief Removes upstreams whose grace period is over, unless the store is unavailable.
     /// @return the removed upstreams
     std::vector<upstream_id> tick(time_point now);
@@ -106,6 +119,7 @@
     std::map<upstream_id, time_point> m_lapsed; // times of removal, during the grace period
     bool m_storeUnavailable = false;
     std::optional<time_point> m_storeReturnedAt; // end of the last outage; nullopt before one
+    std::optional<time_point> m_completeAt; // all records that existed then are applied
 };
 
 } // namespace tamarack
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -26,17 +26,19 @@
 public:
     output_sink(item_progress &progress, item_run &run, run_observer &observer,
                 const live_upstream &upstream)
-        : m_progress(progress), m_run(run), m_observer(observer), m_upstream(upstream)
+        : m_progress(progress), m_run(run), m_observer(observer), m_group(upstream.group),
+          m_version(upstream.version)
     {
     }
 
+    void onUnknownStart() override { m_version = software_version(); }
     bool onHead(const http_response &, const response_metadata &) override { return true; }
     bool onEvent(const stream_event &event) override
     {
         if (!hasContent(event))
             return true;
         if (!m_progress.origin)
-            m_progress.origin = stream_origin{m_upstream.group, m_upstream.version, bootNow()};
+            m_progress.origin = stream_origin{m_group, m_version, bootNow()};
         if (m_progress.lastEvent)
             m_progress.text.push_back('\n');
         m_progress.text += eventData(event.text);
@@ -52,7 +54,8 @@
     item_progress &m_progress;
     item_run &m_run;
     run_observer &m_observer;
-    const live_upstream &m_upstream;
+    const group_id m_group;
+    software_version m_version; // empty if unknown
 };
 
 void batch_runner::runItem(const item_work &work, const live_upstream &upstream,
@@ -101,6 +104,8 @@
     limits.deadline = now + (bounded ? work.retention - age : duration(DefaultItemTimeout));
     limits.silenceTimeout = m_context.options.silenceLimit * SilenceFactor;
     limits.maxIdleTime = MaxIdleTime;
+    if (!m_context.directory.isCurrent(now))
+        limits.startCheck = progress.origin ? start_check::Required : start_check::Wanted;
     upstream_attempt message;
     message.upstream = upstream.id;
     message.customer = work.key.batch.customer;
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -56,6 +56,7 @@
     if (limits.silenceTimeout > duration::zero() && m_route.latencyObjective > duration::zero())
         limits.firstEventDeadline = bootNow() + maxFirstEventWait();
     limits.maxIdleTime = idempotent() ? MaxIdleTimeRepeatable : MaxIdleTimeOnce;
+    limits.startCheck = startCheck();
     m_runEvents = 0;
     result = m_context.caller.run(upstream, m_context.protocol.encodeCall(m_call, message),
                                   m_call.id, m_route.kind == route_kind::Stream, limits, m_progress,
@@ -73,6 +74,20 @@
     return result;
 }
 
+// An upstream may have started again with another version since its record was read.
+start_check call_relay::startCheck() const
+{
+    const bool isResumable = m_route.kind == route_kind::Stream && m_route.resumable;
+    if (!isResumable || m_context.directory.isCurrent(bootNow()))
+        return start_check::None;
+    return m_origin ? start_check::Required : start_check::Wanted;
+}
+
+void call_relay::onUnknownStart()
+{
+    m_runVersion = software_version();
+}
+
 std::string call_relay::beginRun(const live_upstream &upstream)
 {
     const time_point now = bootNow();
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::seconds MaxOperationTime{60}; // of one read or write
 constexpr unsigned Misdirected = 421; // another upstream is at the address
 constexpr std::chrono::milliseconds ConnectTimeout{400};
+constexpr std::chrono::milliseconds StartCheckTimeout{150};
+constexpr std::size_t MaxStateBytes = 256 * 1024; // of what an upstream states about itself
 constexpr absl::string_view EventStreamType = "text/event-stream";
 
 // Sets the time by which the response has to make progress: a head, a body part or an event that is
@@ -110,6 +112,17 @@
         m_client->abort();
 }
 
+struct upstream_caller::attempt
+{
+    const live_upstream &upstream;
+    const http_client_request &request;
+    const request_id &id;
+    bool streamed;
+    const attempt_limits &limits;
+    stream_progress &progress;
+    response_sink &sink;
+};
+
 attempt_result upstream_caller::run(const live_upstream &upstream,
                                     const http_client_request &request, const request_id &id,
                                     bool streamed, const attempt_limits &limits,
@@ -118,53 +131,106 @@
 {
     if (handle.aborted())
         return makeResult(attempt_outcome::Cancelled, "aborted");
+    const attempt call{upstream, request, id, streamed, limits, progress, sink};
     pooled_client pooled = m_pool.acquire(upstream.address, limits.maxIdleTime, id);
-    auto &client = pooled.client;
-    client->setTimeout(MaxOperationTime);
-    setProgressDeadline(*client, limits, false);
-    client->setConnectTimeout(ConnectTimeout);
-    handle.m_client = client.get();
+    http_client &client = *pooled.client;
+    client.setTimeout(MaxOperationTime);
+    client.setConnectTimeout(ConnectTimeout);
+    handle.m_client = &client;
+    attempt_result result;
+    if (auto unsent = checkStart(call, pooled))
+        result = std::move(*unsent);
+    else if (!handle.aborted())
+        result = exchange(call, pooled);
+    handle.m_client = nullptr;
+    if (handle.aborted()) {
+        client.close();
+        attempt_evidence evidence = std::move(result.evidence);
+        result = makeResult(attempt_outcome::Cancelled, "aborted");
+        result.evidence = std::move(evidence);
+    }
+    const bool whole = result.outcome == attempt_outcome::Complete
+                       || result.outcome == attempt_outcome::Answered
+                       || result.outcome == attempt_outcome::NotRun;
+    if (whole && client.idle())
+        m_pool.release(upstream.address, std::move(pooled));
+    else
+        client.close();
+    return result;
+}
+
+// The answer holds for the request if both use one connection: its other end is one process.
+std::optional<attempt_result> upstream_caller::checkStart(const attempt &call,
+                                                          pooled_client &pooled)
+{
+    const incarnation_number expected = call.upstream.incarnation;
+    if (call.limits.startCheck == start_check::None || expected == incarnation_number())
+        return std::nullopt;
+    http_client &client = *pooled.client;
+    client.setDeadline(std::min(call.limits.deadline, bootNow() + StartCheckTimeout));
+    http_client_request query = m_protocol.encodeStateQuery();
+    query.host = call.request.host;
+    const auto answer = client.fetch(query, MaxStateBytes);
+    const auto start = answer.ok() ? m_protocol.decodeStart(*answer) : std::nullopt;
+    if (start && m_startListener != nullptr)
+        m_startListener->onStart(call.upstream.id, *start);
+    if (start == expected && client.reusable())
+        return std::nullopt;
+    client.close();
+    const bool unreachable = absl::IsUnavailable(answer.status());
+    if (call.limits.startCheck == start_check::Required || unreachable) {
+        attempt_result result = makeResult(attempt_outcome::NotRun,
+                                           answer.ok() ? "the start of its record isn't confirmed"
+                                                       : std::string(answer.status().message()));
+        result.connected = answer.ok();
+        return result;
+    }
+    call.sink.onUnknownStart();
+    pooled.history = connection_history();
+    pooled.idleFor.reset();
+    return std::nullopt;
+}
+
+attempt_result upstream_caller::exchange(const attempt &call, pooled_client &pooled)
+{
     attempt_evidence evidence;
     evidence.before = pooled.history;
     evidence.idleFor = pooled.idleFor;
-    pooled.history.onSent(id);
+    pooled.history.onSent(call.id);
     const time_point sentAt = bootNow();
-    const auto head = client->start(request);
+    setProgressDeadline(*pooled.client, call.limits, false);
+    const auto head = pooled.client->start(call.request);
     attempt_result result;
-    response_metadata metadata;
     if (!head.ok()) {
-        result = failureOf(head.status(), limits);
-        result.connected = !absl::IsUnavailable(head.status());
-        result.isUnsendable = absl::IsInvalidArgument(head.status());
-        if (!result.connected || result.isUnsendable)
-            result.outcome = attempt_outcome::NotRun;
-        if (result.outcome == attempt_outcome::Broken && pooled.idleFor) {
-            result.wasDropped = true;
-            m_pool.onDropped(upstream.address, *pooled.idleFor);
-        }
+        result = failToSend(call, pooled, head.status());
     } else {
-        metadata = m_protocol.decodeResponseHead(*head);
+        const response_metadata metadata = m_protocol.decodeResponseHead(*head);
         pooled.history.onResponse(metadata.answeredRequest.has_value());
+        pooled.keepAlive = metadata.keepAlive;
         evidence.headAfter = bootNow() - sentAt;
         evidence.response = factsOf(*head, metadata);
-        const response_verdict verdict = judgeResponse(*evidence.response, id, evidence.before);
+        const response_verdict verdict =
+            judgeResponse(*evidence.response, call.id, evidence.before);
         if (showsItsSender(verdict, head->status))
-            notifyListeners(upstream, metadata);
-        result = readResponse(*client, *head, metadata, verdict, streamed, limits, progress, sink);
-    }
-    handle.m_client = nullptr;
-    if (handle.aborted()) {
-        client->close();
-        result = makeResult(attempt_outcome::Cancelled, "aborted");
+            notifyListeners(call.upstream, metadata);
+        result = readResponse(call, *pooled.client, *head, metadata, verdict);
     }
     result.evidence = std::move(evidence);
-    const bool whole = result.outcome == attempt_outcome::Complete
-                       || result.outcome == attempt_outcome::Answered
-                       || result.outcome == attempt_outcome::NotRun;
-    if (whole && client->idle())
-        m_pool.release(upstream.address, std::move(pooled), metadata.keepAlive);
-    else
-        client->close();
+    return result;
+}
+
+attempt_result upstream_caller::failToSend(const attempt &call, const pooled_client &pooled,
+                                           const absl::Status &status)
+{
+    attempt_result result = failureOf(status, call.limits);
+    result.connected = !absl::IsUnavailable(status);
+    result.isUnsendable = absl::IsInvalidArgument(status);
+    if (!result.connected || result.isUnsendable)
+        result.outcome = attempt_outcome::NotRun;
+    if (result.outcome == attempt_outcome::Broken && pooled.idleFor) {
+        result.wasDropped = true;
+        m_pool.onDropped(call.upstream.address, *pooled.idleFor);
+    }
     return result;
 }
 
@@ -175,14 +241,13 @@
         listener->onResponse(upstream, metadata);
 }
 
-attempt_result upstream_caller::readResponse(http_client &client, const http_response &head,
+attempt_result upstream_caller::readResponse(const attempt &call, http_client &client,
+                                             const http_response &head,
                                              const response_metadata &metadata,
-                                             response_verdict verdict, bool streamed,
-                                             const attempt_limits &limits,
-                                             stream_progress &progress, response_sink &sink)
+                                             response_verdict verdict)
 {
     if (verdict == response_verdict::NotRun) {
-        attempt_result refused = readBody(client, head, metadata, limits, MaxRefusalBytes);
+        attempt_result refused = readBody(client, head, metadata, call.limits, MaxRefusalBytes);
         refused.outcome = attempt_outcome::NotRun;
         refused.reason = "refused with status " + std::to_string(head.status);
         return refused;
@@ -192,11 +257,11 @@
         return makeResult(attempt_outcome::Broken, rejectionReason(verdict));
     }
     const bool success = head.status >= 200 && head.status < 300;
-    if (!success || !streamed)
-        return readBody(client, head, metadata, limits, MaxResponseBytes);
-    if (!sink.onHead(head, metadata))
+    if (!success || !call.streamed)
+        return readBody(client, head, metadata, call.limits, MaxResponseBytes);
+    if (!call.sink.onHead(head, metadata))
         return makeResult(attempt_outcome::Cancelled, "caller gone");
-    return readStream(client, limits, progress, sink);
+    return readStream(client, call.limits, call.progress, call.sink);
 }
 
 attempt_result upstream_caller::readStream(http_client &client, const attempt_limits &limits,
--- a/src/gateway/upstream/upstream_pool.cpp
+++ b/src/gateway/upstream/upstream_pool.cpp
@@ -34,7 +34,7 @@
         }
         newest.pooled.client->close();
     }
-    return {std::make_unique<http_client>(m_io, address), std::nullopt, {}};
+    return {std::make_unique<http_client>(m_io, address), std::nullopt, {}, std::nullopt};
 }
 
 void upstream_pool::onDropped(const std::string &address, duration idleFor)
@@ -47,14 +47,14 @@
                   [&](const idle_client &each) { return now - each.idleSince >= idleFor; });
 }
 
-void upstream_pool::release(const std::string &address, pooled_client client,
-                            std::optional<std::chrono::seconds> keepAlive)
+void upstream_pool::release(const std::string &address, pooled_client client)
 {
     auto &idle = m_idle[address];
     if (!client.client->idle() || client.history.hasUnnamedResponse()
         || idle.size() >= MaxIdlePerAddress)
         return;
-    const duration idleTime = keepAlive ? duration(*keepAlive) : duration(DefaultKeepAlive);
+    const duration idleTime =
+        client.keepAlive ? duration(*client.keepAlive) : duration(DefaultKeepAlive);
     const time_point now = bootNow();
     if (idleTime > IdleMargin)
         idle.push_back({std::move(client), now, now + idleTime - IdleMargin});
--- a/src/gateway/upstream/upstream_watch.cpp
+++ b/src/gateway/upstream/upstream_watch.cpp
@@ -68,9 +68,20 @@
     m_onChange();
 }
 
-void upstream_watch::onComplete(time_point)
+void upstream_watch::onStart(const upstream_id &upstream, incarnation_number start)
+{
+    if (!m_directory.onStart(upstream, start))
+        return;
+    log_event(log_level::Info, "upstream states another start than its record")
+        .upstream(upstream.value())
+        .with("started", start.value());
+    m_onChange();
+}
+
+void upstream_watch::onComplete(time_point sentAt)
 {
     m_directory.onStoreAnswer(bootNow());
+    m_directory.confirm(sentAt);
 }
 
 // Runs independently of reads, which may be seconds apart, as upstreams write only on changes.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -158,7 +158,8 @@
     return std::string();
 }
 
-absl::StatusOr<http_response> http_client::fetch(const http_client_request &request)
+absl::StatusOr<http_response> http_client::fetch(const http_client_request &request,
+                                                 std::size_t maxBytes)
 {
     auto response = start(request);
     if (!response.ok())
@@ -170,7 +171,7 @@
         if (part->empty())
             return response;
         response->body += *part;
-        if (response->body.size() > MaxFetchBytes) {
+        if (response->body.size() > maxBytes) {
             close();
             return absl::AbortedError(absl::StrCat(m_address, ": body exceeds the size limit"));
         }
--- a/src/placement/upstream_directory.cpp
+++ b/src/placement/upstream_directory.cpp
@@ -116,6 +116,26 @@
     m_storeReturnedAt = now;
 }
 
+void upstream_directory::confirm(time_point sentAt)
+{
+    m_completeAt = std::max(m_completeAt.value_or(sentAt), sentAt);
+}
+
+bool upstream_directory::isCurrent(time_point now) const
+{
+    return !inGrace(now) && m_completeAt && now - *m_completeAt <= m_options.maxRecordAge;
+}
+
+bool upstream_directory::onStart(const upstream_id &id, incarnation_number start)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end() || found->second.incarnation == start)
+        return false;
+    found->second.incarnation = start;
+    found->second.version = software_version();
+    return true;
+}
+
 std::vector<upstream_id> upstream_directory::tick(time_point now)
 {
     std::vector<upstream_id> dropped;
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -239,6 +239,16 @@
 
     last_refusal = b""  # of this connection, to be sent once more
 
+    def do_GET(self):
+        engine = self.stand_in
+        engine.state_queries += 1
+        if self.path != "/tamarackglade/report":
+            self.answer(404)
+        elif engine.states_start:
+            self.answer(200, {"stage": "hybrid", "busy": False, "born": engine.born})
+        else:
+            self.answer(200, {"stage": "hybrid", "busy": False})
+
     def do_POST(self):
         engine = self.stand_in
         body = self.body()
@@ -409,6 +419,8 @@
         self.names_refusals = False  # refusals name their request
         self.repeats_refusals = False  # they are sent once more when the next request has arrived
         self.copies_sent = 0
+        self.states_start = True  # in its report
+        self.state_queries = 0
         self.break_at = None  # number of the event within which the connection is cut
         self.silent_at = None
         self.silence_s = 5.0
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -65,6 +65,42 @@
 
 } // namespace
 
+TEST_CASE("records are current only if read recently and renewed since the store's return")
+{
+    upstream_directory directory(directory_options{2s, 1s, 3s});
+    CHECK_FALSE(directory.isCurrent(Start));
+    directory.confirm(Start);
+    CHECK(directory.isCurrent(Start + 3s));
+    CHECK_FALSE(directory.isCurrent(Start + 3'001ms));
+    directory.confirm(Start - 1s);
+    CHECK(directory.isCurrent(Start + 3s));
+    directory.onStoreFailure(Start + 1s);
+    CHECK_FALSE(directory.isCurrent(Start + 1s));
+    directory.onStoreAnswer(Start + 4s);
+    directory.confirm(Start + 4s);
+    CHECK_FALSE(directory.isCurrent(Start + 5'999ms));
+    CHECK(directory.isCurrent(Start + 6s));
+}
+
+TEST_CASE("the version of an upstream that states another start is unknown until its next record")
+{
+    upstream_directory directory{directory_options()};
+    live_upstream upstream = upstreamNamed("one");
+    upstream.incarnation = incarnation_number(1);
+    upstream.version = software_version("v1");
+    directory.put(upstream);
+    CHECK_FALSE(directory.onStart(upstream_id("other"), incarnation_number(2)));
+    CHECK_FALSE(directory.onStart(upstream.id, incarnation_number(1)));
+    CHECK(directory.versionsOf(upstream.group).contains(upstream.version));
+    CHECK(directory.onStart(upstream.id, incarnation_number(2)));
+    CHECK_FALSE(directory.versionsOf(upstream.group).contains(upstream.version));
+    CHECK_FALSE(directory.onStart(upstream.id, incarnation_number(2)));
+    upstream.incarnation = incarnation_number(2);
+    upstream.version = software_version("v2");
+    CHECK(directory.put(upstream));
+    CHECK(directory.versionsOf(upstream.group).contains(upstream.version));
+}
+
 TEST_CASE("the directory applies removals, snapshots and grace periods")
 {
     upstream_directory directory(directory_options{2s, 1s});
