--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -3,8 +3,8 @@
 The store keeps partitioned streams of records in memory. Its faults: unavailability, refusals,
 delays, appends whose answer is lost and that take effect at once, late or never, and lost history.
 An engine serves event streams and records every request that it starts to run. Its faults: broken
-streams, silence, refusals, failures, a second answer on the same connection, and refusals that are
-sent once more when the next request has arrived there.
+streams, silence, refusals, failures, a second answer on the same connection, and refusals and
+answers that are sent once more when the next request has arrived there.
 """
 
 import base64
@@ -237,7 +237,7 @@
 class EngineHandler(Handler):
     """Handles the requests to an engine."""
 
-    last_refusal = b""  # of this connection, to be sent once more
+    last_copy = b""  # a response of this connection, to be sent once more
 
     def do_GET(self):
         engine = self.stand_in
@@ -255,7 +255,7 @@
         request = {"id": self.headers.get("Request-Id"), "path": self.path, "body": body,
                    "headers": dict(self.headers.items()), "at": time.monotonic()}
         engine.arrived.append(request)
-        self.repeat_refusal()
+        self.repeat_response()
         if self.headers.get("Expect-Instance") != engine.id:
             self.refuse(421, request, [("Instance-Id", engine.id)])
             return
@@ -301,13 +301,13 @@
         text = "HTTP/1.1 %d Refused\r\n%sContent-Length: 0\r\n\r\n" % (status, fields)
         self.wfile.write(text.encode())
         if engine.repeats_refusals:
-            self.last_refusal = text.encode()
+            self.last_copy = text.encode()
 
-    def repeat_refusal(self):
-        if self.last_refusal:
+    def repeat_response(self):
+        if self.last_copy:
             self.stand_in.copies_sent += 1
-            self.wfile.write(self.last_refusal)
-            self.last_refusal = b""
+            self.wfile.write(self.last_copy)
+            self.last_copy = b""
 
     def send_endless(self, request):
         """Sends bytes until the caller closes, or for at most ten seconds."""
@@ -358,11 +358,20 @@
             self.close_connection = True
             return
         self.wfile.write(b"0\r\n\r\n")
+        if engine.repeats_answer_now():
+            self.last_copy = self.copy_of_answer(request, start)
         if engine.extra_answers > 0:
             engine.extra_answers -= 1
             self.wfile.write(b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 2\r\n"
                              b"Response-Signature: x\r\n\r\nno")
 
+    def copy_of_answer(self, request, start):
+        body = complete_stream(request["id"], self.stand_in.events, start)
+        fields = [*self.identity(request), ("Content-Type", "text/event-stream"),
+                  ("Content-Length", str(len(body)))]
+        head = "HTTP/1.1 200 OK\r\n" + "".join("%s: %s\r\n" % field for field in fields) + "\r\n"
+        return head.encode() + body
+
     def chunk(self, data):
         framed = data if self.stand_in.unframed else b"%x\r\n%s\r\n" % (len(data), data)
         self.wfile.write(framed)
@@ -418,6 +427,7 @@
         self.sheds_every = 0  # every so many requests one is refused; 0 for none
         self.names_refusals = False  # refusals name their request
         self.repeats_refusals = False  # they are sent once more when the next request has arrived
+        self.repeats_answers_every = 0  # every so many runs the answer is sent once more so
         self.copies_sent = 0
         self.states_start = True  # in its report
         self.state_queries = 0
@@ -453,6 +463,9 @@
             return True
         return self.sheds_every > 0 and len(self.arrived) % self.sheds_every == 0
 
+    def repeats_answer_now(self):
+        return self.repeats_answers_every > 0 and len(self.runs) % self.repeats_answers_every == 0
+
     def crashes_on(self, parts):
         return any(part.split(":")[0] in self.deadly_parts for part in parts.split(","))
 
--- a/tests/e2e/test_late_refusals.py
+++ b/tests/e2e/test_late_refusals.py
@@ -1,5 +1,6 @@
 """Tests that a refusal which an engine sends once more, late, makes no request run twice."""
 
+from site_standins import complete_stream
 from support import main, wait_until
 
 import test_gateway
@@ -49,6 +50,16 @@
         self.assertLessEqual(set(self.send_beside_refusals()), {200, 503})
 
 
+    def test_the_copy_of_an_answer_reaches_no_other_caller_and_cuts_no_request(self):
+        for engine in self.engine:
+            engine.repeats_answers_every = 1
+        for path in ["/once/x", "/stream/x"] * 15:
+            status, _, body, request = self.call(path)
+            self.assertEqual((status, body), (200, complete_stream(request)))
+            self.check_runs(status, request)
+        self.assertGreater(sum(engine.copies_sent for engine in self.engine), 0)
+
+
 class LateMisdirectionTest(LateRefusalTestCase):
     """The engine has taken the address of others, whose records are still there."""
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -26,6 +26,7 @@
 CANCEL_S = 3.0  # until items of an ended job no longer start
 RECOVER_S = 12.0  # until service works after the last fault
 SHEDS_EVERY = 15  # requests at an engine of which it refuses one
+REPEATS_EVERY = 10  # runs at an engine of which it sends one answer once more
 FINISH_S = 18.0  # until jobs have finished after the last fault
 STOP_S = 8.0  # until a planned stop has ended
 STABLE_S = 3.0  # without faults before a bound applies
@@ -204,6 +205,7 @@
         engine.crash_at = 2 * (self.engine_count % 2)  # at once, or behind two events
         engine.sheds_every = SHEDS_EVERY
         engine.repeats_refusals = True
+        engine.repeats_answers_every = REPEATS_EVERY
         engine.names_refusals = self.engine_count % 2 == 0
         engine.down_s = ENGINE_DOWN_S
         engine.restarts = self.engine_restarted
