One slot of each upstream is open to any work of any gateway

Cause: the slots that are kept for other zones (2) and for online work (2) are subtracted whatever slots an engine has, so that none is left of 4, or of 2.

Change: what is reserved leaves one slot. Engines of more than 4 slots (6 for other cells) get the same work as before.

--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -38,7 +38,8 @@
     unsigned reserve = 0;
 };
 
-/// @brief Costs, reserves and durations of the selection.
+/// @brief Costs, reserves and durations of the selection. Whatever is reserved, each class of work
+/// may use one slot of an upstream.
 struct placement_options
 {
     zone_id zone; // of this process; its upstreams are preferred
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -13,6 +13,7 @@
 // select at the same time by nearly the same counts; without the margin all would pick the same
 // upstream.
 constexpr double EqualCostMargin = 1.0;
+constexpr unsigned MinUsable = 1; // slots of each upstream for any work, whatever is reserved
 constexpr double MinTrackedScore = 0.05; // lower failure scores are removed
 
 } // namespace
@@ -253,7 +254,8 @@
     const unsigned distanceReserve = mayUseReserve ? 0 : ruleFor(upstream).reserve;
     const unsigned reserve =
         work == work_class::Online ? distanceReserve : distanceReserve + m_options.batchReserve;
-    return upstream.slots > reserve ? upstream.slots - reserve : 0;
+    return upstream.slots > reserve ? upstream.slots - reserve
+                                    : std::min(upstream.slots, MinUsable);
 }
 
 } // namespace tamarack
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -835,6 +835,17 @@
             engine.break_at = None
         self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
 
+    def test_items_run_at_engines_of_few_slots_in_another_zone(self):
+        for engine in self.engine:
+            self.store.put("keyed.servers", engine.id, b"")
+        for slots in (1, 2, 4):
+            name = f"few-{slots}"
+            engine = self.add_engine(name, zone="b", slots=slots)
+            self.assertEqual(self.submit(name, items=12), 202)
+            self.assertEqual({r["state"] for r in self.finished(name, 12)}, {"done"})
+            self.assertLessEqual(engine.max_active, slots)
+            self.store.put("keyed.servers", name, b"")
+
     def test_large_jobs(self):
         self.publish(config(2, limits={"maxBodyBytes": 4000000}))
         self.assertEqual(self.submit("j", items=8, size=200000), 202)
