A program whose standard output has lost its reader goes on

Cause: the thread that writes log lines took the signal that the system raises for such a write.

Change: that thread blocks SIGPIPE; lines that the output doesn't accept count as dropped, which the new metric tamarack_dropped_log_lines tells.

--- a/include/tamarackglade/logging/init_logging.hpp
+++ b/include/tamarackglade/logging/init_logging.hpp
@@ -3,6 +3,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstdint>
 #include <string>
 
 namespace tamarack {
@@ -17,4 +18,7 @@
 /// @brief Changes the least level that is written. @return InvalidArgument for an unknown level
 absl::Status setLogLevel(const std::string &level);
 
+/// @return lines that were dropped since the start of the process, as the output didn't take them
+std::uint64_t droppedLogLines();
+
 } // namespace tamarack
--- a/include/tamarackglade/logging/line_writer.hpp
+++ b/include/tamarackglade/logging/line_writer.hpp
@@ -12,7 +12,8 @@
 namespace tamarack {
 
 /// @brief A bounded buffer that a thread of its own writes out. Lines that don't fit are dropped
-/// and counted; a line that tells their number follows when there is room again. Thread-safe.
+/// and counted; a line that tells their number follows when there is room again. So are lines that
+/// the descriptor doesn't accept, as that of a pipe whose reader has gone. Thread-safe.
 class line_writer
 {
 public:
@@ -37,7 +38,8 @@
 
 private:
     void writeLoop();
-    void writeOut(std::string_view text);
+    /// @return the number of lines that the descriptor did not accept
+    std::uint64_t writeOut(std::string_view text);
 
     const int m_descriptor;
     const std::size_t m_capacity;
--- a/src/logging/line_writer.cpp
+++ b/src/logging/line_writer.cpp
@@ -2,6 +2,7 @@
 #include <tamarackglade/logging/line_writer.hpp>
 
 #include <poll.h>
+#include <signal.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -16,6 +17,15 @@
 constexpr std::chrono::milliseconds BatchTime{25};
 constexpr int PollMs = 50;
 
+// Without it, writing to a pipe whose reader has gone would end the process.
+void blockPipeSignal()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGPIPE);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 } // namespace
 
 line_writer::line_writer(int descriptor, std::size_t capacity)
@@ -71,38 +81,41 @@
 
 void line_writer::writeLoop()
 {
+    blockPipeSignal();
     std::unique_lock lock(m_mutex);
     while (!m_stopped) {
         m_changed.wait(lock, [&] { return m_stopped || !m_waiting.empty(); });
         m_writing = true;
         const std::string text = std::exchange(m_waiting, std::string());
         lock.unlock();
-        writeOut(text);
+        const std::uint64_t lost = writeOut(text);
         std::this_thread::sleep_for(BatchTime);
         lock.lock();
+        m_dropped += lost;
         m_writing = false;
         m_changed.notify_all();
     }
 }
 
 // The descriptor may block for ever; polling first lets the thread end.
-void line_writer::writeOut(std::string_view text)
+std::uint64_t line_writer::writeOut(std::string_view text)
 {
     while (!text.empty()) {
         pollfd ready{m_descriptor, POLLOUT, 0};
         if (::poll(&ready, 1, PollMs) == 0) {
             const std::lock_guard lock(m_mutex);
             if (m_stopped)
-                return;
+                return 0;
             continue;
         }
         constexpr std::size_t ChunkBytes = 4096; // a pipe that is ready takes as much
         const auto size = ::write(m_descriptor, text.data(), std::min(text.size(), ChunkBytes));
         if (size < 0 && errno != EINTR && errno != EAGAIN)
-            return;
+            return static_cast<std::uint64_t>(std::count(text.begin(), text.end(), '\n'));
         if (size > 0)
             text.remove_prefix(static_cast<std::size_t>(size));
     }
+    return 0;
 }
 
 } // namespace tamarack
--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -110,6 +110,11 @@
     }
 }
 
+std::uint64_t droppedLogLines()
+{
+    return standardOutput().dropped();
+}
+
 absl::Status setLogLevel(const std::string &level)
 {
     for (std::size_t i = 0; i < LevelNames.size(); ++i) {
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import signal
+import subprocess
 import tempfile
 import threading
 import time
@@ -444,6 +445,20 @@
         self.assertEqual(self.gateway[0].process.child.wait(20), 0)
         self.assertEqual(self.gateway[0].lines_of("stopped")[0]["requests_cut"], 0)
 
+    def test_a_process_whose_log_reader_has_gone_goes_on_serving(self):
+        process = self.gateway[0].process
+        process.kill()
+        process.child = subprocess.Popen(process.command, stdout=subprocess.PIPE,
+                                         stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+        wait_until(self.gateway[0].ready, "ready")
+        process.child.stdout.close()
+        for _ in range(5):
+            status, _, body, request = self.call()
+            self.assertEqual((status, body), (200, complete_stream(request)))
+            time.sleep(0.1)
+        wait_until(lambda: self.gateway[0].metric("tamarack_dropped_log_lines"), "lines lost")
+        self.assertIsNone(process.child.poll())
+
     def test_an_idle_connection_is_closed_before_the_end(self):
         host, port = self.gateway[0].address.split(":")
         kept = http.client.HTTPConnection(host, int(port), timeout=20)
--- a/tests/shell-logging.cpp
+++ b/tests/shell-logging.cpp
@@ -23,9 +23,15 @@
     }
     ~pipe_pair()
     {
-        ::close(reader);
+        closeReader();
         ::close(writer);
     }
+    void closeReader()
+    {
+        if (reader >= 0)
+            ::close(reader);
+        reader = -1;
+    }
     std::string readAvailable() const
     {
         ::fcntl(reader, F_SETFL, O_NONBLOCK);
@@ -84,3 +90,17 @@
     }
     CHECK(true); // the writer's destructor has returned
 }
+
+TEST_CASE("logging: a reader that has gone doesn't end the process, and the lines count as lost")
+{
+    pipe_pair pipe;
+    line_writer writer(pipe.writer, 1024);
+    writer.write("read");
+    CHECK(writer.flush(20s));
+    CHECK(pipe.readAvailable() == "read\n");
+    pipe.closeReader();
+    writer.write("one");
+    writer.write("two");
+    CHECK(writer.flush(20s));
+    CHECK(writer.dropped() == 2);
+}
