The last engine that could run a new request isn't left for a slow first event

Cause: an engine is left after two thirds of the objective, or 0.3 s of silence, while attempts remain, also if no other engine could take over.

Change: an engine may take all the time until the deadline for the first event of a new request if no other one is usable that wasn't tried. Streams that go on are left as before, since their callers leave after a pause.

--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -69,6 +69,8 @@
     [[nodiscard]] bool idempotent() const;
     /// @return whether the upstream has to confirm that its record is of its present start
     [[nodiscard]] start_check startCheck() const;
+    /// @return whether no other upstream could run the request if m_upstream is left
+    [[nodiscard]] bool isLastResort() const;
     [[nodiscard]] duration timeLeft() const;
     [[nodiscard]] duration maxFirstEventWait() const;
     void onCallerDisconnected();
--- a/include/tamarackglade/gateway/upstream/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_caller.hpp
@@ -29,6 +29,7 @@
     std::optional<time_point> firstEventDeadline; // deadline of a stream's first event
     duration maxIdleTime; // a connection that was idle longer is not reused
     start_check startCheck = start_check::None;
+    bool isLastResort = false; // no other upstream is left; the first event may take all the time
 };
 
 /// @brief Lets another fiber cancel an attempt.
--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -86,6 +86,9 @@
     [[nodiscard]] unsigned freeSlots(const group_id &group, work_class work, time_point now,
                                      const std::optional<software_version> &version = {});
 
+    /// @return whether an upstream that the request doesn't exclude is usable, free slots or not
+    [[nodiscard]] bool hasOthers(const placement_request &request, time_point now) const;
+
     /// @return whether only a free slot is missing for an online request at the upstream
     [[nodiscard]] bool needsSlot(const upstream_id &id, time_point now) const;
 
@@ -147,8 +150,6 @@
     [[nodiscard]] unsigned usedSlots(const upstream_id &id) const;
     [[nodiscard]] bool usable(const live_upstream &upstream, const group_id &group,
                               const std::optional<software_version> &version, time_point now) const;
-    /// @return whether an upstream that the request doesn't exclude is usable
-    [[nodiscard]] bool hasOthers(const placement_request &request, time_point now) const;
     [[nodiscard]] double occupiedCost(const live_upstream &upstream, unsigned used, work_class work,
                                       time_point now) const;
     [[nodiscard]] double failureCost(const upstream_id &id, time_point now) const;
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -57,6 +57,7 @@
         limits.firstEventDeadline = bootNow() + maxFirstEventWait();
     limits.maxIdleTime = idempotent() ? MaxIdleTimeRepeatable : MaxIdleTimeOnce;
     limits.startCheck = startCheck();
+    limits.isLastResort = isLastResort();
     m_runEvents = 0;
     result = m_context.caller.run(upstream, m_context.protocol.encodeCall(m_call, message),
                                   m_call.id, m_route.kind == route_kind::Stream, limits, m_progress,
@@ -74,6 +75,14 @@
     return result;
 }
 
+// Callers of a stream that goes on leave after a pause, so only new requests wait.
+bool call_relay::isLastResort() const
+{
+    placement_request others = m_placement;
+    others.excluded.insert(m_upstream);
+    return !m_origin && !m_context.allocator.hasOthers(others, bootNow());
+}
+
 // An upstream may have started again with another version since its record was read.
 start_check call_relay::startCheck() const
 {
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -30,9 +30,10 @@
 void setProgressDeadline(http_client &client, const attempt_limits &limits, bool streamStarted)
 {
     time_point until = limits.deadline;
-    if (limits.silenceTimeout > duration::zero())
+    const bool mayTakeAllTime = limits.isLastResort && !streamStarted;
+    if (!mayTakeAllTime && limits.silenceTimeout > duration::zero())
         until = std::min(until, bootNow() + limits.silenceTimeout);
-    if (!streamStarted && limits.firstEventDeadline)
+    if (!mayTakeAllTime && !streamStarted && limits.firstEventDeadline)
         until = std::min(until, *limits.firstEventDeadline);
     client.setDeadline(until);
 }
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -148,6 +148,14 @@
             status, _, body, request = self.call()
             self.assertEqual((status, body), (200, complete_stream(request)))
 
+    def test_a_slow_first_event_of_the_last_engine_is_waited_for(self):
+        for engine in self.engine:
+            engine.silent_at, engine.silence_s = 0, 0.45
+        for _ in range(4):
+            status, _, body, request = self.call()
+            self.assertEqual((status, body), (200, complete_stream(request)))
+            time.sleep(1)  # until no engine is ejected
+
     def test_a_slow_but_sound_stream_is_not_cut(self):
         for engine in self.engine:
             engine.step_s = 0.15
