Calls that wait for a read of a silent store wait for two reads at most

What callers saw (review, by reading): calls that need a read of the store, as the check of an unknown key or of a job, were answered after n times 0.8 s when n of them waited for a silent store.

Cause: in stream_follower::catchUp() a caller that had waited for another's read which failed began one of its own, so that the callers took turns.

Change: a failed read that began after the call answers all that wait for it.

Evidence: shell-gateway-follower, eight callers of reads that fail after 0.1 s: 8 reads and 0.73 s before, two reads and under 0.3 s now.

--- a/include/tamarackglade/gateway/batch/stream_follower.hpp
+++ b/include/tamarackglade/gateway/batch/stream_follower.hpp
@@ -10,6 +10,7 @@
 #include <boost/fiber/mutex.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 
 namespace tamarack {
@@ -38,8 +39,8 @@
     void setPause(std::chrono::milliseconds pause) { m_options.pause = pause; }
 
     /// @brief Reads until all records that were stored before since have been delivered. Concurrent
-    /// calls share a read.
-    /// @return false if the store gave no answer
+    /// calls share a read, so that each waits for two of them at most.
+    /// @return false if the store gave no answer to a read that began after the call
     bool catchUp(time_point since);
 
     /// @return the position of the next record
@@ -64,6 +65,8 @@
     std::optional<time_point> m_completeAt; // all records stored before were delivered
     bool m_lastReadFailed = false;
     bool m_catchingUp = false;
+    std::uint64_t m_refreshes = 0; // reads of catchUp() that have begun
+    std::uint64_t m_failedRefresh = 0; // the number of the last one that failed; 0 for none
     boost::fibers::mutex m_mutex; // for m_caughtUp only
     boost::fibers::condition_variable m_caughtUp;
 };
--- a/src/gateway/batch/stream_follower.cpp
+++ b/src/gateway/batch/stream_follower.cpp
@@ -32,19 +32,23 @@
 {
     const auto complete = [&] { return m_completeAt && *m_completeAt >= since; };
     std::unique_lock lock(m_mutex);
+    const std::uint64_t startedBefore = m_refreshes;
     while (!complete()) {
+        if (m_failedRefresh > startedBefore)
+            return false;
         if (m_catchingUp) {
             m_caughtUp.wait(lock);
             continue;
         }
         m_catchingUp = true;
+        const std::uint64_t number = ++m_refreshes;
         lock.unlock();
         const bool read = readOnce(std::chrono::milliseconds(0));
         lock.lock();
         m_catchingUp = false;
-        m_caughtUp.notify_all();
         if (!read)
-            return false;
+            m_failedRefresh = number;
+        m_caughtUp.notify_all();
     }
     return true;
 }
