Jobs on open routes belong to the customer whose key came with them

Cause: keys aren't looked at on open routes, so the job was stored without a customer; calls about jobs always belong to a key's customer.

Change: batch routes need a key, whatever the route says; without one the answer is 401 at once, as nobody could read the job.

--- a/src/gateway/relay/request_router.cpp
+++ b/src/gateway/relay/request_router.cpp
@@ -89,7 +89,9 @@
         result.reason = "no_route";
         return result;
     }
-    const bool open = result.route != nullptr && result.route->open;
+    // Calls about a job need its customer's key, so a job without a customer could not be read.
+    const bool open = result.route != nullptr && result.route->open
+                      && result.route->kind != route_kind::Batch;
     if (open || !result.config->needsKeys())
         return result;
     const time_point now = bootNow();
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -858,6 +858,16 @@
             engine.break_at = None
         self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
 
+    def test_a_job_on_an_open_route_belongs_to_the_customer_whose_key_came_with_it(self):
+        batch = next(r for r in config()["routes"] if r["name"] == "batch")
+        opened = dict(batch, name="opened", pathPrefix="/opened/", public=True)
+        self.publish(config(2, routes=config()["routes"] + [opened]))
+        name = {"Request-Id": "j"}
+        self.assertEqual(self.call("/opened/j", 0, self.job("j"), None, **name)[0], 401)
+        self.assertEqual(self.call("/opened/j", 0, self.job("j"), **name)[0], 202)
+        self.assertEqual({r["state"] for r in self.finished("j")}, {"done"})
+        self.assertEqual(self.results("j", key="key-south")[0], 404)
+
     def test_items_run_at_engines_of_few_slots_in_another_zone(self):
         for engine in self.engine:
             self.store.put("keyed.servers", engine.id, b"")
