A gateway that is stopping ignores further stop signals

Cause: written so; a second signal ended the process at once. Nobody gains by it: whoever wants the process gone has SIGKILL, and the drain limit bounds the stop.

--- a/include/tamarackglade/gateway/process/gateway_process.hpp
+++ b/include/tamarackglade/gateway/process/gateway_process.hpp
@@ -82,7 +82,6 @@
     admin_server m_admin;
     std::string m_notReadyReason = "starting"; // last logged reason; empty if ready
     bool m_draining = false;
-    bool m_endNow = false;
 };
 
 } // namespace tamarack
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -130,8 +130,10 @@
 
 void gateway_process::runUntilStopped()
 {
+    // To end sooner would cut the requests in progress, which the drain limit bounds anyway.
+    const auto goOn = [] { log_event(log_level::Info, "further stop signal ignored"); };
     tamarack::runUntilStopped(
-        m_thread, [this] { drain(); }, [this] { m_endNow = true; });
+        m_thread, [this] { drain(); }, goOn);
     exitProcess(0);
 }
 
@@ -231,12 +233,12 @@
     m_batches.stop();
     m_callers->closeAfterAnswers();
     boost::fibers::fiber([this] { m_peers.leave(); }).detach();
-    while (bootNow() - startedAt < m_options.drainNotice && !m_endNow)
+    while (bootNow() - startedAt < m_options.drainNotice)
         boost::this_fiber::sleep_for(DrainPollInterval);
     m_callers->drain();
     // Idle connections are closed during this pause; no new request is read after it.
     boost::this_fiber::sleep_for(PauseAfterDrain);
-    while (m_callers->activeRequests() > 0 && withinDrainLimit() && !m_endNow)
+    while (m_callers->activeRequests() > 0 && withinDrainLimit())
         boost::this_fiber::sleep_for(DrainPollInterval);
     log_event(log_level::Info, "stopped").with("requests_cut", m_callers->activeRequests());
 }
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -453,6 +453,24 @@
         self.assertEqual(self.gateway[0].process.child.wait(20), 0)
         self.assertEqual(self.gateway[0].lines_of("stopped")[0]["requests_cut"], 0)
 
+    def test_a_second_stop_signal_cuts_no_request(self):
+        for engine in self.engine:
+            engine.events = 150
+        answers = []
+        threads = [threading.Thread(target=lambda: answers.append(self.call())) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        wait_until(lambda: len(self.engine[0].runs + self.engine[1].runs) == 4, "streams run")
+        for _ in range(3):
+            self.gateway[0].process.signal(signal.SIGTERM)
+            time.sleep(0.2)
+        for thread in threads:
+            thread.join()
+        self.assertEqual(len(answers), 4)
+        for status, _, body, request in answers:
+            self.assertEqual((status, body), (200, complete_stream(request, 150)))
+        self.assertEqual(self.gateway[0].process.child.wait(20), 0)
+
     def test_a_process_whose_log_reader_has_gone_goes_on_serving(self):
         process = self.gateway[0].process
         process.kill()
