Tests of planned stops share how streams begin and end; two comments in plain words

test_a_planned_stop_cuts_no_request also counts its answers now: without, an answer that was cut in the middle was missing from the list and passed.

--- a/include/tamarackglade/logging/line_writer.hpp
+++ b/include/tamarackglade/logging/line_writer.hpp
@@ -12,7 +12,7 @@
 namespace tamarack {
 
 /// @brief A bounded buffer that a thread of its own writes out. Lines that don't fit are dropped
-/// and counted; a line that tells their number follows when there is room again. So are lines that
+/// and counted; a line with their number follows when there is room again. So are lines that
 /// the descriptor doesn't accept, as that of a pipe whose reader has gone. Thread-safe.
 class line_writer
 {
--- a/include/tamarackglade/placement/upstream_directory.hpp
+++ b/include/tamarackglade/placement/upstream_directory.hpp
@@ -71,7 +71,7 @@
 
     /// @brief Records that the directory contains all records that existed when a read was sent.
     void confirm(time_point sentAt);
-    /// @return whether the records tell the present start of each upstream: they were read recently
+    /// @return whether the records are of the present start of each upstream: they were read recently
     /// and the store was available since each running upstream has renewed its own
     [[nodiscard]] bool isCurrent(time_point now) const;
 
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -428,7 +428,8 @@
 class StopTest(SiteTestCase):
     """Planned stops and the handling of signals."""
 
-    def test_a_planned_stop_cuts_no_request(self):
+    def begin_streams(self):
+        """Begins four long streams; returns their threads and the list that gets the answers."""
         for engine in self.engine:
             engine.events = 150
         answers = []
@@ -436,6 +437,18 @@
         for thread in threads:
             thread.start()
         wait_until(lambda: len(self.engine[0].runs + self.engine[1].runs) == 4, "streams run")
+        return threads, answers
+
+    def check_whole(self, streams):
+        threads, answers = streams
+        for thread in threads:
+            thread.join()
+        self.assertEqual(len(answers), 4)
+        for status, _, body, request in answers:
+            self.assertEqual((status, body), (200, complete_stream(request, 150)))
+
+    def test_a_planned_stop_cuts_no_request(self):
+        streams = self.begin_streams()
         host, port = self.gateway[0].address.split(":")
         kept = http.client.HTTPConnection(host, int(port), timeout=20)
         kept.connect()
@@ -446,29 +459,16 @@
         response = kept.getresponse()
         self.assertEqual(response.read(), complete_stream(headers["Request-Id"], 150))
         self.assertEqual(response.getheader("Connection"), "close")
-        for thread in threads:
-            thread.join()
-        for status, _, body, request in answers:
-            self.assertEqual((status, body), (200, complete_stream(request, 150)))
+        self.check_whole(streams)
         self.assertEqual(self.gateway[0].process.child.wait(20), 0)
         self.assertEqual(self.gateway[0].lines_of("stopped")[0]["requests_cut"], 0)
 
     def test_a_second_stop_signal_cuts_no_request(self):
-        for engine in self.engine:
-            engine.events = 150
-        answers = []
-        threads = [threading.Thread(target=lambda: answers.append(self.call())) for _ in range(4)]
-        for thread in threads:
-            thread.start()
-        wait_until(lambda: len(self.engine[0].runs + self.engine[1].runs) == 4, "streams run")
+        streams = self.begin_streams()
         for _ in range(3):
             self.gateway[0].process.signal(signal.SIGTERM)
             time.sleep(0.2)
-        for thread in threads:
-            thread.join()
-        self.assertEqual(len(answers), 4)
-        for status, _, body, request in answers:
-            self.assertEqual((status, body), (200, complete_stream(request, 150)))
+        self.check_whole(streams)
         self.assertEqual(self.gateway[0].process.child.wait(20), 0)
 
     def test_a_process_whose_log_reader_has_gone_goes_on_serving(self):
