--- a/include/tamarackglade/placement/upstream_directory.hpp
+++ b/include/tamarackglade/placement/upstream_directory.hpp
@@ -71,8 +71,8 @@
 
     /// @brief Records that the directory contains all records that existed when a read was sent.
     void confirm(time_point sentAt);
-    /// @return whether the records are of the present start of each upstream: they were read recently
-    /// and the store was available since each running upstream has renewed its own
+    /// @return whether the records are of the present start of each upstream: they were read
+    /// recently and the store was available since each running upstream has renewed its own
     [[nodiscard]] bool isCurrent(time_point now) const;
 
     /// @brief Applies the start that an upstream states. If its record is of another one, its
--- a/src/gateway/relay/request_router.cpp
+++ b/src/gateway/relay/request_router.cpp
@@ -90,8 +90,8 @@
         return result;
     }
     // Calls about a job need its customer's key, so a job without a customer could not be read.
-    const bool open = result.route != nullptr && result.route->open
-                      && result.route->kind != route_kind::Batch;
+    const bool open =
+        result.route != nullptr && result.route->open && result.route->kind != route_kind::Batch;
     if (open || !result.config->needsKeys())
         return result;
     const time_point now = bootNow();
