New batch items are taken in turn from the customers with the fewest runs

What callers saw (unit test): with 8 slots and items of one second, ten items of a customer, due in 20 s, were finished after 127 s, behind a thousand items of another one that are due at 18 s.

Cause: new items were ordered by due time over all customers, so one with many items held up all others while the slots didn't suffice.

Change: itemsToStart() takes the next item of the customer with the fewest runs at this gateway; due time orders the items of one customer, and breaks ties. Texts that have begun still come first.

Evidence: 'a customer's thousand items don't hold up another's ten past their due time' and 'a customer whose items run waits for those that have none running' failed before (3 checks) and pass.

--- a/include/tamarackglade/batches/batch_schedule.hpp
+++ b/include/tamarackglade/batches/batch_schedule.hpp
@@ -19,8 +19,10 @@
 };
 
 /// @brief Lists the items that this gateway should start: those with a part of their text first, as
-/// only some upstreams can go on with it, then new ones. Both are ordered by the due time of their
-/// job, then by their id. The number of a customer's jobs doesn't affect the order.
+/// only some upstreams can go on with it, ordered by the due time of their job, then by their id.
+/// New ones follow: each is of the customer with the fewest items that run or are listed before it,
+/// so that no customer's many items hold up those of another; those of one customer are ordered by
+/// due time and id.
 ///
 /// An item that failed waits before it is listed again, longer after each failure, as the cause of
 /// the failure may be temporary.
--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -1,7 +1,9 @@
-// Orders a gateway's batch items by their due time.
+// Orders a gateway's batch items by the runs of their customers and their due time.
 #include <tamarackglade/batches/batch_schedule.hpp>
 
 #include <algorithm>
+#include <compare>
+#include <map>
 #include <unordered_map>
 
 namespace tamarack {
@@ -49,6 +51,59 @@
     std::unordered_map<group_id, std::size_t> m_taken;
 };
 
+time_point dueAt(const customer_batch &job)
+{
+    return job.firstReadAt + job.completionObjective;
+}
+
+/// A customer's place among those whose items may start: fewer runs come first.
+struct queue_position
+{
+    std::size_t runs;
+    time_point dueAt;
+    customer_id customer;
+
+    friend auto operator<=>(const queue_position &, const queue_position &) = default;
+};
+
+/// The items of one customer, in the order in which they start.
+class customer_queue
+{
+public:
+    /// Jobs are added in the order of their due times.
+    void add(const customer_batch &job) { m_jobs.push_back(&job); }
+    /// Returns the job of the next item, or the last job if there is none.
+    [[nodiscard]] const customer_batch &front() const
+    {
+        return *m_jobs[std::min(m_job, m_jobs.size() - 1)];
+    }
+
+    /// Returns the next item that take() accepts, and goes past it and the ones before. Items of
+    /// jobs for which isBlocked() holds are passed over.
+    template <class IsBlocked, class Take>
+    std::optional<batch_item_key> next(item_owners &owners, const IsBlocked &isBlocked,
+                                       const Take &take)
+    {
+        for (; m_job < m_jobs.size(); ++m_job, m_item = 0) {
+            const customer_batch &job = *m_jobs[m_job];
+            if (isBlocked(job))
+                continue;
+            const auto &own = owners.ownItems(job.id, job.items.size());
+            while (m_item < own.size()) {
+                const batch_item_key key{job.id, item_index(own[m_item++])};
+                if (take(job, key))
+                    return key;
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    std::vector<const customer_batch *> m_jobs;
+    std::size_t m_job = 0; // of m_jobs
+    std::size_t m_item = 0; // of this gateway's items of the job
+};
+
 } // namespace
 
 std::vector<batch_item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
@@ -68,17 +123,17 @@
         }
     }
     owners.dropUnused();
-    const auto dueAt = [](const customer_batch *job) {
-        return job->firstReadAt + job->completionObjective;
-    };
-    std::sort(open.begin(), open.end(), [&](const customer_batch *a, const customer_batch *b) {
-        return std::pair(dueAt(a), a->id) < std::pair(dueAt(b), b->id);
+    std::sort(open.begin(), open.end(), [](const customer_batch *a, const customer_batch *b) {
+        return std::pair(dueAt(*a), a->id) < std::pair(dueAt(*b), b->id);
     });
     const auto mayStart = [&](const customer_batch &job, const batch_item_key &key) {
         const batch_job_item &item = job.items[key.item.value()];
         return item.state == batch_item_state::Waiting && now >= startableAt(item)
                && !running.contains(key);
     };
+    std::map<customer_id, std::size_t> runs;
+    for (const batch_item_key &key : running)
+        ++runs[key.batch.customer];
     std::vector<batch_item_key> items;
     for (const customer_batch *job : open) {
         const auto &own = owners.ownItems(job->id, job->items.size());
@@ -91,14 +146,28 @@
         }
     }
     group_quota quota(maxItems);
-    for (const customer_batch *job : open) {
-        if (quota.isUsedUp(groups.ofJob(*job)))
+    std::map<customer_id, customer_queue> queues;
+    for (const customer_batch *job : open)
+        queues[job->id.customer].add(*job);
+    std::set<queue_position> order;
+    for (const auto &[customer, queue] : queues)
+        order.insert({runs[customer], dueAt(queue.front()), customer});
+    const auto take = [&](const customer_batch &job, const batch_item_key &key) {
+        return !begun.contains(key) && mayStart(job, key) && quota.take(groups.ofItem(job, key));
+    };
+    const auto isBlocked = [&](const customer_batch &job) {
+        return quota.isUsedUp(groups.ofJob(job));
+    };
+    while (!order.empty()) {
+        queue_position position = order.extract(order.begin()).value();
+        customer_queue &queue = queues[position.customer];
+        const auto key = queue.next(owners, isBlocked, take);
+        if (!key)
             continue;
-        for (const std::uint32_t number : owners.ownItems(job->id, job->items.size())) {
-            const batch_item_key key{job->id, item_index(number)};
-            if (!begun.contains(key) && mayStart(*job, key) && quota.take(groups.ofItem(*job, key)))
-                items.push_back(key);
-        }
+        items.push_back(*key);
+        ++position.runs;
+        position.dueAt = dueAt(queue.front());
+        order.insert(position);
     }
     return items;
 }
--- a/tests/unit-batches.cpp
+++ b/tests/unit-batches.cpp
@@ -25,11 +25,12 @@
     return {0, stream_position(position), 1, 4};
 }
 
-std::string acceptedRecord(const std::string &job, std::size_t count, std::uint64_t dueMs = 18'000)
+std::string acceptedRecord(const std::string &job, std::size_t count, std::uint64_t dueMs = 18'000,
+                           const std::string &customer = North.value())
 {
     schema::batch_accepted_message record;
     record.job = job;
-    record.customer = North.value();
+    record.customer = customer;
     record.route = "checks";
     record.due_ms = dueMs;
     record.retention_ms = 60'000;
@@ -442,6 +443,47 @@
     CHECK(count("late") == 5);
 }
 
+TEST_CASE("a customer's thousand items don't hold up another's ten past their due time")
+{
+    constexpr std::size_t Slots = 8;
+    constexpr std::chrono::seconds RunTime{1};
+    batch_fold fold(120s);
+    for (int job = 0; job < 5; ++job)
+        fold.apply(acceptedRecord("large" + std::to_string(job), 200, 18'000), Start);
+    fold.apply(acceptedRecord("small", 10, 20'000, "south"), Start);
+    const batch_id small{customer_id("south"), job_id("small")};
+    time_point now = Start;
+    std::size_t finished = 0;
+    for (; fold.find(small)->open() && now < Start + 200s; now += RunTime) {
+        fold.confirm(now);
+        auto items = itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, {}, now, now, Slots);
+        items.resize(std::min(items.size(), Slots));
+        finished += items.size();
+        for (const batch_item_key &key : items)
+            fold.apply(finishedRecord(key.batch.job.value(), key.item.value(), 1), now);
+    }
+    CHECK(now <= Start + 20s);
+    CHECK(finished == static_cast<std::size_t>((now - Start) / RunTime) * Slots);
+}
+
+TEST_CASE("a customer whose items run waits for those that have none running")
+{
+    batch_fold fold(120s);
+    fold.apply(acceptedRecord("early", 10, 18'000), Start);
+    fold.apply(acceptedRecord("late", 10, 20'000, "south"), Start);
+    fold.confirm(Start);
+    const auto keyOf = [](const customer_id &customer, const char *job, std::uint32_t item) {
+        return batch_item_key{{customer, job_id(job)}, item_index(item)};
+    };
+    const customer_id south("south");
+    const std::set<batch_item_key> running{keyOf(North, "early", 0), keyOf(North, "early", 1)};
+    const auto items =
+        itemsToStart({&fold}, vm_id("a"), {vm_id("a")}, {}, running, Start, Start, 5);
+    CHECK(items
+          == std::vector{keyOf(south, "late", 0), keyOf(south, "late", 1), keyOf(North, "early", 2),
+                         keyOf(south, "late", 2), keyOf(North, "early", 3)});
+}
+
 TEST_CASE("items with a part of their text are listed first and beyond the maximum")
 {
     batch_fold fold(60s);
