--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -2,8 +2,8 @@
 #include <tamarackglade/batches/batch_schedule.hpp>
 
 #include <algorithm>
-#include <compare>
 #include <map>
+#include <tuple>
 #include <unordered_map>
 
 namespace tamarack {
@@ -63,7 +63,10 @@
     time_point dueAt;
     customer_id customer;
 
-    friend auto operator<=>(const queue_position &, const queue_position &) = default;
+    friend bool operator<(const queue_position &a, const queue_position &b)
+    {
+        return std::tie(a.runs, a.dueAt, a.customer) < std::tie(b.runs, b.dueAt, b.customer);
+    }
 };
 
 /// The items of one customer, in the order in which they start.
