A configuration that can't be decoded doesn't confirm the one before it

What callers would see: batch items of a route that only the newest configuration has are listed as dead for good, 404 and 401 for what it allows, and keys that it withdrew go on working, at a gateway that can't decode it.

Cause: a read of the configuration's stream counted as proof that the configuration in force is the newest, whether its record could be decoded or not.

Change: active_config isn't confirmed from an undecodable record on, until one follows that can be decoded. All that is final asks for the confirmation already; the refresh of an unknown route or key fails, so that it gets 503.

--- a/include/tamarackglade/forward/active_config.hpp
+++ b/include/tamarackglade/forward/active_config.hpp
@@ -13,7 +13,8 @@
 ///
 /// A read of the log that shows no newer version confirms the configuration. The age of the
 /// confirmation is counted from when the read was sent, by a clock that continues while the VM is
-/// suspended.
+/// suspended. A published version that can't be read may have replaced the configuration, so that
+/// nothing confirms it from then on, until a version that can be read follows.
 class active_config
 {
 public:
@@ -22,6 +23,9 @@
     /// @return whether it was activated
     bool accept(std::shared_ptr<const forward_config> config, time_point sentAt);
 
+    /// @brief Records that the newest published version can't be read.
+    void onUnreadable() { m_newestIsUnreadable = true; }
+
     /// @brief Records a read that showed no newer version; ignored without a configuration.
     /// @param sentAt when the read was sent
     void confirm(time_point sentAt);
@@ -32,10 +36,13 @@
     [[nodiscard]] std::optional<time_point> confirmedAt() const { return m_confirmedAt; }
     /// @return whether the newest confirming read was sent less than bound ago
     [[nodiscard]] bool freshWithin(duration bound, time_point now) const;
+    /// @return whether a version that can't be read was published after the active one
+    [[nodiscard]] bool newestIsUnreadable() const { return m_newestIsUnreadable; }
 
 private:
     std::shared_ptr<const forward_config> m_config;
     std::optional<time_point> m_confirmedAt; // set if m_config is set; never decreases
+    bool m_newestIsUnreadable = false;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/process/config_watch.hpp
+++ b/include/tamarackglade/gateway/process/config_watch.hpp
@@ -9,8 +9,8 @@
 
 namespace tamarack {
 
-/// @brief Follows the stream in which operators publish the configuration. A malformed record is
-/// logged and ignored.
+/// @brief Follows the stream in which operators publish the configuration. A configuration that
+/// can't be read is logged; the one before it stays active, but isn't confirmed any more.
 class config_watch final : private stream_listener
 {
 public:
@@ -24,8 +24,8 @@
     void start() { m_follower.start(); }
     /// @brief Reads the stream now, unless a read sent at since or later has confirmed the
     /// configuration.
-    /// @return false if the store gave no answer
-    bool refresh(time_point since) { return m_follower.catchUp(since); }
+    /// @return false if the store gave no answer, or its newest configuration can't be read
+    bool refresh(time_point since);
     [[nodiscard]] const active_config &activeConfig() const { return m_activeConfig; }
 
 private:
--- a/src/forward/active_config.cpp
+++ b/src/forward/active_config.cpp
@@ -9,6 +9,8 @@
 bool active_config::accept(std::shared_ptr<const forward_config> config, time_point sentAt)
 {
     const bool newer = !m_config || m_config->version() < config->version();
+    if (!m_config || m_config->version() <= config->version())
+        m_newestIsUnreadable = false;
     if (newer)
         m_config = std::move(config);
     confirm(sentAt);
@@ -17,7 +19,7 @@
 
 void active_config::confirm(time_point sentAt)
 {
-    if (!m_config)
+    if (!m_config || m_newestIsUnreadable)
         return;
     m_confirmedAt = m_confirmedAt ? std::max(*m_confirmedAt, sentAt) : sentAt;
 }
--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -30,6 +30,11 @@
 {
 }
 
+bool config_watch::refresh(time_point since)
+{
+    return m_follower.catchUp(since) && !m_activeConfig.newestIsUnreadable();
+}
+
 void config_watch::onSnapshot(const std::vector<keyed_record> &records, time_point sentAt)
 {
     for (const keyed_record &record : records)
@@ -53,6 +58,7 @@
     if (!config.ok()) {
         log_event(log_level::Error, "configuration refused")
             .with("reason", std::string(config.status().message()));
+        m_activeConfig.onUnreadable();
         return;
     }
     const auto version = (*config)->version();
--- /dev/null
+++ b/tests/shell-gateway-config.cpp
@@ -0,0 +1,112 @@
+// Tests of what the reads of the configuration's stream prove.
+#include <platform/http_protocol.hpp>
+#include <tamarackglade/batches/batch_schedule.hpp>
+#include <tamarackglade/gateway/process/config_watch.hpp>
+#include <tamarackglade/runtime/boot_now.hpp>
+#include <tamarackglade/runtime/io_thread.hpp>
+
+#include <doctest/doctest.h>
+
+#include <utility>
+#include <vector>
+
+using namespace tamarack;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char KeySeparator = '=';
+
+/// Answers all reads at once. Its keyed records are written KEY=VALUE.
+class memory_store final : public record_store
+{
+public:
+    append_reply append(const stream_partition & /*partition*/,
+                        const std::vector<std::string> & /*records*/,
+                        std::optional<stream_position> /*expectedEnd*/) override
+    {
+        return {};
+    }
+    read_reply read(const stream_partition & /*partition*/, stream_position from,
+                    std::chrono::milliseconds /*wait*/) override
+    {
+        const auto first = records.begin() + static_cast<std::ptrdiff_t>(from.value());
+        return {read_result::Read, stream_position(records.size()), stream_position(0),
+                std::vector<std::string>(first, records.end())};
+    }
+    read_reply readRange(const stream_partition & /*partition*/, stream_position /*from*/,
+                         std::uint64_t /*bytes*/) override
+    {
+        return {};
+    }
+    newest_reply newest(const stream_partition & /*partition*/) override
+    {
+        newest_reply reply;
+        reply.read = true;
+        return reply;
+    }
+    [[nodiscard]] std::string encodeKeyed(const keyed_record &record) const override
+    {
+        return record.key + KeySeparator + record.value;
+    }
+    [[nodiscard]] std::optional<keyed_record> decodeKeyed(const std::string &content) const override
+    {
+        const auto separator = content.find(KeySeparator);
+        return keyed_record{content.substr(0, separator), content.substr(separator + 1)};
+    }
+
+    std::vector<std::string> records;
+};
+
+/// Publishes configurations and lets a watch read them.
+struct watched_stream
+{
+    watched_stream() : watch(store, protocol, 5s, [](const forward_config &) {}) { }
+
+    bool publish(const std::string &value)
+    {
+        store.records.push_back(store.encodeKeyed({protocol.configKey(), value}));
+        return watch.refresh(bootNow());
+    }
+
+    platform::http_protocol protocol;
+    memory_store store;
+    config_watch watch;
+};
+
+std::string configOfVersion(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+} // namespace
+
+TEST_CASE("items aren't given up for a route that a configuration which can't be read may have")
+{
+    io_thread thread;
+    thread.run([&] {
+        watched_stream stream;
+        CHECK(stream.publish(configOfVersion(1)));
+        CHECK_FALSE(stream.publish("{"));
+        customer_batch job;
+        job.firstReadAt = bootNow();
+        CHECK_FALSE(stream.watch.refresh(bootNow()));
+        CHECK_FALSE(routeWasRemoved(job, stream.watch.activeConfig().confirmedAt()));
+        CHECK(stream.publish(configOfVersion(3)));
+        CHECK(routeWasRemoved(job, stream.watch.activeConfig().confirmedAt()));
+    });
+}
+
+TEST_CASE("a configuration that can't be read doesn't confirm the one before it")
+{
+    io_thread thread;
+    thread.run([&] {
+        watched_stream stream;
+        CHECK(stream.publish(configOfVersion(2)));
+        const auto confirmedAt = stream.watch.activeConfig().confirmedAt();
+        CHECK_FALSE(stream.publish("not JSON"));
+        CHECK_FALSE(stream.publish(configOfVersion(1)));
+        CHECK(stream.watch.activeConfig().confirmedAt() == confirmedAt);
+        CHECK(stream.watch.activeConfig().current()->version() == config_version(2));
+    });
+}
