A success that is no stream doesn't end a stream that broke off

What callers saw: a stream that broke off behind its second event ended as whole if the next engine answered 202, 204 or 206; a batch item was listed as done with two of its five events.

Cause: any 2xx counted as the continuation of a stream, and a delimited body without events as its proper end.

Change: a stream that has begun goes on only with 200, and with an event stream if a type is named; any other success is a broken attempt. A new request's 2xx that isn't 200 is passed on whole. For an item it is neither its text nor a failed run.

--- a/include/tamarackglade/http/http_response.hpp
+++ b/include/tamarackglade/http/http_response.hpp
@@ -16,4 +16,10 @@
     std::string body;
 };
 
+/// @return whether the status is one of the successes; only 200 says that the whole body follows
+inline bool isSuccess(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 } // namespace tamarack
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -127,6 +127,9 @@
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
+    // A success that is no stream is neither the item's text nor a failure of the item.
+    if (result.outcome == attempt_outcome::Answered && isSuccess(result.response.status))
+        result.outcome = attempt_outcome::Broken;
     progress.isUnfinished = events.isUnfinished();
     observer.onEnd(result);
     // An error response may be caused by the item. A single one does not eject the upstream.
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::seconds MaxOperationTime{60}; // of one read or write
 constexpr unsigned MaxSkippedCopies = 2; // for one request
 constexpr std::size_t MaxSkippedBytes = 1024 * 1024; // of the body of such a copy
+constexpr unsigned StatusOk = 200; // the only status of a stream
 constexpr unsigned Misdirected = 421; // another upstream is at the address
 constexpr std::chrono::milliseconds ConnectTimeout{400};
 constexpr std::chrono::milliseconds StartCheckTimeout{150};
@@ -113,6 +114,14 @@
     return splitter.hasPartial() || (!hasEvent && !isDelimited);
 }
 
+// A success without content, of a part or of another type says nothing about the rest of a stream.
+bool goesOnWithStream(const http_response &head)
+{
+    const bool isOtherType =
+        !head.contentType.empty() && !absl::StartsWithIgnoreCase(head.contentType, EventStreamType);
+    return head.status == StatusOk && !isOtherType;
+}
+
 attempt_result makeResult(attempt_outcome outcome, std::string reason)
 {
     attempt_result result;
@@ -290,8 +299,12 @@
         client.close();
         return makeResult(attempt_outcome::Broken, rejectionReason(verdict));
     }
-    const bool success = head.status >= 200 && head.status < 300;
-    if (!success || !call.streamed)
+    if (call.streamed && call.progress.last() && isSuccess(head.status)
+        && !goesOnWithStream(head)) {
+        client.close();
+        return makeResult(attempt_outcome::Broken, "response doesn't go on with the stream");
+    }
+    if (!call.streamed || head.status != StatusOk)
         return readBody(client, head, metadata, call.limits, MaxResponseBytes);
     if (!call.sink.onHead(head, metadata))
         return makeResult(attempt_outcome::Cancelled, "caller gone");
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -277,6 +277,9 @@
             return
         status = request["status"] = engine.statuses.get(request["id"], engine.status)
         engine.runs.append(request)
+        if engine.resume_status and "Last-Event-Id" in self.headers:
+            self.answer(engine.resume_status, b"", self.identity(request))
+            return
         if status != 200:
             self.answer(status, b"failed", self.identity(request))
             return
@@ -347,7 +350,7 @@
                 time.sleep(engine.silence_s)
             event = b"id: %d\ndata: %s-%d\n\n" % (number, request["id"].encode(), number)
             if engine.break_at == number:
-                self.chunk(event[:7])
+                self.chunk(event[:7] if engine.breaks_inside else event)
                 self.connection.shutdown(socket.SHUT_RDWR)
                 self.close_connection = True
                 return
@@ -432,6 +435,7 @@
         self.states_start = True  # in its report
         self.state_queries = 0
         self.break_at = None  # number of the event within which the connection is cut
+        self.breaks_inside = True  # False: cut behind that event
         self.silent_at = None
         self.silence_s = 5.0
         self.extra_answers = 0
@@ -441,6 +445,7 @@
         self.unframed = False  # streams have no chunks and end with the connection
         self.ends_after_head = False
         self.empty_resumes = False  # resumed streams have no event
+        self.resume_status = None  # of an empty response to a resumed stream
         self.comments = False  # a comment follows each event
         self.deadly_parts = set()  # ids of prompt parts that crash the engine
         self.deadly_bodies = set()  # (customer, body) of requests that crash the engine
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -248,6 +248,24 @@
         self.assertTrue([run for engine in self.engine for run in engine.runs
                          if run["headers"].get("Last-Event-Id") == "1"])
 
+    def check_resume_with_status(self, status):
+        for engine in self.engine:
+            engine.break_at, engine.breaks_inside = 1, False
+            engine.resume_status = status
+        with self.assertRaises(http.client.IncompleteRead):
+            self.call()
+        self.assertTrue([run for engine in self.engine for run in engine.runs
+                         if run["headers"].get("Last-Event-Id") == "1"])
+
+    def test_a_stream_is_not_completed_by_a_204_to_its_resume(self):
+        self.check_resume_with_status(204)
+
+    def test_a_stream_is_not_completed_by_a_202_to_its_resume(self):
+        self.check_resume_with_status(202)
+
+    def test_a_stream_is_not_completed_by_a_206_to_its_resume(self):
+        self.check_resume_with_status(206)
+
     def test_a_leaving_callers_request_is_dropped(self):
         for engine in self.engine:
             engine.events = 10000
@@ -866,6 +884,29 @@
             engine.break_at, engine.empty_resumes = None, False
         self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
 
+    def test_an_item_is_not_done_by_a_success_without_content(self):
+        for engine in self.engine:
+            engine.break_at, engine.breaks_inside = 1, False
+            engine.resume_status = 204
+        self.assertEqual(self.submit("j", items=1), 202)
+        wait_until(lambda: [run for engine in self.engine for run in engine.runs
+                            if run["headers"].get("Last-Event-Id") == "1"], "resumed item")
+        time.sleep(0.5)
+        self.assertEqual(self.results("j")[1]["results"], [])
+        for engine in self.engine:
+            engine.break_at = engine.resume_status = None
+        self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
+
+    def test_an_item_that_gets_a_success_that_is_no_stream_is_not_given_up(self):
+        for engine in self.engine:
+            engine.status = 202
+        self.assertEqual(self.submit("j", items=1), 202)
+        wait_until(lambda: len(self.engine[0].runs + self.engine[1].runs) >= 3, "three runs")
+        self.assertEqual(self.results("j")[1]["results"], [])
+        for engine in self.engine:
+            engine.status = 200
+        self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
+
     def test_comments_are_no_part_of_an_items_text(self):
         for engine in self.engine:
             engine.comments = True
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -1,43 +1,33 @@
 // Tests that a response which breaks off at an upstream is never taken for a complete one.
+#include "support/scripted_upstream.hpp"
 #include <platform/http_protocol.hpp>
 #include <tamarackglade/gateway/upstream/upstream_caller.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 #include <set>
 #include <sstream>
 #include <string>
-#include <thread>
 
 using namespace tamarack;
 using namespace std::chrono_literals;
-namespace asio = boost::asio;
-using asio::ip::tcp;
+using tamarack::testing::ending;
+using tamarack::testing::scripted_upstream;
+using tamarack::testing::upstream_script;
 
 namespace {
 
 enum class framing { Length, Chunks, UntilClose };
-enum class ending { Close, Reset };
-
-struct upstream_script
-{
-    std::string beforePause;
-    std::string afterPause;
-    ending end = ending::Close;
-};
-
 const std::string Events = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
 
-std::string responseText(framing framed, const std::string &body)
+std::string responseText(framing framed, const std::string &body,
+                         const std::string &statusAndType = "200 OK")
 {
-    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n";
+    const std::string head =
+        "HTTP/1.1 " + statusAndType + "\r\nRequest-Id: r1\r\nResponse-Signature: s\r\n";
     switch (framed) {
     case framing::Length:
         return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -59,46 +49,6 @@
     return head + "\r\n" + body;
 }
 
-/// One connection: reads a request's head, plays the script and ends.
-class scripted_upstream
-{
-public:
-    explicit scripted_upstream(upstream_script script)
-        : m_script(std::move(script)), m_acceptor(m_io, {asio::ip::make_address("127.0.0.1"), 0}),
-          m_port(m_acceptor.local_endpoint().port()), m_thread([this] { play(); })
-    {
-    }
-    scripted_upstream(const scripted_upstream &) = delete;
-    scripted_upstream &operator=(const scripted_upstream &) = delete;
-    ~scripted_upstream() { m_thread.join(); }
-
-    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
-
-private:
-    void play()
-    {
-        tcp::socket socket(m_io);
-        m_acceptor.accept(socket);
-        asio::streambuf request;
-        boost::system::error_code ignored;
-        asio::read_until(socket, request, "\r\n\r\n", ignored);
-        asio::write(socket, asio::buffer(m_script.beforePause), ignored);
-        if (!m_script.afterPause.empty()) {
-            std::this_thread::sleep_for(1ms);
-            asio::write(socket, asio::buffer(m_script.afterPause), ignored);
-        }
-        if (m_script.end == ending::Reset)
-            socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        socket.close(ignored);
-    }
-
-    upstream_script m_script;
-    asio::io_context m_io;
-    tcp::acceptor m_acceptor;
-    std::uint16_t m_port;
-    std::thread m_thread;
-};
-
 /// Collects what a caller would get. A slow caller reads nothing for a while after each part.
 class collecting_sink final : public response_sink
 {
@@ -117,11 +67,13 @@
     }
     bool onFlush() override
     {
+        flushed = events;
         pause();
         return true;
     }
 
     std::string events;
+    std::string flushed; // what of the events the caller has got
 
 private:
     void pause() const
@@ -172,7 +124,7 @@
         const attempt_result result = caller.run(upstream, http_client_request{}, request_id("r1"),
                                                  streamed, limits, progress, sink, handle);
         received.outcome = result.outcome;
-        received.text = streamed ? sink.events : result.response.body;
+        received.text = streamed ? sink.flushed : result.response.body;
     });
     return received;
 }
@@ -286,6 +238,36 @@
     }
 }
 
+TEST_CASE("a stream that broke off isn't ended as whole by a success that is no stream")
+{
+    io_thread thread;
+    const std::string json = "200 OK\r\nContent-Type: application/json";
+    for (const std::string &head :
+         {std::string("201 Created"), std::string("202 Accepted"), std::string("204 No Content"),
+          std::string("205 Reset Content"), std::string("206 Partial Content"), json}) {
+        for (const framing framed : {framing::Length, framing::Chunks, framing::UntilClose}) {
+            for (const char *body : {"", "id: 3\ndata: c\n\n"}) {
+                CAPTURE(head);
+                CAPTURE(body);
+                const upstream_script script{responseText(framed, body, head), "", ending::Close};
+                const auto received = receive(thread, script, true, false, 2);
+                CHECK(received.outcome == attempt_outcome::Broken);
+                CHECK(received.text.empty());
+            }
+        }
+    }
+}
+
+TEST_CASE("an upstream's own success that is no stream is passed on whole, not as a broken stream")
+{
+    io_thread thread;
+    for (const framing framed : {framing::Length, framing::Chunks}) {
+        const upstream_script script{responseText(framed, "kept", "202 Accepted"), "",
+                                     ending::Close};
+        CHECK(receive(thread, script, true, false).outcome == attempt_outcome::Answered);
+    }
+}
+
 TEST_CASE("a stream of comments alone is broken")
 {
     io_thread thread;
