Batch items whose content is lost don't hold up others

What callers saw: a job handed in after one whose contents the store had lost was done only when those items were given up at the end of their retention.

Cause: a round lists at most eight new items of a group. An item whose content couldn't be read stayed on the list while its read was repeated every 300 ms, so that eight of them left no place.

Evidence: the new e2e test fails on: 20 items of the later job took 60 s with idle engines, and the 40 items without content were dead by then.

Change: after a failed read the item is off the list for a pause that doubles from 300 ms to 8 s, as after a run that broke at once.

--- a/include/tamarackglade/gateway/batch/item_run.hpp
+++ b/include/tamarackglade/gateway/batch/item_run.hpp
@@ -32,6 +32,7 @@
     std::vector<prompt_part_id> sharedParts;
     request_fingerprint fingerprint; // valid if content is set
     bool reading = false; // the content is being read
+    unsigned failedReads = 0; // of the content
     std::string text; // output of the events so far
     std::optional<std::uint64_t> lastEvent;
     std::optional<stream_origin> origin; // of the text; set by its first event
@@ -42,7 +43,7 @@
     bool isUnfinished = false; // a run broke off inside the event after lastEvent
     unsigned emptyResumes = 0; // runs in a row that ended in order without an event
     unsigned earlyFailures = 0; // runs in a row that failed before their first event
-    time_point startableAt{}; // after such a run; not started before
+    time_point startableAt{}; // after such a run or read; not started before
 
     /// @brief Discards the output, so that the next run begins anew.
     void restart()
--- a/src/gateway/batch/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -1,5 +1,6 @@
 // Selects the batch items to run and their upstreams, and makes items yield their slots.
 #include <tamarackglade/batches/batch_codec.hpp>
+#include <tamarackglade/core/doubling_pause.hpp>
 #include <tamarackglade/forward/group_choice.hpp>
 #include <tamarackglade/gateway/batch/batch_runner.hpp>
 #include <tamarackglade/logging/log_event.hpp>
@@ -17,7 +18,10 @@
 constexpr std::size_t MaxStartsPerRound = 8; // of each group, per call of schedule()
 // No items start from older folds, as an item may be finished or its job ended by now.
 constexpr std::chrono::milliseconds MaxFoldAge{2'000};
-constexpr std::chrono::milliseconds ReadRetryPause{300};
+// After a failed read of an item's content. It isn't listed meanwhile, as it would take the place
+// of an item that can start.
+constexpr std::chrono::milliseconds FirstReadPause{300};
+constexpr std::chrono::seconds MaxReadPause{8};
 
 item_work workOf(const batch_item_key &key, const customer_batch &job)
 {
@@ -222,19 +226,22 @@
         log_event(log_level::Warning, "content of a batch item not read")
             .with("job", key.batch.job.value())
             .with("item", key.item.value());
-        boost::this_fiber::sleep_for(ReadRetryPause);
     }
     const auto found = m_progress.find(key);
     if (found == m_progress.end())
         return;
-    found->second.reading = false;
-    if (!content)
+    item_progress &progress = found->second;
+    progress.reading = false;
+    if (!content) {
+        progress.startableAt =
+            bootNow() + doublingPause(FirstReadPause, MaxReadPause, progress.failedReads++);
         return;
-    found->second.sharedParts = m_context.protocol.sharedPartsOf(*content);
+    }
+    progress.sharedParts = m_context.protocol.sharedPartsOf(*content);
     const std::string_view body(reinterpret_cast<const char *>(content->body.data()),
                                 content->body.size());
-    found->second.fingerprint = fingerprintOf(customer, content->path, body);
-    found->second.content = std::move(*content);
+    progress.fingerprint = fingerprintOf(customer, content->path, body);
+    progress.content = std::move(*content);
 }
 
 bool batch_runner::yieldOne(const std::optional<software_version> &version)
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -1,4 +1,5 @@
 // Runs batch items at upstreams and decides what follows from the results.
+#include <tamarackglade/core/doubling_pause.hpp>
 #include <tamarackglade/gateway/batch/batch_runner.hpp>
 #include <tamarackglade/gateway/relay/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
@@ -148,11 +149,8 @@
     }
     if (result.outcome != attempt_outcome::Broken && result.outcome != attempt_outcome::Silent)
         return;
-    duration pause = FirstFailurePause;
-    for (unsigned i = 0; i < progress.earlyFailures && pause < MaxFailurePause; ++i)
-        pause *= 2;
-    ++progress.earlyFailures;
-    progress.startableAt = bootNow() + std::min<duration>(pause, MaxFailurePause);
+    progress.startableAt =
+        bootNow() + doublingPause(FirstFailurePause, MaxFailurePause, progress.earlyFailures++);
     // Nothing may be left of the text, without a response that shows so.
     if (result.endedWithoutEvent && ++progress.emptyResumes >= MaxEmptyResumes && progress.origin)
         startOver(work, "its resumes got no event");
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -907,6 +907,29 @@
             engine.status = 200
         self.assertEqual(self.finished("j", 1)[0]["outputText"], output_text("j-0"))
 
+    def test_items_whose_content_is_lost_do_not_hold_up_others(self):
+        for engine in self.engine:
+            self.store.put("keyed.servers", engine.id, engine.record("draining"))
+        for gateway in self.gateway:
+            wait_until(lambda: sum(bool(line.get("leaving"))  # noqa: B023
+                                   for line in gateway.lines_of("upstream changed")) >= 2, "drain")
+        self.assertEqual(self.submit("lost", items=40, tokens=10), 202)
+        for gateway in self.gateway:
+            gateway.process.kill()
+        for stream, partition in list(self.store.partitions):
+            if stream == "batch-contents":
+                self.store.drop_history((stream, partition))
+        for engine in self.engine:
+            self.store.put("keyed.servers", engine.id, engine.record())
+        for gateway in self.gateway:
+            gateway.process.start()
+        for gateway in self.gateway:
+            wait_until(gateway.ready, "ready")
+        self.wait_for_shared_items()
+        self.assertEqual(self.submit("sound", items=20, tokens=10), 202)
+        self.assertEqual({r["state"] for r in self.finished("sound", 20)}, {"done"})
+        self.assertEqual(self.results("lost")[1]["results"], [])
+
     def test_comments_are_no_part_of_an_items_text(self):
         for engine in self.engine:
             engine.comments = True
