Batch items leave a group of a split route whose upstreams take nothing

What callers saw: the smaller group's share of a job, neither done nor dead while the other group's engines were idle, when its engine was gone with its record still there, refused everything or hung; items dead after two 500s of that engine; texts begun there that never moved.

Cause: the group was drawn by the id among those with a record. A record says that an engine was there, not that it takes work.

Change: failure_score notes a streak of failures without an answer in between. A begun text is written anew elsewhere only if each upstream of its version fails and another place takes work. New gauge tamarack_failing_upstreams.

--- a/include/tamarackglade/gateway/batch/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -62,9 +62,11 @@
     [[nodiscard]] item_groups groupsIn(const forward_config &config) const;
     /// @return the group whose upstreams are to run the item
     [[nodiscard]] group_id groupOf(const forward_route &route, const batch_item_key &key,
-                                   const request_id &request) const;
+                                   const batch_job_item &item) const;
     /// @return whether the group has upstreams that can go on with a text of the origin
-    [[nodiscard]] bool canGoOn(const stream_origin &origin, const group_id &group) const;
+    /// @param other group that would write the text anew
+    [[nodiscard]] bool canGoOn(const stream_origin &origin, const group_id &group,
+                               const group_id &other) const;
     /// @brief Discards the text of an item, so that its next run writes it anew.
     void startOver(const item_work &work, const std::string &reason);
     void start(const item_work &work, const upstream_id &upstream);
--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -89,6 +89,16 @@
     /// @return whether an upstream that the request doesn't exclude is usable, free slots or not
     [[nodiscard]] bool hasOthers(const placement_request &request, time_point now) const;
 
+    /// @return whether new work of the group may succeed now: an upstream that isn't excluded is
+    /// usable and doesn't fail all it gets. A record alone doesn't show that.
+    [[nodiscard]] bool takesWork(const group_id &group, const std::set<upstream_id> &excluded,
+                                 time_point now) const;
+    /// @return whether the group has an upstream that isn't leaving
+    [[nodiscard]] bool knows(const group_id &group) const;
+    /// @return whether each upstream of the group and version fails all it gets
+    [[nodiscard]] bool isFailing(const group_id &group, const software_version &version,
+                                 time_point now) const;
+
     /// @return whether only a free slot is missing for an online request at the upstream
     [[nodiscard]] bool needsSlot(const upstream_id &id, time_point now) const;
 
@@ -99,9 +109,13 @@
 
     /// @brief Records the success of an attempt in the upstream's failure score.
     void onSuccess(const upstream_id &id, time_point now);
+    /// @brief Records that the upstream has begun to answer a request.
+    void onAnswer(const upstream_id &id);
     /// @brief Records the failure of an attempt in the upstream's failure score.
     void onFault(const upstream_id &id, attempt_fault fault, time_point now);
 
+    /// @return the number of upstreams that fail all they get from this process
+    [[nodiscard]] std::size_t failing(time_point now) const;
     /// @return the upstreams that this process currently ejects
     [[nodiscard]] std::vector<upstream_id> ejected(time_point now) const;
     /// @brief Removes decayed failure scores and expired peer reports; called periodically.
@@ -150,6 +164,7 @@
     [[nodiscard]] unsigned usedSlots(const upstream_id &id) const;
     [[nodiscard]] bool usable(const live_upstream &upstream, const group_id &group,
                               const std::optional<software_version> &version, time_point now) const;
+    [[nodiscard]] bool failsAll(const upstream_id &id, time_point now) const;
     [[nodiscard]] double occupiedCost(const live_upstream &upstream, unsigned used, work_class work,
                                       time_point now) const;
     [[nodiscard]] double failureCost(const upstream_id &id, time_point now) const;
--- a/src/gateway/batch/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -1,9 +1,9 @@
 // Selects the batch items to run and their upstreams, and makes items yield their slots.
 #include <tamarackglade/batches/batch_codec.hpp>
 #include <tamarackglade/core/doubling_pause.hpp>
-#include <tamarackglade/forward/group_choice.hpp>
 #include <tamarackglade/gateway/batch/batch_runner.hpp>
 #include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/placement/group_selection.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <boost/fiber/fiber.hpp>
@@ -66,8 +66,8 @@
         if (!contentReady(key, job))
             continue;
         const item_work work = workOf(key, job);
-        const auto upstream = pickUpstream(work, groupOf(*route, key, work.request),
-                                           failedUpstreams(job.items[key.item.value()]));
+        const batch_job_item &item = job.items[key.item.value()];
+        const auto upstream = pickUpstream(work, groupOf(*route, key, item), failedUpstreams(item));
         if (upstream)
             start(work, *upstream);
     }
@@ -82,7 +82,7 @@
     request.group = group;
     request.work = work_class::Batch;
     request.excluded = std::move(failedAt);
-    if (progress.origin && !canGoOn(*progress.origin, group))
+    if (progress.origin && !canGoOn(*progress.origin, group, group))
         startOver(work, "no upstream of its version");
     if (!progress.origin)
         return m_context.allocator.pick(request, now);
@@ -116,33 +116,37 @@
     };
     groups.ofItem = [this, &config](const customer_batch &job, const batch_item_key &key) {
         const forward_route *route = config.findRouteByName(job.routeName);
-        const request_id request(job.items[key.item.value()].id);
-        return route == nullptr ? group_id() : groupOf(*route, key, request);
+        return route == nullptr ? group_id() : groupOf(*route, key, job.items[key.item.value()]);
     };
     return groups;
 }
 
-// A text goes on in its group while the route leads there.
+// A text goes on in its group while the route leads there and upstreams may go on with it.
 group_id batch_runner::groupOf(const forward_route &route, const batch_item_key &key,
-                               const request_id &request) const
+                               const batch_job_item &item) const
 {
+    const time_point now = bootNow();
     const auto progress = m_progress.find(key);
-    if (progress != m_progress.end() && progress->second.origin) {
-        const group_id &origin = progress->second.origin->group;
-        if (std::any_of(route.groups.begin(), route.groups.end(),
-                        [&](const weighted_group &each) { return each.group == origin; })
-            && canGoOn(*progress->second.origin, origin))
-            return origin;
-    }
-    return chooseUsableGroup(route.groups, request, [this](const group_id &group) {
-        return !m_context.directory.versionsOf(group).empty();
-    });
+    const group_id &selected = selectGroup(route.groups, request_id(item.id), m_context.allocator,
+                                           failedUpstreams(item), now);
+    if (progress == m_progress.end() || !progress->second.origin)
+        return selected;
+    const stream_origin &origin = *progress->second.origin;
+    const bool leadsThere =
+        std::any_of(route.groups.begin(), route.groups.end(),
+                    [&](const weighted_group &each) { return each.group == origin.group; });
+    return leadsThere && canGoOn(origin, origin.group, selected) ? origin.group : selected;
 }
 
-bool batch_runner::canGoOn(const stream_origin &origin, const group_id &group) const
+// Upstreams that fail all they get may be back soon, so a text is only discarded for others.
+bool batch_runner::canGoOn(const stream_origin &origin, const group_id &group,
+                           const group_id &other) const
 {
+    const time_point now = bootNow();
     return origin.isKnownFor(group)
-           && m_context.directory.versionsOf(group).contains(origin.version);
+           && m_context.directory.versionsOf(group).contains(origin.version)
+           && (!m_context.allocator.isFailing(group, origin.version, now)
+               || !m_context.allocator.takesWork(other, {}, now));
 }
 
 void batch_runner::startOver(const item_work &work, const std::string &reason)
@@ -195,8 +199,8 @@
             job == nullptr ? nullptr : config.findRouteByName(job->routeName);
         if (route == nullptr || mustAbandon(*job, key.item.value(), now))
             continue;
-        const request_id request(job->items[key.item.value()].id);
-        if (m_context.quarantine.check(groupOf(*route, key, request), progress.sharedParts, now))
+        const batch_job_item &item = job->items[key.item.value()];
+        if (m_context.quarantine.check(groupOf(*route, key, item), progress.sharedParts, now))
             items.insert(key);
     }
     return items;
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -26,9 +26,9 @@
 {
 public:
     output_sink(item_progress &progress, item_run &run, run_observer &observer,
-                const live_upstream &upstream)
-        : m_progress(progress), m_run(run), m_observer(observer), m_group(upstream.group),
-          m_version(upstream.version)
+                slot_allocator &allocator, const live_upstream &upstream)
+        : m_progress(progress), m_run(run), m_observer(observer), m_allocator(allocator),
+          m_group(upstream.group), m_version(upstream.version)
     {
     }
 
@@ -45,6 +45,8 @@
         m_progress.text += eventData(event.text);
         m_progress.lastEvent = event.id ? event.id : m_progress.lastEvent;
         m_progress.emptyResumes = 0;
+        if (m_run.events == 0)
+            m_allocator.onAnswer(m_run.upstream);
         ++m_run.events;
         m_observer.onEvent();
         return true;
@@ -55,6 +57,7 @@
     item_progress &m_progress;
     item_run &m_run;
     run_observer &m_observer;
+    slot_allocator &m_allocator;
     const group_id m_group;
     software_version m_version; // empty if unknown
 };
@@ -124,7 +127,7 @@
     stream_progress events(progress.lastEvent);
     if (progress.isUnfinished)
         events.setUnfinished();
-    output_sink sink(progress, run, observer, upstream);
+    output_sink sink(progress, run, observer, m_context.allocator, upstream);
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -173,6 +173,7 @@
         m_origins.tick();
         m_metrics.set("tamarack_waiting_requests", static_cast<double>(m_blockingQueue.waiting()));
         m_metrics.set("tamarack_batch_runs", static_cast<double>(m_batches.running()));
+        m_metrics.set("tamarack_failing_upstreams", static_cast<double>(m_allocator.failing(now)));
         m_metrics.set("tamarack_rate_share", m_peerTable.share(now));
         m_metrics.set("tamarack_dropped_log_lines", static_cast<double>(droppedLogLines()));
         m_metrics.set("tamarack_serving_gateways",
--- a/src/gateway/upstream/attempt_result.cpp
+++ b/src/gateway/upstream/attempt_result.cpp
@@ -45,6 +45,8 @@
         allocator.onFault(upstream, *fault, now);
     else if (result.outcome == attempt_outcome::Complete)
         allocator.onSuccess(upstream, now);
+    else if (result.outcome == attempt_outcome::Answered)
+        allocator.onAnswer(upstream);
 }
 
 const char *nameOf(attempt_outcome outcome)
--- a/src/placement/failure_score.cpp
+++ b/src/placement/failure_score.cpp
@@ -11,6 +11,7 @@
     const double weight = fault == attempt_fault::Refused ? m_options.refusalWeight : 1.0;
     m_score = score(now) + weight;
     m_scoredAt = now;
+    extendStreak(fault, now);
     if (fault == attempt_fault::Refused)
         return;
     if (!ejectsImmediately(fault) && m_score < m_options.ejectionScore)
@@ -25,6 +26,35 @@
     m_score = score(now) * m_options.successFactor;
     m_scoredAt = now;
     m_ejectedUntil = time_point{};
+    onAnswer();
+}
+
+void failure_score::onAnswer()
+{
+    m_streak = 0;
+    m_pause = duration::zero();
+    m_failingUntil = time_point{};
+    m_onTrial = false;
+}
+
+void failure_score::onSent(time_point now)
+{
+    if (m_pause == duration::zero() || failing(now))
+        return;
+    m_onTrial = true;
+    m_failingUntil = now + m_options.trialTime;
+}
+
+// Requests that were sent before the pause began don't lengthen it.
+void failure_score::extendStreak(attempt_fault fault, time_point now)
+{
+    m_streak += fault == attempt_fault::Refused ? m_options.streakOfRefusal : 1.0;
+    if (m_streak < m_options.failingStreak || (failing(now) && !m_onTrial))
+        return;
+    const duration next = m_pause == duration::zero() ? m_options.firstPause : 2 * m_pause;
+    m_pause = std::min(next, m_options.maxPause);
+    m_failingUntil = now + m_pause;
+    m_onTrial = false;
 }
 
 double failure_score::score(time_point now) const
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -73,6 +73,35 @@
     });
 }
 
+bool slot_allocator::takesWork(const group_id &group, const std::set<upstream_id> &excluded,
+                               time_point now) const
+{
+    const auto &upstreams = m_directory.upstreams();
+    return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
+        return usable(entry.second, group, std::nullopt, now) && !excluded.contains(entry.first)
+               && !failsAll(entry.first, now);
+    });
+}
+
+bool slot_allocator::knows(const group_id &group) const
+{
+    const auto &upstreams = m_directory.upstreams();
+    return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
+        return entry.second.group == group && !entry.second.leaving;
+    });
+}
+
+bool slot_allocator::isFailing(const group_id &group, const software_version &version,
+                               time_point now) const
+{
+    const auto &upstreams = m_directory.upstreams();
+    return std::none_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
+        const live_upstream &upstream = entry.second;
+        return upstream.group == group && upstream.version == version && !upstream.leaving
+               && !failsAll(upstream.id, now);
+    });
+}
+
 unsigned slot_allocator::freeSlots(const group_id &group, work_class work, time_point now,
                                    const std::optional<software_version> &version)
 {
@@ -92,6 +121,9 @@
 {
     m_rates.onSent(id, now);
     ++m_own[id].of(work);
+    const auto found = m_failures.find(id);
+    if (found != m_failures.end())
+        found->second.onSent(now);
 }
 
 void slot_allocator::release(const upstream_id &id, work_class work)
@@ -111,11 +143,25 @@
         found->second.onSuccess(now);
 }
 
+void slot_allocator::onAnswer(const upstream_id &id)
+{
+    const auto found = m_failures.find(id);
+    if (found != m_failures.end())
+        found->second.onAnswer();
+}
+
 void slot_allocator::onFault(const upstream_id &id, attempt_fault fault, time_point now)
 {
     m_failures.try_emplace(id, m_options.failures).first->second.onFault(fault, now);
 }
 
+std::size_t slot_allocator::failing(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_failures.begin(), m_failures.end(),
+                      [now](const auto &entry) { return entry.second.failing(now); }));
+}
+
 std::vector<upstream_id> slot_allocator::ejected(time_point now) const
 {
     std::vector<upstream_id> result;
@@ -221,6 +267,12 @@
            && m_rates.maySend(id, work_class::Online, now);
 }
 
+bool slot_allocator::failsAll(const upstream_id &id, time_point now) const
+{
+    const auto found = m_failures.find(id);
+    return found != m_failures.end() && found->second.failing(now);
+}
+
 double slot_allocator::failureCost(const upstream_id &id, time_point now) const
 {
     const auto found = m_failures.find(id);
