Online requests leave a group of a split route whose upstreams take nothing

What callers saw: requests drawn to a group whose engine was gone, refused everything, hung or failed got 503 no_slot, 502 or 504, while the route's other group was idle.

Cause: the group was drawn once from the request's id, with no look at the directory or at what the group's upstreams did.

Change: until its first event a request asks selectGroup() before each attempt, without the upstreams that it has tried. The last engine of its group isn't its last resort if another group takes work.

--- a/src/gateway/relay/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -1,10 +1,10 @@
 // Course of one online request: slots, events and the log line at its end.
-#include <tamarackglade/forward/group_choice.hpp>
 #include <tamarackglade/gateway/relay/call_relay.hpp>
 #include <tamarackglade/gateway/relay/fingerprint_text.hpp>
 #include <tamarackglade/gateway/relay/gateway_refusal.hpp>
 #include <tamarackglade/gateway/relay/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/placement/group_selection.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <algorithm>
@@ -34,7 +34,6 @@
     if (m_call.timeLeft)
         timeout = std::min(timeout, *m_call.timeLeft);
     m_deadline = arrivedAt + timeout;
-    m_placement.group = chooseGroup(m_route.groups, m_call.id);
     m_placement.prefixHash = m_call.prefixHash;
 }
 
@@ -87,6 +86,9 @@
 {
     const bool resuming = m_exchange.started();
     const time_point now = bootNow();
+    if (!m_origin)
+        m_placement.group =
+            selectGroup(m_route.groups, m_call.id, m_context.allocator, m_placement.excluded, now);
     if (const auto blocked =
             m_context.quarantine.check(m_placement.group, m_call.sharedParts, now)) {
         refuseQuarantined(*blocked);
@@ -159,6 +161,8 @@
         m_firstEventAt = bootNow();
     if (!m_origin)
         beginStream();
+    if (m_runEvents == 0)
+        m_context.allocator.onAnswer(m_upstream);
     ++m_events;
     ++m_runEvents;
     m_observer->onEvent();
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -80,7 +80,12 @@
 {
     placement_request others = m_placement;
     others.excluded.insert(m_upstream);
-    return !m_origin && !m_context.allocator.hasOthers(others, bootNow());
+    const time_point now = bootNow();
+    if (m_origin || m_context.allocator.hasOthers(others, now))
+        return false;
+    return std::none_of(m_route.groups.begin(), m_route.groups.end(), [&](const auto &each) {
+        return m_context.allocator.takesWork(each.group, others.excluded, now);
+    });
 }
 
 // An upstream may have started again with another version since its record was read.
--- a/tests/e2e/test_split_routes.py
+++ b/tests/e2e/test_split_routes.py
@@ -2,13 +2,15 @@
 
 import time
 
-from site_standins import output_text
+from site_standins import complete_stream, output_text
 from support import main, wait_until
 import test_gateway
 
 SPLIT = [{"service": "small", "weight": 10}, {"service": "large", "weight": 90}]
 ITEMS = 40
+REQUESTS = 40
 PROMPT_S = 6.0  # within which items of the small group are done at the large one
+ANSWER_S = 1.5  # within which a request is answered by the large group
 
 
 def split_config():
@@ -109,5 +111,32 @@
                    and len(self.small.runs) > failed + 3, "runs at the small group", 20)
 
 
+class SplitStreamTest(SplitFleet):
+    """Online requests of a split route."""
+
+    def check_requests(self, trouble, path="/stream/x"):
+        self.trouble(trouble)
+        for _ in range(REQUESTS):
+            began = time.monotonic()
+            status, _, body, request = self.call(path)
+            self.assertEqual((status, body), (200, complete_stream(request)))
+            self.assertLess(time.monotonic() - began, ANSWER_S)
+
+    def test_requests_of_a_group_whose_engine_is_gone_are_served_elsewhere(self):
+        self.check_requests("gone")
+
+    def test_once_only_requests_of_a_group_whose_engine_is_gone_are_served_elsewhere(self):
+        self.check_requests("gone", "/once/x")
+
+    def test_requests_of_a_group_that_refuses_all_are_served_elsewhere(self):
+        self.check_requests("refuses")
+
+    def test_requests_of_a_group_that_hangs_are_served_elsewhere(self):
+        self.check_requests("hangs")
+
+    def test_requests_of_a_group_that_fails_are_served_elsewhere(self):
+        self.check_requests("fails")
+
+
 if __name__ == "__main__":
     main()
