A batch answer that goes on isn't completed by a refusal or a failed stream

What callers would see: a batch answer of tamarack-side that holds the text of an engine's error, or ends early as whole.

Cause: when a run was aborted and the next one refused, the data of the refusal was parsed as the stream; a 200 of another type was passed on as the whole answer; and a stream with an error event counted as complete if the end marker followed.

Evidence: "a stream with an error isn't a complete answer, although it has the end marker" states what isComplete() answered wrongly before; found by reading, the new cases need the new onHead() and weren't run on the old code.

Change: resumable_answer judges the head of each run and ignores the data of what is no stream; isComplete() asks for a stream without a failure.

--- a/include/tamarackglade/side/resumable_answer.hpp
+++ b/include/tamarackglade/side/resumable_answer.hpp
@@ -10,6 +10,13 @@
 
 namespace tamarack {
 
+/// @brief What the head of a run's response makes of it.
+enum class run_response {
+    Stream, // its events belong to the answer
+    WholeAnswer, // it is the answer to the call, unchanged
+    Refusal // it isn't what the call asked for, and the run fails
+};
+
 /// @brief Requests a stream from the engine, so that a call can resume where an aborted run
 /// stopped, and assembles the events into the answer that the engine would return without
 /// streaming.
@@ -29,11 +36,15 @@
     /// @return the body of the run's request
     std::string beginRun();
 
+    /// @brief Judges the response of the present run. Only a stream goes on with an answer that has
+    /// begun; the parts of any other response are ignored.
+    run_response onHead(unsigned status, std::string_view contentType);
+
     /// @brief Parses a part of the event stream, which may begin and end within a line.
     void onData(std::string_view data);
 
-    /// @return whether the run's stream ended with the end marker [DONE]
-    [[nodiscard]] bool isComplete() const { return m_complete; }
+    /// @return whether the run's stream ended with the end marker [DONE] and has no failure
+    [[nodiscard]] bool isComplete() const { return m_complete && m_failure.empty(); }
     /// @return the error in the run's stream, from the engine or of parsing; empty if there is none
     [[nodiscard]] const std::string &failure() const { return m_failure; }
     /// @return the number of tokens received in all runs, counted as events with text
@@ -62,6 +73,7 @@
     nlohmann::json m_finishReason;
     std::uint64_t m_promptTokens = 0;
     bool m_complete = false;
+    bool m_ignoresData = false; // the run's response is no stream
     std::string m_failure;
 };
 
--- a/src/side/resumable_answer.cpp
+++ b/src/side/resumable_answer.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view TextPath = "/completions";
 constexpr std::string_view EventPrefix = "data: ";
 constexpr std::string_view StreamEndMarker = "[DONE]";
+constexpr std::string_view EventStreamType = "text/event-stream";
+constexpr unsigned StatusOk = 200;
 // Request options whose answers hold more than the text of one choice.
 constexpr std::array<const char *, 8> UnresumableOptions{
     "best_of", "echo", "function_call", "functions", "logprobs", "suffix", "tools", "top_logprobs"};
@@ -59,6 +61,7 @@
 {
     m_partialLine.clear();
     m_complete = false;
+    m_ignoresData = false;
     m_failure.clear();
     dropLastToken();
     if (m_tokenCount > 0)
@@ -74,8 +77,21 @@
     --m_tokenCount;
 }
 
+run_response resumable_answer::onHead(unsigned status, std::string_view contentType)
+{
+    if (status == StatusOk && contentType.starts_with(EventStreamType))
+        return run_response::Stream;
+    m_ignoresData = true;
+    if (m_tokenCount == 0)
+        return run_response::WholeAnswer;
+    m_failure = "the engine did not go on with the answer: status " + std::to_string(status);
+    return run_response::Refusal;
+}
+
 void resumable_answer::onData(std::string_view data)
 {
+    if (m_ignoresData)
+        return;
     m_partialLine += data;
     std::size_t begin = 0;
     for (auto end = m_partialLine.find('\n'); end != std::string::npos;
--- a/src/side/side_server.cpp
+++ b/src/side/side_server.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval{5};
-constexpr unsigned StatusOk = 200;
-constexpr std::string_view EventStream = "text/event-stream";
 
 connection_id connectionIdOf(const std::shared_ptr<wire_peer> &peer)
 {
@@ -40,11 +38,7 @@
         m_contentType = contentType;
         if (m_streamed)
             forwardHead();
-        // If the engine refuses to resume, the run fails: the refusal is not the answer to the
-        // call. If the first run gets no event stream, its response is forwarded unchanged.
-        if (m_answer && m_answer->tokenCount() > 0 && status != StatusOk)
-            return;
-        if (status != StatusOk || !contentType.starts_with(EventStream))
+        if (m_answer && m_answer->onHead(status, contentType) == run_response::WholeAnswer)
             m_answer.reset();
     }
     void onData(std::string data) override
--- a/tests/shell-side.cpp
+++ b/tests/shell-side.cpp
@@ -85,6 +85,39 @@
         CHECK_FALSE(answer->isComplete());
         CHECK(answer->failure().find("lost") != std::string::npos);
     }
+    SUBCASE("a stream with an error isn't a complete answer, although it has the end marker")
+    {
+        answer->beginRun();
+        answer->onData(chatEvent("a ") + "data: {\"error\":{\"message\":\"lost\"}}\n\n" + ChatEnd);
+        CHECK_FALSE(answer->isComplete());
+        CHECK(answer->failure().find("lost") != std::string::npos);
+    }
+    SUBCASE("an answer that has begun isn't completed by a response that is no stream")
+    {
+        for (const auto &[status, type] :
+             {std::pair(503U, "text/event-stream"), std::pair(200U, "application/json"),
+              std::pair(204U, ""), std::pair(206U, "text/event-stream")}) {
+            auto begun = resumable_answer::fromRequest(ChatTarget, Request);
+            begun->beginRun();
+            CHECK(begun->onHead(200, "text/event-stream") == run_response::Stream);
+            begun->onData(chatEvent("a ") + chatEvent("b "));
+            begun->beginRun();
+            CHECK(begun->onHead(status, type) == run_response::Refusal);
+            begun->onData(chatEvent("error text") + ChatEnd);
+            CHECK_FALSE(begun->isComplete());
+            CHECK(begun->tokenCount() == 1);
+            begun->beginRun();
+            CHECK(begun->onHead(200, "text/event-stream") == run_response::Stream);
+            begun->onData(chatEvent("b ") + chatEvent("c") + ChatEnd);
+            REQUIRE(begun->isComplete());
+            CHECK(json::parse(begun->body())["choices"][0]["message"]["content"] == "a b c");
+        }
+    }
+    SUBCASE("the first run's response that is no stream is the answer")
+    {
+        answer->beginRun();
+        CHECK(answer->onHead(422, "application/json") == run_response::WholeAnswer);
+    }
     SUBCASE("a malformed event is a failure")
     {
         answer->beginRun();
