Events in front of a gap reach the caller before the stream goes on elsewhere

What callers would see: a stream that ends as whole without its last events, if an engine skips an event, or sends one without end, in the same part of the body as sound ones, and the next engine has nothing left to send.

Cause: the attempt ended before the sound events of the part were written to the caller, while the next run was asked to go on behind them. They were written with the next event only.

Evidence: the new case of shell-gateway-responses; found by reading.

Change: what was parsed is written first; then the attempt ends as broken.

Result: shell-gateway-responses passes.

--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -327,10 +327,12 @@
         if (part->empty())
             break;
         splitter.feed(*part);
+        bool hasGap = false;
         while (const auto event = splitter.next()) {
             const event_check verdict = progress.advance(*event);
-            if (verdict == event_check::Gap)
-                return makeResult(attempt_outcome::Broken, "gap in the event ids of the stream");
+            hasGap = verdict == event_check::Gap;
+            if (hasGap)
+                break;
             if (verdict != event_check::Pass)
                 continue;
             hasNewEvent = hasNewEvent || hasContent(*event);
@@ -338,10 +340,13 @@
             if (!sink.onEvent(*event))
                 return makeResult(attempt_outcome::Cancelled, "caller gone");
         }
-        if (splitter.tooLong())
-            return makeResult(attempt_outcome::Broken, "stream event exceeds the size limit");
+        // The caller gets what came before a fault, as the next run goes on behind it.
         if (!sink.onFlush())
             return makeResult(attempt_outcome::Cancelled, "caller gone");
+        if (hasGap)
+            return makeResult(attempt_outcome::Broken, "gap in the event ids of the stream");
+        if (splitter.tooLong())
+            return makeResult(attempt_outcome::Broken, "stream event exceeds the size limit");
     }
     if (splitter.hasPartial()) {
         progress.setUnfinished();
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -268,6 +268,22 @@
     }
 }
 
+TEST_CASE("events before a gap reach the caller before another upstream goes on behind them")
+{
+    io_thread thread;
+    const std::string events = "id: 0\ndata: a\n\n";
+    const std::string endless = "id: 1\ndata: " + std::string(2'000'000, 'x');
+    for (const std::string &fault : {std::string("id: 2\ndata: c\n\n"), endless}) {
+        stream_progress progress;
+        const upstream_script script{responseText(framing::Length, events + fault), "",
+                                     ending::Close};
+        const auto received = receive(thread, script, true, false, progress);
+        CHECK(received.outcome == attempt_outcome::Broken);
+        CHECK(progress.last() == 0);
+        CHECK(received.text == events);
+    }
+}
+
 TEST_CASE("a stream of comments alone is broken")
 {
     io_thread thread;
