An interim response isn't taken for the answer

What callers would see: an answer with status 100 or 103 and no body in place of the engine's answer, if the engine sends an interim response first.

Cause: http_client took the first head for that of the response.

Evidence: "interim responses aren't taken for the response" in shell-gateway-responses.

Change: heads from 100 to 199, but 101, are read past, eight at most.

--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -81,6 +81,8 @@
 
     absl::Status connect();
     absl::StatusOr<http_response> readHead(bool isBodiless);
+    /// @brief Reads a head, which may be an interim one.
+    absl::StatusOr<http_response> readOneHead(bool isBodiless);
     /// @brief Reads until the parser has made a step or fails.
     void readStep(boost::system::error_code &error);
     absl::Status send(std::string_view text);
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -24,6 +24,14 @@
 // Bounds what the server sends outside of the body: a head, a chunk header, a trailer.
 constexpr std::size_t MaxBufferedBytes = 64 * 1024; // bytes
 constexpr std::chrono::milliseconds MinTimeout{1};
+constexpr unsigned MaxInterimHeads = 8; // before the head of one response
+
+// Heads such as 100 and 103 announce the response of the request, but aren't it.
+bool isInterim(unsigned status)
+{
+    constexpr unsigned SwitchingProtocols = 101; // nothing follows in this protocol
+    return status >= 100 && status < 200 && status != SwitchingProtocols;
+}
 
 /// Reads from a stream until a deadline. Beast reads as often as a part of a response needs, so
 /// each read has to check it.
@@ -116,6 +124,19 @@
 }
 
 absl::StatusOr<http_response> http_client::readHead(bool isBodiless)
+{
+    auto head = readOneHead(isBodiless);
+    for (unsigned i = 0; head.ok() && isInterim(head->status); ++i) {
+        if (i == MaxInterimHeads) {
+            close();
+            return absl::AbortedError(absl::StrCat(m_address, ": too many interim responses"));
+        }
+        head = readOneHead(isBodiless);
+    }
+    return head;
+}
+
+absl::StatusOr<http_response> http_client::readOneHead(bool isBodiless)
 {
     auto &parser = m_response->parser.emplace();
     parser.body_limit(boost::none);
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -184,6 +184,47 @@
     CHECK(holds);
 }
 
+TEST_CASE("a response whose head ends early doesn't look whole, in HTTP/1.0 or behind interim ones")
+{
+    io_thread thread;
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+    for (const framing framed : {framing::Length, framing::Chunks, framing::UntilClose}) {
+        std::string old = responseText(framed, Events);
+        old.replace(0, std::string("HTTP/1.1").size(), "HTTP/1.0");
+        for (const std::string &whole :
+             {old, interim + responseText(framed, Events), interim + interim + old}) {
+            const std::size_t headBytes = whole.rfind("\r\n\r\n", whole.find("id: 0")) + 4;
+            for (std::size_t cut = 0; cut < headBytes; ++cut) {
+                const ending end = cut % 2 == 0 ? ending::Close : ending::Reset;
+                const bool streamed = cut % 3 != 0;
+                const auto received =
+                    receive(thread, {whole.substr(0, cut), "", end}, streamed, false);
+                CAPTURE(cut);
+                CHECK_FALSE(looksComplete(received));
+                CHECK(received.text.empty());
+            }
+        }
+    }
+}
+
+TEST_CASE("interim responses aren't taken for the response, and not read without end")
+{
+    io_thread thread;
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string whole = responseText(framing::Chunks, Events);
+    for (const bool streamed : {true, false}) {
+        const auto received =
+            receive(thread, {interim, interim + whole, ending::Close}, streamed, false);
+        CHECK(looksComplete(received));
+        CHECK(received.text == Events);
+    }
+    std::string many;
+    for (int i = 0; i < 100; ++i)
+        many += interim;
+    const auto endless = receive(thread, {many + whole, "", ending::Close}, false, false);
+    CHECK(endless.outcome == attempt_outcome::Broken);
+}
+
 TEST_CASE("a stream that ends inside any event is broken, although its framing is complete")
 {
     io_thread thread;
