What runs at the end of a planned stop gets an answer instead of a cut

Cause: the end of the stop was the end of the process; requests in progress weren't told. The limit was a setting's default of 7 s, not the platform's grace: with a shorter grace the process was killed before it.

Requests in progress run until half a second before its end; then each ends by its own code: 502 if it may have run, 503 if it hasn't, and streams are broken off. The notice is a third of the grace at most. drain-limit stays as an upper bound, without the lower default.

--- a/include/tamarackglade/gateway/process/gateway_context.hpp
+++ b/include/tamarackglade/gateway/process/gateway_context.hpp
@@ -7,6 +7,7 @@
 #include <tamarackglade/gateway/exchange/rate_exchange.hpp>
 #include <tamarackglade/gateway/process/config_watch.hpp>
 #include <tamarackglade/gateway/process/gateway_options.hpp>
+#include <tamarackglade/gateway/process/open_calls.hpp>
 #include <tamarackglade/gateway/process/platform_protocol.hpp>
 #include <tamarackglade/gateway/relay/blocking_slot_queue.hpp>
 #include <tamarackglade/gateway/upstream/upstream_caller.hpp>
@@ -35,6 +36,7 @@
     quarantine_exchange &quarantineExchange;
     leaving_exchange &leavingExchange;
     origin_exchange &origins;
+    open_calls &openCalls;
     metric_registry &metrics;
 };
 
--- a/include/tamarackglade/gateway/process/gateway_options.hpp
+++ b/include/tamarackglade/gateway/process/gateway_options.hpp
@@ -27,6 +27,7 @@
     duration upstreamReturnGrace{};
     std::chrono::milliseconds drainNotice{};
     std::chrono::milliseconds drainLimit{};
+    std::chrono::milliseconds stopGrace{};
     std::chrono::milliseconds silenceLimit{};
     std::chrono::milliseconds firstEventReserve{};
     std::uint32_t batchPartitions = 1;
--- a/include/tamarackglade/gateway/process/gateway_process.hpp
+++ b/include/tamarackglade/gateway/process/gateway_process.hpp
@@ -70,6 +70,7 @@
     request_quarantine m_requestQuarantine;
     quarantine_exchange m_quarantineExchange;
     origin_exchange m_origins;
+    open_calls m_openCalls;
     gateway_context m_context;
     batch_store m_batchStore;
     batch_api m_batchApi;
--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -74,6 +74,12 @@
     [[nodiscard]] duration timeLeft() const;
     [[nodiscard]] duration maxFirstEventWait() const;
     void onCallerDisconnected();
+    void onProcessEnds();
+    /// @brief Stops waiting and running.
+    void cancel();
+    /// @brief Ends a request that was cancelled: the caller has gone, or the process is about to
+    /// end.
+    void endCancelled();
     void logEnd();
 
     gateway_context &m_context;
@@ -92,6 +98,7 @@
     stream_progress m_progress;
     std::optional<stream_origin> m_origin; // set by the first event of the stream
     bool m_callerDisconnected = false;
+    bool m_processEnds = false;
     bool m_mayHaveRun = false; // some upstream may have run the request
     unsigned m_runs = 0; // attempts at which the request may have run
     unsigned m_refusals = 0; // attempts at which the request did not run
--- a/include/tamarackglade/settings/setting_option.hpp
+++ b/include/tamarackglade/settings/setting_option.hpp
@@ -11,6 +11,7 @@
     Text,
     Integer,
     Milliseconds,
+    Seconds, // may have a fraction
     Flag, // yes or no
     Address, // ip:port
     AddressList, // ip:port, separated by commas
@@ -22,7 +23,7 @@
     std::string_view name; // as in the INI file; as a flag, with '_' for '-'
     setting_type type;
     std::string_view unit; // "" if none
-    std::int64_t minimum; // of Integer and Milliseconds
+    std::int64_t minimum; // of Integer, Milliseconds and Seconds
     std::int64_t maximum;
     std::string_view defaultValue;
     bool required;
--- a/include/tamarackglade/settings/setting_values.hpp
+++ b/include/tamarackglade/settings/setting_values.hpp
@@ -26,6 +26,7 @@
     [[nodiscard]] const std::string &text(std::string_view name) const;
     [[nodiscard]] std::int64_t integer(std::string_view name) const;
     [[nodiscard]] std::chrono::milliseconds milliseconds(std::string_view name) const;
+    [[nodiscard]] std::chrono::milliseconds seconds(std::string_view name) const;
     [[nodiscard]] bool flag(std::string_view name) const;
     [[nodiscard]] std::vector<std::string> list(std::string_view name) const;
 
--- a/src/gateway/process/gateway_options.cpp
+++ b/src/gateway/process/gateway_options.cpp
@@ -19,6 +19,7 @@
     options.upstreamReturnGrace = settings.milliseconds("upstream-return-grace");
     options.drainNotice = settings.milliseconds("drain-notice");
     options.drainLimit = settings.milliseconds("drain-limit");
+    options.stopGrace = settings.seconds("stop-grace");
     options.silenceLimit = settings.milliseconds("silence-limit");
     options.firstEventReserve = settings.milliseconds("first-event-reserve");
     options.batchPartitions = static_cast<std::uint32_t>(settings.integer("batch-partitions"));
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -10,6 +10,8 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
+
 namespace tamarack {
 
 namespace {
@@ -22,6 +24,10 @@
 constexpr std::chrono::milliseconds MaxReadyConfigAge{3'000};
 constexpr std::chrono::seconds WriteTimeout{10};
 constexpr std::chrono::milliseconds PauseAfterDrain{100};
+// Before the end of the grace of a planned stop: requests in progress are answered with failures.
+constexpr std::chrono::milliseconds EndReserve{500};
+constexpr std::chrono::milliseconds MaxAnswerTime{200}; // for these answers
+constexpr int NoticeParts = 3; // at most one of so many parts of the grace is the drain notice
 
 shared_rate_options rateOptions(const gateway_options &options)
 {
@@ -65,6 +71,7 @@
                                                               m_quarantineExchange,
                                                               m_leavingExchange,
                                                               m_origins,
+                                                              m_openCalls,
                                                               m_metrics},
       m_batchStore(store, m_options.batchPartitions, m_options.batchKeepTime),
       m_batchApi(m_context, m_batchStore), m_peers(thread, store, m_context, m_self, *this),
@@ -216,6 +223,7 @@
     m_options.batchFreshness = changed.batchFreshness;
     m_options.drainNotice = changed.drainNotice;
     m_options.drainLimit = changed.drainLimit;
+    m_options.stopGrace = changed.stopGrace;
     m_options.silenceLimit = changed.silenceLimit;
     m_options.firstEventReserve = changed.firstEventReserve;
     const absl::Status level = setLogLevel(values.text("log-level"));
@@ -225,23 +233,34 @@
 }
 
 // Serves callers until the load balancer has noticed the drain, then finishes requests in progress.
+// What is still in progress shortly before the end of the grace gets a failure, not a mere cut.
 void gateway_process::drain()
 {
     const time_point startedAt = bootNow();
-    const auto withinDrainLimit = [&] { return bootNow() - startedAt < m_options.drainLimit; };
+    const duration grace = m_options.stopGrace;
+    const duration notice = std::min<duration>(m_options.drainNotice, grace / NoticeParts);
+    const duration limit =
+        std::max(notice, std::min<duration>(m_options.drainLimit, grace - EndReserve));
+    const auto isWithin = [&](duration time) { return bootNow() - startedAt < time; };
     log_event(log_level::Info, "stopping").with("requests", m_callers->activeRequests());
     m_draining = true;
     m_batches.stop();
     m_callers->closeAfterAnswers();
     boost::fibers::fiber([this] { m_peers.leave(); }).detach();
-    while (bootNow() - startedAt < m_options.drainNotice)
+    while (isWithin(notice))
         boost::this_fiber::sleep_for(DrainPollInterval);
     m_callers->drain();
     // Idle connections are closed during this pause; no new request is read after it.
     boost::this_fiber::sleep_for(PauseAfterDrain);
-    while (m_callers->activeRequests() > 0 && withinDrainLimit())
+    while (m_callers->activeRequests() > 0 && isWithin(limit))
+        boost::this_fiber::sleep_for(DrainPollInterval);
+    const std::size_t cut = m_callers->activeRequests();
+    m_openCalls.endAll();
+    while (m_callers->activeRequests() > 0 && isWithin(limit + MaxAnswerTime))
         boost::this_fiber::sleep_for(DrainPollInterval);
-    log_event(log_level::Info, "stopped").with("requests_cut", m_callers->activeRequests());
+    log_event(log_level::Info, "stopped")
+        .with("requests_cut", cut)
+        .with("requests_unanswered", m_callers->activeRequests());
 }
 
 void gateway_process::answerReadiness(http_exchange &exchange)
--- a/src/gateway/relay/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -50,6 +50,7 @@
 
 void call_relay::serve()
 {
+    const auto open = m_context.openCalls.add([this] { onProcessEnds(); });
     m_exchange.watchCaller([this] { onCallerDisconnected(); });
     const bool takesUp = m_route.kind == route_kind::Stream && m_call.resumeAfter;
     const bool known = !takesUp || findOrigin();
@@ -63,8 +64,7 @@
             break;
         }
         if (result.outcome == attempt_outcome::Cancelled) {
-            m_outcome = "caller gone";
-            m_exchange.abortStream();
+            endCancelled();
             break;
         }
         const bool failed =
@@ -86,6 +86,10 @@
 {
     const bool resuming = m_exchange.started();
     const time_point now = bootNow();
+    if (m_processEnds) {
+        endCancelled();
+        return false;
+    }
     if (!m_origin)
         m_placement.group =
             selectGroup(m_route.groups, m_call.id, m_context.allocator, m_placement.excluded, now);
@@ -119,8 +123,7 @@
         m_upstream = slot.upstream;
         return true;
     case slot_outcome::Cancelled:
-        m_outcome = "caller gone";
-        m_exchange.abortStream();
+        endCancelled();
         return false;
     case slot_outcome::Refused:
     case slot_outcome::Expired:
@@ -186,6 +189,17 @@
 void call_relay::onCallerDisconnected()
 {
     m_callerDisconnected = true;
+    cancel();
+}
+
+void call_relay::onProcessEnds()
+{
+    m_processEnds = true;
+    cancel();
+}
+
+void call_relay::cancel()
+{
     m_handle.abort();
     if (m_waiter)
         m_context.blockingQueue.cancel(*m_waiter);
--- a/src/gateway/relay/call_relay_answers.cpp
+++ b/src/gateway/relay/call_relay_answers.cpp
@@ -50,6 +50,19 @@
                                              : "upstream_failed"));
 }
 
+void call_relay::endCancelled()
+{
+    const bool isGone = m_callerDisconnected || !m_processEnds;
+    m_outcome = isGone ? "caller gone" : "process ends";
+    if (isGone || m_exchange.started()) {
+        m_exchange.abortStream();
+        return;
+    }
+    m_status = m_mayHaveRun ? 502 : 503;
+    m_exchange.respond(refusal(m_status, "gateway_stopping",
+                               m_mayHaveRun ? duration::zero() : duration(MinRetryAfter)));
+}
+
 void call_relay::refuseUnavailable(const std::string &code)
 {
     m_outcome = code;
--- a/src/settings/option_table.cpp
+++ b/src/settings/option_table.cpp
@@ -50,6 +50,8 @@
     case Integer:
     case Milliseconds:
         return "integer";
+    case Seconds:
+        return "number";
     case Flag:
         return "yes/no";
     case Address:
@@ -62,7 +64,7 @@
 
 std::string rangeText(const setting_option &option)
 {
-    if (option.type != Integer && option.type != Milliseconds)
+    if (option.type != Integer && option.type != Milliseconds && option.type != Seconds)
         return "";
     return absl::StrCat(option.minimum, " to ", option.maximum);
 }
@@ -174,8 +176,11 @@
              "Time after the store's return in which live upstreams have written again"},
             {"drain-notice", Milliseconds, "ms", 0, 60'000, "2500", false,
              "Time between failing readiness and refusing new connections in a planned stop"},
-            {"drain-limit", Milliseconds, "ms", 0, 3'600'000, "7000", false,
-             "Longest time of a planned stop"},
+            {"drain-limit", Milliseconds, "ms", 0, 3'600'000, "3600000", false,
+             "Longest time of a planned stop, if stop-grace allows more"},
+            {"stop-grace", Seconds, "s", 1, 3'600, "8", false,
+             "Time from the stop signal until the process is killed. What is in progress half a "
+             "second before gets a failure; drain-notice is a third of it at most"},
             {"silence-limit", Milliseconds, "ms", 50, 60'000, "300", false,
              "Silence of an upstream after which a resumable stream goes on at another"},
             {"first-event-reserve", Milliseconds, "ms", 0, 60'000, "60", false,
--- a/src/settings/setting_values.cpp
+++ b/src/settings/setting_values.cpp
@@ -47,6 +47,13 @@
     return absl::SimpleAtoi(text, &value) && value >= option.minimum && value <= option.maximum;
 }
 
+bool isSecondsInRange(const setting_option &option, const std::string &text)
+{
+    double value = 0;
+    return absl::SimpleAtod(text, &value) && value >= static_cast<double>(option.minimum)
+           && value <= static_cast<double>(option.maximum);
+}
+
 bool isValid(const setting_option &option, const std::string &text)
 {
     switch (option.type) {
@@ -55,6 +62,8 @@
     case setting_type::Integer:
     case setting_type::Milliseconds:
         return isInRange(option, text);
+    case setting_type::Seconds:
+        return isSecondsInRange(option, text);
     case setting_type::Flag:
         return text == "yes" || text == "no";
     case setting_type::Address:
@@ -74,6 +83,9 @@
     case setting_type::Milliseconds:
         return absl::StrCat("a whole number from ", option.minimum, " to ", option.maximum,
                             option.unit.empty() ? "" : " ", std::string(option.unit));
+    case setting_type::Seconds:
+        return absl::StrCat("a number from ", option.minimum, " to ", option.maximum, " ",
+                            std::string(option.unit));
     case setting_type::Flag:
         return "yes or no";
     case setting_type::Address:
@@ -147,6 +159,16 @@
     return std::chrono::milliseconds(integer(name));
 }
 
+std::chrono::milliseconds setting_values::seconds(std::string_view name) const
+{
+    double value = 0;
+    const bool parsed = absl::SimpleAtod(text(name), &value);
+    assert(parsed && "a number that was not checked");
+    (void)parsed;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(value));
+}
+
 bool setting_values::flag(std::string_view name) const
 {
     return text(name) == "yes";
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -443,6 +443,50 @@
         self.assertNotIn(5, versions)
 
 
+class EndOfGraceTest(SiteTestCase):
+    """What is in progress when the time for a planned stop is over."""
+
+    settings = {"stop-grace": "2", "drain-notice": 2500}
+
+    def setUp(self):
+        super().setUp()
+        patient = [dict(route, timeoutMs=20000, targetLatencyMs=20000, attempts=1)
+                   for route in config()["routes"]]
+        self.publish(config(2, routes=patient))
+
+    def stop_during(self, path, silent_at):
+        """Stops the gateway while a request's engine is silent. Returns the caller's answer."""
+        for engine in self.engine:
+            engine.silent_at, engine.silence_s = silent_at, 30.0
+        answers = []
+
+        def call():
+            try:
+                answers.append(self.call(path, **{"Deadline-Ms": "20000"}))
+            except http.client.HTTPException as error:
+                answers.append(error)
+        thread = threading.Thread(target=call)
+        thread.start()
+        wait_until(lambda: self.engine[0].runs + self.engine[1].runs, "request runs")
+        began = time.monotonic()
+        self.gateway[0].process.signal(signal.SIGTERM)
+        self.assertEqual(self.gateway[0].process.child.wait(20), 0)
+        self.assertLess(time.monotonic() - began, 2.0)
+        thread.join()
+        return answers[0]
+
+    def test_a_request_that_runs_at_the_end_of_the_grace_gets_a_whole_502(self):
+        for path in ("/once/x", "/stream/x"):
+            status, _, body, _ = self.stop_during(path, 0)
+            self.assertEqual(status, 502)
+            self.assertEqual(json.loads(body)["error"]["code"], "gateway_stopping")
+            self.gateway[0].process.start()
+            wait_until(self.gateway[0].ready, "ready")
+
+    def test_a_stream_that_runs_at_the_end_of_the_grace_is_broken_off(self):
+        self.assertIsInstance(self.stop_during("/once/x", 3), http.client.IncompleteRead)
+
+
 class StopTest(SiteTestCase):
     """Planned stops and the handling of signals."""
 
