Calls at the drain limit of an entry get an explicit error instead of a cut

What callers saw: calls that were in progress at drain-limit of a stopping tamarack-entry were cut without an answer.

Cause: as in the gateway, the calls weren't told that the process ends.

Evidence: found by looking for the cause of the gateway's fault here; the new test wasn't run on the old code.

Change: answer_relay ends with 502 entry_stopping, in a stream with an error event, when the process is about to end; the entry waits up to half a second for these answers. A call that tamarack-side cuts gets the entry's 502, as before.

--- a/include/tamarackglade/entry/answer_relay.hpp
+++ b/include/tamarackglade/entry/answer_relay.hpp
@@ -29,7 +29,7 @@
     using clock = std::chrono::steady_clock;
 
     /// @brief Why waitForEvent returned.
-    enum class wait_result { Event, CallerDisconnected, KeyWithdrawn, TimedOut };
+    enum class wait_result { Event, CallerDisconnected, KeyWithdrawn, TimedOut, ProcessEnds };
 
     wait_result waitForEvent(answer_event &event);
     bool keyStillValid();
--- a/include/tamarackglade/entry/entry_context.hpp
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -9,6 +9,7 @@
 #include <tamarackglade/node/config_store.hpp>
 #include <tamarackglade/node/shell_mutation.hpp>
 
+#include <atomic>
 #include <chrono>
 
 namespace tamarack {
@@ -22,6 +23,7 @@
     metric_registry &metrics;
     burn_service &burn;
     keyed_call_service &keyed;
+    const std::atomic<bool> &processEnds; // set shortly before: requests in progress are answered
     std::chrono::milliseconds requestTimeout{120'000};
     shell_mutation mutation = shell_mutation::None;
 };
--- a/include/tamarackglade/entry/entry_process.hpp
+++ b/include/tamarackglade/entry/entry_process.hpp
@@ -92,6 +92,7 @@
     batch_dispatcher m_batchDispatcher;
     job_service m_jobs;
     job_controller m_controller;
+    std::atomic<bool> m_processEnds{false};
     entry_context m_context;
     request_dispatcher m_requestDispatcher;
     config_service m_configService;
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -35,6 +35,16 @@
             std::nullopt};
 }
 
+api_error processEndsError()
+{
+    return {502,
+            "upstream_error",
+            "entry_stopping",
+            "the entry stopped before the answer was complete",
+            execution::Unknown,
+            std::nullopt};
+}
+
 // Copies a call under another id, for the mutation RunTwice.
 call_request duplicateCall(call_request call)
 {
@@ -86,9 +96,11 @@
             fail(withdrawnKeyError());
         else if (waited == wait_result::TimedOut)
             fail(timeoutError());
+        else if (waited == wait_result::ProcessEnds)
+            fail(processEndsError());
         else
             m_request.exchange.abortStream();
-        if (waited != wait_result::TimedOut)
+        if (waited != wait_result::TimedOut && waited != wait_result::ProcessEnds)
             m_burn.result = burn_result::NotCounted;
         m_finished = true;
     }
@@ -102,6 +114,8 @@
         // is queried below only when no event arrived.
         if (m_writeFailed)
             return wait_result::CallerDisconnected;
+        if (m_context.processEnds)
+            return wait_result::ProcessEnds;
         auto next = m_channel->pop(CheckInterval);
         if (!keyStillValid())
             return wait_result::KeyWithdrawn;
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds CallTickInterval{20};
 constexpr std::chrono::seconds MaxSideWait{3}; // after the start; a listed side may have failed
 constexpr std::chrono::milliseconds DrainPollInterval{20};
+// For the answers to requests that are in progress at the drain limit.
+constexpr std::chrono::milliseconds MaxAnswerTime{500};
 constexpr std::chrono::seconds TlsReloadInterval{1};
 constexpr std::chrono::seconds BurnInterval{30}; // maximum time of counts lost if the VM fails
 
@@ -51,13 +53,8 @@
       m_jobs({m_control, m_platform, m_peers, m_batchDispatcher, m_config, m_metrics, wire.self,
               mutations.jobs}),
       m_controller(m_jobs, m_config, submission_limits{}, mutations.shell),
-      m_context{m_config,
-                m_calls,
-                m_limits,
-                m_metrics,
-                m_burn,
-                m_keyed,
-                settings.milliseconds("request-timeout"),
+      m_context{m_config,       m_calls, m_limits,      m_metrics,
+                m_burn,         m_keyed, m_processEnds, settings.milliseconds("request-timeout"),
                 mutations.shell},
       m_requestDispatcher(m_context, m_control, m_controller),
       m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm, mutations.config),
@@ -299,8 +296,15 @@
     while ((activeRequests() > 0 || !isReleased()) && !m_endNow
            && std::chrono::steady_clock::now() < deadline)
         boost::this_fiber::sleep_for(DrainPollInterval);
+    const std::size_t cut = activeRequests();
+    m_processEnds = true;
+    const auto end = std::chrono::steady_clock::now() + MaxAnswerTime;
+    while (activeRequests() > 0 && std::chrono::steady_clock::now() < end)
+        boost::this_fiber::sleep_for(DrainPollInterval);
     m_burn.flush();
-    log_event(log_level::Info, "stopped").with("requests_cut", activeRequests());
+    log_event(log_level::Info, "stopped")
+        .with("requests_cut", cut)
+        .with("requests_unanswered", activeRequests());
 }
 
 bool entry_process::isReleased()
--- a/tests/e2e/test_online.py
+++ b/tests/e2e/test_online.py
@@ -228,6 +228,25 @@
         self.assertEqual(entry.process.child.wait(30), 0)
         self.fleet.unregister(entry.name)
 
+    def test_a_call_at_the_drain_limit_of_an_entry_gets_an_explicit_error(self):
+        entry = self.fleet.add_entry({"drain-limit": 500})
+        self.fleet.wait_vm_ready(entry)
+        wait_until(lambda: self.call_model(entry, "warm up")[0] == 200, "a first answer")
+        answers = []
+        thread = threading.Thread(target=lambda: answers.append(
+            self.call_model(entry, "too long", max_tokens=500)))
+        thread.start()
+        _, stream = self.open_stream(entry, "too long, too", max_tokens=500)
+        stream.readline()
+        entry.process.signal(signal.SIGTERM)
+        last = stream.read().decode().rstrip().split("\n")[-1]
+        self.assertEqual(json.loads(last[len("data: "):])["error"]["code"], "entry_stopping")
+        thread.join()
+        status, _, body = answers[0]
+        self.assertEqual((status, self.error_of(body)["code"]), (502, "entry_stopping"))
+        self.assertEqual(entry.process.child.wait(30), 0)
+        self.fleet.unregister(entry.name)
+
     def test_planned_stop_of_a_side_cuts_no_stream(self):
         side = self.fleet.add_upstream("engines", flags=self.engine_flags)
         self.fleet.wait_vm_ready(side)
