--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -107,14 +107,71 @@
     std::size_t m_item = 0; // of this gateway's items of the job
 };
 
-} // namespace
+/// Tells whether an item waits for a run and no pause holds it back.
+class start_condition
+{
+public:
+    start_condition(const std::set<batch_item_key> &running, time_point now)
+        : m_running(running), m_now(now)
+    {
+    }
 
-std::vector<batch_item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
-                                         item_owners &owners, const item_groups &groups,
-                                         const std::set<batch_item_key> &begun,
-                                         const std::set<batch_item_key> &running,
-                                         time_point currentSince, time_point now,
-                                         std::size_t maxItems)
+    bool operator()(const customer_batch &job, const batch_item_key &key) const
+    {
+        const batch_job_item &item = job.items[key.item.value()];
+        return item.state == batch_item_state::Waiting && m_now >= startableAt(item)
+               && !m_running.contains(key);
+    }
+
+private:
+    const std::set<batch_item_key> &m_running;
+    const time_point m_now;
+};
+
+/// The customers in the order of their turns: those with fewer runs come first.
+class customer_turns
+{
+public:
+    /// @param open jobs in the order of their due times
+    customer_turns(const std::vector<const customer_batch *> &open,
+                   const std::set<batch_item_key> &running)
+    {
+        std::map<customer_id, std::size_t> runs;
+        for (const batch_item_key &key : running)
+            ++runs[key.batch.customer];
+        for (const customer_batch *job : open)
+            m_queues[job->id.customer].add(*job);
+        for (const auto &[customer, queue] : m_queues)
+            m_order.insert({runs[customer], dueAt(queue.front()), customer});
+    }
+
+    /// Returns the next item that take() accepts; nullopt if no customer has one.
+    template <class IsBlocked, class Take>
+    std::optional<batch_item_key> next(item_owners &owners, const IsBlocked &isBlocked,
+                                       const Take &take)
+    {
+        while (!m_order.empty()) {
+            queue_position position = m_order.extract(m_order.begin()).value();
+            customer_queue &queue = m_queues[position.customer];
+            const auto key = queue.next(owners, isBlocked, take);
+            if (!key)
+                continue;
+            ++position.runs;
+            position.dueAt = dueAt(queue.front());
+            m_order.insert(position);
+            return key;
+        }
+        return std::nullopt;
+    }
+
+private:
+    std::map<customer_id, customer_queue> m_queues;
+    std::set<queue_position> m_order;
+};
+
+// Returns the jobs with items of this gateway, in the order of their due times.
+std::vector<const customer_batch *> openJobs(const std::vector<const batch_fold *> &folds,
+                                             item_owners &owners, time_point currentSince)
 {
     std::vector<const customer_batch *> open;
     for (const batch_fold *fold : folds) {
@@ -125,18 +182,17 @@
                 open.push_back(&job);
         }
     }
-    owners.dropUnused();
     std::sort(open.begin(), open.end(), [](const customer_batch *a, const customer_batch *b) {
         return std::pair(dueAt(*a), a->id) < std::pair(dueAt(*b), b->id);
     });
-    const auto mayStart = [&](const customer_batch &job, const batch_item_key &key) {
-        const batch_job_item &item = job.items[key.item.value()];
-        return item.state == batch_item_state::Waiting && now >= startableAt(item)
-               && !running.contains(key);
-    };
-    std::map<customer_id, std::size_t> runs;
-    for (const batch_item_key &key : running)
-        ++runs[key.batch.customer];
+    return open;
+}
+
+// Returns the items of this gateway that have begun and may go on.
+std::vector<batch_item_key> begunItems(const std::vector<const customer_batch *> &open,
+                                       item_owners &owners, const std::set<batch_item_key> &begun,
+                                       const start_condition &mayStart)
+{
     std::vector<batch_item_key> items;
     for (const customer_batch *job : open) {
         const auto &own = owners.ownItems(job->id, job->items.size());
@@ -148,30 +204,32 @@
                 items.push_back(*key);
         }
     }
+    return items;
+}
+
+} // namespace
+
+std::vector<batch_item_key> itemsToStart(const std::vector<const batch_fold *> &folds,
+                                         item_owners &owners, const item_groups &groups,
+                                         const std::set<batch_item_key> &begun,
+                                         const std::set<batch_item_key> &running,
+                                         time_point currentSince, time_point now,
+                                         std::size_t maxItems)
+{
+    const std::vector<const customer_batch *> open = openJobs(folds, owners, currentSince);
+    owners.dropUnused();
+    const start_condition mayStart(running, now);
+    std::vector<batch_item_key> items = begunItems(open, owners, begun, mayStart);
     group_quota quota(maxItems);
-    std::map<customer_id, customer_queue> queues;
-    for (const customer_batch *job : open)
-        queues[job->id.customer].add(*job);
-    std::set<queue_position> order;
-    for (const auto &[customer, queue] : queues)
-        order.insert({runs[customer], dueAt(queue.front()), customer});
+    customer_turns turns(open, running);
     const auto take = [&](const customer_batch &job, const batch_item_key &key) {
         return !begun.contains(key) && mayStart(job, key) && quota.take(groups.ofItem(job, key));
     };
     const auto isBlocked = [&](const customer_batch &job) {
         return quota.isUsedUp(groups.ofJob(job));
     };
-    while (!order.empty()) {
-        queue_position position = order.extract(order.begin()).value();
-        customer_queue &queue = queues[position.customer];
-        const auto key = queue.next(owners, isBlocked, take);
-        if (!key)
-            continue;
+    while (const auto key = turns.next(owners, isBlocked, take))
         items.push_back(*key);
-        ++position.runs;
-        position.dueAt = dueAt(queue.front());
-        order.insert(position);
-    }
     return items;
 }
 
