A request that is read after the others were ended is ended, too; stop with the store away

A request whose last byte comes in the last half second of the grace would have been taken and cut: it came after the others were told. EndOfGraceTest also stops a gateway whose store is away.

--- a/include/tamarackglade/gateway/process/open_calls.hpp
+++ b/include/tamarackglade/gateway/process/open_calls.hpp
@@ -27,16 +27,20 @@
         const std::uint64_t m_number;
     };
 
-    /// @param onEnd called at most once, without suspending the fiber
+    /// @param onEnd called at most once, without suspending the fiber; at once if the process ends
     [[nodiscard]] registration add(std::function<void()> onEnd)
     {
-        m_listeners.emplace(++m_lastNumber, std::move(onEnd));
+        if (m_ended)
+            onEnd();
+        else
+            m_listeners.emplace(++m_lastNumber, std::move(onEnd));
         return {*this, m_lastNumber};
     }
 
     /// @brief Calls each registered onEnd.
     void endAll()
     {
+        m_ended = true;
         for (const auto &[number, onEnd] : std::exchange(m_listeners, {}))
             onEnd();
     }
@@ -44,6 +48,7 @@
 private:
     std::map<std::uint64_t, std::function<void()>> m_listeners;
     std::uint64_t m_lastNumber = 0;
+    bool m_ended = false;
 };
 
 } // namespace tamarack
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -483,6 +483,10 @@
             self.gateway[0].process.start()
             wait_until(self.gateway[0].ready, "ready")
 
+    def test_a_stop_while_the_store_is_away_ends_with_answers_too(self):
+        self.store.set_down(True)
+        self.assertEqual(self.stop_during("/once/x", 0)[0], 502)
+
     def test_a_stream_that_runs_at_the_end_of_the_grace_is_broken_off(self):
         self.assertIsInstance(self.stop_during("/once/x", 3), http.client.IncompleteRead)
 
