--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -153,7 +153,7 @@
         while (!m_order.empty()) {
             queue_position position = m_order.extract(m_order.begin()).value();
             customer_queue &queue = m_queues[position.customer];
-            const auto key = queue.next(owners, isBlocked, take);
+            auto key = queue.next(owners, isBlocked, take);
             if (!key)
                 continue;
             ++position.runs;
