--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -191,8 +191,12 @@
     for (const framing framed : {framing::Length, framing::Chunks, framing::UntilClose}) {
         std::string old = responseText(framed, Events);
         old.replace(0, std::string("HTTP/1.1").size(), "HTTP/1.0");
-        for (const std::string &whole :
-             {old, interim + responseText(framed, Events), interim + interim + old}) {
+        std::string behindOne = interim;
+        behindOne += responseText(framed, Events);
+        std::string behindTwo = interim;
+        behindTwo += interim;
+        behindTwo += old;
+        for (const std::string &whole : {old, behindOne, behindTwo}) {
             const std::size_t headBytes = whole.rfind("\r\n\r\n", whole.find("id: 0")) + 4;
             for (std::size_t cut = 0; cut < headBytes; ++cut) {
                 const ending end = cut % 2 == 0 ? ending::Close : ending::Reset;
