--- a/include/tamarackglade/gateway/batch/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -64,7 +64,7 @@
     [[nodiscard]] group_id groupOf(const forward_route &route, const batch_item_key &key,
                                    const batch_job_item &item) const;
     /// @return whether the group has upstreams that can go on with a text of the origin
-    /// @param other group that would write the text anew
+    /// @param other group that would run the item from its first event if this one can't go on
     [[nodiscard]] bool canGoOn(const stream_origin &origin, const group_id &group,
                                const group_id &other) const;
     /// @brief Discards the text of an item, so that its next run writes it anew.
--- a/include/tamarackglade/gateway/process/open_calls.hpp
+++ b/include/tamarackglade/gateway/process/open_calls.hpp
@@ -8,8 +8,8 @@
 
 namespace tamarack {
 
-/// @brief Tells the requests in progress that the process is about to end, so that each still gets
-/// an answer. All calls on the gateway's thread.
+/// @brief Calls a listener of each request in progress before the process exits; the listener makes
+/// the request send an answer. All calls on the gateway's thread.
 class open_calls
 {
 public:
--- a/src/batches/batch_schedule.cpp
+++ b/src/batches/batch_schedule.cpp
@@ -107,7 +107,7 @@
     std::size_t m_item = 0; // of this gateway's items of the job
 };
 
-/// Tells whether an item waits for a run and no pause holds it back.
+/// Condition for a start: the item is waiting, not running, and its pause after a failure is over.
 class start_condition
 {
 public:
--- a/src/gateway/batch/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -18,8 +18,8 @@
 constexpr std::size_t MaxStartsPerRound = 8; // of each group, per call of schedule()
 // No items start from older folds, as an item may be finished or its job ended by now.
 constexpr std::chrono::milliseconds MaxFoldAge{2'000};
-// After a failed read of an item's content. It isn't listed meanwhile, as it would take the place
-// of an item that can start.
+// Pause after a failed read of an item's content. The item counts as occupied during the pause,
+// because the list of items to start is bounded.
 constexpr std::chrono::milliseconds FirstReadPause{300};
 constexpr std::chrono::seconds MaxReadPause{8};
 
