--- a/include/tamarackglade/side/resumable_answer.hpp
+++ b/include/tamarackglade/side/resumable_answer.hpp
@@ -10,7 +10,7 @@
 
 namespace tamarack {
 
-/// @brief What the head of a run's response makes of it.
+/// @brief How a run's response is used; decided by its head.
 enum class run_response {
     Stream, // its events belong to the answer
     WholeAnswer, // it is the answer to the call, unchanged
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -233,7 +233,8 @@
 }
 
 // Serves callers until the load balancer has noticed the drain, then finishes requests in progress.
-// What is still in progress shortly before the end of the grace gets a failure, not a mere cut.
+// Requests that are still in progress shortly before the end of the grace are answered with
+// failures.
 void gateway_process::drain()
 {
     const time_point startedAt = bootNow();
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -340,7 +340,7 @@
             if (!sink.onEvent(*event))
                 return makeResult(attempt_outcome::Cancelled, "caller gone");
         }
-        // The caller gets what came before a fault, as the next run goes on behind it.
+        // Sent before a fault ends the attempt: the next run goes on after the last parsed event.
         if (!sink.onFlush())
             return makeResult(attempt_outcome::Cancelled, "caller gone");
         if (hasGap)
--- a/src/placement/group_selection.cpp
+++ b/src/placement/group_selection.cpp
@@ -1,4 +1,4 @@
-// Asks for less and less of a group until one has it.
+// Tries conditions on the groups, from the strictest to the weakest.
 #include <tamarackglade/forward/group_choice.hpp>
 #include <tamarackglade/placement/group_selection.hpp>
 
--- a/tests/support/scripted_upstream.hpp
+++ b/tests/support/scripted_upstream.hpp
@@ -1,4 +1,4 @@
-// An upstream on loopback that plays one response byte by byte.
+// An upstream on loopback that sends one scripted response.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -24,7 +24,7 @@
     ending end = ending::Close;
 };
 
-/// @brief One connection: reads a request's head, plays the script and ends.
+/// @brief Accepts one connection, reads a request's head, sends the script and ends.
 class scripted_upstream
 {
 public:
