Batch work claims the only slot of an upstream before it takes it

Gateways know each other's use from reports that are up to 0.33 s old. Change: where all other slots are kept free, batch work claims the slot first. Gateways whose claims meet withdraw them and try again after random, doubling pauses. Upstreams with more slots, online work and fleets of one gateway are served as before. Weighed: an owner for each upstream (a hop, and lost with its VM), turns by the clock (clocks of VMs differ).

--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/placement/failure_score.hpp>
+#include <tamarackglade/placement/slot_claims.hpp>
 #include <tamarackglade/placement/slot_use.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
 #include <tamarackglade/placement/upstream_rates.hpp>
@@ -54,6 +55,7 @@
     double peerEjectionCost = 3; // slots added to the cost for each peer that ejects the upstream
     failure_options failures{};
     duration peerUseLifetime = std::chrono::seconds(1); // age at which a peer's report is dropped
+    claim_options claims{}; // to the last slot of upstreams with few slots
 };
 
 /// @brief Runs of batch items that another gateway has at an upstream.
@@ -76,7 +78,8 @@
     slot_allocator(const upstream_directory &directory, upstream_rates &rates,
                    placement_options options, std::uint64_t seed);
 
-    /// @brief Picks an upstream without acquiring its slot.
+    /// @brief Picks an upstream without acquiring its slot. Batch work claims the slot of an
+    /// upstream with few slots first and gets it from a later call.
     /// @return an upstream with a free slot for this class of work that may be sent a request now,
     /// or nullopt
     std::optional<upstream_id> pick(const placement_request &request, time_point now);
@@ -161,6 +164,7 @@
     void addReport(const peer_report &report);
     void removeReport(const peer_report &report);
     void dropOldReports(time_point now);
+    /// @return the slots in use at all gateways, without this gateway's claim
     [[nodiscard]] unsigned usedSlots(const upstream_id &id) const;
     [[nodiscard]] bool usable(const live_upstream &upstream, const group_id &group,
                               const std::optional<software_version> &version, time_point now) const;
@@ -170,13 +174,25 @@
     [[nodiscard]] double failureCost(const upstream_id &id, time_point now) const;
     [[nodiscard]] unsigned capacity(const live_upstream &upstream, work_class work,
                                     bool goesOn) const;
+    /// @return the slots that the class of work leaves free, if there are enough
+    [[nodiscard]] unsigned reserve(const live_upstream &upstream, work_class work,
+                                   bool goesOn) const;
+    /// @return whether other gateways may take the only slot for batch work at the same time
+    [[nodiscard]] bool isContended(const live_upstream &upstream, work_class work) const;
+    /// @return whether a free slot may be taken or claimed now
+    [[nodiscard]] bool mayTakeContended(const upstream_id &id, bool isFree, time_point now);
+    void beginClaim(const upstream_id &id, time_point now);
+    void endClaim(const upstream_id &id);
 
     const upstream_directory &m_directory;
     upstream_rates &m_rates;
     const placement_options m_options;
     std::mt19937_64 m_random;
     std::optional<std::unordered_set<upstream_id>> m_cell;
-    std::unordered_map<upstream_id, slot_use> m_own; // only upstreams with slots in use
+    // Only upstreams with slots in use. A claim counts as one for batch work, so that reports hold
+    // it.
+    std::unordered_map<upstream_id, slot_use> m_own;
+    slot_claims m_claims;
     std::unordered_map<upstream_id, failure_score> m_failures; // recent failures
     std::unordered_map<vm_id, peer_report> m_peers;
     std::unordered_map<upstream_id, peer_totals> m_peerTotals; // sums over m_peers
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -20,7 +20,8 @@
 
 slot_allocator::slot_allocator(const upstream_directory &directory, upstream_rates &rates,
                                placement_options options, std::uint64_t seed)
-    : m_directory(directory), m_rates(rates), m_options(std::move(options)), m_random(seed)
+    : m_directory(directory), m_rates(rates), m_options(std::move(options)), m_random(seed),
+      m_claims(m_options.claims, seed)
 {
 }
 
@@ -41,8 +42,10 @@
             || (excludes && request.excluded.contains(id)))
             continue;
         const unsigned used = usedSlots(id);
-        if (used >= capacity(upstream, request.work, request.version.has_value())
-            || !m_rates.maySend(id, request.work, now))
+        const unsigned limit = capacity(upstream, request.work, request.version.has_value());
+        if (isContended(upstream, request.work) && !mayTakeContended(id, used < limit, now))
+            continue;
+        if (used >= limit || !m_rates.maySend(id, request.work, now))
             continue;
         const double usedCost = occupiedCost(upstream, used, request.work, now);
         const double cost = usedCost + ruleFor(upstream).cost + failureCost(id, now);
@@ -53,15 +56,20 @@
         return std::nullopt;
     std::erase_if(candidates,
                   [&](const candidate &each) { return each.cost > minCost + EqualCostMargin; });
-    if (request.prefixHash == 0)
-        return candidates[m_random() % candidates.size()].upstream->id;
     const auto affinity = [&](const candidate &each) {
         return stableHash(each.upstream->id.value(), request.prefixHash);
     };
-    return std::max_element(
-               candidates.begin(), candidates.end(),
-               [&](const candidate &a, const candidate &b) { return affinity(a) < affinity(b); })
-        ->upstream->id;
+    const live_upstream &picked =
+        request.prefixHash == 0 ? *candidates[m_random() % candidates.size()].upstream
+                                : *std::max_element(candidates.begin(), candidates.end(),
+                                                    [&](const candidate &a, const candidate &b) {
+                                                        return affinity(a) < affinity(b);
+                                                    })
+                                       ->upstream;
+    if (!isContended(picked, request.work) || m_claims.holds(picked.id))
+        return picked.id;
+    beginClaim(picked.id, now);
+    return std::nullopt;
 }
 
 bool slot_allocator::hasOthers(const placement_request &request, time_point now) const
@@ -119,6 +127,7 @@
 
 void slot_allocator::acquire(const upstream_id &id, work_class work, time_point now)
 {
+    endClaim(id);
     m_rates.onSent(id, now);
     ++m_own[id].of(work);
     const auto found = m_failures.find(id);
@@ -177,6 +186,8 @@
     std::erase_if(m_failures, [&](const auto &entry) {
         return !entry.second.ejected(now) && entry.second.score(now) < MinTrackedScore;
     });
+    for (const upstream_id &id : m_claims.tick(now))
+        release(id, work_class::Batch);
     dropOldReports(now);
 }
 
@@ -287,7 +298,7 @@
 {
     const auto own = m_own.find(id);
     const auto sum = m_peerTotals.find(id);
-    return (own == m_own.end() ? 0 : own->second.total())
+    return (own == m_own.end() ? 0 : own->second.total()) - (m_claims.holds(id) ? 1 : 0)
            + (sum == m_peerTotals.end() ? 0 : sum->second.used);
 }
 
@@ -301,13 +312,48 @@
 }
 
 unsigned slot_allocator::capacity(const live_upstream &upstream, work_class work, bool goesOn) const
+{
+    const unsigned kept = reserve(upstream, work, goesOn);
+    return upstream.slots > kept ? upstream.slots - kept : std::min(upstream.slots, MinUsable);
+}
+
+unsigned slot_allocator::reserve(const live_upstream &upstream, work_class work, bool goesOn) const
 {
     const bool mayUseReserve = goesOn && work == work_class::Online;
     const unsigned distanceReserve = mayUseReserve ? 0 : ruleFor(upstream).reserve;
-    const unsigned reserve =
-        work == work_class::Online ? distanceReserve : distanceReserve + m_options.batchReserve;
-    return upstream.slots > reserve ? upstream.slots - reserve
-                                    : std::min(upstream.slots, MinUsable);
+    return work == work_class::Online ? distanceReserve : distanceReserve + m_options.batchReserve;
+}
+
+// Upstreams with more slots have some that are kept free, which take what is given away twice.
+bool slot_allocator::isContended(const live_upstream &upstream, work_class work) const
+{
+    return work == work_class::Batch && !m_peers.empty()
+           && upstream.slots <= reserve(upstream, work, false);
+}
+
+bool slot_allocator::mayTakeContended(const upstream_id &id, bool isFree, time_point now)
+{
+    const bool holds = m_claims.holds(id);
+    if (isFree)
+        return holds ? m_claims.use(id, now) : m_claims.mayBegin(id, now);
+    if (holds)
+        release(id, work_class::Batch);
+    m_claims.onTaken(id, now);
+    return false;
+}
+
+void slot_allocator::beginClaim(const upstream_id &id, time_point now)
+{
+    m_claims.begin(id, now);
+    ++m_own[id].of(work_class::Batch);
+}
+
+void slot_allocator::endClaim(const upstream_id &id)
+{
+    if (!m_claims.holds(id))
+        return;
+    m_claims.end(id);
+    release(id, work_class::Batch);
 }
 
 } // namespace tamarack
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -938,3 +938,112 @@
     CHECK(fixture.allocator.freeSlots(Engines, work_class::Batch, Start) == 7);
     CHECK(fixture.allocator.freeSlots(Engines, work_class::Online, Start) == 8);
 }
+
+namespace {
+
+/// Gateways that run batch items at one upstream and learn of each other's use with a delay.
+class few_slots_fleet
+{
+public:
+    few_slots_fleet(std::size_t gateways, unsigned slots)
+    {
+        for (std::size_t i = 0; i < gateways; ++i) {
+            m_gateways.push_back(std::make_unique<gateway>(i));
+            m_gateways.back()->directory.put(upstreamNamed("only", "b", slots));
+        }
+    }
+
+    void run(duration length)
+    {
+        for (time_point now = Start + 2s; now < Start + 2s + length; now += Tick) {
+            for (std::size_t i = 0; i < m_gateways.size(); ++i)
+                step(i, now);
+            unsigned active = 0;
+            for (const auto &each : m_gateways)
+                active += static_cast<unsigned>(each->ends.size());
+            m_most = std::max(m_most, active);
+        }
+    }
+
+    [[nodiscard]] unsigned most() const { return m_most; }
+    [[nodiscard]] unsigned ranAt(std::size_t index) const { return m_gateways[index]->runs; }
+
+private:
+    static constexpr std::chrono::milliseconds Tick{20};
+    static constexpr std::chrono::milliseconds ReportInterval{330};
+    static constexpr std::chrono::milliseconds TransitTime{20};
+    static constexpr std::chrono::milliseconds RunTime{300};
+
+    struct gateway
+    {
+        explicit gateway(std::size_t index) : allocator(directory, rates, optionsOf(2), index + 1)
+        {
+        }
+
+        upstream_directory directory{directory_options()};
+        peer_table peers{gateway_member(), shared_rate_options()};
+        upstream_rates rates{vm_id("g"), peers};
+        slot_allocator allocator;
+        std::vector<time_point> ends; // of the runs under way
+        unsigned runs = 0;
+        std::map<time_point, std::unordered_map<upstream_id, slot_use>> reports; // by arrival
+    };
+
+    void step(std::size_t index, time_point now)
+    {
+        gateway &each = *m_gateways[index];
+        const upstream_id only("only");
+        each.runs += static_cast<unsigned>(std::erase_if(each.ends, [&](time_point end) {
+            if (end > now)
+                return false;
+            each.allocator.release(only, work_class::Batch);
+            return true;
+        }));
+        for (std::size_t peer = 0; peer < m_gateways.size(); ++peer)
+            receive(each, index, peer, now);
+        each.allocator.tick(now);
+        // Two items wait at each gateway, as it may claim more than it needs otherwise.
+        for (int item = 0; item < 2; ++item) {
+            if (const auto picked = each.allocator.pick(requestOf(work_class::Batch), now)) {
+                each.allocator.acquire(*picked, work_class::Batch, now);
+                each.ends.push_back(now + RunTime);
+            }
+        }
+        // The gateways report at different times.
+        if ((now - Start + index * 90ms) % ReportInterval < duration(Tick))
+            each.reports[now + TransitTime] = each.allocator.ownUse();
+    }
+
+    void receive(gateway &receiver, std::size_t self, std::size_t peer, time_point now)
+    {
+        if (peer == self)
+            return;
+        const auto &reports = m_gateways[peer]->reports;
+        const auto next = reports.upper_bound(now);
+        receiver.allocator.onPeerUse(
+            vm_id(std::to_string(peer)),
+            next == reports.begin() ? decltype(next->second)() : std::prev(next)->second, {}, now);
+    }
+
+    std::vector<std::unique_ptr<gateway>> m_gateways;
+    unsigned m_most = 0;
+};
+
+} // namespace
+
+// Guards against two gateways that give the same free slot away between two reports.
+TEST_CASE("the only slot of an upstream runs one batch item of all gateways")
+{
+    for (const std::size_t gateways : {1U, 2U, 5U}) {
+        for (const unsigned slots : {1U, 2U, 4U}) {
+            CAPTURE(gateways);
+            CAPTURE(slots);
+            few_slots_fleet fleet(gateways, slots);
+            fleet.run(60s);
+            CHECK(fleet.most() >= 1);
+            CHECK(fleet.most() <= 1);
+            for (std::size_t i = 0; i < gateways; ++i)
+                CHECK(fleet.ranAt(i) >= 3);
+        }
+    }
+}
