Evacuations of availability zones, and rates of upstreams that warm up

The rate that an upstream takes while it warms up wasn't decoded. Change: operator_requests applies the operators' records beside the configuration; upstream_directory holds the evacuated zones, and takesWork() decides for requests, retries, resumptions, items and work that was decided but not sent. Deployments without evacuations and without such a rate are served as before.

--- a/include/tamarackglade/gateway/process/config_watch.hpp
+++ b/include/tamarackglade/gateway/process/config_watch.hpp
@@ -1,16 +1,18 @@
-// Follows the configuration in the store and keeps the version in force.
+// Follows the operators' stream in the store and keeps the version in force.
 #pragma once
 
 #include <tamarackglade/forward/active_config.hpp>
 #include <tamarackglade/gateway/batch/stream_follower.hpp>
+#include <tamarackglade/gateway/process/operator_requests.hpp>
 #include <tamarackglade/gateway/process/platform_protocol.hpp>
 
 #include <functional>
 
 namespace tamarack {
 
-/// @brief Follows the stream in which operators publish the configuration. A configuration that
-/// can't be read is logged; the one before it stays active, but isn't confirmed any more.
+/// @brief Follows the stream in which operators publish the configuration and their other requests.
+/// A configuration that can't be read is logged; the one before it stays active, but isn't
+/// confirmed any more.
 class config_watch final : private stream_listener
 {
 public:
@@ -18,8 +20,9 @@
 
     /// @param keyFreshness maximum age of the last confirmation at which requests with keys are
     /// served
+    /// @param requests applies the records that aren't the configuration; must outlive the watch
     config_watch(record_store &store, const platform_protocol &protocol, duration keyFreshness,
-                 change_listener onChange);
+                 operator_requests &requests, change_listener onChange);
 
     void start() { m_follower.start(); }
     /// @brief Reads the stream now, unless a read sent at since or later has confirmed the
@@ -36,6 +39,7 @@
 
     record_store &m_store;
     const platform_protocol &m_protocol;
+    operator_requests &m_requests;
     const change_listener m_onChange;
     active_config m_activeConfig;
     stream_follower m_follower;
--- a/include/tamarackglade/gateway/process/gateway_process.hpp
+++ b/include/tamarackglade/gateway/process/gateway_process.hpp
@@ -60,6 +60,7 @@
     slot_allocator m_allocator;
     slot_queue m_queue;
     blocking_slot_queue m_blockingQueue;
+    operator_requests m_requests;
     config_watch m_config;
     rate_exchange m_rateExchange;
     leaving_exchange m_leavingExchange;
--- a/include/tamarackglade/gateway/process/platform_protocol.hpp
+++ b/include/tamarackglade/gateway/process/platform_protocol.hpp
@@ -35,6 +35,9 @@
     [[nodiscard]] virtual stream_partition configStream() const = 0;
     /// @return the key of the configuration's record
     [[nodiscard]] virtual std::string configKey() const = 0;
+    /// @return the zone that operators evacuate while their record with this key exists, or nullopt
+    /// if the record is about something else
+    [[nodiscard]] virtual std::optional<zone_id> evacuatedZone(const std::string &key) const = 0;
     /// @return the partition in which upstreams write their records, keyed by their id
     [[nodiscard]] virtual stream_partition upstreamStream() const = 0;
 
--- a/include/tamarackglade/gateway/upstream/upstream_watch.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_watch.hpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/gateway/process/platform_protocol.hpp>
 #include <tamarackglade/gateway/upstream/response_listener.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
+#include <tamarackglade/placement/upstream_rates.hpp>
 
 #include <functional>
 
@@ -15,7 +16,8 @@
 {
 public:
     upstream_watch(record_store &store, const platform_protocol &protocol,
-                   upstream_directory &directory, std::function<void()> onChange);
+                   upstream_directory &directory, upstream_rates &rates,
+                   std::function<void()> onChange);
 
     void start() { m_follower.start(); }
     /// @brief Sets whether the store has so many readers that each of them reads less often.
@@ -40,6 +42,7 @@
     record_store &m_store;
     const platform_protocol &m_protocol;
     upstream_directory &m_directory;
+    upstream_rates &m_rates;
     const std::function<void()> m_onChange;
     stream_follower m_follower;
 };
--- a/include/tamarackglade/placement/live_upstream.hpp
+++ b/include/tamarackglade/placement/live_upstream.hpp
@@ -20,6 +20,9 @@
     software_version version; // empty if its record names none
     unsigned slots = 1; // number of requests that it runs concurrently
     bool leaving = false; // accepts no new work
+    // How much longer it warms up, when its record was read: after its start, or at any later time.
+    // It accepts fewer requests per second until then.
+    duration warmUp = duration::zero();
 
     friend bool operator==(const live_upstream &, const live_upstream &) = default;
 };
--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -96,7 +96,7 @@
     /// usable and doesn't fail all it gets. A record alone doesn't show that.
     [[nodiscard]] bool takesWork(const group_id &group, const std::set<upstream_id> &excluded,
                                  time_point now) const;
-    /// @return whether the group has an upstream that isn't leaving
+    /// @return whether the group has an upstream that takes work
     [[nodiscard]] bool knows(const group_id &group) const;
     /// @return whether each upstream of the group and version fails all it gets
     [[nodiscard]] bool isFailing(const group_id &group, const software_version &version,
--- a/include/tamarackglade/placement/upstream_directory.hpp
+++ b/include/tamarackglade/placement/upstream_directory.hpp
@@ -1,6 +1,7 @@
 // Directory of the upstreams that may receive new work.
 #pragma once
 
+#include <tamarackglade/placement/evacuated_zones.hpp>
 #include <tamarackglade/placement/live_upstream.hpp>
 
 #include <functional>
@@ -89,7 +90,17 @@
     {
         return m_upstreams;
     }
-    /// @return the software versions of the group's upstreams that are not leaving
+    /// @return the zones whose upstreams get no new work
+    [[nodiscard]] evacuated_zones &evacuations() { return m_evacuations; }
+    [[nodiscard]] const evacuated_zones &evacuations() const { return m_evacuations; }
+    /// @return whether the upstream may be sent new work: it doesn't leave, nor is its zone
+    /// evacuated
+    [[nodiscard]] bool takesWork(const live_upstream &upstream) const
+    {
+        return !upstream.leaving && !m_evacuations.contains(upstream.zone);
+    }
+
+    /// @return the software versions of the group's upstreams that take work
     [[nodiscard]] std::set<software_version> versionsOf(const group_id &group) const;
     /// @return the upstream, or null
     [[nodiscard]] const live_upstream *find(const upstream_id &id) const;
@@ -111,6 +122,7 @@
 
     const directory_options m_options;
     std::map<upstream_id, live_upstream> m_upstreams;
+    evacuated_zones m_evacuations;
     std::unordered_map<std::uint64_t, upstream_id> m_idByHash; // of m_upstreams
     // The latest statement of each upstream, at most MaxStatements. It outlasts the upstream's
     // record, as an old record may come again.
--- a/src/gateway/exchange/rate_exchange.cpp
+++ b/src/gateway/exchange/rate_exchange.cpp
@@ -100,7 +100,9 @@
 
 void rate_exchange::tick()
 {
-    m_upstreams.tick(m_directory);
+    const time_point now = bootNow();
+    m_upstreams.tick(m_directory, now);
+    m_metrics.set("tamarack_warming_upstreams", static_cast<double>(m_upstreams.warmingUp(now)));
     m_metrics.set("tamarack_limited_upstreams", static_cast<double>(m_upstreams.limited()));
 }
 
--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -23,8 +23,9 @@
 } // namespace
 
 config_watch::config_watch(record_store &store, const platform_protocol &protocol,
-                           duration keyFreshness, change_listener onChange)
-    : m_store(store), m_protocol(protocol), m_onChange(std::move(onChange)),
+                           duration keyFreshness, operator_requests &requests,
+                           change_listener onChange)
+    : m_store(store), m_protocol(protocol), m_requests(requests), m_onChange(std::move(onChange)),
       m_follower(store, protocol.configStream(),
                  {true, pollWait(keyFreshness), std::chrono::milliseconds(0), RetryPause}, *this)
 {
@@ -37,6 +38,7 @@
 
 void config_watch::onSnapshot(const std::vector<keyed_record> &records, time_point sentAt)
 {
+    m_requests.onSnapshot(records);
     for (const keyed_record &record : records)
         applyRecord(record, sentAt);
 }
@@ -44,10 +46,12 @@
 void config_watch::onRecord(const std::string &record, time_point sentAt)
 {
     const auto keyed = m_store.decodeKeyed(record);
-    if (keyed)
-        applyRecord(*keyed, sentAt);
-    else
+    if (!keyed) {
         log_event(log_level::Warning, "malformed record in the configuration's stream");
+        return;
+    }
+    m_requests.onRecord(*keyed);
+    applyRecord(*keyed, sentAt);
 }
 
 void config_watch::applyRecord(const keyed_record &record, time_point sentAt)
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -11,6 +11,8 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <unordered_map>
+#include <utility>
 
 namespace tamarack {
 
@@ -47,11 +49,13 @@
       m_upstreamRates(m_self.vm, m_peerTable),
       m_allocator(m_directory, m_upstreamRates, placement_options{m_options.zone}, wallMicros()),
       m_queue(m_allocator), m_blockingQueue(m_allocator, m_queue),
-      m_config(store, protocol, m_options.keyFreshness,
+      m_requests(protocol, m_directory, m_metrics, [this] { m_blockingQueue.processQueue(); }),
+      m_config(store, protocol, m_options.keyFreshness, m_requests,
                [this](const forward_config &config) { onConfig(config); }),
       m_rateExchange(m_rates, m_upstreamRates, m_directory, m_config, m_metrics),
       m_leavingExchange(m_directory, m_metrics), m_pool(thread.io()),
-      m_upstreams(store, protocol, m_directory, [this] { m_blockingQueue.processQueue(); }),
+      m_upstreams(store, protocol, m_directory, m_upstreamRates,
+                  [this] { m_blockingQueue.processQueue(); }),
       m_caller(m_pool, protocol, {&m_rateExchange, &m_leavingExchange}, &m_upstreams),
       m_quarantine(m_self.vm, m_self.incarnation, quarantine_options()),
       m_requestQuarantine(m_self.vm, request_quarantine_options()),
@@ -210,6 +214,10 @@
     const time_point now = bootNow();
     for (const forward_customer &customer : config.customers())
         m_rates.setLimit(customer.id, customer.ratePerSecond, customer.burst, now);
+    std::unordered_map<group_id, double> warmUpRates;
+    for (const forward_group &group : config.groups())
+        warmUpRates.emplace(group.id, group.warmUpRate);
+    m_upstreamRates.setWarmUpRates(std::move(warmUpRates), now);
     if (m_callers)
         m_callers->setCallerLimits(config.limits().headerTimeout, config.limits().idleTimeout,
                                    config.limits().maxHeaderBytes, config.limits().maxBodyBytes);
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -25,10 +25,10 @@
 {
     const live_upstream *known = m_context.directory.find(m_upstream);
     attempt_result result;
-    if (known == nullptr || known->leaving) {
+    if (known == nullptr || !m_context.directory.takesWork(*known)) {
         m_context.blockingQueue.release(m_upstream, work_class::Online);
         result.outcome = attempt_outcome::NotRun;
-        result.reason = "upstream removed or leaving";
+        result.reason = "upstream removed, leaving or in an evacuated zone";
         return result;
     }
     const live_upstream upstream = *known;
--- a/src/gateway/upstream/upstream_watch.cpp
+++ b/src/gateway/upstream/upstream_watch.cpp
@@ -14,8 +14,10 @@
 } // namespace
 
 upstream_watch::upstream_watch(record_store &store, const platform_protocol &protocol,
-                               upstream_directory &directory, std::function<void()> onChange)
-    : m_store(store), m_protocol(protocol), m_directory(directory), m_onChange(std::move(onChange)),
+                               upstream_directory &directory, upstream_rates &rates,
+                               std::function<void()> onChange)
+    : m_store(store), m_protocol(protocol), m_directory(directory), m_rates(rates),
+      m_onChange(std::move(onChange)),
       m_follower(store, protocol.upstreamStream(), {true, PollWait, PollPause}, *this)
 {
 }
@@ -28,7 +30,10 @@
         if (upstream.ok())
             upstreams.push_back(std::move(*upstream));
     }
-    m_directory.replaceAll(upstreams, bootNow());
+    const time_point now = bootNow();
+    m_directory.replaceAll(upstreams, now);
+    for (const live_upstream &upstream : upstreams)
+        m_rates.onWarmUp(upstream, now + upstream.warmUp, now);
     log_event(log_level::Info, "upstreams read").with("count", upstreams.size());
     m_onChange();
 }
@@ -56,6 +61,8 @@
 
 void upstream_watch::put(const live_upstream &upstream)
 {
+    const time_point now = bootNow();
+    m_rates.onWarmUp(upstream, now + upstream.warmUp, now);
     if (!m_directory.put(upstream))
         return;
     log_event(log_level::Info, "upstream changed")
@@ -64,6 +71,7 @@
         .with("version", upstream.version.value())
         .with("slots", upstream.slots)
         .with("leaving", upstream.leaving)
+        .with("warm_up_ms", toSeconds(upstream.warmUp) * 1000)
         .with("started", upstream.incarnation.value());
     m_onChange();
 }
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -95,7 +95,7 @@
 {
     const auto &upstreams = m_directory.upstreams();
     return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
-        return entry.second.group == group && !entry.second.leaving;
+        return entry.second.group == group && m_directory.takesWork(entry.second);
     });
 }
 
@@ -105,8 +105,8 @@
     const auto &upstreams = m_directory.upstreams();
     return std::none_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
         const live_upstream &upstream = entry.second;
-        return upstream.group == group && upstream.version == version && !upstream.leaving
-               && !failsAll(upstream.id, now);
+        return upstream.group == group && upstream.version == version
+               && m_directory.takesWork(upstream) && !failsAll(upstream.id, now);
     });
 }
 
@@ -273,7 +273,7 @@
 bool slot_allocator::needsSlot(const upstream_id &id, time_point now) const
 {
     const live_upstream *upstream = m_directory.find(id);
-    return upstream != nullptr && !upstream->leaving
+    return upstream != nullptr && m_directory.takesWork(*upstream)
            && usedSlots(id) >= capacity(*upstream, work_class::Online, false)
            && m_rates.maySend(id, work_class::Online, now);
 }
@@ -305,7 +305,8 @@
 bool slot_allocator::usable(const live_upstream &upstream, const group_id &group,
                             const std::optional<software_version> &version, time_point now) const
 {
-    if (upstream.leaving || upstream.group != group || (version && upstream.version != *version))
+    if (!m_directory.takesWork(upstream) || upstream.group != group
+        || (version && upstream.version != *version))
         return false;
     const auto found = m_failures.find(upstream.id);
     return found == m_failures.end() || !found->second.ejected(now);
--- a/src/placement/upstream_directory.cpp
+++ b/src/placement/upstream_directory.cpp
@@ -156,7 +156,7 @@
 {
     std::set<software_version> versions;
     for (const auto &[id, upstream] : m_upstreams) {
-        if (upstream.group == group && !upstream.leaving)
+        if (upstream.group == group && takesWork(upstream))
             versions.insert(upstream.version);
     }
     return versions;
--- a/tests/mutants/faulty_protocol.cpp
+++ b/tests/mutants/faulty_protocol.cpp
@@ -9,9 +9,17 @@
     auto upstream = http_protocol::decodeUpstream(id, text);
     if (upstream.ok() && m_mutation == gateway_mutation::IgnoreLeaving)
         upstream->leaving = false;
+    if (upstream.ok() && m_mutation == gateway_mutation::IgnoreWarmUps)
+        upstream->warmUp = duration::zero();
     return upstream;
 }
 
+std::optional<zone_id> faulty_protocol::evacuatedZone(const std::string &key) const
+{
+    return m_mutation == gateway_mutation::IgnoreEvacuations ? std::nullopt
+                                                             : http_protocol::evacuatedZone(key);
+}
+
 http_client_request faulty_protocol::encodeCall(const forward_call &call,
                                                 const upstream_attempt &attempt) const
 {
--- a/tests/mutants/faulty_protocol.hpp
+++ b/tests/mutants/faulty_protocol.hpp
@@ -14,6 +14,7 @@
 
     [[nodiscard]] absl::StatusOr<live_upstream>
     decodeUpstream(const std::string &id, const std::string &text) const override;
+    [[nodiscard]] std::optional<zone_id> evacuatedZone(const std::string &key) const override;
     [[nodiscard]] http_client_request encodeCall(const forward_call &call,
                                                  const upstream_attempt &attempt) const override;
     [[nodiscard]] response_metadata decodeResponseHead(const http_response &head) const override;
--- a/tests/mutants/gateway_mutation.cpp
+++ b/tests/mutants/gateway_mutation.cpp
@@ -14,12 +14,14 @@
         std::string_view name;
         gateway_mutation mutation;
     };
-    static constexpr std::array<row, 13> Rows{{{"", None},
+    static constexpr std::array<row, 15> Rows{{{"", None},
                                                {"ClaimNotRun", ClaimNotRun},
                                                {"AnyAnswer", AnyAnswer},
                                                {"AnyInstance", AnyInstance},
                                                {"IgnoreLeaving", IgnoreLeaving},
                                                {"IgnoreLeavingHeader", IgnoreLeavingHeader},
+                                               {"IgnoreEvacuations", IgnoreEvacuations},
+                                               {"IgnoreWarmUps", IgnoreWarmUps},
                                                {"KeepCustomerHeader", KeepCustomerHeader},
                                                {"ForwardKey", ForwardKey},
                                                {"AcknowledgeUnstored", AcknowledgeUnstored},
--- a/tests/mutants/gateway_mutation.hpp
+++ b/tests/mutants/gateway_mutation.hpp
@@ -13,6 +13,8 @@
     AnyInstance, // another upstream at the address may run the request
     IgnoreLeaving, // an upstream that leaves gets new work
     IgnoreLeavingHeader, // so does one that says so in its responses alone
+    IgnoreEvacuations, // so does one of an evacuated zone
+    IgnoreWarmUps, // an upstream that warms up gets any number of requests
     KeepCustomerHeader, // the customer's name isn't set
     ForwardKey, // the caller's key is passed on
     AcknowledgeUnstored, // an append without an answer counts as done
--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -61,7 +61,7 @@
 /// Publishes configurations and lets a watch read them.
 struct watched_stream
 {
-    watched_stream() : watch(store, protocol, 5s, [](const forward_config &) {}) { }
+    watched_stream() : watch(store, protocol, 5s, requests, [](const forward_config &) {}) { }
 
     bool publish(const std::string &value)
     {
@@ -71,6 +71,9 @@
 
     platform::http_protocol protocol;
     memory_store store;
+    upstream_directory directory{directory_options()};
+    metric_registry metrics;
+    operator_requests requests{protocol, directory, metrics, [] {}};
     config_watch watch;
 };
 
@@ -110,3 +113,50 @@
         CHECK(stream.watch.activeConfig().current()->version() == config_version(2));
     });
 }
+
+// Guards against an evacuation that is in the store but has no effect.
+TEST_CASE("evacuations follow the operators' records")
+{
+    io_thread thread;
+    thread.run([&] {
+        watched_stream stream;
+        const auto &evacuations = stream.directory.evacuations();
+        const auto put = [&](const std::string &key, const std::string &value) {
+            stream.store.records.push_back(stream.store.encodeKeyed({key, value}));
+            return stream.watch.refresh(bootNow());
+        };
+        CHECK(put("evacuate/zone-b", "{}"));
+        CHECK(evacuations.zones() == std::set<zone_id>{zone_id("zone-b")});
+        CHECK(put("evacuate/", "{}"));
+        CHECK(put("evacuate/zone-c", "not JSON"));
+        CHECK(evacuations.contains(zone_id("zone-c")));
+        CHECK(put("evacuate/zone-b", ""));
+        CHECK(evacuations.zones() == std::set<zone_id>{zone_id("zone-c")});
+    });
+}
+
+TEST_CASE("a snapshot of the operators' records ends the evacuations that it lacks")
+{
+    watched_stream stream;
+    const auto &evacuations = stream.directory.evacuations();
+    stream.requests.onSnapshot({{"evacuate/a", "{}"}, {"evacuate/b", "{}"}, {"config", "{}"}});
+    CHECK(evacuations.zones() == std::set<zone_id>{zone_id("a"), zone_id("b")});
+    stream.requests.onSnapshot({{"config", "{}"}, {"evacuate/b", "{}"}});
+    CHECK(evacuations.zones() == std::set<zone_id>{zone_id("b")});
+}
+
+// Guards against an operator who relies on a request that no code acts on.
+TEST_CASE("operators' records without an effect are counted")
+{
+    watched_stream stream;
+    const auto unknown = [&] {
+        return stream.metrics.prometheusText().find("tamarack_unknown_operator_records 1")
+               != std::string::npos;
+    };
+    stream.requests.onRecord({"config", "{}"});
+    CHECK_FALSE(unknown());
+    stream.requests.onRecord({"hibernate/zone-a", "{}"});
+    CHECK(unknown());
+    stream.requests.onRecord({"hibernate/zone-a", ""});
+    CHECK_FALSE(unknown());
+}
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -207,6 +207,59 @@
     CHECK(allocator.pick(requestOf(work_class::Online), Start + 1'400ms));
 }
 
+// Guards against new work for a zone that operators believe to be empty.
+TEST_CASE_FIXTURE(allocator_fixture, "an upstream of an evacuated zone gets no work of any kind")
+{
+    directory.put(upstreamNamed("near", "a", 8));
+    directory.put(upstreamNamed("far", "b", 8));
+    const auto picks = [&](work_class work) {
+        const auto picked = allocator.pick(requestOf(work), Start);
+        return picked ? picked->value() : "";
+    };
+    CHECK(picks(work_class::Online) == "near");
+    REQUIRE(directory.evacuations().add(zone_id("a")));
+    CHECK(picks(work_class::Online) == "far");
+    CHECK(picks(work_class::Batch) == "far");
+    CHECK(allocator.freeSlots(Engines, work_class::Online, Start) == 6);
+
+    SUBCASE("nothing is left when all zones are evacuated")
+    {
+        REQUIRE(directory.evacuations().add(zone_id("b")));
+        CHECK(picks(work_class::Online).empty());
+        CHECK(picks(work_class::Batch).empty());
+        CHECK_FALSE(allocator.knows(Engines));
+        CHECK_FALSE(allocator.takesWork(Engines, {}, Start));
+        CHECK(directory.versionsOf(Engines).empty());
+    }
+    SUBCASE("an upstream that appears during the evacuation gets nothing either")
+    {
+        directory.remove(upstream_id("far"), Start);
+        directory.put(upstreamNamed("new", "a", 8));
+        CHECK(picks(work_class::Online).empty());
+    }
+    SUBCASE("work returns when the evacuation is taken back")
+    {
+        REQUIRE(directory.evacuations().remove(zone_id("a")));
+        CHECK(picks(work_class::Online) == "near");
+    }
+    SUBCASE("a zone without upstreams changes nothing")
+    {
+        REQUIRE(directory.evacuations().add(zone_id("nowhere")));
+        CHECK(picks(work_class::Online) == "far");
+    }
+}
+
+TEST_CASE("evacuations are bounded and counted once")
+{
+    evacuated_zones zones;
+    CHECK(zones.add(zone_id("a")));
+    CHECK_FALSE(zones.add(zone_id("a")));
+    CHECK_FALSE(zones.remove(zone_id("b")));
+    for (std::size_t i = 0; i < 2 * evacuated_zones::MaxZones; ++i)
+        zones.add(zone_id("z" + std::to_string(i)));
+    CHECK(zones.zones().size() == evacuated_zones::MaxZones);
+}
+
 TEST_CASE_FIXTURE(allocator_fixture, "an upstream that fails immediately attracts no requests")
 {
     // All slots of the failing upstream stay free, so by free slots alone it would always be
@@ -348,6 +401,15 @@
     {
         m_gateways[index]->rates.onStatement(statementOf(rate, m_now), m_now);
     }
+    /// The upstream's record, which each gateway reads, states a warm-up of a group with this rate.
+    void warmUp(duration length, double rate)
+    {
+        live_upstream upstream = upstreamNamed("limited");
+        for (auto &each : m_gateways) {
+            each->rates.setWarmUpRates({{Engines, rate}}, m_now);
+            each->rates.onWarmUp(upstream, m_now + length, m_now);
+        }
+    }
     void setCutOff(std::size_t index, bool cutOff) { m_gateways[index]->cutOff = cutOff; }
 
     /// @param gateways number of gateways that have requests, at all times
@@ -500,6 +562,114 @@
     CHECK_FALSE(fleet.rates(0).maySend(limited_fleet::Limited, work_class::Batch, fleet.now()));
 }
 
+namespace {
+
+/// What an upstream that warms up withstands in each second from all gateways.
+double withstoodInOneSecond(double rate)
+{
+    return 1.5 * rate + 5;
+}
+
+} // namespace
+
+// Guards against a fleet that crashes upstreams that have just started.
+TEST_CASE("gateways together stay within the rate of an upstream that warms up")
+{
+    for (const double rate : {4.0, 23.0, 60.0}) {
+        for (const std::size_t size : {1, 7, 33, 133}) {
+            CAPTURE(rate);
+            CAPTURE(size);
+            limited_fleet fleet(size);
+            fleet.run(2s, 0);
+            fleet.warmUp(10s, rate);
+            fleet.run(10s, size);
+            CHECK(static_cast<double>(fleet.sentIn(1s)) <= withstoodInOneSecond(rate));
+            CHECK(static_cast<double>(fleet.sent()) >= 0.7 * rate * 10);
+        }
+    }
+}
+
+TEST_CASE("gateways that start together before upstreams that warm up stay within their rate")
+{
+    for (const std::size_t size : {1, 7, 33}) {
+        CAPTURE(size);
+        limited_fleet fleet(size);
+        fleet.warmUp(10s, 23.0);
+        fleet.run(10s, size);
+        CHECK(static_cast<double>(fleet.sentIn(1s)) <= withstoodInOneSecond(23.0));
+    }
+}
+
+TEST_CASE("the rate of a warm-up holds while gateways are cut off and after their return")
+{
+    limited_fleet fleet(33);
+    fleet.run(2s, 0);
+    fleet.warmUp(30s, 23.0);
+    fleet.run(3s, 33);
+    for (std::size_t i = 0; i < 16; ++i)
+        fleet.setCutOff(i, true);
+    fleet.run(6s, 33);
+    for (std::size_t i = 0; i < 16; ++i)
+        fleet.setCutOff(i, false);
+    fleet.run(6s, 33);
+    CHECK(static_cast<double>(fleet.sentIn(1s)) <= withstoodInOneSecond(23.0));
+}
+
+TEST_CASE("a warm-up ends in time, with its record and with the group's rate")
+{
+    limited_fleet fleet(1);
+    auto &rates = fleet.rates(0);
+    const auto maySendMany = [&](duration at) {
+        unsigned sent = 0;
+        while (sent < 100
+               && rates.maySend(limited_fleet::Limited, work_class::Online, Start + at)) {
+            rates.onSent(limited_fleet::Limited, Start + at);
+            ++sent;
+        }
+        return sent == 100;
+    };
+    const auto tick = [&](duration at) {
+        upstream_directory directory{directory_options()};
+        directory.put(upstreamNamed("limited"));
+        rates.tick(directory, Start + at);
+    };
+    CHECK(maySendMany(0s));
+    fleet.warmUp(3s, 23.0);
+    CHECK(rates.warmingUp(Start) == 1);
+    CHECK_FALSE(maySendMany(0s));
+
+    SUBCASE("the time that the record stated is over")
+    {
+        tick(2'999ms);
+        CHECK_FALSE(maySendMany(2'999ms));
+        tick(3s);
+        CHECK(maySendMany(3s));
+    }
+    SUBCASE("a later record states no warm-up")
+    {
+        rates.onWarmUp(upstreamNamed("limited"), Start + 1s, Start + 1s);
+        CHECK(maySendMany(1s));
+    }
+    SUBCASE("a later record extends it")
+    {
+        rates.onWarmUp(upstreamNamed("limited"), Start + 5s, Start + 2s);
+        tick(4s);
+        CHECK_FALSE(maySendMany(4s));
+    }
+    SUBCASE("the configuration has no rate any more")
+    {
+        rates.setWarmUpRates({}, Start + 1s);
+        CHECK(maySendMany(1s));
+    }
+    SUBCASE("a lower stated rate holds beside it and after it")
+    {
+        rates.onStatement(limited_fleet::statementOf(1.0, Start + 1s), Start + 1s);
+        tick(3s);
+        CHECK_FALSE(maySendMany(3s));
+        CHECK(rates.limited() == 1);
+    }
+}
+
 TEST_CASE("the newest statement of an upstream counts")
 {
     limited_fleet fleet(2);
@@ -526,15 +696,15 @@
     upstream_rates rates{vm_id("g"), peers};
     directory.put(upstreamNamed("limited"));
     rates.onStatement(limited_fleet::statementOf(1.0, Start), Start);
-    rates.tick(directory);
+    rates.tick(directory, Start);
     CHECK(rates.limited() == 1);
     live_upstream restarted = upstreamNamed("limited");
     restarted.incarnation = incarnation_number(2);
     directory.put(restarted);
-    rates.tick(directory);
+    rates.tick(directory, Start);
     CHECK(rates.limited() == 0);
     rates.onStatement({upstream_id("gone"), incarnation_number(1), 1.0, Start}, Start);
-    rates.tick(directory);
+    rates.tick(directory, Start);
     CHECK(rates.limited() == 0);
 }
 
