Callers' memory and connections are bounded for the whole process

Cause: nothing bounded what all connections hold together. Beast's parser asks for more of a chunk's head or of trailers without end, string_body allocates the announced length, each body is held in several copies, and accepted connections use the last descriptor. Change: connection_budget, code without a network, decides whose bytes are held: a quarter of the memory and three quarters of the descriptors. Stalled connections are ended first, then the largest request that is being read, then idle connections; a request that finds no room gets 503 with Retry-After before any of it runs. The parser's rest and trailers are bounded like the header; bodies grow with what has come; small chunks are parsed together; the allocator gives large buffers back. Limits come from memory-limit and descriptor-limit, else from machine, control group and ulimit. Submissions and pages of results reserve what they decode and encode. tamarack-entry and tamarack-side get the bounds of parser and body only.

--- a/apps/tamarack-gateway.cpp
+++ b/apps/tamarack-gateway.cpp
@@ -3,6 +3,7 @@
 #include <platform/platform_store.hpp>
 #include <tamarackglade/gateway/process/gateway_process.hpp>
 #include <tamarackglade/logging/init_logging.hpp>
+#include <tamarackglade/runtime/machine_limits.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 #include <tamarackglade/settings/load_settings.hpp>
 
@@ -12,6 +13,7 @@
 {
     using namespace tamarack;
     holdSignals();
+    returnLargeBuffers();
     constexpr int ExitFailure = 1;
     constexpr int ExitUsage = 2;
     const auto settings = loadSettings(gatewayOptions(), argc, argv);
--- a/include/tamarackglade/gateway/process/gateway_options.hpp
+++ b/include/tamarackglade/gateway/process/gateway_options.hpp
@@ -32,6 +32,8 @@
     std::chrono::milliseconds firstEventReserve{};
     std::uint32_t batchPartitions = 1;
     std::size_t maxDirectFleet = 1; // gateways
+    std::size_t memoryLimit = 0; // bytes; 0 for that of the machine
+    std::size_t descriptorLimit = 0; // 0 for that of the process
 };
 
 /// @return the options from validated settings
--- a/include/tamarackglade/gateway/process/gateway_process.hpp
+++ b/include/tamarackglade/gateway/process/gateway_process.hpp
@@ -41,6 +41,7 @@
     absl::Status startServers();
     void tickLoop();
     void readinessLoop();
+    void reportBudget();
     /// @return why this gateway is not ready for callers; empty if it is ready
     [[nodiscard]] std::string notReadyReason() const;
     void onConfig(const forward_config &config);
@@ -79,6 +80,7 @@
     batch_runner m_batches;
     request_router m_router;
     settings_watch m_settings;
+    const std::shared_ptr<connection_budget> m_budget; // of all listeners
     std::unique_ptr<http_server> m_callers;
     std::unique_ptr<http_server> m_readiness;
     admin_server m_admin;
--- a/include/tamarackglade/http/admin_server.hpp
+++ b/include/tamarackglade/http/admin_server.hpp
@@ -19,7 +19,9 @@
     using page = std::function<http_response(const http_request &)>;
 
     /// registry must outlive the thread.
-    admin_server(io_thread &thread, metric_registry &registry);
+    /// @param budget as http_server_options::budget
+    admin_server(io_thread &thread, metric_registry &registry,
+                 std::shared_ptr<connection_budget> budget = nullptr);
 
     /// @brief Adds a page; call before listen.
     void addPage(const std::string &path, page answer);
--- a/include/tamarackglade/http/detail/http_session.hpp
+++ b/include/tamarackglade/http/detail/http_session.hpp
@@ -1,16 +1,18 @@
 // One server connection: reads requests in turn and lets the handler answer them.
 #pragma once
 
+#include <tamarackglade/buffers/connection_budget.hpp>
+#include <tamarackglade/http/detail/growing_body.hpp>
 #include <tamarackglade/http/http_exchange.hpp>
 #include <tamarackglade/http/http_server.hpp>
 #include <tamarackglade/runtime/byte_stream.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -36,6 +38,10 @@
     void run();
 
     [[nodiscard]] const http_request &request() const override { return m_request; }
+    bool reserveMemory(std::size_t bytes) override
+    {
+        return waitForRoom(bytes, connection_phase::Running);
+    }
     void respond(const http_response &response) override;
     void beginStream(const http_response &head) override;
     void beginStreamWith(const http_response &head, std::string_view firstChunk) override;
@@ -51,14 +57,26 @@
     [[nodiscard]] bool started() const override { return m_started; }
 
 private:
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = boost::beast::http::request_parser<growing_body>;
 
     bool waitForRequest();
     void serveRequest();
     bool readRequest();
     bool readHeader(request_parser &parser);
     bool readBody(request_parser &parser, std::size_t limit);
+    /// @brief Reads what the body needs beyond the limit check and the interim response.
+    bool readWholeBody(request_parser &parser);
     void feedParser(request_parser &parser, boost::system::error_code &error);
+    /// @brief Reads more into the buffer; refuses if the process has no room for it.
+    bool readMore(const request_parser &parser, boost::system::error_code &error);
+    /// @brief Counts bytes of the request, after waiting for room.
+    /// @return false if there is none; the request is refused then
+    bool reserve(std::size_t bytes, connection_phase whileWaiting);
+    /// @brief As reserve(), but refuses nothing.
+    bool waitForRoom(std::size_t bytes, connection_phase whileWaiting);
+    /// @return false if the process has no place for the connection
+    bool enterBudget();
+    void setPhase(connection_phase phase);
     bool setReadTimeout(std::chrono::steady_clock::time_point deadline,
                         const std::string &lateMessage);
     void refuse(unsigned status, const std::string &code, const std::string &message);
@@ -74,8 +92,11 @@
     const http_server_options &m_options;
     const http_server::handler &m_handle;
     session_registry &m_registry;
+    std::unique_ptr<connection_budget::share> m_share; // null without a budget
     boost::beast::flat_buffer m_buffer;
     bool m_needMore = true; // the parser can't go on with what m_buffer holds
+    bool m_inTrailers = false; // the last chunk of the body has been read
+    std::size_t m_trailerBytes = 0;
     http_request m_request;
     bool m_keepAlive = true; // the connection may carry another request
     bool m_started = false; // an answer to m_request was started
--- a/include/tamarackglade/http/http_exchange.hpp
+++ b/include/tamarackglade/http/http_exchange.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/http/http_request.hpp>
 #include <tamarackglade/http/http_response.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
@@ -19,6 +20,10 @@
     virtual ~http_exchange() = default;
 
     [[nodiscard]] virtual const http_request &request() const = 0;
+    /// @brief Counts memory that the handler is about to hold until its answer. May wait a moment
+    /// for room.
+    /// @return false if the process has no room; the request is to be refused then
+    virtual bool reserveMemory(std::size_t /*bytes*/) { return true; }
     /// @brief Answers with a whole response.
     virtual void respond(const http_response &response) = 0;
     /// @brief Starts a chunked answer; the response's body is ignored.
--- a/include/tamarackglade/http/http_server_options.hpp
+++ b/include/tamarackglade/http/http_server_options.hpp
@@ -1,6 +1,7 @@
 // Limits and hooks of an HTTP server.
 #pragma once
 
+#include <tamarackglade/buffers/connection_budget.hpp>
 #include <tamarackglade/http/http_request.hpp>
 #include <tamarackglade/http/http_response.hpp>
 
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace tamarack {
@@ -36,6 +38,9 @@
     std::function<http_response(unsigned status, const std::string &code,
                                 const std::string &message)>
         makeError;
+    /// Bounds what all connections hold, also those of other servers on the thread; null for no
+    /// bound.
+    std::shared_ptr<connection_budget> budget;
     /// TLS for the listener, or null for plain TCP.
     tls_context *tls = nullptr;
 };
--- a/src/gateway/batch/batch_api.cpp
+++ b/src/gateway/batch/batch_api.cpp
@@ -8,6 +8,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace tamarack {
@@ -22,6 +23,10 @@
 constexpr std::chrono::milliseconds OverLimitRetryAfter{1'000};
 constexpr std::chrono::milliseconds MaxResultWait{5'000};
 constexpr std::uint64_t MaxAnswerBytes = 900 * 1024; // output bytes in one response
+// A job's body is held up to this many times beyond the copies of any request: decoded, as the
+// records of its contents, and as the calls to the store.
+constexpr std::size_t CopiesOfJob = 5;
+constexpr std::size_t CopiesOfPage = 4; // as outputs, JSON values, JSON text and response
 constexpr std::size_t MaxResultsPerAnswer = 32; // each output may need a read of the store
 
 std::uint64_t toMilliseconds(duration time)
@@ -66,6 +71,14 @@
                        const forward_route &route, const customer_id &customer,
                        time_point arrivedAt)
 {
+    if (!exchange.reserveMemory(exchange.request().body.size() * CopiesOfJob)) {
+        log_event(log_level::Info, "batch job refused")
+            .request(call.id.value())
+            .customer(customer.value())
+            .with("reason", "no memory");
+        exchange.respond(refusal(503, "overloaded", UnavailableRetryAfter));
+        return;
+    }
     auto items = m_context.protocol.decodeBatchItems(exchange.request().body);
     if (!items.ok() || call.id.value().empty()) {
         const std::string reason =
@@ -177,8 +190,16 @@
             return;
         }
     }
-    const auto outputs = m_store.contents().readAll(pageOf(*current, call.from));
-    // The fold may have dropped the job while its outputs were read.
+    const std::vector<content_place> places = pageOf(*current, call.from);
+    const std::size_t pageBytes =
+        std::accumulate(places.begin(), places.end(), std::size_t{0},
+                        [](std::size_t sum, const auto &place) { return sum + place.size; });
+    if (!exchange.reserveMemory(pageBytes * CopiesOfPage)) {
+        exchange.respond(refusal(503, "overloaded", UnavailableRetryAfter));
+        return;
+    }
+    const auto outputs = m_store.contents().readAll(places);
+    // The fold may have dropped the job meanwhile.
     current = partition.fold().find(id);
     if (!outputs || current == nullptr) {
         exchange.respond(refusal(503, "results_not_read", UnavailableRetryAfter));
--- a/src/gateway/process/gateway_options.cpp
+++ b/src/gateway/process/gateway_options.cpp
@@ -23,6 +23,10 @@
     options.silenceLimit = settings.milliseconds("silence-limit");
     options.firstEventReserve = settings.milliseconds("first-event-reserve");
     options.batchPartitions = static_cast<std::uint32_t>(settings.integer("batch-partitions"));
+    constexpr std::size_t MegabyteBytes = 1024 * 1024;
+    options.memoryLimit =
+        static_cast<std::size_t>(settings.integer("memory-limit")) * MegabyteBytes;
+    options.descriptorLimit = static_cast<std::size_t>(settings.integer("descriptor-limit"));
     options.maxDirectFleet = static_cast<std::size_t>(settings.integer("direct-fleet"));
     return options;
 }
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/logging/init_logging.hpp>
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
+#include <tamarackglade/runtime/machine_limits.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 
@@ -25,6 +26,8 @@
 // to others before this gateway has to refuse them.
 constexpr std::chrono::milliseconds MaxReadyConfigAge{3'000};
 constexpr std::chrono::seconds WriteTimeout{10};
+constexpr unsigned Unavailable = 503;
+constexpr std::chrono::milliseconds RoomRetryAfter{500}; // after a refusal for lack of memory
 constexpr std::chrono::milliseconds PauseAfterDrain{100};
 // Before the end of the grace of a planned stop: requests in progress are answered with failures.
 constexpr std::chrono::milliseconds EndReserve{500};
@@ -38,6 +41,22 @@
     return rates;
 }
 
+// Upstreams, peers, the store and files keep the rest: of the memory most, as what callers send
+// takes stacks, copies that grow and gaps in the heap besides.
+budget_limits budgetOf(const gateway_options &options)
+{
+    constexpr std::size_t MinOwnDescriptors = 64;
+    const machine_limits machine = machineLimits();
+    const std::size_t memory = options.memoryLimit > 0 ? options.memoryLimit : machine.memoryBytes;
+    const std::size_t descriptors =
+        options.descriptorLimit > 0 ? options.descriptorLimit : machine.descriptors;
+    const std::size_t own = std::max(MinOwnDescriptors, descriptors / 4);
+    budget_limits limits;
+    limits.bytes = memory / 4;
+    limits.connections = descriptors > own ? descriptors - own : 1;
+    return limits;
+}
+
 } // namespace
 
 gateway_process::gateway_process(io_thread &thread, const setting_values &settings,
@@ -86,7 +105,8 @@
       m_router(m_context, m_batchApi),
       m_settings(thread, gatewayOptions(),
                  [this](const setting_values &values) { onSettings(values); }),
-      m_admin(thread, m_metrics)
+      m_budget(std::make_shared<connection_budget>(budgetOf(m_options))),
+      m_admin(thread, m_metrics, m_budget)
 {
     m_blockingQueue.setBatchYield(
         [this](const placement_request &request) { return m_batches.yieldOne(request.version); });
@@ -123,8 +143,10 @@
 {
     http_server_options options;
     options.writeTimeout = WriteTimeout;
+    options.budget = m_budget;
     options.makeError = [](unsigned code, const std::string &name, const std::string &) {
-        return refusal(code, name);
+        return refusal(code, name,
+                       code == Unavailable ? duration(RoomRetryAfter) : duration::zero());
     };
     m_callers = std::make_unique<http_server>(
         m_thread, options, [this](http_exchange &exchange) { m_router.handle(exchange); });
@@ -185,6 +207,7 @@
         m_metrics.set("tamarack_waiting_requests", static_cast<double>(m_blockingQueue.waiting()));
         m_metrics.set("tamarack_batch_runs", static_cast<double>(m_batches.running()));
         m_metrics.set("tamarack_failing_upstreams", static_cast<double>(m_allocator.failing(now)));
+        reportBudget();
         m_metrics.set("tamarack_rate_share", m_peerTable.share(now));
         m_metrics.set("tamarack_dropped_log_lines", static_cast<double>(droppedLogLines()));
         m_metrics.set("tamarack_serving_gateways",
@@ -193,6 +216,21 @@
     }
 }
 
+void gateway_process::reportBudget()
+{
+    const budget_counts &counts = m_budget->counts();
+    const auto set = [this](const char *name, std::size_t value) {
+        m_metrics.set(name, static_cast<double>(value));
+    };
+    set("tamarack_caller_bytes", m_budget->bytes());
+    set("tamarack_caller_connections", m_budget->connections());
+    set("tamarack_ended_stalled_connections", counts.stalled);
+    set("tamarack_ended_idle_connections", counts.idle);
+    set("tamarack_ended_large_requests", counts.largest);
+    set("tamarack_refused_connections", counts.refused);
+    set("tamarack_denied_reads", counts.denied);
+}
+
 std::string gateway_process::notReadyReason() const
 {
     if (m_draining)
--- a/src/http/admin_server.cpp
+++ b/src/http/admin_server.cpp
@@ -16,11 +16,19 @@
     return response;
 }
 
+http_server_options optionsWith(std::shared_ptr<connection_budget> budget)
+{
+    http_server_options options;
+    options.budget = std::move(budget);
+    return options;
+}
+
 } // namespace
 
-admin_server::admin_server(io_thread &thread, metric_registry &registry)
-    : m_registry(registry),
-      m_server(thread, {}, [this](http_exchange &exchange) { answer(exchange); })
+admin_server::admin_server(io_thread &thread, metric_registry &registry,
+                           std::shared_ptr<connection_budget> budget)
+    : m_registry(registry), m_server(thread, optionsWith(std::move(budget)),
+                                     [this](http_exchange &exchange) { answer(exchange); })
 {
 }
 
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -1,11 +1,16 @@
 // Reading requests within limits, and writing answers.
 #include <tamarackglade/http/detail/http_session.hpp>
+#include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/runtime/steady_now.hpp>
 
 #include <absl/strings/str_cat.h>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <array>
 
 namespace tamarack::detail {
 
@@ -14,6 +19,28 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 16 * 1024;
+// A read request is held up to this many times while it is answered: as it came, as the call that
+// is forwarded and as the text that is sent.
+constexpr std::size_t CopiesOfBody = 4;
+constexpr std::size_t ReadCopies = 2; // while it is read, as its string grows by doubling
+// How long a request waits for others to end. Longer than connection_budget::StallTime, after which
+// stalled ones are ended.
+constexpr std::chrono::milliseconds MaxRoomWait{1'500};
+constexpr std::chrono::milliseconds RoomPollInterval{20};
+constexpr std::chrono::seconds LogInterval{1}; // at most one line in this time
+
+// The counts are in the metrics; a line names one of the callers.
+void logEndedConnection(const std::string &peer, const char *reason)
+{
+    static thread_local time_point loggedAt{};
+    const time_point now = steadyNow();
+    if (loggedAt != time_point{} && now - loggedAt < LogInterval)
+        return;
+    loggedAt = now;
+    log_event(log_level::Warning, "caller's connection ended to free memory or descriptors")
+        .with("peer", peer)
+        .with("reason", reason);
+}
 
 } // namespace
 
@@ -25,6 +52,10 @@
 
 void http_session::run()
 {
+    if (!enterBudget()) {
+        m_stream.close();
+        return;
+    }
     while (m_keepAlive && !m_broken && waitForRequest()) {
         ++m_registry.active;
         serveRequest();
@@ -38,6 +69,22 @@
     m_stream.close();
 }
 
+bool http_session::enterBudget()
+{
+    if (!m_options.budget)
+        return true;
+    const std::string peer = m_stream.peerAddress();
+    m_share = m_options.budget->open(
+        [this, peer] {
+            logEndedConnection(peer, "ended for others");
+            m_stream.close();
+        },
+        steadyNow());
+    if (!m_share)
+        logEndedConnection(peer, "too many connections");
+    return m_share != nullptr;
+}
+
 // Between requests the connection may be closed at any time; from the first byte on it is not.
 bool http_session::waitForRequest()
 {
@@ -45,6 +92,7 @@
         return false;
     if (m_buffer.size() > 0)
         return true;
+    setPhase(connection_phase::Idle);
     m_stream.setTimeout(m_options.idleTimeout);
     m_registry.idle.insert(&m_stream);
     boost::system::error_code error;
@@ -57,14 +105,19 @@
 void http_session::serveRequest()
 {
     m_started = false;
-    if (!readRequest()) {
+    setPhase(connection_phase::Receiving);
+    if (readRequest()) {
+        m_stream.setTimeout(m_options.writeTimeout);
+        setPhase(connection_phase::Running);
+        m_handle(*this);
+        if (!m_started)
+            refuse(500, "internal_error", "the request was not answered");
+    } else {
         m_keepAlive = false;
-        return;
     }
-    m_stream.setTimeout(m_options.writeTimeout);
-    m_handle(*this);
-    if (!m_started)
-        refuse(500, "internal_error", "the request was not answered");
+    m_request = http_request{};
+    if (m_share)
+        m_share->releaseRequest();
 }
 
 // Closing with unread data would reset the connection, and the caller might not see the answer.
@@ -72,7 +125,9 @@
 {
     constexpr std::size_t DiscardBytes = 64 * 1024;
     constexpr std::chrono::seconds LingerTime{3};
-    std::string discarded(DiscardBytes, '\0');
+    // Nobody looks at the bytes, so all connections of the thread share one buffer.
+    static thread_local std::array<char, DiscardBytes> discarded;
+    setPhase(connection_phase::Idle);
     const auto deadline = std::chrono::steady_clock::now() + LingerTime;
     boost::system::error_code error;
     m_stream.setTimeout(LingerTime);
@@ -84,6 +139,8 @@
 {
     request_parser parser;
     m_needMore = false;
+    m_inTrailers = false;
+    m_trailerBytes = 0;
     parser.header_limit(m_options.headerLimit);
     parser.body_limit(boost::none);
     if (!readHeader(parser))
@@ -105,7 +162,6 @@
 {
     boost::system::error_code error;
     const auto deadline = std::chrono::steady_clock::now() + m_options.headerTimeout;
-    m_request = http_request{};
     while (!parser.is_header_done()) {
         if (!setReadTimeout(deadline, "the header was sent too slowly"))
             return false;
@@ -124,18 +180,65 @@
 // Beast's read_some would go on until the whole header is there.
 void http_session::feedParser(request_parser &parser, boost::system::error_code &error)
 {
-    if (m_needMore || m_buffer.size() == 0) {
-        const std::size_t size = m_stream.readSome(m_buffer.prepare(ReadBytes), error);
-        m_buffer.commit(size);
-        if (error == boost::asio::error::eof)
-            error = parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
-        if (error)
-            return;
-    }
-    m_buffer.consume(parser.put(m_buffer.data(), error));
+    if ((m_needMore || m_buffer.size() == 0) && !readMore(parser, error))
+        return;
+    const std::size_t used = parser.put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    m_trailerBytes += m_inTrailers ? used : 0;
     m_needMore = error == http::error::need_more;
     if (m_needMore)
         error = {};
+    if (!error && m_trailerBytes > m_options.headerLimit)
+        error = http::error::header_limit;
+}
+
+// A part that the parser needs whole, such as a chunk's head or the trailers, is bounded like the
+// header: Beast asks for more of it without end.
+bool http_session::readMore(const request_parser &parser, boost::system::error_code &error)
+{
+    if (m_buffer.size() > m_options.headerLimit) {
+        error = http::error::header_limit;
+        return false;
+    }
+    const std::size_t size = m_stream.readSome(m_buffer.prepare(ReadBytes), error);
+    m_buffer.commit(size);
+    if (error == boost::asio::error::eof)
+        error = parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
+    if (error)
+        return false;
+    setPhase(connection_phase::Receiving);
+    if (!reserve(size * ReadCopies, connection_phase::Waiting))
+        error = boost::asio::error::operation_aborted; // it has been refused or ended
+    setPhase(connection_phase::Receiving);
+    return !error;
+}
+
+bool http_session::reserve(std::size_t bytes, connection_phase whileWaiting)
+{
+    if (waitForRoom(bytes, whileWaiting))
+        return true;
+    refuse(503, "overloaded", "the process has no memory for the request");
+    return false;
+}
+
+bool http_session::waitForRoom(std::size_t bytes, connection_phase whileWaiting)
+{
+    if (!m_share)
+        return true;
+    const auto deadline = steadyNow() + MaxRoomWait;
+    while (!m_share->reserve(bytes, steadyNow())) {
+        if (m_share->ended() || steadyNow() >= deadline)
+            return false;
+        setPhase(whileWaiting);
+        boost::this_fiber::sleep_for(RoomPollInterval);
+    }
+    return true;
+}
+
+void http_session::setPhase(connection_phase phase)
+{
+    if (m_share)
+        m_share->setPhase(phase, steadyNow());
 }
 
 // Returns false after refusing if the deadline has passed.
@@ -162,6 +265,15 @@
     parser.body_limit(limit);
     if (boost::beast::iequals(m_request.header("expect"), "100-continue") && !parser.is_done())
         writeAll("HTTP/1.1 100 Continue\r\n\r\n");
+    return readWholeBody(parser);
+}
+
+bool http_session::readWholeBody(request_parser &parser)
+{
+    auto onChunk = [this](std::uint64_t size, boost::beast::string_view /*extensions*/,
+                          boost::system::error_code & /*error*/) { m_inTrailers = size == 0; };
+    parser.on_chunk_header(onChunk);
+    parser.eager(true); // small chunks are then parsed together
     const auto deadline = std::chrono::steady_clock::now() + m_options.bodyTimeout;
     boost::system::error_code error;
     while (!parser.is_done()) {
@@ -174,7 +286,7 @@
         }
     }
     m_request.body = std::move(parser.get().body());
-    return true;
+    return reserve(m_request.body.size() * (CopiesOfBody - ReadCopies), connection_phase::Running);
 }
 
 void http_session::refuse(unsigned status, const std::string &code, const std::string &message)
@@ -242,6 +354,8 @@
     absl::StrAppend(&text, "Content-Length: ", response.body.size(), "\r\n\r\n");
     if (!isHead())
         text += response.body;
+    if (m_share)
+        m_share->charge(text.size() + response.body.size(), steadyNow());
     writeAll(text);
 }
 
@@ -312,12 +426,14 @@
 {
     while (!data.empty() && !m_broken) {
         boost::system::error_code error;
+        setPhase(connection_phase::Sending);
         const std::size_t written =
             m_stream.writeSome(boost::asio::buffer(data.data(), data.size()), error);
         data.remove_prefix(written);
         if (error)
             m_broken = true;
     }
+    setPhase(connection_phase::Running);
     return !m_broken;
 }
 
--- a/src/settings/option_table.cpp
+++ b/src/settings/option_table.cpp
@@ -190,6 +190,14 @@
             {"direct-fleet", Integer, "gateways", 1, 1'000, "48", false,
              "Gateways of a larger fleet report directly only within their zone; the same on all "
              "gateways"},
+            {"memory-limit", Integer, "MB", 0, 1'048'576, "0", false,
+             "Memory that the process may use; 0 for the lowest limit of machine, control group "
+             "and "
+             "ulimit. A quarter of it may be held for callers: beyond that, connections without "
+             "progress are closed and large requests get 503"},
+            {"descriptor-limit", Integer, "descriptors", 0, 10'000'000, "0", false,
+             "Open files and sockets that the process may use; 0 for ulimit. Callers may use three "
+             "quarters: beyond that, idle connections are closed and new ones refused"},
         }};
     return Table;
 }
