Bytes of an ended connection count until its owner has freed them

The budget took the bytes of an ended connection as free at once, but its fiber frees them when it runs next; 150 connections that are read in one round passed the limit meanwhile. Change: room is there when the owner has left; who asks waits, as for any room. The crowd and the bounds of the end-to-end tests are unchanged.

--- a/include/tamarackglade/buffers/connection_budget.hpp
+++ b/include/tamarackglade/buffers/connection_budget.hpp
@@ -82,7 +82,7 @@
         std::size_t bytes = ConnectionBytes;
         connection_phase phase = connection_phase::Idle;
         time_point progressAt{}; // of the last byte, or of the last change of the phase
-        bool ended = false; // no longer counted
+        bool ended = false; // closed for others
     };
     using holder_iterator = std::list<holder>::iterator;
 
@@ -95,8 +95,8 @@
 
     const budget_limits m_limits;
     std::list<holder> m_holders;
-    std::size_t m_bytes = 0; // of the holders that are not ended
-    std::size_t m_connections = 0; // as m_bytes
+    std::size_t m_bytes = 0; // of all holders, as ended ones hold theirs until they are removed
+    std::size_t m_connections = 0; // holders that are not ended
     budget_counts m_counts;
 };
 
@@ -110,7 +110,7 @@
     ~share() { m_budget.remove(m_holder); }
 
     /// @brief Counts bytes that the connection is about to hold.
-    /// @return false if there is no room; nothing is counted then
+    /// @return false if there is no room, or not yet; nothing is counted then
     bool reserve(std::size_t bytes, time_point now);
     /// @brief Counts bytes of an answer, which is delivered in any case; makes room if it can.
     void charge(std::size_t bytes, time_point now);
--- a/src/buffers/connection_budget.cpp
+++ b/src/buffers/connection_budget.cpp
@@ -1,8 +1,23 @@
 // Selects the connections that are ended for others.
 #include <tamarackglade/buffers/connection_budget.hpp>
 
+#include <algorithm>
+#include <numeric>
+
 namespace tamarack {
 
+namespace {
+
+template <class Holders>
+std::size_t endedBytes(const Holders &holders)
+{
+    return std::accumulate(
+        holders.begin(), holders.end(), std::size_t{0},
+        [](std::size_t sum, const auto &each) { return sum + (each.ended ? each.bytes : 0); });
+}
+
+} // namespace
+
 std::unique_ptr<connection_budget::share> connection_budget::open(std::function<void()> close,
                                                                   time_point now)
 {
@@ -12,7 +27,9 @@
         else if (holder *stalled = mostStalled(now))
             end(*stalled, m_counts.stalled);
     }
-    if (m_connections >= m_limits.connections || !makeRoom(ConnectionBytes, nullptr, now)) {
+    makeRoom(ConnectionBytes, nullptr, now);
+    const bool hasRoom = m_bytes - endedBytes(m_holders) + ConnectionBytes <= m_limits.bytes;
+    if (m_connections >= m_limits.connections || !hasRoom) {
         ++m_counts.refused;
         return nullptr;
     }
@@ -23,9 +40,13 @@
     return std::make_unique<share>(*this, std::prev(m_holders.end()));
 }
 
+// Connections that were ended hold their bytes until their owners have run, so there may be no room
+// yet.
 bool connection_budget::makeRoom(std::size_t bytes, const holder *asker, time_point now)
 {
-    while (m_bytes + bytes > m_limits.bytes) {
+    if (m_bytes + bytes <= m_limits.bytes)
+        return true;
+    while (m_bytes - endedBytes(m_holders) + bytes > m_limits.bytes) {
         if (holder *stalled = mostStalled(now)) {
             end(*stalled, m_counts.stalled);
             continue;
@@ -42,7 +63,7 @@
             return false;
         end(*idle, m_counts.idle);
     }
-    return true;
+    return m_bytes + bytes <= m_limits.bytes;
 }
 
 connection_budget::holder *connection_budget::mostStalled(time_point now)
@@ -85,17 +106,15 @@
 {
     ++count;
     each.ended = true;
-    m_bytes -= each.bytes;
     --m_connections;
     each.close();
 }
 
 void connection_budget::remove(holder_iterator each)
 {
-    if (!each->ended) {
-        m_bytes -= each->bytes;
+    m_bytes -= each->bytes;
+    if (!each->ended)
         --m_connections;
-    }
     m_holders.erase(each);
 }
 
@@ -124,14 +143,12 @@
 void connection_budget::share::add(std::size_t bytes)
 {
     m_holder->bytes += bytes;
-    if (!m_holder->ended)
-        m_budget.m_bytes += bytes;
+    m_budget.m_bytes += bytes;
 }
 
 void connection_budget::share::releaseRequest()
 {
-    if (!m_holder->ended)
-        m_budget.m_bytes -= m_holder->bytes - ConnectionBytes;
+    m_budget.m_bytes -= m_holder->bytes - ConnectionBytes;
     m_holder->bytes = ConnectionBytes;
 }
 
