--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -47,7 +47,8 @@
 {
     const auto keyed = m_store.decodeKeyed(record);
     if (!keyed) {
-        log_event(log_level::Warning, "malformed record in the configuration's stream");
+        log_event(log_level::Warning, "malformed record in the configuration's stream")
+            .with("bytes", record.size());
         return;
     }
     m_requests.onRecord(*keyed);
