--- a/include/tamarackglade/placement/slot_claims.hpp
+++ b/include/tamarackglade/placement/slot_claims.hpp
@@ -53,7 +53,7 @@
     /// @brief Ends a claim whose slot has been taken, or is needed for other work.
     void end(const upstream_id &upstream) { m_claims.erase(upstream); }
 
-    /// @brief Ends the claims that were not asked for lately, and forgets old conflicts.
+    /// @brief Ends the claims that were not used recently, and removes expired conflicts.
     /// @return the upstreams of the ended claims
     std::vector<upstream_id> tick(time_point now);
 
--- a/include/tamarackglade/placement/upstream_rates.hpp
+++ b/include/tamarackglade/placement/upstream_rates.hpp
@@ -95,7 +95,7 @@
     /// @return the number of upstreams that warm up in a group with a rate
     [[nodiscard]] std::size_t warmingUp(time_point now) const;
 
-    /// @brief Forgets upstreams that are gone or started again, and warm-ups that have ended.
+    /// @brief Removes upstreams that are gone or started again, and warm-ups that have ended.
     void tick(const upstream_directory &directory, time_point now);
 
 private:
--- a/src/gateway/batch/batch_api.cpp
+++ b/src/gateway/batch/batch_api.cpp
@@ -199,7 +199,7 @@
         return;
     }
     const auto outputs = m_store.contents().readAll(places);
-    // The fold may have dropped the job meanwhile.
+    // The fold may have dropped the job during these waits.
     current = partition.fold().find(id);
     if (!outputs || current == nullptr) {
         exchange.respond(refusal(503, "results_not_read", UnavailableRetryAfter));
--- a/tests/e2e/test_evacuation.py
+++ b/tests/e2e/test_evacuation.py
@@ -43,7 +43,7 @@
                        "evacuations in force")
 
     def assert_zone_gets_nothing(self, calls=20):
-        """Guards against new work for a zone that operators believe to be empty."""
+        """Guards against new work for a zone that is under evacuation."""
         self.near.arrived.clear()
         for i in range(calls):
             status, _, body, request = self.call(gateway=i % len(self.gateway))
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -207,7 +207,7 @@
     CHECK(allocator.pick(requestOf(work_class::Online), Start + 1'400ms));
 }
 
-// Guards against new work for a zone that operators believe to be empty.
+// Guards against new work for a zone that is under evacuation.
 TEST_CASE_FIXTURE(allocator_fixture, "an upstream of an evacuated zone gets no work of any kind")
 {
     directory.put(upstreamNamed("near", "a", 8));
