Gateways say why a version is unknown, how long an upstream was silent, and whose answer was broken off

On the lines of a stream that was cut told neither why its version was unknown (the state query was unanswered, or stated another start), nor for how long nothing came, nor whether the gateway's own thread was held up meanwhile, for instance by a configuration; a cut stream looked like a 200.

attempt failed and batch item run ended: silent_ms, start, start_ms. request ended: left_ms, broken_off. The deadlines of an attempt are set in run_watch now, as before.

--- a/include/tamarackglade/forward/forward_config.hpp
+++ b/include/tamarackglade/forward/forward_config.hpp
@@ -43,6 +43,7 @@
     /// @return whether callers need a key on routes that aren't open: if there are customers
     [[nodiscard]] bool needsKeys() const { return !m_customers.empty(); }
     [[nodiscard]] config_version version() const { return m_version; }
+    [[nodiscard]] std::size_t routeCount() const { return m_routes.size(); }
     [[nodiscard]] const caller_limits &limits() const { return m_limits; }
     [[nodiscard]] const std::vector<forward_customer> &customers() const { return m_customers; }
     [[nodiscard]] const std::vector<forward_group> &groups() const { return m_groups; }
--- a/include/tamarackglade/gateway/process/config_watch.hpp
+++ b/include/tamarackglade/gateway/process/config_watch.hpp
@@ -30,6 +30,8 @@
     /// @return false if the store gave no answer, or its newest configuration can't be read
     bool refresh(time_point since);
     [[nodiscard]] const active_config &activeConfig() const { return m_activeConfig; }
+    /// @return when the configuration in force was put in force
+    [[nodiscard]] time_point changedAt() const { return m_changedAt; }
 
 private:
     void onSnapshot(const std::vector<keyed_record> &records, time_point sentAt) override;
@@ -42,6 +44,7 @@
     operator_requests &m_requests;
     const change_listener m_onChange;
     active_config m_activeConfig;
+    time_point m_changedAt{};
     stream_follower m_follower;
 };
 
--- a/include/tamarackglade/gateway/process/gateway_process.hpp
+++ b/include/tamarackglade/gateway/process/gateway_process.hpp
@@ -40,6 +40,8 @@
 
     absl::Status startServers();
     void tickLoop();
+    /// @brief Records how late the thread is.
+    void noteHeldUp(duration late);
     void readinessLoop();
     void reportBudget();
     /// @return why this gateway is not ready for callers; empty if it is ready
--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -65,6 +65,8 @@
     void refuseQuarantined(const blocked_part &blocked);
     /// @brief Ends a request that crashes upstreams, or may do so.
     void refuseCrashing(const blocked_request &blocked);
+    /// @brief Closes the caller's connection without the end of an answer.
+    void breakOff();
     void forwardResponse(const attempt_result &result);
     [[nodiscard]] bool idempotent() const;
     /// @return whether the upstream has to confirm that its record is of its present start
@@ -107,6 +109,7 @@
     // Fields of the log event at the end.
     std::string m_outcome;
     unsigned m_status = 0;
+    bool m_brokenOff = false; // the caller is there, but gets no end of its answer
     duration m_waited{};
     std::optional<time_point> m_firstEventAt;
     unsigned m_events = 0;
--- a/include/tamarackglade/gateway/upstream/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_caller.hpp
@@ -5,8 +5,10 @@
 #include <tamarackglade/events/stream_progress.hpp>
 #include <tamarackglade/gateway/process/platform_protocol.hpp>
 #include <tamarackglade/gateway/relay/response_sink.hpp>
+#include <tamarackglade/gateway/upstream/attempt_limits.hpp>
 #include <tamarackglade/gateway/upstream/attempt_result.hpp>
 #include <tamarackglade/gateway/upstream/response_listener.hpp>
+#include <tamarackglade/gateway/upstream/run_watch.hpp>
 #include <tamarackglade/gateway/upstream/upstream_pool.hpp>
 
 #include <utility>
@@ -14,24 +16,6 @@
 
 namespace tamarack {
 
-/// Whether the upstream has to be at the start that its record names, so that its version is known.
-enum class start_check {
-    None, // the record is current, or the version doesn't matter
-    Wanted, // the request is sent in any case; response_sink::onUnknownStart() tells the result
-    Required // the request is sent only if the upstream confirms the start
-};
-
-/// @brief Time limits and conditions of one attempt.
-struct attempt_limits
-{
-    time_point deadline; // of the whole request
-    duration silenceTimeout; // maximum time without progress; zero for no limit
-    std::optional<time_point> firstEventDeadline; // deadline of a stream's first event
-    duration maxIdleTime; // a connection that was idle longer is not reused
-    start_check startCheck = start_check::None;
-    bool isLastResort = false; // no other upstream is left; the first event may take all the time
-};
-
 /// @brief Lets another fiber cancel an attempt.
 class attempt_handle
 {
@@ -73,21 +57,22 @@
     struct attempt; // what run() is called with
 
     /// @return the result if the request must not be sent
-    std::optional<attempt_result> checkStart(const attempt &call, pooled_client &pooled);
+    std::optional<attempt_result> checkStart(const attempt &call, pooled_client &pooled,
+                                             attempt_evidence &evidence);
     /// @brief Sends the request and reads its response.
-    attempt_result exchange(const attempt &call, pooled_client &pooled);
+    attempt_result exchange(const attempt &call, pooled_client &pooled, attempt_evidence &evidence);
     /// @brief Sends the request and reads up to the head of its response.
     absl::StatusOr<http_response> sendRequest(const attempt &call, http_client &client,
                                               attempt_evidence &evidence);
     attempt_result failToSend(const attempt &call, const pooled_client &pooled,
                               const absl::Status &status);
     void notifyListeners(const live_upstream &upstream, const response_metadata &metadata);
-    attempt_result readResponse(const attempt &call, http_client &client, const http_response &head,
-                                const response_metadata &metadata, response_verdict verdict);
-    attempt_result readStream(http_client &client, const attempt_limits &limits,
-                              stream_progress &progress, response_sink &sink);
-    attempt_result readBody(http_client &client, const http_response &head,
-                            const response_metadata &metadata, const attempt_limits &limits,
+    attempt_result readResponse(const attempt &call, http_client &client, run_watch &watch,
+                                const http_response &head, const response_metadata &metadata,
+                                response_verdict verdict);
+    attempt_result readStream(const attempt &call, http_client &client, run_watch &watch);
+    attempt_result readBody(const attempt &call, http_client &client, run_watch &watch,
+                            const http_response &head, const response_metadata &metadata,
                             std::size_t maxBytes);
 
     upstream_pool &m_pool;
--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -59,6 +59,7 @@
 {
     if (record.key != m_protocol.configKey() || record.value.empty())
         return;
+    const time_point begunAt = bootNow();
     auto config = m_protocol.decodeConfig(record.value);
     if (!config.ok()) {
         log_event(log_level::Error, "configuration refused")
@@ -69,10 +70,13 @@
     const auto version = (*config)->version();
     if (!m_activeConfig.accept(*config, sentAt))
         return;
+    m_onChange(**config);
+    m_changedAt = bootNow();
     log_event(log_level::Info, "configuration in force")
         .with("version", version.value())
-        .with("read_ms", toSeconds(bootNow() - sentAt) * 1000);
-    m_onChange(**config);
+        .with("routes", (*config)->routeCount())
+        .with("read_ms", toSeconds(m_changedAt - sentAt) * 1000)
+        .with("apply_ms", toSeconds(m_changedAt - begunAt) * 1000);
 }
 
 } // namespace tamarack
--- a/src/gateway/relay/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -131,7 +131,7 @@
     }
     if (resuming) {
         m_outcome = "no slot to resume";
-        m_exchange.abortStream();
+        breakOff();
     } else if (m_mayHaveRun) {
         m_outcome = "no slot to repeat";
         m_status = 502;
@@ -224,6 +224,8 @@
         .with("prompt_parts", joinIds(m_call.sharedParts))
         .with("fingerprint", textOf(m_fingerprint))
         .with("total_ms", toSeconds(now - m_arrivedAt) * 1000)
+        .with("left_ms", toSeconds(timeLeft()) * 1000)
+        .with("broken_off", m_brokenOff)
         .with("config", activeConfig.current()->version().value())
         .with("config_age_ms", toSeconds(now - activeConfig.confirmedAt().value_or(now)) * 1000);
     if (m_customer)
@@ -231,6 +233,8 @@
     if (m_firstEventAt)
         line.with("first_event_ms", toSeconds(*m_firstEventAt - m_arrivedAt) * 1000);
     m_context.metrics.add("tamarack_requests_total{outcome=\"" + m_outcome + "\"}");
+    if (m_brokenOff)
+        m_context.metrics.add("tamarack_answers_broken_off_total{reason=\"" + m_outcome + "\"}");
     m_context.metrics.observeSeconds("tamarack_request_seconds", "", toSeconds(now - m_arrivedAt));
     if (m_firstEventAt)
         m_context.metrics.observeSeconds("tamarack_first_event_seconds", "",
--- a/src/gateway/relay/call_relay_answers.cpp
+++ b/src/gateway/relay/call_relay_answers.cpp
@@ -13,13 +13,19 @@
 
 } // namespace
 
+void call_relay::breakOff()
+{
+    m_brokenOff = !m_callerDisconnected;
+    m_exchange.abortStream();
+}
+
 void call_relay::forwardResponse(const attempt_result &result)
 {
     m_outcome = "answered";
     m_status = result.response.status;
     if (m_exchange.started()) {
         // The caller has part of the stream; an error response can't follow it.
-        m_exchange.abortStream();
+        breakOff();
         return;
     }
     http_response response = result.response;
@@ -32,7 +38,7 @@
 {
     m_outcome = nameOf(result.outcome);
     if (m_callerDisconnected || m_exchange.started()) {
-        m_exchange.abortStream();
+        breakOff();
         return;
     }
     if (result.isUnsendable && !m_mayHaveRun) {
@@ -55,7 +61,7 @@
     const bool isGone = m_callerDisconnected || !m_processEnds;
     m_outcome = isGone ? "caller gone" : "process ends";
     if (isGone || m_exchange.started()) {
-        m_exchange.abortStream();
+        breakOff();
         return;
     }
     m_status = m_mayHaveRun ? 502 : 503;
@@ -76,7 +82,7 @@
 {
     m_outcome = "no upstream";
     if (m_exchange.started()) {
-        m_exchange.abortStream();
+        breakOff();
         return;
     }
     m_status = m_mayHaveRun ? 502 : 503;
@@ -88,7 +94,7 @@
 {
     m_outcome = "prompt part quarantined";
     if (m_exchange.started()) {
-        m_exchange.abortStream();
+        breakOff();
         return;
     }
     m_status = m_mayHaveRun ? 502 : 503;
@@ -101,7 +107,7 @@
 {
     m_outcome = blocked.quarantined ? "request quarantined" : "request put off";
     if (m_exchange.started()) {
-        m_exchange.abortStream();
+        breakOff();
         return;
     }
     m_status = m_mayHaveRun ? 502 : 503;
--- a/src/gateway/relay/call_relay_resume.cpp
+++ b/src/gateway/relay/call_relay_resume.cpp
@@ -89,7 +89,7 @@
             .with("begun_ms_ago", toSeconds(bootNow() - m_origin->begunAt) * 1000);
     m_outcome = "version unavailable";
     if (m_exchange.started()) {
-        m_exchange.abortStream();
+        breakOff();
         return;
     }
     m_status = m_mayHaveRun ? 502 : 503;
--- a/src/gateway/upstream/attempt_evidence.cpp
+++ b/src/gateway/upstream/attempt_evidence.cpp
@@ -10,6 +10,21 @@
     return toSeconds(time) * 1000;
 }
 
+const char *nameOf(start_evidence start)
+{
+    switch (start) {
+    case start_evidence::NotAsked:
+        return "not asked";
+    case start_evidence::Confirmed:
+        return "confirmed";
+    case start_evidence::Unanswered:
+        return "unanswered";
+    case start_evidence::Different:
+        return "different";
+    }
+    return "";
+}
+
 } // namespace
 
 void addEvidence(log_event &line, const attempt_evidence &evidence, const request_id &request)
@@ -20,6 +35,10 @@
         .with("carried_unnamed", evidence.before.hasUnnamedResponse());
     if (evidence.idleFor)
         line.with("idle_ms", millisecondsOf(*evidence.idleFor));
+    line.with("silent_ms", millisecondsOf(evidence.silentFor))
+        .with("start", nameOf(evidence.start));
+    if (evidence.start != start_evidence::NotAsked)
+        line.with("start_ms", millisecondsOf(evidence.startAfter));
     if (evidence.skippedCopies > 0)
         line.with("skipped_copies", evidence.skippedCopies);
     if (!evidence.response)
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -26,19 +26,6 @@
 constexpr std::size_t MaxStateBytes = 256 * 1024; // of what an upstream states about itself
 constexpr absl::string_view EventStreamType = "text/event-stream";
 
-// Sets the time by which the response has to make progress: a head, a body part or an event that is
-// new to the caller.
-void setProgressDeadline(http_client &client, const attempt_limits &limits, bool streamStarted)
-{
-    time_point until = limits.deadline;
-    const bool mayTakeAllTime = limits.isLastResort && !streamStarted;
-    if (!mayTakeAllTime && limits.silenceTimeout > duration::zero())
-        until = std::min(until, bootNow() + limits.silenceTimeout);
-    if (!mayTakeAllTime && !streamStarted && limits.firstEventDeadline)
-        until = std::min(until, *limits.firstEventDeadline);
-    client.setDeadline(until);
-}
-
 attempt_result failureOf(const absl::Status &status, const attempt_limits &limits)
 {
     attempt_result result;
@@ -165,17 +152,19 @@
     client.setConnectTimeout(ConnectTimeout);
     handle.m_client = &client;
     attempt_result result;
-    if (auto unsent = checkStart(call, pooled))
+    attempt_evidence evidence;
+    evidence.before = pooled.history;
+    evidence.idleFor = pooled.idleFor;
+    if (auto unsent = checkStart(call, pooled, evidence))
         result = std::move(*unsent);
     else if (!handle.aborted())
-        result = exchange(call, pooled);
+        result = exchange(call, pooled, evidence);
     handle.m_client = nullptr;
     if (handle.aborted()) {
         client.close();
-        attempt_evidence evidence = std::move(result.evidence);
         result = makeResult(attempt_outcome::Cancelled, "aborted");
-        result.evidence = std::move(evidence);
     }
+    result.evidence = std::move(evidence);
     const bool whole = result.outcome == attempt_outcome::Complete
                        || result.outcome == attempt_outcome::Answered
                        || result.outcome == attempt_outcome::NotRun;
@@ -187,21 +176,29 @@
 }
 
 // The answer holds for the request if both use one connection: its other end is one process.
-std::optional<attempt_result> upstream_caller::checkStart(const attempt &call,
-                                                          pooled_client &pooled)
+std::optional<attempt_result>
+upstream_caller::checkStart(const attempt &call, pooled_client &pooled, attempt_evidence &evidence)
 {
     const incarnation_number expected = call.upstream.incarnation;
     if (call.limits.startCheck == start_check::None || expected == incarnation_number())
         return std::nullopt;
     http_client &client = *pooled.client;
-    client.setDeadline(std::min(call.limits.deadline, bootNow() + StartCheckTimeout));
+    const time_point askedAt = bootNow();
+    client.setDeadline(std::min(call.limits.deadline, askedAt + StartCheckTimeout));
     http_client_request query = m_protocol.encodeStateQuery();
     query.host = call.request.host;
     const auto answer = client.fetch(query, MaxStateBytes);
     const auto start = answer.ok() ? m_protocol.decodeStart(*answer) : std::nullopt;
+    evidence.startAfter = bootNow() - askedAt;
+    if (!answer.ok())
+        evidence.start = start_evidence::Unanswered;
+    else if (start && *start == expected)
+        evidence.start = start_evidence::Confirmed;
+    else
+        evidence.start = start_evidence::Different;
     if (start && m_startListener != nullptr)
         m_startListener->onStart(call.upstream.id, *start);
-    if (start == expected && client.reusable())
+    if (evidence.start == start_evidence::Confirmed && client.reusable())
         return std::nullopt;
     client.close();
     const bool unreachable = absl::IsUnavailable(answer.status());
@@ -215,17 +212,18 @@
     call.sink.onUnknownStart();
     pooled.history = connection_history();
     pooled.idleFor.reset();
+    evidence.before = pooled.history;
+    evidence.idleFor.reset();
     return std::nullopt;
 }
 
-attempt_result upstream_caller::exchange(const attempt &call, pooled_client &pooled)
+attempt_result upstream_caller::exchange(const attempt &call, pooled_client &pooled,
+                                         attempt_evidence &evidence)
 {
-    attempt_evidence evidence;
-    evidence.before = pooled.history;
-    evidence.idleFor = pooled.idleFor;
     pooled.history.onSent(call.id);
     const time_point sentAt = bootNow();
-    setProgressDeadline(*pooled.client, call.limits, false);
+    run_watch watch(*pooled.client, call.limits);
+    watch.onWait();
     const auto head = sendRequest(call, *pooled.client, evidence);
     attempt_result result;
     if (!head.ok()) {
@@ -240,9 +238,9 @@
             judgeResponse(*evidence.response, call.id, evidence.before);
         if (showsItsSender(verdict, head->status))
             notifyListeners(call.upstream, metadata);
-        result = readResponse(call, *pooled.client, *head, metadata, verdict);
+        result = readResponse(call, *pooled.client, watch, *head, metadata, verdict);
     }
-    result.evidence = std::move(evidence);
+    evidence.silentFor = watch.silentFor();
     return result;
 }
 
@@ -285,12 +283,12 @@
 }
 
 attempt_result upstream_caller::readResponse(const attempt &call, http_client &client,
-                                             const http_response &head,
+                                             run_watch &watch, const http_response &head,
                                              const response_metadata &metadata,
                                              response_verdict verdict)
 {
     if (verdict == response_verdict::NotRun) {
-        attempt_result refused = readBody(client, head, metadata, call.limits, MaxRefusalBytes);
+        attempt_result refused = readBody(call, client, watch, head, metadata, MaxRefusalBytes);
         refused.outcome = attempt_outcome::NotRun;
         refused.reason = "refused with status " + std::to_string(head.status);
         return refused;
@@ -305,25 +303,27 @@
         return makeResult(attempt_outcome::Broken, "response doesn't go on with the stream");
     }
     if (!call.streamed || head.status != StatusOk)
-        return readBody(client, head, metadata, call.limits, MaxResponseBytes);
+        return readBody(call, client, watch, head, metadata, MaxResponseBytes);
     if (!call.sink.onHead(head, metadata))
         return makeResult(attempt_outcome::Cancelled, "caller gone");
-    return readStream(client, call.limits, call.progress, call.sink);
+    return readStream(call, client, watch);
 }
 
-attempt_result upstream_caller::readStream(http_client &client, const attempt_limits &limits,
-                                           stream_progress &progress, response_sink &sink)
+attempt_result upstream_caller::readStream(const attempt &call, http_client &client,
+                                           run_watch &watch)
 {
+    stream_progress &progress = call.progress;
+    response_sink &sink = call.sink;
     event_splitter splitter;
     const bool isDelimited = client.isDelimited();
     bool hasNewEvent = false;
-    setProgressDeadline(client, limits, false);
+    watch.onWait();
     for (;;) {
         const auto part = client.readSome();
         if (!part.ok() && splitter.hasPartial())
             progress.setUnfinished();
         if (!part.ok())
-            return failureOf(part.status(), limits);
+            return failureOf(part.status(), call.limits);
         if (part->empty())
             break;
         splitter.feed(*part);
@@ -336,7 +336,7 @@
             if (verdict != event_check::Pass)
                 continue;
             hasNewEvent = hasNewEvent || hasContent(*event);
-            setProgressDeadline(client, limits, true);
+            watch.onProgress(true);
             if (!sink.onEvent(*event))
                 return makeResult(attempt_outcome::Cancelled, "caller gone");
         }
@@ -362,9 +362,9 @@
     return result;
 }
 
-attempt_result upstream_caller::readBody(http_client &client, const http_response &head,
-                                         const response_metadata &metadata,
-                                         const attempt_limits &limits, std::size_t maxBytes)
+attempt_result upstream_caller::readBody(const attempt &call, http_client &client, run_watch &watch,
+                                         const http_response &head,
+                                         const response_metadata &metadata, std::size_t maxBytes)
 {
     attempt_result result;
     result.outcome = attempt_outcome::Answered;
@@ -374,10 +374,10 @@
     const bool isDelimited = client.isDelimited();
     buffered_bytes buffered(m_bufferedBytes);
     for (;;) {
-        setProgressDeadline(client, limits, true);
+        watch.onProgress(true);
         const auto part = client.readSome();
         if (!part.ok())
-            return failureOf(part.status(), limits);
+            return failureOf(part.status(), call.limits);
         if (part->empty())
             return isCutEventStream(result.response, isDelimited)
                        ? makeResult(attempt_outcome::Broken, "event stream ended early")
