--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -242,6 +242,7 @@
     def do_GET(self):
         engine = self.stand_in
         engine.state_queries += 1
+        time.sleep(engine.query_silence_s)
         if self.path != "/tamarackglade/report":
             self.answer(404)
         elif engine.states_start:
@@ -251,6 +252,7 @@
 
     def do_POST(self):
         engine = self.stand_in
+        time.sleep(engine.unread_s)
         body = self.body()
         request = {"id": self.headers.get("Request-Id"), "path": self.path, "body": body,
                    "headers": dict(self.headers.items()), "at": time.monotonic()}
@@ -259,6 +261,9 @@
         if self.headers.get("Expect-Instance") != engine.id:
             self.refuse(421, request, [("Instance-Id", engine.id)])
             return
+        if "Last-Event-Id" in self.headers and time.monotonic() < engine.refuses_resumes_until:
+            self.refuse(503, request, [("Not-Executed", "1")])
+            return
         if engine.sheds_now():
             self.refuse(503, request, [("Not-Executed", "1"), *engine.extra_headers])
             return
@@ -440,6 +445,8 @@
         self.copies_sent = 0
         self.states_start = True  # in its report
         self.state_queries = 0
+        self.unread_s = 0.0  # before it reads the body of a request
+        self.query_silence_s = 0.0  # before each answer to a state query
         self.break_at = None  # number of the event within which the connection is cut
         self.breaks_inside = True  # False: cut behind that event
         self.silent_at = None
@@ -452,6 +459,7 @@
         self.ends_after_head = False
         self.empty_resumes = False  # resumed streams have no event
         self.cut_head = None  # number of bytes of a response's head after which it ends
+        self.refuses_resumes_until = 0.0  # monotonic time
         self.resume_status = None  # of an empty response to a resumed stream
         self.comments = False  # a comment follows each event
         self.deadly_parts = set()  # ids of prompt parts that crash the engine
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,9 +7,8 @@
 import time
 
 from ledger import Call, Job
-from deployment import HOST, ROUTES, PERMANENT_KEYS, job_body
+from deployment import CALL_KINDS, DEADLINE_S, HOST, ROUTES, PERMANENT_KEYS, job_body
 
-DEADLINE_S = 5.0
 DISCONNECT_CHANCE = 0.05
 KEPT_CONNECTION_CHANCE = 0.8
 BATCH_ATTEMPT_S = 4.0
@@ -19,6 +18,8 @@
 POISON_CHANCE = 0.05
 LARGE_BODY_CHANCE = 0.05
 LARGE_BODY_BYTES = 200_000
+TWO_PIECES_CHANCE = 0.3  # that a body is sent in two pieces
+BETWEEN_PIECES_S = 0.1
 
 
 class Caller(threading.Thread):
@@ -46,7 +47,7 @@
     def exchange(self, call, connection, method, headers, disconnect_after=None):
         """Sends a call and records its answer; returns whether the connection can be reused."""
         try:
-            connection.request(method, call.path, call.body or None, headers)
+            self.send(call, connection, method, headers)
             response = connection.getresponse()
             call.status = response.status
             call.signature = response.getheader("Response-Signature")
@@ -66,6 +67,23 @@
         return False
 
 
+    def send(self, call, connection, method, headers):
+        """Sends the request, some bodies in two pieces, and records when it was sent whole."""
+        in_pieces = len(call.body) > 1 and self.random.random() < TWO_PIECES_CHANCE
+        if in_pieces:
+            middle = self.random.randrange(1, len(call.body))
+            headers = {**headers, "Content-Length": str(len(call.body))}
+            connection.request(method, call.path, self.pieces(call.body, middle), headers)
+        else:
+            connection.request(method, call.path, call.body or None, headers)
+        call.whole_at = time.monotonic()
+
+    def pieces(self, body, middle):
+        yield body[:middle]
+        time.sleep(self.random.uniform(0, BETWEEN_PIECES_S))
+        yield body[middle:]
+
+
 class StreamCaller(Caller):
     """Sends one stream after another; some disconnect early, some use keys that get withdrawn."""
 
@@ -83,7 +101,7 @@
 
     def step(self):
         self.number += 1
-        kind = self.random.choice(["stream", "stream", "once", "open"])
+        kind = self.random.choice(["stream", *CALL_KINDS])
         key = None if kind == "open" else self.pick_key()
         kept = self.connection is not None and self.random.random() < KEPT_CONNECTION_CHANCE
         if not kept:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,11 +5,13 @@
 import json
 
 from site_standins import output_text, complete_stream
-from deployment import (ATTEMPTS, CANCEL_S, DRAIN_S, EVENTS, HOST, MAX_QUOTA_REQUESTS,
+from deployment import (ATTEMPTS, CALL_KINDS, CANCEL_S, DRAIN_S, EVENTS, HOST, MAX_QUOTA_REQUESTS,
                         QUOTA_WINDOW_S, STABLE_S, PERMANENT_KEYS, WITHDRAWN_S)
 
 NOT_RUN = (408, 421, 429, 503)  # statuses that guarantee that the request has not run and won't
 MAX_LATE_RUNS = 3  # of a request that has crashed three engines
+USED_SHARE = 0.7  # of its time, from which on a request may end without a complete answer
+LOST_S = 0.2  # a request that isn't passed on may cross the close of its connection for so long
 DENIED = (400, 401, 403, 404, 405, 413, 431)
 
 
@@ -32,7 +34,7 @@
     def run_all(self):
         for check in (self.forwarded_requests, self.answers, self.repeats, self.refusals,
                       self.denials, self.crashing_requests, self.withdrawn_keys, self.quota, self.drains,
-                      self.planned_stops, self.results, self.ended_jobs, self.unrelated_group,
+                      self.planned_stops, self.early_ends, self.results, self.ended_jobs, self.unrelated_group,
                       self.logs):
             check()
 
@@ -63,7 +65,7 @@
     def answers(self):
         """A success is the complete answer of an engine, and a cut answer is seen to be cut."""
         for call in self.calls.values():
-            if call.kind not in ("stream", "once", "open") or call.status is None:
+            if call.kind not in CALL_KINDS or call.status is None:
                 continue
             if 200 <= call.status < 300:
                 signatures = {"s-" + engine.id for _, engine, _ in self.runs[call.id]}
@@ -181,6 +183,24 @@
                     self.add_violation("LOST",
                                        f"{call.id} was cut by the planned stop of {gateway}")
 
+    def early_ends(self):
+        """A request that was read has a complete answer, or has used most of its time, unless its
+        gateway or an engine that ran it had a fault. An engine that is silent for a second has
+        none."""
+        for call in self.calls.values():
+            if (call.kind not in CALL_KINDS or call.closed_by_caller or call.complete
+                    or call.whole_at is None or not call.ended_at):
+                continue
+            engines = {engine.id for _, engine, _ in self.runs[call.id]}
+            used = call.ended_at - call.sent_at
+            crossed = not engines and call.ended_at - call.whole_at < LOST_S
+            if crossed or used >= USED_SHARE * self.site.shortest_timeout_s():
+                continue
+            touched = engines | {call.gateway, "gateways", "resets"}
+            if self.ledger.fault_free(touched, call.sent_at - STABLE_S, call.ended_at):
+                self.add_violation("LOST", f"{call.id} of {call.gateway} ended without a complete "
+                                   f"answer after {used:.2f} s, status {call.status}")
+
     def results(self):
         """Each item of an accepted job has one result: its output, or enough failed runs."""
         for job in self.ledger.jobs:
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -18,7 +18,8 @@
 from fleet import http_call, wait_until
 
 HOST = "notices.example"
-ROUTES = {"stream": "/stream/", "once": "/once/", "open": "/open/", "batch": "/jobs/"}
+ROUTES = {"stream": "/stream/", "once": "/once/", "open": "/open/",
+          "safe": "/safe/", "batch": "/jobs/"}
 
 # Bounds that the deployment requires and the checks enforce; `_S` is seconds.
 WITHDRAWN_S = 2.0  # until a withdrawn key stops working
@@ -38,6 +39,10 @@
 
 PERMANENT_KEYS = {"north": "key-north", "south": "key-south"}
 EVENTS = 8  # in each stream
+CALL_KINDS = ("stream", "once", "open", "safe")  # routes of online requests
+DEADLINE_S = 5.0  # of online requests; their routes have it as their timeout at first
+MAX_MORE_ROUTES = 300
+TIMEOUTS_MS = (4000, 5000, 6000)  # of online routes, in configurations that change
 EVENT_S = 0.012
 ENGINE_DOWN_S = 0.7  # after a crash
 READY_POLL_S = 0.3
@@ -151,6 +156,9 @@
         self.version = 1
         self.temporary_keys = {}  # key -> customer, for keys that may be withdrawn
         self.issued_keys = {}  # customer -> all keys issued during the run, also withdrawn ones
+        self.route_changes = {}  # fields of online routes that a configuration has changed
+        self.limit_changes = {}  # the same for the limits of callers
+        self.more_routes = 0  # that no caller uses
         self.rate_factor = 1.0  # divides the pauses of callers
         self.disconnect_chance = 0.0  # of callers, in addition to DISCONNECT_CHANCE
         self.callers_stopped = False  # callers send no new requests
@@ -244,7 +252,8 @@
 
     def config(self):
         def route(name, **more):
-            values = {"name": name, "hostname": HOST, "pathPrefix": ROUTES[name], "kind": "stream",
+            prefix = ROUTES.get(name, f"/{name}/")
+            values = {"name": name, "hostname": HOST, "pathPrefix": prefix, "kind": "stream",
                       "timeoutMs": 5000, "targetLatencyMs": 300, "priority": 0,
                       "service": "engines", "attempts": ATTEMPTS, "public": False,
                       "resumable": True, "gapAimMs": 400}
@@ -253,11 +262,15 @@
         keys = {name: [key] for name, key in PERMANENT_KEYS.items()}
         for key, customer in self.temporary_keys.items():
             keys[customer].append(key)
-        routes = [route("stream"), route("once", resumable=False), route("open", public=True),
+        changes = self.route_changes
+        routes = [route("stream", **changes), route("once", **{**changes, "resumable": False}),
+                  route("open", **{**changes, "public": True}),
+                  route("safe", **{**changes, "kind": "safe", "resumable": False}),
                   route("batch", kind="batch", retentionS=60, completionTargetMs=18000,
                         maxCount=0)]
+        routes += [route(f"more-{i}") for i in range(self.more_routes)]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 4000000, "headerTimeoutMs": 3000,
-                  "idleTimeoutMs": 15000}
+                  "idleTimeoutMs": 15000, **self.limit_changes}
         return {"version": self.version, "routes": routes, "limits": limits,
                 "services": [{"name": "engines", "maxConnections": 400, "engine": {"slots": 8}}],
                 "tenants": [{"name": "north", "apiKeys": keys["north"], "ratePerS": 0},
@@ -270,6 +283,21 @@
             self.version += self.random.randint(1, 3)
             self.store.put("keyed.op", "config", self.config())
 
+    def change_config(self, rng):
+        """Publishes a configuration that differs in the limits of the online routes."""
+        with self.lock:
+            self.route_changes = {"timeoutMs": rng.choice(TIMEOUTS_MS),
+                                  "attempts": rng.choice([2, 3, 4]),
+                                  "targetLatencyMs": rng.choice([200, 300, 600])}
+            self.limit_changes = {"idleTimeoutMs": rng.choice([8000, 15000])}
+            self.more_routes = rng.choice([0, 10, MAX_MORE_ROUTES])
+        self.publish()
+
+    @staticmethod
+    def shortest_timeout_s():
+        """Returns the shortest time that a configuration gives to online requests."""
+        return min(TIMEOUTS_MS) / 1000
+
     def issue_key(self, customer):
         key = f"key-{customer}-{self.random.getrandbits(40):x}"
         self.temporary_keys[key] = customer
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,7 @@
 SERIES_CHANCE = 0.5
 MAX_SERIES = 4
 MAX_FAULT_S = 4.0
+SILENCE_S = (0.7, 1.5)  # of a sound engine
 
 
 def apply_fault(site, target, seconds, begin, end):
@@ -133,6 +134,13 @@
                 lambda: setattr(engine, attribute, value), lambda: setattr(engine, attribute, good))
 
 
+def engine_falls_silent(site, rng):
+    """An engine is silent for about a second and goes on, which is no fault of it."""
+    seconds = rng.uniform(*SILENCE_S)
+    site.links[site.pick_engine(rng).id].fall_silent(seconds)
+    time.sleep(seconds)
+
+
 def engine_drains(site, rng):
     """Drains an engine, removes it 2 to 4 s later, and adds another one."""
     drain(site, site.pick_engine(rng), rng.uniform(2, 4))
@@ -176,6 +184,13 @@
         time.sleep(rng.uniform(0, 0.2))
 
 
+def configurations_change(site, rng):
+    """Publishes configurations that change limits of the routes and callers, and add routes."""
+    for _ in range(rng.randint(1, 4)):
+        site.change_config(rng)
+        time.sleep(rng.uniform(0, 0.5))
+
+
 def callers_send_faster(site, rng):
     site.rate_factor = 6.0
     time.sleep(rng.uniform(1, MAX_FAULT_S))
@@ -190,18 +205,25 @@
 
 FAULTS = [gateway_kill, gateways_kill, gateway_pause, gateway_stop, gateway_settings, gateway_link,
           engine_link, connections_reset, store_down, store_refusing, store_slow,
-          store_loses_answers, store_drops_history, engine_misbehaves, engine_drains,
-          engine_crashes, key_withdrawn, configurations_in_series, callers_send_faster,
-          callers_disconnect]
-
-
-def plan(seed, seconds, mean_gap_s):
+          store_loses_answers, store_drops_history, engine_misbehaves,
+          engine_falls_silent, engine_drains, engine_crashes, key_withdrawn,
+          configurations_in_series, configurations_change, callers_send_faster, callers_disconnect]
+KINDS = {  # faults that a run draws from
+    "all": FAULTS,
+    "silence": [engine_falls_silent],
+    "configurations": [configurations_change],
+    "silence-and-configurations": [engine_falls_silent, engine_falls_silent, configurations_change,
+                                   gateway_settings],
+}
+
+
+def plan(seed, seconds, mean_gap_s, kind="all"):
     """Returns the faults of a seed as (time in seconds, fault, seed for its random choices)."""
     rng = random.Random(f"{seed}-plan")
     faults = []
     at = 0.0
     while at < seconds:
-        fault = rng.choice(FAULTS)
+        fault = rng.choice(KINDS[kind])
         repeats = rng.randint(2, MAX_SERIES) if rng.random() < SERIES_CHANCE else 1
         for i in range(repeats):
             faults.append((at + i * rng.uniform(0.1, 1.5), fault, rng.getrandbits(32)))
--- a/tests/soak/faulty_link.py
+++ b/tests/soak/faulty_link.py
@@ -35,6 +35,7 @@
         self.target = target
         self.mode = PASS
         self.delay_s = 0.1
+        self.silent_until = 0.0  # until then bytes are held back in any mode
         self.connections = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
@@ -50,6 +51,13 @@
         if mode == RESET:
             self.reset_all()
 
+    def fall_silent(self, seconds):
+        """Holds the bytes of both directions back for some time, as a sound server may do."""
+        self.silent_until = time.monotonic() + seconds
+
+    def holds_back(self, held_by):
+        return self.mode in (SILENT, held_by) or time.monotonic() < self.silent_until
+
     def reset_all(self):
         """Resets the open connections; new ones are served as before."""
         with self.lock:
@@ -95,7 +103,7 @@
         """Forwards bytes in one direction until either side closes."""
         try:
             while True:
-                if self.mode in (SILENT, held_by):
+                if self.holds_back(held_by):
                     time.sleep(POLL_S)
                     continue
                 if not select.select([source], [], [], POLL_S)[0]:
@@ -103,7 +111,7 @@
                 data = source.recv(CHUNK_BYTES)
                 if self.mode == DELAY:
                     time.sleep(self.delay_s)
-                while self.mode in (SILENT, held_by):
+                while self.holds_back(held_by):
                     time.sleep(POLL_S)
                 if not data:
                     sink.shutdown(socket.SHUT_WR)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -18,6 +18,7 @@
     key: typing.Optional[str]
     gateway: str
     sent_at: float
+    whole_at: typing.Optional[float] = None  # when its last byte was sent
     ended_at: float = 0.0
     status: typing.Optional[int] = None  # None if no answer arrived
     answer: bytes = b""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,12 +29,13 @@
 import faults  # noqa: E402
 from callers import BatchCaller, DeadlyCaller, StreamCaller  # noqa: E402
 from checks import Checks  # noqa: E402
-from deployment import FINISH_S, RECOVER_S, Site  # noqa: E402
+from deployment import CALL_KINDS, FINISH_S, RECOVER_S, Site  # noqa: E402
 from ledger import Ledger  # noqa: E402
 
 SIZES = {  # numbers of gateways, engines, stream callers for each customer, and batch callers
     "usual": {"gateways": 3, "engines": 3, "callers": 4, "batch": 2},
     "large": {"gateways": 60, "engines": 12, "callers": 20, "batch": 4},
+    "calm": {"gateways": 2, "engines": 6, "callers": 16, "batch": 1},
 }
 # Duration of the first phase, which has only planned stops and a draining engine.
 INITIAL_FAULTS_S = 4.0
@@ -44,11 +45,11 @@
 POLL_S = 0.2
 
 
-def start_callers(site, seed, size):
-    callers = [StreamCaller(site, seed, f"{customer}-{i}", customer, CALLER_PAUSE_S)
+def start_callers(site, seed, size, options):
+    callers = [StreamCaller(site, seed, f"{customer}-{i}", customer, options.pause)
                for customer in ("north", "south") for i in range(size["callers"])]
     callers += [BatchCaller(site, seed, f"batch-{i}", "north") for i in range(size["batch"])]
-    if seed % 4 in (2, 3):  # half of the seeds
+    if seed % 4 in (2, 3) and options.kind == "all":  # half of the seeds
         callers.append(DeadlyCaller(site, seed))
     for caller in callers:
         caller.start()
@@ -114,11 +115,11 @@
     site = None
     try:
         site = Site(seed, folder, options.bin, ledger, size, options.mutation)
-        callers = start_callers(site, seed, size)
-        initial_faults = [(0.2, faults.engine_drains_long, 0), (1.0, faults.gateway_stop, 1),
+        callers = start_callers(site, seed, size, options)
+        initial_faults = [] if options.kind != "all" else [(0.2, faults.engine_drains_long, 0), (1.0, faults.gateway_stop, 1),
                           (2.0, faults.gateway_stop, 2)]
         faults.run(site, initial_faults, INITIAL_FAULTS_S)
-        faults.run(site, faults.plan(seed, options.seconds, MEAN_GAP_S), options.seconds)
+        faults.run(site, faults.plan(seed, options.seconds, options.gap, options.kind), options.seconds)
         site.end_all_faults()
         finish(site, callers, seed)
         Checks(site).run_all()
@@ -134,10 +135,13 @@
 
 
 def print_summary(seed, site):
-    calls = [call for call in site.ledger.calls if call.kind in ("stream", "once", "open")]
+    calls = [call for call in site.ledger.calls if call.kind in CALL_KINDS]
     served = sum(call.status == 200 and call.complete for call in calls)
     items = sum(len(job.results) for job in site.ledger.jobs)
-    print(f"seed {seed}: {len(calls)} requests, {served} served, {len(site.ledger.jobs)} jobs, "
+    failed = sum(call.status in (502, 504) for call in calls)
+    refused = sum(call.status == 503 for call in calls)
+    print(f"seed {seed}: {len(calls)} requests, {served} served, {failed} failed with 502 or 504, "
+          f"{refused} refused with 503, {len(site.ledger.jobs)} jobs, "
           f"{items} results, {len(site.ledger.faults)} faults", flush=True)
 
 
@@ -145,7 +149,8 @@
     """Runs one seed in a separate process; returns (seed, exit code, output)."""
     command = [sys.executable, __file__, "--seed", str(seed), "--bin", options.bin, "--seconds",
                str(options.seconds), "--size", options.size, "--mutation", options.mutation,
-               "--keep", options.keep]
+               "--keep", options.keep, "--kind", options.kind, "--gap", str(options.gap), "--pause",
+               str(options.pause)]
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     return seed, done.returncode, done.stdout + done.stderr
 
@@ -191,6 +196,11 @@
     parser.add_argument("--seconds", type=float, default=15,
                         help="duration of the faults of each seed")
     parser.add_argument("--size", choices=SIZES, default="usual")
+    parser.add_argument("--kind", choices=faults.KINDS, default="all", help="of the faults")
+    parser.add_argument("--gap", type=float, default=MEAN_GAP_S,
+                        help="mean seconds between series of faults")
+    parser.add_argument("--pause", type=float, default=CALLER_PAUSE_S,
+                        help="mean seconds between the requests of a caller")
     parser.add_argument("--mutation", default="", help="mutation to plant in the gateways")
     parser.add_argument("--until-failure", action="store_true")
     parser.add_argument("--keep", default="", help="folder for the logs of failed seeds")
