A request whose body its upstream doesn't read ends at its deadline

Callers saw nothing: no head and no refusal, until they gave up. Class: a wait without the request's deadline.

http_client runs writes until its deadline as reads, and the timeout of a write leaves the socket open, as that of a read (operation_timeout, before read_timeout). One operation is tried after the deadline, since what came in time may wait unread when the thread was held up.

--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -38,7 +38,7 @@
 
     /// @brief Sets the time at which operations fail with DeadlineExceeded, however many bytes
     /// arrive until then; nullopt for none.
-    void setDeadline(std::optional<time_point> deadline) { m_deadline = deadline; }
+    void setDeadline(std::optional<time_point> deadline);
 
     /// @brief Sets a shorter timeout for connecting alone; zero for none.
     void setConnectTimeout(std::chrono::milliseconds timeout) { m_connectTimeout = timeout; }
@@ -86,6 +86,9 @@
     /// @brief Reads until the parser has made a step or fails.
     void readStep(boost::system::error_code &error);
     absl::Status send(std::string_view text);
+    /// @brief Runs a read or write of m_stream.
+    template <class Operation>
+    std::size_t runUntilDeadline(const Operation &operation, boost::system::error_code &error);
     absl::Status readFailure(const boost::system::error_code &error);
 
     boost::asio::io_context &m_io;
@@ -93,6 +96,9 @@
     std::chrono::milliseconds m_timeout{30'000};
     std::chrono::milliseconds m_connectTimeout{0};
     std::optional<time_point> m_deadline;
+    // An operation was tried after the deadline. One is, as bytes that came in time may wait: the
+    // thread may have been held up since.
+    bool m_triedLate = false;
     std::unique_ptr<byte_stream> m_stream;
     std::unique_ptr<response_state> m_response;
 };
--- a/include/tamarackglade/runtime/read_timeout.hpp
+++ b/include/tamarackglade/runtime/operation_timeout.hpp
@@ -1,4 +1,4 @@
-// Ends a read that takes too long, and leaves the socket open.
+// Ends a read or write that takes too long, and leaves the socket open.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,18 +11,19 @@
 namespace tamarack {
 
 /// @brief A timer that cancels the socket's pending operations. Beast's own timeout closes the
-/// socket, so that a caller who sends too slowly could not be told.
+/// socket, so that a caller who sends too slowly could not be told, and an upstream that is silent
+/// for a moment would be lost.
 ///
-/// Reads are far more frequent than timeouts: a running timer is left alone when a read ends, and
-/// looks at the present deadline when it fires.
-class read_timeout
+/// Operations are far more frequent than timeouts: a running timer is left alone when an operation
+/// ends, and looks at the present deadline when it fires.
+class operation_timeout
 {
 public:
     /// The socket must outlive this object.
-    explicit read_timeout(boost::asio::ip::tcp::socket &socket);
-    read_timeout(const read_timeout &) = delete;
-    read_timeout &operator=(const read_timeout &) = delete;
-    ~read_timeout();
+    explicit operation_timeout(boost::asio::ip::tcp::socket &socket);
+    operation_timeout(const operation_timeout &) = delete;
+    operation_timeout &operator=(const operation_timeout &) = delete;
+    ~operation_timeout();
 
     /// @brief Starts the time; without effect if it is zero.
     void arm(std::chrono::milliseconds timeout);
@@ -36,7 +37,7 @@
 
     struct timer_state
     {
-        explicit timer_state(boost::asio::ip::tcp::socket &read);
+        explicit timer_state(boost::asio::ip::tcp::socket &timed);
 
         boost::asio::ip::tcp::socket *socket; // null once the owner is gone
         boost::asio::steady_timer timer;
--- a/include/tamarackglade/runtime/tcp_stream.hpp
+++ b/include/tamarackglade/runtime/tcp_stream.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include <tamarackglade/runtime/byte_stream.hpp>
-#include <tamarackglade/runtime/read_timeout.hpp>
+#include <tamarackglade/runtime/operation_timeout.hpp>
 
 #include <absl/status/statusor.h>
 #include <boost/asio/ip/tcp.hpp>
@@ -54,7 +54,6 @@
         std::function<void()> onClosed; // empty once the watch has ended
     };
 
-    void armTimeout();
     /// @return the bytes that were read or written at once; 0 if the operation has to wait or
     /// failed
     std::size_t readNow(boost::asio::mutable_buffer buffer);
@@ -68,7 +67,7 @@
     void keepFailure(const boost::system::error_code &error);
 
     boost::beast::tcp_stream m_stream;
-    read_timeout m_readTimeout; // of m_stream's socket
+    operation_timeout m_operation; // of m_stream's socket; one read or write at a time
     std::chrono::milliseconds m_timeout{0};
     // First failure of the connection. Reads fail with it once all received bytes are read; their
     // end is an orderly one only without a failure.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -33,31 +33,17 @@
     return status >= 100 && status < 200 && status != SwitchingProtocols;
 }
 
-/// Reads from a stream until a deadline. Beast reads as often as a part of a response needs, so
-/// each read has to check it.
-class bounded_reader
+/// The read operation of a connection as Beast calls it, as often as a part of a response needs.
+template <class Read>
+class response_reader
 {
 public:
-    bounded_reader(byte_stream &stream, std::chrono::milliseconds timeout,
-                   std::optional<time_point> deadline)
-        : m_stream(stream), m_timeout(timeout), m_deadline(deadline)
-    {
-    }
+    explicit response_reader(Read read) : m_read(std::move(read)) { }
 
     template <class MutableBuffers>
     std::size_t read_some(const MutableBuffers &buffers, boost::system::error_code &error)
     {
-        if (!m_deadline)
-            return m_stream.read_some(buffers, error);
-        const duration left = *m_deadline - bootNow();
-        if (left <= duration::zero()) {
-            error = boost::beast::error::timeout;
-            return 0;
-        }
-        const auto rounded =
-            std::chrono::duration_cast<std::chrono::milliseconds>(left) + MinTimeout;
-        m_stream.setTimeout(std::min(m_timeout, rounded));
-        return m_stream.read_some(buffers, error);
+        return m_read([&](byte_stream &stream) { return stream.read_some(buffers, error); }, error);
     }
     template <class MutableBuffers>
     std::size_t read_some(const MutableBuffers &buffers)
@@ -70,9 +56,7 @@
     }
 
 private:
-    byte_stream &m_stream;
-    const std::chrono::milliseconds m_timeout;
-    const std::optional<time_point> m_deadline;
+    Read m_read;
 };
 
 } // namespace
@@ -158,7 +142,8 @@
 
 void http_client::readStep(boost::system::error_code &error)
 {
-    bounded_reader reader(*m_stream, m_timeout, m_deadline);
+    response_reader reader(
+        [this](const auto &read, auto &readError) { return runUntilDeadline(read, readError); });
     http::read_some(reader, m_response->buffer, *m_response->parser, error);
 }
 
@@ -252,14 +237,38 @@
 {
     while (!text.empty()) {
         boost::system::error_code error;
-        text.remove_prefix(
-            m_stream->writeSome(boost::asio::buffer(text.data(), text.size()), error));
+        text.remove_prefix(runUntilDeadline(
+            [&](byte_stream &stream) {
+                return stream.writeSome(boost::asio::buffer(text.data(), text.size()), error);
+            },
+            error));
         if (error)
             return readFailure(error);
     }
     return absl::OkStatus();
 }
 
+template <class Operation>
+std::size_t http_client::runUntilDeadline(const Operation &operation,
+                                          boost::system::error_code &error)
+{
+    const duration left = m_deadline ? *m_deadline - bootNow() : duration(m_timeout);
+    if (left <= duration::zero() && std::exchange(m_triedLate, true)) {
+        error = boost::beast::error::timeout;
+        return 0;
+    }
+    const auto rounded =
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::max(left, duration::zero()));
+    m_stream->setTimeout(std::min(m_timeout, rounded + MinTimeout));
+    return operation(*m_stream);
+}
+
+void http_client::setDeadline(std::optional<time_point> deadline)
+{
+    m_deadline = deadline;
+    m_triedLate = false;
+}
+
 absl::Status http_client::readFailure(const boost::system::error_code &error)
 {
     const std::string message = absl::StrCat(m_address, ": ", error.message());
--- a/src/runtime/read_timeout.cpp
+++ b/src/runtime/operation_timeout.cpp
@@ -1,27 +1,27 @@
 // The timer runs to the earliest deadline that it was started for, and on to the present one.
-#include <tamarackglade/runtime/read_timeout.hpp>
+#include <tamarackglade/runtime/operation_timeout.hpp>
 
 #include <utility>
 
 namespace tamarack {
 
-read_timeout::timer_state::timer_state(boost::asio::ip::tcp::socket &read)
-    : socket(&read), timer(read.get_executor())
+operation_timeout::timer_state::timer_state(boost::asio::ip::tcp::socket &timed)
+    : socket(&timed), timer(timed.get_executor())
 {
 }
 
-read_timeout::read_timeout(boost::asio::ip::tcp::socket &socket)
+operation_timeout::operation_timeout(boost::asio::ip::tcp::socket &socket)
     : m_state(std::make_shared<timer_state>(socket))
 {
 }
 
-read_timeout::~read_timeout()
+operation_timeout::~operation_timeout()
 {
     m_state->socket = nullptr;
     m_state->timer.cancel();
 }
 
-void read_timeout::arm(std::chrono::milliseconds timeout)
+void operation_timeout::arm(std::chrono::milliseconds timeout)
 {
     m_state->expired = false;
     if (timeout.count() <= 0)
@@ -32,12 +32,12 @@
         start(m_state);
 }
 
-bool read_timeout::disarm()
+bool operation_timeout::disarm()
 {
     return std::exchange(m_state->armed, false) && m_state->expired;
 }
 
-void read_timeout::start(const std::shared_ptr<timer_state> &state)
+void operation_timeout::start(const std::shared_ptr<timer_state> &state)
 {
     state->running = true;
     state->timer.expires_at(state->deadline);
@@ -47,7 +47,7 @@
     });
 }
 
-void read_timeout::onFired(const std::shared_ptr<timer_state> &state)
+void operation_timeout::onFired(const std::shared_ptr<timer_state> &state)
 {
     state->running = false;
     if (!state->armed)
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -46,7 +46,7 @@
 }
 
 tcp_stream::tcp_stream(boost::beast::tcp_stream stream)
-    : m_stream(std::move(stream)), m_readTimeout(m_stream.socket())
+    : m_stream(std::move(stream)), m_operation(m_stream.socket())
 {
     boost::system::error_code ignored;
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -74,9 +74,9 @@
     error = {};
     if (const std::size_t size = readNow(buffer))
         return size;
-    m_readTimeout.arm(m_timeout);
+    m_operation.arm(m_timeout);
     const auto result = m_stream.socket().async_read_some(buffer, FiberToken);
-    if (m_readTimeout.disarm() && result.error)
+    if (m_operation.disarm() && result.error)
         error = boost::beast::error::timeout;
     else
         error = endOfRead(result.error);
@@ -88,8 +88,12 @@
     error = {};
     if (const std::size_t size = writeNow(buffer))
         return size;
-    armTimeout();
-    const auto result = m_stream.async_write_some(buffer, FiberToken);
+    m_operation.arm(m_timeout);
+    const auto result = m_stream.socket().async_write_some(buffer, FiberToken);
+    if (m_operation.disarm() && result.error) {
+        error = boost::beast::error::timeout;
+        return result.value;
+    }
     error = result.error;
     keepFailure(error);
     return result.value;
@@ -211,12 +215,4 @@
     return false;
 }
 
-void tcp_stream::armTimeout()
-{
-    if (m_timeout.count() > 0)
-        m_stream.expires_after(m_timeout);
-    else
-        m_stream.expires_never();
-}
-
 } // namespace tamarack
