The version of a run is known from a later record, if the upstream was silent when it was asked

Before a new stream is sent with records older than 2 s, the gateway asks the engine for its start; an engine that is silent at that moment doesn't answer in 0.15 s. The stream was sent in any case, as of an unknown version for good, so that no engine could go on with it.

Now the unanswered question reads the records anew, without holding the request up, and the version is looked up when the first event comes: a current record that still names the start the request was sent to shows it. That is the proof that a recent record gives before a request is sent; a restart in between shows another start. Batch items have the same.

--- a/include/tamarackglade/gateway/process/gateway_context.hpp
+++ b/include/tamarackglade/gateway/process/gateway_context.hpp
@@ -11,6 +11,7 @@
 #include <tamarackglade/gateway/process/platform_protocol.hpp>
 #include <tamarackglade/gateway/relay/blocking_slot_queue.hpp>
 #include <tamarackglade/gateway/upstream/upstream_caller.hpp>
+#include <tamarackglade/gateway/upstream/upstream_watch.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/placement/slot_allocator.hpp>
 #include <tamarackglade/placement/upstream_directory.hpp>
@@ -25,6 +26,7 @@
     const platform_protocol &protocol;
     config_watch &config;
     upstream_directory &directory;
+    upstream_watch &upstreams;
     slot_allocator &allocator;
     blocking_slot_queue &blockingQueue;
     upstream_caller &caller;
--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -71,6 +71,8 @@
     [[nodiscard]] bool idempotent() const;
     /// @return whether the upstream has to confirm that its record is of its present start
     [[nodiscard]] start_check startCheck() const;
+    /// @return the version of the present run, if a later record shows it
+    [[nodiscard]] software_version versionOfRun() const;
     /// @return whether no other upstream could run the request if m_upstream is left
     [[nodiscard]] bool isLastResort() const;
     [[nodiscard]] duration timeLeft() const;
@@ -113,7 +115,8 @@
     duration m_waited{};
     std::optional<time_point> m_firstEventAt;
     unsigned m_events = 0;
-    software_version m_runVersion; // of the upstream of the current or last attempt
+    live_upstream m_sentTo; // the upstream of the current or last attempt, as it was known then
+    software_version m_runVersion; // of that upstream; empty if unknown
     unsigned m_runEvents = 0; // events of the current or last attempt
     run_observer *m_observer = nullptr; // during an attempt
 };
--- a/include/tamarackglade/gateway/upstream/upstream_watch.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_watch.hpp
@@ -24,6 +24,8 @@
     void setLargeFleet(bool isLarge) { m_follower.setPause(isLarge ? LargeFleetPause : PollPause); }
     /// @brief Removes upstreams whose return grace has expired; call several times a second.
     void tick();
+    /// @brief Begins to read the records now, without waiting for the result.
+    void refreshSoon();
     void onStart(const upstream_id &upstream, incarnation_number start) override;
     /// @return whether all records have been read at least once
     [[nodiscard]] bool ready() const { return m_follower.ready(); }
--- a/include/tamarackglade/placement/upstream_directory.hpp
+++ b/include/tamarackglade/placement/upstream_directory.hpp
@@ -85,6 +85,12 @@
     /// @return the removed upstreams
     std::vector<upstream_id> tick(time_point now);
 
+    /// @brief Finds the version at which an upstream ran a request, if its record was too old when
+    /// the request was sent.
+    /// @param sentTo the upstream as it was known then
+    /// @return its version if a recent record still names the same start; empty if unknown
+    [[nodiscard]] software_version versionSince(const live_upstream &sentTo, time_point now) const;
+
     /// @return all upstreams, including leaving ones
     [[nodiscard]] const std::map<upstream_id, live_upstream> &upstreams() const
     {
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -26,27 +26,31 @@
 {
 public:
     output_sink(item_progress &progress, item_run &run, run_observer &observer,
-                slot_allocator &allocator, const live_upstream &upstream)
-        : m_progress(progress), m_run(run), m_observer(observer), m_allocator(allocator),
-          m_group(upstream.group), m_version(upstream.version)
+                gateway_context &context, const live_upstream &upstream)
+        : m_progress(progress), m_run(run), m_observer(observer), m_context(context),
+          m_upstream(upstream), m_version(upstream.version)
     {
     }
 
-    void onUnknownStart() override { m_version = software_version(); }
+    void onUnknownStart() override
+    {
+        m_version = software_version();
+        m_context.upstreams.refreshSoon();
+    }
     bool onHead(const http_response &, const response_metadata &) override { return true; }
     bool onEvent(const stream_event &event) override
     {
         if (!hasContent(event))
             return true;
         if (!m_progress.origin)
-            m_progress.origin = stream_origin{m_group, m_version, bootNow()};
+            m_progress.origin = originOfText();
         if (m_progress.lastEvent)
             m_progress.text.push_back('\n');
         m_progress.text += eventData(event.text);
         m_progress.lastEvent = event.id ? event.id : m_progress.lastEvent;
         m_progress.emptyResumes = 0;
         if (m_run.events == 0)
-            m_allocator.onAnswer(m_run.upstream);
+            m_context.allocator.onAnswer(m_run.upstream);
         ++m_run.events;
         m_observer.onEvent();
         return true;
@@ -54,11 +58,19 @@
     bool onFlush() override { return !m_run.yielding; }
 
 private:
+    [[nodiscard]] stream_origin originOfText() const
+    {
+        const time_point now = bootNow();
+        const bool isKnown = !m_version.value().empty();
+        return {m_upstream.group,
+                isKnown ? m_version : m_context.directory.versionSince(m_upstream, now), now};
+    }
+
     item_progress &m_progress;
     item_run &m_run;
     run_observer &m_observer;
-    slot_allocator &m_allocator;
-    const group_id m_group;
+    gateway_context &m_context;
+    const live_upstream m_upstream; // as it was known when the run began
     software_version m_version; // empty if unknown
 };
 
@@ -127,7 +139,7 @@
     stream_progress events(progress.lastEvent);
     if (progress.isUnfinished)
         events.setUnfinished();
-    output_sink sink(progress, run, observer, m_context.allocator, upstream);
+    output_sink sink(progress, run, observer, m_context, upstream);
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -84,6 +84,7 @@
                                                               protocol,
                                                               m_config,
                                                               m_directory,
+                                                              m_upstreams,
                                                               m_allocator,
                                                               m_blockingQueue,
                                                               m_caller,
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -32,6 +32,7 @@
         return result;
     }
     const live_upstream upstream = *known;
+    m_sentTo = upstream;
     m_runVersion = upstream.version;
     result.reason = beginRun(upstream);
     if (!result.reason.empty()) {
@@ -100,6 +101,13 @@
 void call_relay::onUnknownStart()
 {
     m_runVersion = software_version();
+    m_context.upstreams.refreshSoon();
+}
+
+software_version call_relay::versionOfRun() const
+{
+    return m_runVersion.value().empty() ? m_context.directory.versionSince(m_sentTo, bootNow())
+                                        : m_runVersion;
 }
 
 std::string call_relay::beginRun(const live_upstream &upstream)
--- a/src/gateway/relay/call_relay_resume.cpp
+++ b/src/gateway/relay/call_relay_resume.cpp
@@ -48,6 +48,7 @@
 
 void call_relay::beginStream()
 {
+    m_runVersion = versionOfRun();
     const stream_origin origin{m_placement.group, m_runVersion, *m_firstEventAt};
     setOrigin(origin);
     if (m_route.resumable && !origin.version.value().empty())
--- a/src/gateway/upstream/upstream_watch.cpp
+++ b/src/gateway/upstream/upstream_watch.cpp
@@ -3,6 +3,8 @@
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
+#include <boost/fiber/fiber.hpp>
+
 #include <utility>
 
 namespace tamarack {
@@ -76,6 +78,11 @@
     m_onChange();
 }
 
+void upstream_watch::refreshSoon()
+{
+    boost::fibers::fiber([this, since = bootNow()] { m_follower.catchUp(since); }).detach();
+}
+
 void upstream_watch::onStart(const upstream_id &upstream, incarnation_number start)
 {
     if (!m_directory.onStart(upstream, start))
--- a/src/placement/upstream_directory.cpp
+++ b/src/placement/upstream_directory.cpp
@@ -152,6 +152,13 @@
     return dropped;
 }
 
+software_version upstream_directory::versionSince(const live_upstream &sentTo, time_point now) const
+{
+    const live_upstream *listed = find(sentTo.id);
+    const bool isSameStart = listed != nullptr && listed->incarnation == sentTo.incarnation;
+    return isSameStart && isCurrent(now) ? listed->version : software_version();
+}
+
 std::set<software_version> upstream_directory::versionsOf(const group_id &group) const
 {
     std::set<software_version> versions;
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -101,6 +101,29 @@
     CHECK(directory.versionsOf(upstream.group).contains(upstream.version));
 }
 
+TEST_CASE("a run has the version of a later record of the same start, if the records are current")
+{
+    upstream_directory directory(directory_options{2s, 1s, 3s});
+    live_upstream sentTo = upstreamNamed("one");
+    sentTo.version = software_version("v1");
+    directory.put(sentTo);
+    CHECK(directory.versionSince(sentTo, Start).value().empty());
+    directory.confirm(Start);
+    CHECK(directory.versionSince(sentTo, Start + 1s) == sentTo.version);
+    CHECK(directory.versionSince(sentTo, Start + 4s).value().empty());
+    live_upstream restarted = sentTo;
+    restarted.incarnation = incarnation_number(2);
+    directory.put(restarted);
+    CHECK(directory.versionSince(sentTo, Start + 1s).value().empty());
+    CHECK(directory.versionSince(restarted, Start + 1s) == sentTo.version);
+    directory.onStart(restarted.id, incarnation_number(3));
+    CHECK(directory.versionSince(restarted, Start + 1s).value().empty());
+    directory.onStoreFailure(Start + 1s);
+    CHECK(directory.versionSince(sentTo, Start + 1s).value().empty());
+    directory.remove(sentTo.id, Start + 1s);
+    CHECK(directory.versionSince(upstreamNamed("two"), Start + 1s).value().empty());
+}
+
 TEST_CASE("the directory applies removals, snapshots and grace periods")
 {
     upstream_directory directory(directory_options{2s, 1s});
