A run is left for silence only for a place that is held

Callers saw streams closed in the middle and 502 "no slot to repeat" with seconds of their deadline left, while sound engines were silent for about a second. Cause: silence ended the run at once (0.3 s, and two thirds of the objective before the first event); only then another place was looked for, and there was none: no slot, no engine of that version, a version that isn't known. Class: an answer under way is given up before it is known that another is to be had.

Now silence asks for a place at another engine (slot_reservation), beside the run, which goes on; the run is left when the place is held. If it makes progress first, the wait or the place is given back. A stream whose version isn't known asks for none. Engines that are silent count as faulty from the first moment, so that new requests go elsewhere meanwhile. The rule for the last engine that could run a request (isLastResort) isn't needed any more: without another place a run has all of its time. A waiter that excludes the free places doesn't hold up those behind it.

--- a/include/tamarackglade/gateway/relay/blocking_slot_queue.hpp
+++ b/include/tamarackglade/gateway/relay/blocking_slot_queue.hpp
@@ -1,4 +1,4 @@
-// Queue in which fibers block until they get a slot at an upstream.
+// Queue in which requests wait until they get a slot at an upstream.
 #pragma once
 
 #include <tamarackglade/placement/slot_queue.hpp>
@@ -6,7 +6,6 @@
 #include <boost/fiber/future.hpp>
 
 #include <functional>
-#include <memory>
 #include <unordered_map>
 
 namespace tamarack {
@@ -26,8 +25,8 @@
     duration waited{};
 };
 
-/// @brief Suspends fibers until the slot queue grants them a slot. All calls on the gateway's
-/// thread.
+/// @brief Suspends fibers, or calls handlers, when the slot queue grants them a slot. All calls on
+/// the gateway's thread.
 class blocking_slot_queue
 {
 public:
@@ -35,6 +34,8 @@
     /// there is none.
     using batch_yield = std::function<bool(const placement_request &)>;
 
+    using result_handler = std::function<void(const slot_result &)>;
+
     blocking_slot_queue(slot_allocator &allocator, slot_queue &queue)
         : m_allocator(allocator), m_queue(queue)
     {
@@ -45,7 +46,12 @@
     /// @brief Waits for a slot.
     /// @param waiter set to the id for cancel() while the request waits; reset afterwards
     slot_result acquire(const slot_request &request, std::optional<waiter_id> &waiter);
-    /// @brief Ends a wait, whose acquire() then returns Cancelled.
+    /// @brief Asks for a slot without blocking. The request waits until its latestStart, however
+    /// long the queue is.
+    /// @param onResult called once: before the return if a slot is free, else when the wait ends
+    /// @return the id for cancel() if the request waits
+    std::optional<waiter_id> request(const slot_request &request, result_handler onResult);
+    /// @brief Ends a wait with the result Cancelled.
     void cancel(waiter_id waiter);
 
     /// @brief Releases a slot and grants it to the next request in the queue.
@@ -59,15 +65,13 @@
     [[nodiscard]] duration expectedWait() const;
 
 private:
-    using result_promise = boost::fibers::promise<slot_result>;
-
     void resolve(waiter_id waiter, const slot_result &result);
 
     slot_allocator &m_allocator;
     slot_queue &m_queue;
     batch_yield m_yieldBatch;
     // Invariant: one entry for each request in m_queue.
-    std::unordered_map<waiter_id, std::shared_ptr<result_promise>> m_promises;
+    std::unordered_map<waiter_id, result_handler> m_handlers;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <tamarackglade/gateway/process/gateway_context.hpp>
+#include <tamarackglade/gateway/relay/slot_reservation.hpp>
 #include <tamarackglade/gateway/upstream/run_observer.hpp>
 #include <tamarackglade/http/http_exchange.hpp>
 #include <tamarackglade/resumption/stream_origin.hpp>
@@ -30,6 +31,8 @@
 
 private:
     void onUnknownStart() override;
+    bool onSilence() override;
+    void onProgress() override { m_successor.reset(); }
     bool onHead(const http_response &head, const response_metadata &metadata) override;
     bool onEvent(const stream_event &event) override;
     bool onFlush() override;
@@ -71,12 +74,12 @@
     [[nodiscard]] bool idempotent() const;
     /// @return whether the upstream has to confirm that its record is of its present start
     [[nodiscard]] start_check startCheck() const;
+    /// @brief Asks for a place at another upstream that could run the request, or go on with it.
+    void reserveSuccessor();
     /// @return the version of the present run, if a later record shows it
     [[nodiscard]] software_version versionOfRun() const;
-    /// @return whether no other upstream could run the request if m_upstream is left
-    [[nodiscard]] bool isLastResort() const;
     [[nodiscard]] duration timeLeft() const;
-    [[nodiscard]] duration maxFirstEventWait() const;
+    [[nodiscard]] duration firstEventTimeout() const;
     void onCallerDisconnected();
     void onProcessEnds();
     /// @brief Stops waiting and running.
@@ -98,6 +101,9 @@
     placement_request m_placement;
     upstream_id m_upstream; // of the current or last attempt
     std::optional<waiter_id> m_waiter; // while the request waits for a slot
+    // Place of the next run, while the present one is silent. A run is left for a held place only.
+    std::optional<slot_reservation> m_successor;
+    bool m_silenceReported = false; // of the present run
     attempt_handle m_handle;
     stream_progress m_progress;
     std::optional<stream_origin> m_origin; // set by the first event of the stream
--- a/include/tamarackglade/gateway/relay/response_sink.hpp
+++ b/include/tamarackglade/gateway/relay/response_sink.hpp
@@ -19,6 +19,12 @@
     /// @brief Called before the request is sent if the upstream doesn't confirm the start that its
     /// record names, so that its version is unknown.
     virtual void onUnknownStart() { }
+    /// @brief Called when the response makes no progress in the time that its limits give, and
+    /// again shortly afterwards while it makes none.
+    /// @return whether to leave the run; otherwise it goes on
+    virtual bool onSilence() { return true; }
+    /// @brief Called when the response makes progress.
+    virtual void onProgress() { }
     /// @brief Called with the response head; again for each upstream that continues the stream.
     virtual bool onHead(const http_response &head, const response_metadata &metadata) = 0;
     /// @brief Called with the next event. Events come once each and in order.
--- a/include/tamarackglade/gateway/upstream/attempt_limits.hpp
+++ b/include/tamarackglade/gateway/upstream/attempt_limits.hpp
@@ -18,11 +18,11 @@
 struct attempt_limits
 {
     time_point deadline; // of the whole request
-    duration silenceTimeout; // maximum time without progress; zero for no limit
-    std::optional<time_point> firstEventDeadline; // deadline of a stream's first event
+    // Time without progress after which the sink may leave the run; zero for never.
+    duration silenceTimeout;
+    std::optional<duration> firstEventTimeout; // the same, from sending to a stream's first event
     duration maxIdleTime; // a connection that was idle longer is not reused
     start_check startCheck = start_check::None;
-    bool isLastResort = false; // no other upstream is left; the first event may take all the time
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +41,14 @@
     /// arrive until then; nullopt for none.
     void setDeadline(std::optional<time_point> deadline);
 
+    /// @brief Sets what decides at the deadline whether an operation goes on.
+    /// @param onDeadline returns a later deadline to go on until then, or nullopt to fail; empty to
+    /// fail always
+    void setDeadlineHandler(std::function<std::optional<time_point>()> onDeadline)
+    {
+        m_onDeadline = std::move(onDeadline);
+    }
+
     /// @brief Sets a shorter timeout for connecting alone; zero for none.
     void setConnectTimeout(std::chrono::milliseconds timeout) { m_connectTimeout = timeout; }
 
@@ -86,9 +95,11 @@
     /// @brief Reads until the parser has made a step or fails.
     void readStep(boost::system::error_code &error);
     absl::Status send(std::string_view text);
-    /// @brief Runs a read or write of m_stream.
+    /// @brief Runs a read or write of m_stream, again while the deadline is moved.
     template <class Operation>
     std::size_t runUntilDeadline(const Operation &operation, boost::system::error_code &error);
+    /// @return whether the operation may go on after its deadline
+    bool moveDeadline();
     absl::Status readFailure(const boost::system::error_code &error);
 
     boost::asio::io_context &m_io;
@@ -99,6 +110,7 @@
     // An operation was tried after the deadline. One is, as bytes that came in time may wait: the
     // thread may have been held up since.
     bool m_triedLate = false;
+    std::function<std::optional<time_point>()> m_onDeadline;
     std::unique_ptr<byte_stream> m_stream;
     std::unique_ptr<response_state> m_response;
 };
--- a/include/tamarackglade/placement/slot_allocator.hpp
+++ b/include/tamarackglade/placement/slot_allocator.hpp
@@ -28,6 +28,7 @@
     // Upstreams that were tried before. Batch work, and work with a version, uses them again if no
     // other is usable.
     std::set<upstream_id> excluded;
+    bool onlyOthers = false; // the excluded ones aren't used again in any case
 };
 
 /// @brief How upstreams are treated that other gateways prefer.
--- a/src/gateway/relay/blocking_slot_queue.cpp
+++ b/src/gateway/relay/blocking_slot_queue.cpp
@@ -1,7 +1,10 @@
-// Blocks fibers on promises that the slot queue resolves.
+// Calls a handler with the result of each wait; fibers block on a promise that it sets.
 #include <tamarackglade/gateway/relay/blocking_slot_queue.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
+#include <memory>
+#include <utility>
+
 namespace tamarack {
 
 slot_result blocking_slot_queue::acquire(const slot_request &request,
@@ -15,14 +18,29 @@
     waiter = yields ? m_queue.enqueueUnchecked(request) : m_queue.enqueue(request, arrivedAt);
     if (!waiter)
         return {slot_outcome::Refused, {}, duration::zero()};
-    auto promise = std::make_shared<result_promise>();
-    m_promises.emplace(*waiter, promise);
+    const auto promise = std::make_shared<boost::fibers::promise<slot_result>>();
+    m_handlers.emplace(*waiter,
+                       [promise](const slot_result &granted) { promise->set_value(granted); });
     slot_result result = promise->get_future().get();
     waiter.reset();
     result.waited = bootNow() - arrivedAt;
     return result;
 }
 
+std::optional<waiter_id> blocking_slot_queue::request(const slot_request &request,
+                                                      result_handler onResult)
+{
+    if (const auto upstream = m_queue.tryAcquire(request.placement, bootNow())) {
+        onResult({slot_outcome::Granted, *upstream, duration::zero()});
+        return std::nullopt;
+    }
+    if (m_yieldBatch)
+        m_yieldBatch(request.placement);
+    const waiter_id waiter = m_queue.enqueueUnchecked(request);
+    m_handlers.emplace(waiter, std::move(onResult));
+    return waiter;
+}
+
 void blocking_slot_queue::cancel(waiter_id waiter)
 {
     m_queue.remove(waiter);
@@ -54,12 +72,12 @@
 
 void blocking_slot_queue::resolve(waiter_id waiter, const slot_result &result)
 {
-    const auto found = m_promises.find(waiter);
-    if (found == m_promises.end())
+    const auto found = m_handlers.find(waiter);
+    if (found == m_handlers.end())
         return;
-    const auto promise = found->second;
-    m_promises.erase(found);
-    promise->set_value(result);
+    const result_handler onResult = std::move(found->second);
+    m_handlers.erase(found);
+    onResult(result);
 }
 
 } // namespace tamarack
--- a/src/gateway/relay/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -90,7 +90,11 @@
         endCancelled();
         return false;
     }
-    if (!m_origin)
+    if (m_successor && !m_successor->isHeld())
+        m_successor.reset();
+    if (m_successor)
+        m_placement.group = m_successor->group();
+    else if (!m_origin)
         m_placement.group =
             selectGroup(m_route.groups, m_call.id, m_context.allocator, m_placement.excluded, now);
     if (const auto blocked =
@@ -111,6 +115,11 @@
         refuseWithoutUpstream();
         return false;
     }
+    if (m_successor) {
+        m_upstream = m_successor->take();
+        m_successor.reset();
+        return true;
+    }
     time_point latest = now + (m_origin ? MaxResumeWait : MaxRepeatWait);
     if (!m_origin && m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
         latest = m_arrivedAt + m_route.latencyObjective - m_context.options.firstEventReserve;
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -3,6 +3,7 @@
 #include <tamarackglade/gateway/relay/fingerprint_text.hpp>
 #include <tamarackglade/gateway/relay/join_ids.hpp>
 #include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/placement/group_selection.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <algorithm>
@@ -55,17 +56,18 @@
     limits.silenceTimeout =
         idempotent() && !lastRun ? duration(m_context.options.silenceLimit) : duration::zero();
     if (limits.silenceTimeout > duration::zero() && m_route.latencyObjective > duration::zero())
-        limits.firstEventDeadline = bootNow() + maxFirstEventWait();
+        limits.firstEventTimeout = firstEventTimeout();
     limits.maxIdleTime = idempotent() ? MaxIdleTimeRepeatable : MaxIdleTimeOnce;
     limits.startCheck = startCheck();
-    limits.isLastResort = isLastResort();
     m_runEvents = 0;
+    m_silenceReported = false;
     result = m_context.caller.run(upstream, m_context.protocol.encodeCall(m_call, message),
                                   m_call.id, m_route.kind == route_kind::Stream, limits, m_progress,
                                   *this, m_handle);
     m_observer = nullptr;
     observer.onEnd(result);
-    reportAttempt(m_context.allocator, upstream.id, result, bootNow());
+    if (result.outcome != attempt_outcome::Silent || !m_silenceReported)
+        reportAttempt(m_context.allocator, upstream.id, result, bootNow());
     if (result.outcome == attempt_outcome::NotRun) {
         ++m_refusals;
     } else {
@@ -76,17 +78,33 @@
     return result;
 }
 
-// Callers of a stream that goes on leave after a pause, so only new requests wait.
-bool call_relay::isLastResort() const
+// A sound upstream may be silent for a moment, so its run is the best that the request has until
+// another place is held.
+bool call_relay::onSilence()
 {
-    placement_request others = m_placement;
-    others.excluded.insert(m_upstream);
-    const time_point now = bootNow();
-    if (m_origin || m_context.allocator.hasOthers(others, now))
-        return false;
-    return std::none_of(m_route.groups.begin(), m_route.groups.end(), [&](const auto &each) {
-        return m_context.allocator.takesWork(each.group, others.excluded, now);
-    });
+    if (!m_silenceReported) {
+        m_silenceReported = true;
+        m_context.allocator.onFault(m_upstream, attempt_fault::Silent, bootNow());
+    }
+    if (!m_successor)
+        reserveSuccessor();
+    return m_successor && m_successor->isHeld();
+}
+
+void call_relay::reserveSuccessor()
+{
+    if (m_origin && m_origin->version.value().empty()) {
+        setOrigin({m_origin->group, versionOfRun(), m_origin->begunAt});
+        if (m_origin->version.value().empty())
+            return;
+    }
+    slot_request request{m_placement, m_customer.value_or(customer_id()), m_priority, m_deadline};
+    request.placement.excluded.insert(m_upstream);
+    request.placement.onlyOthers = true;
+    if (!m_origin)
+        request.placement.group = selectGroup(m_route.groups, m_call.id, m_context.allocator,
+                                              request.placement.excluded, bootNow());
+    m_successor.emplace(m_context.blockingQueue, request);
 }
 
 // An upstream may have started again with another version since its record was read.
@@ -123,7 +141,7 @@
 }
 
 // Leaves enough of the latency objective for another upstream to meet it.
-duration call_relay::maxFirstEventWait() const
+duration call_relay::firstEventTimeout() const
 {
     return std::max<duration>(MinFirstEventWait,
                               fromSeconds(toSeconds(m_route.latencyObjective) * FirstEventShare));
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -222,7 +222,7 @@
 {
     pooled.history.onSent(call.id);
     const time_point sentAt = bootNow();
-    run_watch watch(*pooled.client, call.limits);
+    run_watch watch(*pooled.client, call.limits, call.sink);
     watch.onWait();
     const auto head = sendRequest(call, *pooled.client, evidence);
     attempt_result result;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -252,15 +252,31 @@
 std::size_t http_client::runUntilDeadline(const Operation &operation,
                                           boost::system::error_code &error)
 {
-    const duration left = m_deadline ? *m_deadline - bootNow() : duration(m_timeout);
-    if (left <= duration::zero() && std::exchange(m_triedLate, true)) {
-        error = boost::beast::error::timeout;
-        return 0;
+    for (;;) {
+        const duration left = m_deadline ? *m_deadline - bootNow() : duration(m_timeout);
+        if (left <= duration::zero() && std::exchange(m_triedLate, true)) {
+            if (moveDeadline())
+                continue;
+            error = boost::beast::error::timeout;
+            return 0;
+        }
+        const auto rounded =
+            std::chrono::duration_cast<std::chrono::milliseconds>(std::max(left, duration::zero()));
+        m_stream->setTimeout(std::min(m_timeout, rounded + MinTimeout));
+        const std::size_t size = operation(*m_stream);
+        const bool isLate = m_deadline && bootNow() >= *m_deadline;
+        if (error != boost::beast::error::timeout || !isLate)
+            return size;
+        m_triedLate = true;
     }
-    const auto rounded =
-        std::chrono::duration_cast<std::chrono::milliseconds>(std::max(left, duration::zero()));
-    m_stream->setTimeout(std::min(m_timeout, rounded + MinTimeout));
-    return operation(*m_stream);
+}
+
+bool http_client::moveDeadline()
+{
+    const auto later = m_onDeadline ? m_onDeadline() : std::nullopt;
+    if (later)
+        setDeadline(later);
+    return later.has_value();
 }
 
 void http_client::setDeadline(std::optional<time_point> deadline)
--- a/src/placement/slot_allocator.cpp
+++ b/src/placement/slot_allocator.cpp
@@ -35,7 +35,8 @@
     dropOldReports(now);
     std::vector<candidate> candidates;
     double minCost = 0;
-    const bool mayRepeat = request.work == work_class::Batch || request.version;
+    const bool mayRepeat =
+        !request.onlyOthers && (request.work == work_class::Batch || request.version);
     const bool excludes = !mayRepeat || hasOthers(request, now);
     for (const auto &[id, upstream] : m_directory.upstreams()) {
         if (!usable(upstream, request.group, request.version, now)
--- a/src/placement/slot_queue.cpp
+++ b/src/placement/slot_queue.cpp
@@ -9,6 +9,8 @@
 
 // Finished requests are counted over this window for the expected wait.
 constexpr std::chrono::milliseconds RateWindow{500};
+// Waiters that are passed over in a round, as all free slots are at upstreams that they exclude.
+constexpr std::size_t MaxPassedOver = 8;
 constexpr double MinRate = 8.0; // slots per second; assumed if fewer requests finished
 
 } // namespace
@@ -63,19 +65,21 @@
                             std::vector<granted_slot> &granted, time_point now)
 {
     const auto version = key.isNew ? std::nullopt : std::optional(key.version);
-    while (!level.empty()
+    std::vector<waiter_id> passedOver;
+    while (!level.empty() && passedOver.size() < MaxPassedOver
            && m_allocator.freeSlots(key.group, work_class::Online, now, version) > 0) {
         const waiter_id id = *level.pop();
         const slot_request &request = m_waiting.at(id).request;
         const auto upstream = pickFor(request.placement, now);
         if (!upstream) {
-            // All free slots are at upstreams that the request excludes.
-            level.push(request.customer, 1, id);
-            return;
+            passedOver.push_back(id);
+            continue;
         }
         m_waiting.erase(id);
         granted.push_back({id, *upstream});
     }
+    for (const waiter_id id : passedOver)
+        level.push(m_waiting.at(id).request.customer, 1, id);
 }
 
 std::vector<waiter_id> slot_queue::expire(time_point now)
--- a/tests/unit-placement.cpp
+++ b/tests/unit-placement.cpp
@@ -1240,3 +1240,34 @@
         }
     }
 }
+
+TEST_CASE("a request that wants another place never gets the one that it excludes")
+{
+    allocator_fixture fixture;
+    fixture.directory.put(upstreamNamed("one"));
+    placement_request request = requestOf(work_class::Online);
+    request.version = software_version();
+    request.excluded.insert(upstream_id("one"));
+    CHECK(fixture.allocator.pick(request, Start));
+    request.onlyOthers = true;
+    CHECK_FALSE(fixture.allocator.pick(request, Start));
+    fixture.directory.put(upstreamNamed("two"));
+    CHECK(fixture.allocator.pick(request, Start) == upstream_id("two"));
+}
+
+TEST_CASE("a waiter without a place that it may use doesn't hold up those behind it")
+{
+    allocator_fixture fixture;
+    fixture.directory.put(upstreamNamed("one", "a", 1));
+    fixture.allocator.acquire(upstream_id("one"), work_class::Online, Start);
+    slot_request leaving = waitingFor("shire", 0, Start + 5s);
+    leaving.placement.excluded.insert(upstream_id("one"));
+    leaving.placement.onlyOthers = true;
+    fixture.queue.enqueueUnchecked(leaving);
+    const waiter_id next = fixture.queue.enqueueUnchecked(waitingFor("depot", 0, Start + 5s));
+    fixture.allocator.release(upstream_id("one"), work_class::Online);
+    const auto granted = fixture.queue.grant(Start);
+    REQUIRE(granted.size() == 1);
+    CHECK(granted.front().waiter == next);
+    CHECK(fixture.queue.size() == 1);
+}
