A stream that has begun goes on after any number of refusals, and waits for a slot while its deadline lasts

A refusal says nothing of the next moment, and the caller would lose what it has: behind three refusals such a stream tries on after a pause of 0.1 s each, until its deadline, and its wait for a slot has the deadline as its only bound (1 s before). RefusedResumeTest failed before.

--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -48,6 +48,9 @@
     /// @brief Logs a failed attempt and excludes its upstream.
     /// @return whether to try again
     bool mayRetry(const attempt_result &result);
+    /// @brief Waits a moment before a stream that has begun asks further upstreams.
+    /// @return whether it may ask them
+    bool pauseRefusedResume();
     void respondWithFailure(const attempt_result &result);
     void refuseUnavailable(const std::string &code);
     /// @brief Finds where the stream began that the caller takes up.
--- a/include/tamarackglade/gateway/upstream/upstream_watch.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_watch.hpp
@@ -26,6 +26,8 @@
     void tick();
     /// @brief Begins to read the records now, without waiting for the result.
     void refreshSoon();
+    /// @brief Reads the records now. Returns after the limit if the store hasn't answered by then.
+    void refresh(duration limit);
     void onStart(const upstream_id &upstream, incarnation_number start) override;
     /// @return whether all records have been read at least once
     [[nodiscard]] bool ready() const { return m_follower.ready(); }
--- a/src/gateway/relay/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -15,9 +15,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds MaxRepeatWait{250};
-// A stream that goes on waits longer, as the caller would lose what it has of it. Callers leave
-// after a pause of two seconds.
-constexpr std::chrono::milliseconds MaxResumeWait{1'000};
 constexpr std::chrono::milliseconds DefaultTimeout{60'000};
 
 } // namespace
@@ -120,7 +117,8 @@
         m_successor.reset();
         return true;
     }
-    time_point latest = now + (m_origin ? MaxResumeWait : MaxRepeatWait);
+    // A stream that goes on waits on, as the caller would lose what it has of it.
+    time_point latest = m_origin ? m_deadline : now + MaxRepeatWait;
     if (!m_origin && m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
         latest = m_arrivedAt + m_route.latencyObjective - m_context.options.firstEventReserve;
     latest = std::min(latest, m_deadline);
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -6,16 +6,21 @@
 #include <tamarackglade/placement/group_selection.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
+#include <boost/fiber/operations.hpp>
+
 #include <algorithm>
 
 namespace tamarack {
 
 namespace {
 
-constexpr unsigned MaxRefusals = 3; // the request fails if more upstreams than this refuse it
+constexpr unsigned MaxRefusals = 3; // a request fails if more upstreams than this refuse it
+// Between the tries of a stream that has begun after that.
+constexpr std::chrono::milliseconds RefusedResumePause{100};
 // The upstream may have closed an idle connection without this gateway noticing. A request that
 // can't be repeated only uses one that was idle for a short time.
 constexpr std::chrono::milliseconds MaxIdleTimeOnce{700};
+constexpr std::chrono::milliseconds MaxRefreshTime{100}; // of records before a stream goes on
 constexpr std::chrono::milliseconds MinFirstEventWait{100};
 constexpr double FirstEventShare = 2.0 / 3; // share of the latency objective for the first upstream
 constexpr std::chrono::milliseconds MaxIdleTimeRepeatable{60'000};
@@ -58,6 +63,8 @@
     if (limits.silenceTimeout > duration::zero() && m_route.latencyObjective > duration::zero())
         limits.firstEventTimeout = firstEventTimeout();
     limits.maxIdleTime = idempotent() ? MaxIdleTimeRepeatable : MaxIdleTimeOnce;
+    if (startCheck() == start_check::Required)
+        m_context.upstreams.refresh(MaxRefreshTime);
     limits.startCheck = startCheck();
     m_runEvents = 0;
     m_silenceReported = false;
@@ -167,8 +174,17 @@
         || result.outcome == attempt_outcome::DeadlineExceeded || timeLeft() <= duration::zero())
         return false;
     if (result.outcome == attempt_outcome::NotRun)
-        return m_refusals <= MaxRefusals;
+        return m_refusals <= MaxRefusals || pauseRefusedResume();
     return idempotent() && m_runs < m_route.attempts;
 }
 
+// The caller has a part of the stream, and refusals say nothing of the next moment.
+bool call_relay::pauseRefusedResume()
+{
+    if (!m_exchange.started())
+        return false;
+    boost::this_fiber::sleep_for(std::min<duration>(RefusedResumePause, timeLeft()));
+    return timeLeft() > duration::zero();
+}
+
 } // namespace tamarack
