A request that has arrived when a planned stop closes idle connections is answered

Which of the two depended on the order of events in one turn of the loop. Callers of requests that may run once can't send such a request again.

Idle connections wait for input without reading it, so nothing is read while they may be closed (planned stop, end of the idle time, ended for others), and a stop leaves those with input to their fibers, which answer with Connection: close.

--- a/include/tamarackglade/runtime/tcp_stream.hpp
+++ b/include/tamarackglade/runtime/tcp_stream.hpp
@@ -41,6 +41,7 @@
     void shutdownSend() override;
     bool peerClosed() override;
     bool inputWaiting() override;
+    void waitForInput(boost::system::error_code &error) override;
     void watchPeer(const std::function<void()> &onClosed) override;
     void unwatchPeer() override;
     [[nodiscard]] std::string peerAddress() const override;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -55,8 +55,10 @@
     m_listener.stopAccepting();
     boost::asio::post(m_thread.io(), [state = m_state] {
         state->sessions.closed = true;
-        for (byte_stream *stream : state->sessions.idle)
-            stream->close();
+        for (byte_stream *stream : state->sessions.idle) {
+            if (!stream->inputWaiting())
+                stream->close();
+        }
     });
 }
 
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -85,7 +85,8 @@
     return m_share != nullptr;
 }
 
-// Between requests the connection may be closed at any time; from the first byte on it is not.
+// Between requests the connection may be closed at any time; from the first byte that was read on it
+// is not. Nothing is read while the connection may be closed.
 bool http_session::waitForRequest()
 {
     if (m_registry.closed)
@@ -96,8 +97,11 @@
     m_stream.setTimeout(m_options.idleTimeout);
     m_registry.idle.insert(&m_stream);
     boost::system::error_code error;
-    const std::size_t size = m_stream.readSome(m_buffer.prepare(ReadBytes), error);
+    m_stream.waitForInput(error);
     m_registry.idle.erase(&m_stream);
+    if (error && !m_stream.inputWaiting())
+        return false;
+    const std::size_t size = m_stream.readSome(m_buffer.prepare(ReadBytes), error);
     m_buffer.commit(size);
     return size > 0;
 }
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -134,6 +134,14 @@
     return receiveNow(asio::buffer(&byte, 1), MSG_PEEK) > 0;
 }
 
+void tcp_stream::waitForInput(boost::system::error_code &error)
+{
+    m_operation.arm(m_timeout);
+    error = m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, FiberToken);
+    if (m_operation.disarm() && error)
+        error = boost::beast::error::timeout;
+}
+
 void tcp_stream::watchPeer(const std::function<void()> &onClosed)
 {
     m_watch = std::make_shared<peer_watch>(peer_watch{onClosed});
--- a/tests/shell-http.cpp
+++ b/tests/shell-http.cpp
@@ -232,6 +232,26 @@
     CHECK(answer.find("Connection: close") != std::string::npos);
 }
 
+TEST_CASE("http: a request that has arrived when a drain closes idle connections is answered")
+{
+    io_thread thread;
+    std::unique_ptr<http_server> server;
+    std::uint16_t port = 0;
+    thread.run([&] {
+        server = std::make_unique<http_server>(thread, http_server_options(), echo);
+        port = *server->listen("127.0.0.1:0");
+    });
+    raw_client client(port);
+    client.send("GET /one HTTP/1.1\r\n\r\n");
+    CHECK(client.readUntil("GET /one").find("200") != std::string::npos);
+    thread.run([&] {
+        client.send("GET /two HTTP/1.1\r\n\r\n");
+        std::this_thread::sleep_for(20ms);
+        server->drain();
+    });
+    CHECK(hasStatus(client.readAll(), 200));
+}
+
 TEST_CASE("http: a caller that closes is noticed without a read")
 {
     io_thread thread;
