--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -105,12 +105,17 @@
         if (m_origin->version.value().empty())
             return;
     }
+    const time_point now = bootNow();
     slot_request request{m_placement, m_customer.value_or(customer_id()), m_priority, m_deadline};
     request.placement.excluded.insert(m_upstream);
     request.placement.onlyOthers = true;
+    group_id &group = request.placement.group;
     if (!m_origin)
-        request.placement.group = selectGroup(m_route.groups, m_call.id, m_context.allocator,
-                                              request.placement.excluded, bootNow());
+        group = selectGroup(m_route.groups, m_call.id, m_context.allocator,
+                            request.placement.excluded, now);
+    if (m_context.quarantine.check(group, m_call.sharedParts, now)
+        || m_context.requestQuarantine.check(m_fingerprint, group, now))
+        return;
     m_successor.emplace(m_context.blockingQueue, request);
 }
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -40,6 +40,11 @@
         code, output = soak("--regressions")
         self.assertEqual(code, 0, output)
 
+    def test_silent_engines(self):
+        code, output = soak("--kind", "silence-and-configurations", "--size", "calm", "--gap",
+                            "0.35", "--pause", "1", "--seeds", SEEDS)
+        self.assertEqual(code, 0, output)
+
     def test_mutants(self):
         for mutation, (rule, seeds) in MUTANTS.items():
             with self.subTest(mutation):
