What upstreams and the store send is bounded in sum

Class: bytes from outside that are bounded for each connection, or not at all, but not in sum. A text of an item had no bound, an answer of the store 64 MB a call. Now there is a quota for each purpose from memory-limit (an eighth of it): responses in progress, texts of unfinished items, answers of the store. Texts without room start over after a growing pause and count against their engine.

--- a/apps/tamarack-gateway.cpp
+++ b/apps/tamarack-gateway.cpp
@@ -30,7 +30,9 @@
         return 0;
     io_thread thread;
     const platform::http_protocol protocol;
-    platform::platform_store store(thread, settings->values.text("store"));
+    platform::platform_store store(
+        thread, settings->values.text("store"),
+        memorySharesOf(gatewayOptionsFrom(settings->values)).storeAnswers);
     gateway_process process(thread, settings->values, store, protocol);
     const absl::Status started = process.start();
     if (!started.ok()) {
--- a/include/tamarackglade/events/event_splitter.hpp
+++ b/include/tamarackglade/events/event_splitter.hpp
@@ -25,6 +25,8 @@
 
     /// @return whether bytes after the last returned event remain
     [[nodiscard]] bool hasPartial() const { return m_begin < m_buffer.size(); }
+    /// @return the number of bytes that are held
+    [[nodiscard]] std::size_t heldBytes() const { return m_buffer.size(); }
     /// @return whether the remaining bytes exceed MaxEventBytes
     [[nodiscard]] bool tooLong() const { return m_buffer.size() - m_begin > MaxEventBytes; }
 
--- a/include/tamarackglade/gateway/batch/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -43,6 +43,8 @@
     /// @brief Stops starting items; running items go on.
     void stop() { m_stopped = true; }
 
+    /// @return the bytes of the texts of unfinished items
+    [[nodiscard]] std::size_t textBytes() const { return m_textBytes.used(); }
     [[nodiscard]] std::size_t running() const { return m_runs.size(); }
 
 private:
@@ -75,6 +77,8 @@
     void logRunEnd(const item_work &work, const live_upstream &upstream, const item_run &run,
                    const attempt_result &result, duration time);
     attempt_result runAttempt(const item_work &work, const live_upstream &upstream, item_run &run);
+    /// @brief Ends a run whose text found no room; the next one begins anew, after a pause.
+    void discardLongText(const item_work &work, attempt_result &result);
     void pauseAfterEarlyFailure(const item_work &work, const attempt_result &result,
                                 std::size_t events);
     void handleResult(const item_work &work, const upstream_id &upstream,
@@ -98,6 +102,7 @@
     const gateway_list m_gateways;
     const std::function<void()> m_onYielded;
     std::map<batch_item_key, std::shared_ptr<item_run>> m_runs;
+    byte_quota m_textBytes; // of the items below
     std::map<batch_item_key, item_progress> m_progress; // of started, unfinished items
     // Items whose record of an end or a failed run is not in the fold yet; the value is the name of
     // the failed run, empty for an end.
--- a/include/tamarackglade/gateway/batch/item_run.hpp
+++ b/include/tamarackglade/gateway/batch/item_run.hpp
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <tamarackglade/batches/batch_id.hpp>
+#include <tamarackglade/buffers/byte_quota.hpp>
 #include <tamarackglade/gateway/upstream/upstream_caller.hpp>
 #include <tamarackglade/quarantine/request_fingerprint.hpp>
 #include <tamarackglade/resumption/stream_origin.hpp>
 #include <tamarackglade/schema/batches_generated.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -34,6 +36,8 @@
     bool reading = false; // the content is being read
     unsigned failedReads = 0; // of the content
     std::string text; // output of the events so far
+    std::unique_ptr<byte_quota::share> textShare; // counts the text; set with its first event
+    unsigned longTexts = 0; // texts that were discarded as there was no room for them
     std::optional<std::uint64_t> lastEvent;
     std::optional<stream_origin> origin; // of the text; set by its first event
     // Since when it waits for a slot at the version of the origin. After the time that the text has
@@ -48,7 +52,8 @@
     /// @brief Discards the output, so that the next run begins anew.
     void restart()
     {
-        text.clear();
+        text = std::string();
+        textShare.reset();
         lastEvent.reset();
         isUnfinished = false;
         emptyResumes = 0;
--- a/include/tamarackglade/gateway/process/gateway_options.hpp
+++ b/include/tamarackglade/gateway/process/gateway_options.hpp
@@ -39,4 +39,17 @@
 /// @return the options from validated settings
 gateway_options gatewayOptionsFrom(const setting_values &settings);
 
+/// @brief Bytes that may be held for each purpose. Stacks, copies and gaps in the heap take the
+/// rest of the memory.
+struct memory_shares
+{
+    std::size_t callers = 0; // requests and answers
+    std::size_t responses = 0; // what upstreams send, while it isn't whole
+    std::size_t texts = 0; // of unfinished batch items
+    std::size_t storeAnswers = 0; // what the store sends, while it is read
+};
+
+/// @return the shares of memoryLimit, or of the machine's memory if that isn't set
+memory_shares memorySharesOf(const gateway_options &options);
+
 } // namespace tamarack
--- a/include/tamarackglade/gateway/upstream/upstream_caller.hpp
+++ b/include/tamarackglade/gateway/upstream/upstream_caller.hpp
@@ -36,15 +36,22 @@
 {
 public:
     /// @param listeners of all responses; must outlive the caller
+    static constexpr std::size_t DefaultResponseBytes = 32 * 1024 * 1024;
+
     /// @param startListener of starts that upstreams state; null for none; must outlive the caller
+    /// @param responseBytes that all responses in progress may hold together
     upstream_caller(upstream_pool &pool, const platform_protocol &protocol,
                     std::vector<response_listener *> listeners,
-                    start_listener *startListener = nullptr)
+                    start_listener *startListener = nullptr,
+                    std::size_t responseBytes = DefaultResponseBytes)
         : m_pool(pool), m_protocol(protocol), m_listeners(std::move(listeners)),
-          m_startListener(startListener)
+          m_startListener(startListener), m_responseBytes(responseBytes)
     {
     }
 
+    /// @return the bytes that responses in progress hold
+    [[nodiscard]] std::size_t responseBytes() const { return m_responseBytes.used(); }
+
     /// @brief Sends the request and passes the events of a streamed response to the sink.
     /// @param id request id that the response must name if it names any; the request isn't sent on
     /// a connection on which a copy of an earlier response could be taken for its response
@@ -79,7 +86,7 @@
     const platform_protocol &m_protocol;
     const std::vector<response_listener *> m_listeners;
     start_listener *const m_startListener;
-    std::size_t m_bufferedBytes = 0; // of all bodies that are being read and are no event stream
+    byte_quota m_responseBytes; // of bodies, and of events that aren't complete
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -1,6 +1,7 @@
 // An HTTP/1.1 client connection that is reused for one request after another.
 #pragma once
 
+#include <tamarackglade/buffers/byte_quota.hpp>
 #include <tamarackglade/core/time.hpp>
 #include <tamarackglade/http/http_client_request.hpp>
 #include <tamarackglade/http/http_response.hpp>
@@ -68,9 +69,11 @@
     absl::StatusOr<std::string> readSome();
 
     /// @brief Sends a request and reads the whole response.
-    /// @return Aborted if the body exceeds maxBytes
+    /// @param held counts the body while it is read; null for no count
+    /// @return Aborted if the body exceeds maxBytes or the quota of held
     absl::StatusOr<http_response> fetch(const http_client_request &request,
-                                        std::size_t maxBytes = MaxFetchBytes);
+                                        std::size_t maxBytes = MaxFetchBytes,
+                                        byte_quota::share *held = nullptr);
 
     /// @brief Closes the connection; the next request opens another.
     void close();
--- a/src/gateway/batch/batch_runner.cpp
+++ b/src/gateway/batch/batch_runner.cpp
@@ -35,7 +35,8 @@
 batch_runner::batch_runner(gateway_context &context, batch_store &store, gateway_list gateways,
                            std::function<void()> onYielded)
     : m_context(context), m_store(store), m_gateways(std::move(gateways)),
-      m_onYielded(std::move(onYielded)), m_owners(context.options.vm)
+      m_onYielded(std::move(onYielded)), m_textBytes(memorySharesOf(context.options).texts),
+      m_owners(context.options.vm)
 {
 }
 
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds FirstFailurePause{250};
 constexpr std::chrono::seconds MaxFailurePause{8};
 constexpr unsigned MaxEmptyResumes = 3; // in a row, before a text is written anew
+// A text that grows is copied to twice its size, and once more when it is stored.
+constexpr std::size_t TextCopies = 3;
 constexpr unsigned SilenceFactor = 2; // items may be silent longer than online requests
 constexpr unsigned UnprocessableContent = 422; // the upstream reports that no run can succeed
 
@@ -26,12 +28,15 @@
 {
 public:
     output_sink(item_progress &progress, item_run &run, run_observer &observer,
-                gateway_context &context, const live_upstream &upstream)
+                gateway_context &context, const live_upstream &upstream, byte_quota &texts)
         : m_progress(progress), m_run(run), m_observer(observer), m_context(context),
-          m_upstream(upstream), m_version(upstream.version)
+          m_upstream(upstream), m_version(upstream.version), m_texts(texts)
     {
     }
 
+    /// @return whether the process has no room for the item's text
+    [[nodiscard]] bool isTooLong() const { return m_isTooLong; }
+
     void onUnknownStart() override
     {
         m_version = software_version();
@@ -44,9 +49,12 @@
             return true;
         if (!m_progress.origin)
             m_progress.origin = originOfText();
+        const std::string data = eventData(event.text);
+        if (!hasRoomFor(data.size() + 1))
+            return false;
         if (m_progress.lastEvent)
             m_progress.text.push_back('\n');
-        m_progress.text += eventData(event.text);
+        m_progress.text += data;
         m_progress.lastEvent = event.id ? event.id : m_progress.lastEvent;
         m_progress.emptyResumes = 0;
         if (m_run.events == 0)
@@ -58,6 +66,14 @@
     bool onFlush() override { return !m_run.yielding; }
 
 private:
+    bool hasRoomFor(std::size_t moreBytes)
+    {
+        if (!m_progress.textShare)
+            m_progress.textShare = std::make_unique<byte_quota::share>(m_texts);
+        m_isTooLong = !m_progress.textShare->set((m_progress.text.size() + moreBytes) * TextCopies);
+        return !m_isTooLong;
+    }
+
     [[nodiscard]] stream_origin originOfText() const
     {
         const time_point now = bootNow();
@@ -72,6 +88,8 @@
     gateway_context &m_context;
     const live_upstream m_upstream; // as it was known when the run began
     software_version m_version; // empty if unknown
+    byte_quota &m_texts;
+    bool m_isTooLong = false;
 };
 
 void batch_runner::runItem(const item_work &work, const live_upstream &upstream,
@@ -139,7 +157,7 @@
     stream_progress events(progress.lastEvent);
     if (progress.isUnfinished)
         events.setUnfinished();
-    output_sink sink(progress, run, observer, m_context, upstream);
+    output_sink sink(progress, run, observer, m_context, upstream, m_textBytes);
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
@@ -147,12 +165,24 @@
     if (result.outcome == attempt_outcome::Answered && isSuccess(result.response.status))
         result.outcome = attempt_outcome::Broken;
     progress.isUnfinished = events.isUnfinished();
+    if (sink.isTooLong())
+        discardLongText(work, result);
     observer.onEnd(result);
     // An error response may be caused by the item. A single one does not eject the upstream.
     reportAttempt(m_context.allocator, upstream.id, result, bootNow());
     return result;
 }
 
+void batch_runner::discardLongText(const item_work &work, attempt_result &result)
+{
+    item_progress &progress = m_progress[work.key];
+    startOver(work, "no room for its text");
+    progress.startableAt =
+        bootNow() + doublingPause(FirstFailurePause, MaxFailurePause, progress.longTexts++);
+    result.outcome = attempt_outcome::Broken;
+    result.reason = "the text exceeds the memory for texts";
+}
+
 // The item itself may break its upstreams, so it isn't sent to one after the other without a pause.
 void batch_runner::pauseAfterEarlyFailure(const item_work &work, const attempt_result &result,
                                           std::size_t events)
--- a/src/gateway/process/gateway_options.cpp
+++ b/src/gateway/process/gateway_options.cpp
@@ -1,5 +1,6 @@
 // Converts validated settings to typed values.
 #include <tamarackglade/gateway/process/gateway_options.hpp>
+#include <tamarackglade/runtime/machine_limits.hpp>
 
 namespace tamarack {
 
@@ -31,4 +32,16 @@
     return options;
 }
 
+memory_shares memorySharesOf(const gateway_options &options)
+{
+    const std::size_t memory =
+        options.memoryLimit > 0 ? options.memoryLimit : machineLimits().memoryBytes;
+    memory_shares shares;
+    shares.callers = memory / 4;
+    shares.responses = memory / 8;
+    shares.texts = memory / 8;
+    shares.storeAnswers = memory / 8;
+    return shares;
+}
+
 } // namespace tamarack
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -42,18 +42,15 @@
     return rates;
 }
 
-// Upstreams, peers, the store and files keep the rest: of the memory most, as what callers send
-// takes stacks, copies that grow and gaps in the heap besides.
+// Upstreams, peers, the store and files keep the rest of the descriptors.
 budget_limits budgetOf(const gateway_options &options)
 {
     constexpr std::size_t MinOwnDescriptors = 64;
-    const machine_limits machine = machineLimits();
-    const std::size_t memory = options.memoryLimit > 0 ? options.memoryLimit : machine.memoryBytes;
     const std::size_t descriptors =
-        options.descriptorLimit > 0 ? options.descriptorLimit : machine.descriptors;
+        options.descriptorLimit > 0 ? options.descriptorLimit : machineLimits().descriptors;
     const std::size_t own = std::max(MinOwnDescriptors, descriptors / 4);
     budget_limits limits;
-    limits.bytes = memory / 4;
+    limits.bytes = memorySharesOf(options).callers;
     limits.connections = descriptors > own ? descriptors - own : 1;
     return limits;
 }
@@ -76,7 +73,8 @@
       m_leavingExchange(m_directory, m_metrics), m_pool(thread.io()),
       m_upstreams(store, protocol, m_directory, m_upstreamRates,
                   [this] { m_blockingQueue.processQueue(); }),
-      m_caller(m_pool, protocol, {&m_rateExchange, &m_leavingExchange}, &m_upstreams),
+      m_caller(m_pool, protocol, {&m_rateExchange, &m_leavingExchange}, &m_upstreams,
+               memorySharesOf(m_options).responses),
       m_quarantine(m_self.vm, m_self.incarnation, quarantine_options()),
       m_requestQuarantine(m_self.vm, request_quarantine_options()),
       m_quarantineExchange(m_quarantine, m_requestQuarantine, m_metrics),
@@ -240,6 +238,8 @@
         m_metrics.set(name, static_cast<double>(value));
     };
     set("tamarack_caller_bytes", m_budget->bytes());
+    set("tamarack_response_bytes", m_caller.responseBytes());
+    set("tamarack_text_bytes", m_batches.textBytes());
     set("tamarack_caller_connections", m_budget->connections());
     set("tamarack_ended_stalled_connections", counts.stalled);
     set("tamarack_ended_idle_connections", counts.idle);
--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::size_t MaxResponseBytes = 16 * 1024 * 1024; // of a body that is no event stream
-constexpr std::size_t MaxBufferedBytes = 32 * 1024 * 1024; // of all such bodies in progress
+constexpr const char *NoRoom = "responses hold too many bytes";
 constexpr std::size_t MaxRefusalBytes = 16 * 1024; // of a body that is discarded
 constexpr std::chrono::seconds MaxOperationTime{60}; // of one read or write
 constexpr unsigned MaxSkippedCopies = 2; // for one request
@@ -67,26 +67,6 @@
     }
 }
 
-/// Counts the bytes of one body in the total of all bodies, until its end.
-class buffered_bytes
-{
-public:
-    explicit buffered_bytes(std::size_t &total) : m_total(total) { }
-    buffered_bytes(const buffered_bytes &) = delete;
-    buffered_bytes &operator=(const buffered_bytes &) = delete;
-    ~buffered_bytes() { m_total -= m_own; }
-
-    void add(std::size_t bytes)
-    {
-        m_own += bytes;
-        m_total += bytes;
-    }
-
-private:
-    std::size_t &m_total;
-    std::size_t m_own = 0;
-};
-
 // Routes without streams may pass on event streams too. An empty one is whole only if its response
 // is delimited.
 bool isCutEventStream(const http_response &response, bool isDelimited)
@@ -315,6 +295,7 @@
     stream_progress &progress = call.progress;
     response_sink &sink = call.sink;
     event_splitter splitter;
+    byte_quota::share held(m_responseBytes);
     const bool isDelimited = client.isDelimited();
     bool hasNewEvent = false;
     watch.onWait();
@@ -327,6 +308,7 @@
         if (part->empty())
             break;
         splitter.feed(*part);
+        const bool hasRoom = held.set(splitter.heldBytes());
         bool hasGap = false;
         while (const auto event = splitter.next()) {
             const event_check verdict = progress.advance(*event);
@@ -345,6 +327,8 @@
             return makeResult(attempt_outcome::Cancelled, "caller gone");
         if (hasGap)
             return makeResult(attempt_outcome::Broken, "gap in the event ids of the stream");
+        if (!hasRoom)
+            return makeResult(attempt_outcome::Broken, NoRoom);
         if (splitter.tooLong())
             return makeResult(attempt_outcome::Broken, "stream event exceeds the size limit");
     }
@@ -372,7 +356,7 @@
     result.response.contentType = head.contentType;
     result.metadata = metadata;
     const bool isDelimited = client.isDelimited();
-    buffered_bytes buffered(m_bufferedBytes);
+    byte_quota::share held(m_responseBytes);
     for (;;) {
         watch.onProgress(true);
         const auto part = client.readSome();
@@ -383,11 +367,12 @@
                        ? makeResult(attempt_outcome::Broken, "event stream ended early")
                        : result;
         result.response.body += *part;
-        buffered.add(part->size());
-        if (result.response.body.size() > maxBytes || m_bufferedBytes > MaxBufferedBytes) {
-            client.close();
-            return makeResult(attempt_outcome::Broken, "response body exceeds the size limit");
-        }
+        const bool hasRoom = held.set(result.response.body.size());
+        if (hasRoom && result.response.body.size() <= maxBytes)
+            continue;
+        client.close();
+        return makeResult(attempt_outcome::Broken,
+                          hasRoom ? "response body exceeds the size limit" : NoRoom);
     }
 }
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -177,7 +177,7 @@
 }
 
 absl::StatusOr<http_response> http_client::fetch(const http_client_request &request,
-                                                 std::size_t maxBytes)
+                                                 std::size_t maxBytes, byte_quota::share *held)
 {
     auto response = start(request);
     if (!response.ok())
@@ -189,7 +189,8 @@
         if (part->empty())
             return response;
         response->body += *part;
-        if (response->body.size() > maxBytes) {
+        const bool hasRoom = held == nullptr || held->set(response->body.size());
+        if (response->body.size() > maxBytes || !hasRoom) {
             close();
             return absl::AbortedError(absl::StrCat(m_address, ": body exceeds the size limit"));
         }
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -115,11 +115,27 @@
         if store.refusing:
             self.answer(store.refusing)
             return
+        if store.endless:
+            self.send_endless()
+            return
         time.sleep(store.delay)
         call = {"log-append": self.append, "log-read": self.read,
                 "log-newest": self.newest}[path.rsplit("/", 1)[1]]
         call((fields["topic"], int(fields["part"])), fields, body)
 
+    def send_endless(self):
+        """Sends bytes in the head or the body until the caller closes."""
+        self.close_connection = True
+        head = b"HTTP/1.1 200 OK\r\n"
+        start, part = {"head": (head, b"X-Field: " + b"x" * 100 + b"\r\n"),
+                       "body": (head + b"Transfer-Encoding: chunked\r\n\r\n",
+                                b"10000\r\n%s\r\n" % (b"x" * 65536)),
+                       "unframed": (head + b"\r\n", b"x" * 65536)}[self.stand_in.endless]
+        with contextlib.suppress(OSError):
+            self.wfile.write(start)
+            while self.stand_in.endless:
+                self.wfile.write(part)
+
     def append(self, partition, fields, body):
         store = self.stand_in
         records = []
@@ -184,6 +200,7 @@
         self.first = {}
         self.down = False
         self.refusing = 0  # status of every answer, or 0 for normal service
+        self.endless = None  # "head", "body" or "unframed": that part of each answer never ends
         self.delay = 0.0  # seconds before each answer
         self.late_s = 0.5
         self.lock = threading.Lock()
@@ -328,7 +345,9 @@
         self.close_connection = True
         end = time.monotonic() + 10
         with contextlib.suppress(OSError):
-            for part in endless_bytes(self.stand_in.endless, request):
+            kind = self.stand_in.endless
+            parts = endless_text(request) if kind == "text" else endless_bytes(kind, request)
+            for part in parts:
                 self.wfile.write(part)
                 time.sleep(self.stand_in.endless_pause_s)
                 if time.monotonic() > end:
@@ -414,6 +433,18 @@
         yield part
 
 
+def endless_text(request):
+    """Yields a stream of whole events with growing ids that never ends."""
+    yield (b"HTTP/1.1 200 OK\r\nRequest-Id: " + request["id"].encode()
+           + b"\r\nResponse-Signature: x\r\nContent-Type: text/event-stream\r\n"
+           b"Transfer-Encoding: chunked\r\n\r\n")
+    number = int(request["headers"].get("Last-Event-Id", -1)) + 1
+    while True:
+        event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 60000)
+        yield b"%x\r\n%s\r\n" % (len(event), event)
+        number += 1
+
+
 ENDLESS = ("head", "no answer", "interim answers", "error", "refusal", "event", "comments",
            "old events", "chunk extension", "trailer")
 
--- a/tests/unit-buffers.cpp
+++ b/tests/unit-buffers.cpp
@@ -1,4 +1,5 @@
 // Tests of which callers may hold memory and connections, and which are ended for others.
+#include <tamarackglade/buffers/byte_quota.hpp>
 #include <tamarackglade/buffers/connection_budget.hpp>
 
 #include <doctest/doctest.h>
@@ -210,3 +211,22 @@
             RC_ASSERT(all.budget.connections() == std::size_t{0});
         }));
 }
+
+TEST_CASE("a share of a byte quota grows while there is room, and small ones always")
+{
+    constexpr std::size_t Small = byte_quota::share::SmallBytes;
+    byte_quota quota(3 * Small);
+    {
+        byte_quota::share large(quota);
+        CHECK(large.set(3 * Small));
+        byte_quota::share other(quota);
+        CHECK(other.set(Small));
+        CHECK_FALSE(other.set(Small + 1));
+        CHECK(quota.used() == 4 * Small + 1);
+        CHECK(large.set(Small));
+        CHECK(other.set(2 * Small));
+        CHECK_FALSE(large.set(Small + 1));
+        CHECK(large.set(0));
+    }
+    CHECK(quota.used() == 0);
+}
