--- a/src/settings/option_table.cpp
+++ b/src/settings/option_table.cpp
@@ -182,7 +182,9 @@
              "Time from the stop signal until the process is killed. What is in progress half a "
              "second before gets a failure; drain-notice is a third of it at most"},
             {"silence-limit", Milliseconds, "ms", 50, 60'000, "300", false,
-             "Silence of an upstream after which a resumable stream goes on at another"},
+             "Silence of an upstream after which a request that may repeat asks for a place at "
+             "another, "
+             "and goes on there once it has it"},
             {"first-event-reserve", Milliseconds, "ms", 0, 60'000, "60", false,
              "Time kept for the first event when a request waits for a slot"},
             {"batch-partitions", Integer, "partitions", 1, 100, "4", false,
@@ -192,9 +194,10 @@
              "gateways"},
             {"memory-limit", Integer, "MB", 0, 1'048'576, "0", false,
              "Memory that the process may use; 0 for the lowest limit of machine, control group "
-             "and "
-             "ulimit. A quarter of it may be held for callers: beyond that, connections without "
-             "progress are closed and large requests get 503"},
+             "and ulimit. A quarter of it may be held for callers: beyond that, connections "
+             "without progress are closed and large requests get 503. An eighth each may be held "
+             "of unfinished responses, of the texts of unfinished batch items and of answers of "
+             "the store: beyond that, large ones fail"},
             {"descriptor-limit", Integer, "descriptors", 0, 10'000'000, "0", false,
              "Open files and sockets that the process may use; 0 for ulimit. Callers may use three "
              "quarters: beyond that, idle connections are closed and new ones refused"},
--- a/tests/e2e/site_standins.py
+++ b/tests/e2e/site_standins.py
@@ -175,7 +175,8 @@
         if start < first:
             self.answer(410, {"first": first})
             return
-        framed = b"".join(struct.pack(">I", len(r)) + r for r in records[start:])
+        page = page_of(records[start:], int(fields.get("maxKb", 1024)) * 1024)
+        framed = b"".join(struct.pack(">I", len(r)) + r for r in page)
         self.answer(200, struct.pack(">QQ", len(records), first) + framed)
 
     def newest(self, partition, _fields, _body):
@@ -191,6 +192,16 @@
         self.answer(200, {"items": items, "more": False, "end": len(records)})
 
 
+def page_of(records, max_bytes):
+    """Returns the first records of a read: as many as fit, but at least one."""
+    size = 0
+    for count, record in enumerate(records):
+        size += len(record) + 4
+        if count > 0 and size > max_bytes:
+            return records[:count]
+    return records
+
+
 class Store(StandIn):
     """The platform's store. Its attributes switch faults on and off."""
 
