A silent run asks for a place only if another engine could give one

A wait that nothing can end would count as waiting online work: no batch item starts meanwhile, and batch runs are made to yield for it, here and at other gateways.

--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -113,7 +113,8 @@
     if (!m_origin)
         group = selectGroup(m_route.groups, m_call.id, m_context.allocator,
                             request.placement.excluded, now);
-    if (m_context.quarantine.check(group, m_call.sharedParts, now)
+    if (!m_context.allocator.hasOthers(request.placement, now)
+        || m_context.quarantine.check(group, m_call.sharedParts, now)
         || m_context.requestQuarantine.check(m_fingerprint, group, now))
         return;
     m_successor.emplace(m_context.blockingQueue, request);
