Calls that read results share a bounded number of reader fibers

Cause: each call for results started up to seven fibers for its page, each with a stack of 128 KB, also for contents that are in the cache; 100 calls at once are 90 MB of stacks. Now the cache is looked at first, and all calls together have 32 fibers for the rest; a call without one reads in its own.

--- a/include/tamarackglade/gateway/batch/content_store.hpp
+++ b/include/tamarackglade/gateway/batch/content_store.hpp
@@ -48,6 +48,8 @@
     };
     using cached_list = std::list<cached_content>;
 
+    /// @return the content in the cache, which counts as used now; null if it isn't there
+    const std::string *findCached(const content_place &place);
     void addToCache(const content_place &place, const std::string &bytes);
 
     record_store &m_store;
@@ -55,6 +57,7 @@
     cached_list m_cached; // most recently used first
     std::map<content_place, cached_list::iterator> m_cachedByPlace; // of all in m_cached
     std::size_t m_cachedBytes = 0; // of all in m_cached
+    std::size_t m_readers = 0; // fibers that read beside those of the calls
 };
 
 } // namespace tamarack
--- a/src/gateway/batch/content_store.cpp
+++ b/src/gateway/batch/content_store.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr std::size_t MaxCachedBytes = 4 * 1024 * 1024;
-constexpr std::size_t MaxConcurrentReads = 8;
+constexpr std::size_t MaxReadersOfCall = 8; // that read the contents of one call at the same time
+// Fibers beside those of the calls, in all calls together. Each has a stack.
+constexpr std::size_t MaxReaders = 32;
 
 const stream_name ContentStream("batch-contents");
 
@@ -50,11 +52,8 @@
 {
     if (place.records == 0)
         return std::string();
-    const auto known = m_cachedByPlace.find(place);
-    if (known != m_cachedByPlace.end()) {
-        m_cached.splice(m_cached.begin(), m_cached, known->second);
-        return known->second->bytes;
-    }
+    if (const std::string *known = findCached(place))
+        return *known;
     std::vector<std::string> records;
     while (records.size() < place.records) {
         const stream_position from(place.position.value() + records.size());
@@ -78,11 +77,18 @@
 content_store::readAll(const std::vector<content_place> &places)
 {
     std::vector<std::string> contents(places.size());
+    std::vector<std::size_t> missing;
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        if (const std::string *known = findCached(places[i]))
+            contents[i] = *known;
+        else if (places[i].records > 0)
+            missing.push_back(i);
+    }
     bool all = true;
     std::size_t next = 0;
     const auto readNext = [&] {
-        while (next < places.size()) {
-            const std::size_t i = next++;
+        while (next < missing.size()) {
+            const std::size_t i = missing[next++];
             auto content = read(places[i]);
             all = all && content.has_value();
             if (content)
@@ -90,16 +96,29 @@
         }
     };
     std::vector<boost::fibers::fiber> readers;
-    for (std::size_t i = 1; i < std::min(MaxConcurrentReads, places.size()); ++i)
+    while (readers.size() + 1 < std::min(MaxReadersOfCall, missing.size())
+           && m_readers < MaxReaders) {
+        ++m_readers;
         readers.emplace_back(readNext);
+    }
     readNext();
     for (boost::fibers::fiber &reader : readers)
         reader.join();
+    m_readers -= readers.size();
     if (!all)
         return std::nullopt;
     return contents;
 }
 
+const std::string *content_store::findCached(const content_place &place)
+{
+    const auto known = m_cachedByPlace.find(place);
+    if (known == m_cachedByPlace.end())
+        return nullptr;
+    m_cached.splice(m_cached.begin(), m_cached, known->second);
+    return &known->second->bytes;
+}
+
 void content_store::addToCache(const content_place &place, const std::string &bytes)
 {
     if (place.records == 0 || m_cachedByPlace.contains(place))
