An item keeps its run at a silent engine while no other could go on with it

A run of an item was ended after 0.6 s of silence, whatever else there was: with one engine that needs longer than that before its first event the item was never done (ItemTest, 20 s, fails before), and a text that was left was written anew elsewhere. Now it is left when another engine has a place for it.

--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -42,6 +42,18 @@
         m_version = software_version();
         m_context.upstreams.refreshSoon();
     }
+    // The run is the best that the item has while no other upstream could go on with it.
+    bool onSilence() override
+    {
+        placement_request others;
+        others.group = m_upstream.group;
+        others.work = work_class::Batch;
+        others.excluded.insert(m_upstream.id);
+        others.onlyOthers = true;
+        if (m_progress.origin)
+            others.version = m_progress.origin->version;
+        return m_context.allocator.pick(others, bootNow()).has_value();
+    }
     bool onHead(const http_response &, const response_metadata &) override { return true; }
     bool onEvent(const stream_event &event) override
     {
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -85,8 +85,8 @@
     return m_share != nullptr;
 }
 
-// Between requests the connection may be closed at any time; from the first byte that was read on it
-// is not. Nothing is read while the connection may be closed.
+// Between requests the connection may be closed at any time; from the first byte that was read on
+// it is not. Nothing is read while the connection may be closed.
 bool http_session::waitForRequest()
 {
     if (m_registry.closed)
--- a/tests/e2e/test_silent_upstreams.py
+++ b/tests/e2e/test_silent_upstreams.py
@@ -1,5 +1,6 @@
 """End-to-end tests of sound engines that fall silent for about a second and go on."""
 
+import json
 import signal
 import threading
 import time
@@ -138,6 +139,28 @@
         self.fail("the silent engine was never asked for its start")
 
 
+class ItemTest(SilentUpstreamTestCase):
+    """Batch items at the only engine."""
+
+    engines = 1
+
+    def test_an_item_keeps_its_run_at_a_silent_engine_if_there_is_no_other(self):
+        for silent_at in (0, EVENTS // 2):
+            self.engine[0].silent_at = silent_at
+            self.engine[0].silence_s = SILENCE_S
+            item = f"item-{silent_at}"
+            items = [{"id": item, "path": "/jobs/x", "headers": {}, "body": "", "tokens": 1}]
+            self.call("/jobs/x", body=json.dumps({"items": items}),
+                      **{"Request-Id": f"job-{silent_at}"})
+
+            def done():
+                body = self.call(f"/tamarackglade/lots/job-{silent_at}?after=0",  # noqa: B023
+                                 body=None, method="GET")[2]
+                return [each["state"] for each in json.loads(body)["results"]] == ["done"]
+            wait_until(done, "item done", 20)
+            self.assertEqual(len(self.engine[0].runs_of(item)), 1)
+
+
 class HeldUpTest(SilentUpstreamTestCase):
     """A gateway whose process is held up while its engines go on."""
 
