A caller whose answer began before a planned stop may send one more request

Now only an answer that says so ends the connection; what has been read is served. The new test of shell-http covers it.

--- a/include/tamarackglade/http/detail/http_session.hpp
+++ b/include/tamarackglade/http/detail/http_session.hpp
@@ -86,7 +86,7 @@
     void appendChunk(std::string &text, std::string_view data) const;
     void discardRest();
     [[nodiscard]] bool isHead() const { return m_request.method == "HEAD"; }
-    [[nodiscard]] std::string headText(const http_response &response) const;
+    [[nodiscard]] std::string headText(const http_response &response);
 
     byte_stream &m_stream;
     const http_server_options &m_options;
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -60,8 +60,6 @@
         ++m_registry.active;
         serveRequest();
         --m_registry.active;
-        if (m_registry.draining)
-            m_keepAlive = false;
     }
     m_stream.shutdownSend();
     if (m_unreadBody)
@@ -89,10 +87,10 @@
 // it is not. Nothing is read while the connection may be closed.
 bool http_session::waitForRequest()
 {
-    if (m_registry.closed)
-        return false;
     if (m_buffer.size() > 0)
         return true;
+    if (m_registry.closed)
+        return false;
     setPhase(connection_phase::Idle);
     m_stream.setTimeout(m_options.idleTimeout);
     m_registry.idle.insert(&m_stream);
@@ -334,8 +332,10 @@
     m_request.peer = m_stream.peerAddress();
 }
 
-std::string http_session::headText(const http_response &response) const
+std::string http_session::headText(const http_response &response)
 {
+    // A caller whose answer began before the stop hasn't been told and may send another request.
+    m_keepAlive = m_keepAlive && !m_registry.draining;
     std::string text = absl::StrCat(
         "HTTP/1.1 ", response.status, " ",
         std::string(http::obsolete_reason(http::int_to_status(response.status))), "\r\n");
@@ -343,7 +343,7 @@
         absl::StrAppend(&text, "Content-Type: ", response.contentType, "\r\n");
     for (const auto &[name, value] : response.headers)
         absl::StrAppend(&text, name, ": ", value, "\r\n");
-    if (!m_keepAlive || m_registry.draining)
+    if (!m_keepAlive)
         absl::StrAppend(&text, "Connection: close\r\n");
     return text;
 }
--- a/tests/shell-http.cpp
+++ b/tests/shell-http.cpp
@@ -252,6 +252,34 @@
     CHECK(hasStatus(client.readAll(), 200));
 }
 
+TEST_CASE("http: a stream that began before a stop doesn't end its connection unsaid")
+{
+    io_thread thread;
+    std::unique_ptr<http_server> server;
+    std::uint16_t port = 0;
+    const auto stopInStream = [&server](http_exchange &exchange) {
+        http_response response;
+        if (exchange.request().path != "/stream")
+            return exchange.respond(response);
+        exchange.beginStream(response);
+        server->closeAfterAnswers();
+        exchange.writeChunk("part");
+        exchange.endStream();
+    };
+    thread.run([&] {
+        server = std::make_unique<http_server>(thread, http_server_options(), stopInStream);
+        port = *server->listen("127.0.0.1:0");
+    });
+    raw_client client(port);
+    client.send("GET /stream HTTP/1.1\r\n\r\n");
+    CHECK(client.readUntil("0\r\n\r\n").find("Connection: close") == std::string::npos);
+    client.send("GET /next HTTP/1.1\r\n\r\n");
+    const std::string answer = client.readAll();
+    CHECK(hasStatus(answer, 200));
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    thread.run([&] { server->drain(); });
+}
+
 TEST_CASE("http: a caller that closes is noticed without a read")
 {
     io_thread thread;
