A planned stop closes idle TLS connections again

Callers over TLS: since a connection that was idle at a planned stop stayed open after it, and a request on it could be read when the process no longer waits for requests, and end with the process.

Cause: waitForInput() of a stream that can't wait returns at once, so the session left the set of idle connections before its read, and drain() didn't find it.

The test 'tls: a drained server closes idle connections' failed before (open after 5 s). Such a stream says now that it can't wait, and stays in the set while it reads, as all did before. A TLS request that arrives in the moment of the close is still not answered: bytes of it can't be seen without a read.

--- a/include/tamarackglade/runtime/byte_stream.hpp
+++ b/include/tamarackglade/runtime/byte_stream.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/system/error_code.hpp>
 #include <boost/system/system_error.hpp>
 
@@ -43,9 +44,13 @@
     virtual bool peerClosed() = 0;
     /// @return whether bytes can be read at once, without consuming them
     virtual bool inputWaiting() { return false; }
-    /// @brief Waits until bytes can be read or the peer has closed, without consuming anything; may
-    /// return at once. The timeout holds as for a read.
-    virtual void waitForInput(boost::system::error_code &error) { error = {}; }
+    /// @brief Waits until bytes can be read or the peer has closed, without consuming anything. The
+    /// timeout holds as for a read. Returns operation_not_supported at once if the stream can only
+    /// read.
+    virtual void waitForInput(boost::system::error_code &error)
+    {
+        error = boost::asio::error::operation_not_supported;
+    }
     /// @brief Calls onClosed once if the peer closes before unwatchPeer. Not while a read waits.
     virtual void watchPeer(const std::function<void()> & /*onClosed*/) { }
     /// @brief Ends the watch; onClosed isn't called any more.
--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -84,7 +84,8 @@
 }
 
 // Between requests the connection may be closed at any time; from the first byte that was read on
-// it is not. Nothing is read while the connection may be closed.
+// it is not. Nothing is read while the connection may be closed, but by a stream that can't wait
+// without a read.
 bool http_session::waitForRequest()
 {
     if (m_buffer.size() > 0)
@@ -96,10 +97,13 @@
     m_registry.idle.insert(&m_stream);
     boost::system::error_code error;
     m_stream.waitForInput(error);
-    m_registry.idle.erase(&m_stream);
-    if (error && !m_stream.inputWaiting())
+    const bool hasWaited = error != boost::asio::error::operation_not_supported;
+    if (hasWaited)
+        m_registry.idle.erase(&m_stream);
+    if (hasWaited && error && !m_stream.inputWaiting())
         return false;
     const std::size_t size = m_stream.readSome(m_buffer.prepare(ReadBytes), error);
+    m_registry.idle.erase(&m_stream);
     m_buffer.commit(size);
     return size > 0;
 }
--- a/tests/shell-tls.cpp
+++ b/tests/shell-tls.cpp
@@ -11,6 +11,7 @@
 #include <openssl/evp.h>
 #include <openssl/pem.h>
 #include <openssl/x509.h>
+#include <poll.h>
 
 #include <cstdio>
 #include <filesystem>
@@ -115,7 +116,9 @@
     }
     tls_server(const tls_server &) = delete;
     tls_server &operator=(const tls_server &) = delete;
-    ~tls_server()
+    ~tls_server() { drain(); }
+
+    void drain()
     {
         m_thread.run([&] { m_server->drain(); });
     }
@@ -152,6 +155,13 @@
         return name;
     }
 
+    // Whether the server ends the connection within the time.
+    bool closesWithin(std::chrono::milliseconds time)
+    {
+        pollfd polled{m_stream.next_layer().native_handle(), POLLRDHUP, 0};
+        return ::poll(&polled, 1, static_cast<int>(time.count())) == 1;
+    }
+
     // Sends a request and reads until the answer holds the text.
     std::string get(const std::string &path)
     {
@@ -254,3 +264,17 @@
     REQUIRE(client.connected());
     CHECK(client.get("/still").find("/still") != std::string::npos);
 }
+
+TEST_CASE("tls: a drained server closes idle connections")
+{
+    certificate_folder files;
+    files.write("here.example");
+    tls_context tls(files.certificate(), files.key());
+    REQUIRE(tls.reload().ok());
+    tls_server server(tls);
+    tls_client client(server.port);
+    REQUIRE(client.connected());
+    CHECK(client.get("/one").find("/one") != std::string::npos);
+    server.drain();
+    CHECK(client.closesWithin(5s));
+}
