A connect to an upstream ends at the request's deadline

Callers whose request had less than 400 ms left got its answer up to 400 ms late if the upstream's address answered no connect.

Cause: the connect had its own limit only; the request's deadline bounds reads and writes, not the connect. The test failed before (400 ms with 50 ms left) and passes now: the limit is the time that is left, if that is less.

--- a/src/gateway/upstream/upstream_caller.cpp
+++ b/src/gateway/upstream/upstream_caller.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned StatusOk = 200; // the only status of a stream
 constexpr unsigned Misdirected = 421; // another upstream is at the address
 constexpr std::chrono::milliseconds ConnectTimeout{400};
+constexpr std::chrono::milliseconds MinConnectTimeout{1};
 constexpr std::chrono::milliseconds StartCheckTimeout{150};
 constexpr std::size_t MaxStateBytes = 256 * 1024; // of what an upstream states about itself
 constexpr absl::string_view EventStreamType = "text/event-stream";
@@ -39,6 +40,13 @@
     return result;
 }
 
+std::chrono::milliseconds connectTimeout(const attempt_limits &limits)
+{
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(limits.deadline - bootNow());
+    return std::clamp(left, MinConnectTimeout, ConnectTimeout);
+}
+
 // Another upstream may have the address by now, and other bytes may look like a response.
 bool showsItsSender(response_verdict verdict, unsigned status)
 {
@@ -129,7 +137,7 @@
     pooled_client pooled = m_pool.acquire(upstream.address, limits.maxIdleTime, id);
     http_client &client = *pooled.client;
     client.setTimeout(MaxOperationTime);
-    client.setConnectTimeout(ConnectTimeout);
+    client.setConnectTimeout(connectTimeout(limits));
     handle.m_client = &client;
     attempt_result result;
     attempt_evidence evidence;
--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -5,12 +5,15 @@
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
 #include <set>
 #include <sstream>
 #include <string>
+#include <vector>
 
 using namespace tamarack;
 using namespace std::chrono_literals;
@@ -395,3 +398,61 @@
         }
     });
 }
+
+namespace {
+
+struct timed_end
+{
+    attempt_outcome outcome;
+    duration time;
+};
+
+/// Runs a request at an upstream that answers nothing; may abort it while it connects.
+timed_end runUnanswered(std::uint16_t port, duration timeLeft, bool aborts)
+{
+    io_thread thread;
+    timed_end end{};
+    thread.run([&] {
+        upstream_pool pool(thread.io());
+        const platform::http_protocol protocol;
+        upstream_caller caller(pool, protocol, {});
+        live_upstream upstream;
+        upstream.address = "127.0.0.1:" + std::to_string(port);
+        stream_progress progress(std::nullopt);
+        collecting_sink sink(false);
+        attempt_handle handle;
+        boost::fibers::fiber aborting([&] {
+            if (aborts)
+                handle.abort();
+        });
+        const time_point begun = bootNow();
+        const attempt_limits limits{begun + timeLeft, duration::zero(), std::nullopt, 1s};
+        end.outcome = caller
+                          .run(upstream, http_client_request{}, request_id("r1"), true, limits,
+                               progress, sink, handle)
+                          .outcome;
+        end.time = bootNow() - begun;
+        aborting.join();
+    });
+    return end;
+}
+
+} // namespace
+
+TEST_CASE("a connect that gets no answer ends at the request's deadline")
+{
+    // Connections beyond a full backlog are neither accepted nor refused.
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor full(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    full.listen(0);
+    std::vector<boost::asio::ip::tcp::socket> waiting;
+    waiting.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        waiting.emplace_back(io);
+        waiting.back().async_connect(full.local_endpoint(), [](boost::system::error_code) {});
+    }
+    io.run_for(50ms);
+    const timed_end end = runUnanswered(full.local_endpoint().port(), 50ms, false);
+    CHECK(end.outcome == attempt_outcome::NotRun);
+    CHECK(end.time < 300ms);
+}
