Failing test: a request that is cancelled while its connection opens is sent nevertheless

Fails, no fix yet: attempt_handle::abort() closes the client's stream, which is null during http_client::connect(), so the request is sent and waits until its deadline though its caller has gone or the process ends. Seen: 2.0 s of 2 s, and the request reached the upstream.

--- a/tests/shell-gateway-responses.cpp
+++ b/tests/shell-gateway-responses.cpp
@@ -456,3 +456,16 @@
     CHECK(end.outcome == attempt_outcome::NotRun);
     CHECK(end.time < 300ms);
 }
+
+TEST_CASE("a request that is cancelled while its connection opens isn't sent")
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor silent(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const timed_end end = runUnanswered(silent.local_endpoint().port(), 2s, true);
+    CHECK(end.outcome == attempt_outcome::Cancelled);
+    CHECK(end.time < 1s);
+    boost::asio::ip::tcp::socket accepted = silent.accept();
+    char byte = 0;
+    boost::system::error_code error;
+    CHECK(accepted.read_some(boost::asio::buffer(&byte, 1), error) == 0);
+}
