Failing test: a request that was left for a place gets 502 if the place refuses it once

Fails, no fix yet: 502 'no slot to repeat' 250 ms after the refusal, with seconds of the deadline left and two sound engines (call_relay.cpp, MaxRepeatWait).

--- a/tests/e2e/test_silent_upstreams.py
+++ b/tests/e2e/test_silent_upstreams.py
@@ -119,6 +119,23 @@
             self.check_whole(self.begin())
 
 
+class RefusedSuccessorTest(SilentUpstreamTestCase):
+    """Two engines: one is silent before its first event, the other refuses once."""
+
+    def test_a_request_that_was_left_for_a_place_is_served_though_the_place_refuses_it_once(self):
+        for path in self.paths:
+            for engine in self.engine:
+                engine.runs.clear()
+                engine.silent_at = 0
+                engine.silence_s = SILENCE_S
+            answer = self.begin(path)
+            wait_until(lambda: any(each.runs for each in self.engine), "the request runs")
+            other = next(each for each in self.engine if not each.runs)
+            other.silent_at = None
+            other.shed = 1
+            self.check_whole(answer)
+
+
 class SilentStateQueryTest(SilentUpstreamTestCase):
     """A stream that began while its engine answered no state query."""
 
