--- a/tests/e2e/test_silent_upstreams.py
+++ b/tests/e2e/test_silent_upstreams.py
@@ -136,6 +136,18 @@
             self.check_whole(answer)
 
 
+class UnknownRouteTest(SilentUpstreamTestCase):
+    """A store that answers no read of the configuration for a while."""
+
+    def test_a_request_on_an_unknown_route_is_answered_by_its_deadline(self):
+        self.store.withheld = "keyed.op"
+        deadline_s = 0.1
+        before = time.monotonic()
+        status = self.call("/unknown/x", **{"Deadline-Ms": str(int(deadline_s * 1000))})[0]
+        self.assertEqual(status, 503)
+        self.assertLess(time.monotonic() - before, deadline_s + ANSWER_S)
+
+
 class SilentStateQueryTest(SilentUpstreamTestCase):
     """A stream that began while its engine answered no state query."""
 
