A request that is cancelled while its connection opens isn't sent

The caller had gone, or the process was about to end, but abort() found no connection and the request ran at the engine until its deadline (2.0 s of 2 s in the test of shell-gateway-responses, which failed before).

--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -78,8 +78,8 @@
     /// @brief Closes the connection; the next request opens another.
     void close();
 
-    /// @brief Closes the socket while another fiber of this thread waits in it; that one gets
-    /// Aborted.
+    /// @brief Closes the socket while another fiber of this thread connects or waits in it; that
+    /// one gets Aborted, and sends nothing more.
     void abort();
 
     /// @return whether a connection is open and idle
@@ -113,6 +113,7 @@
     // An operation was tried after the deadline. One is, as bytes that came in time may wait: the
     // thread may have been held up since.
     bool m_triedLate = false;
+    bool m_aborted = false; // while a request was being sent or its connection opened
     std::function<std::optional<time_point>()> m_onDeadline;
     std::unique_ptr<byte_stream> m_stream;
     std::unique_ptr<response_state> m_response;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -87,6 +87,7 @@
     const auto text = writeRequest(request, m_address);
     if (!text.ok())
         return text.status();
+    m_aborted = false;
     if (m_stream && !reusable())
         close();
     if (!m_stream) {
@@ -94,6 +95,10 @@
         if (!connected.ok())
             return connected;
     }
+    if (m_aborted) {
+        close();
+        return absl::AbortedError(absl::StrCat(m_address, ": aborted"));
+    }
     const absl::Status sent = send(*text);
     if (!sent.ok())
         return sent;
@@ -206,6 +211,7 @@
 
 void http_client::abort()
 {
+    m_aborted = true;
     if (m_stream)
         m_stream->close();
 }
