An answer whose write timed out ends with a reset, not in order

Found in review, by reading: since timeouts leave the socket open, the end of an unframed answer to an HTTP/1.0 caller could look whole after a write that had timed out.

--- a/src/http/http_session.cpp
+++ b/src/http/http_session.cpp
@@ -61,7 +61,8 @@
         serveRequest();
         --m_registry.active;
     }
-    m_stream.shutdownSend();
+    if (!m_broken)
+        m_stream.shutdownSend();
     if (m_unreadBody)
         discardRest();
     m_stream.close();
@@ -413,6 +414,8 @@
 
 void http_session::endStream()
 {
+    if (m_broken)
+        return;
     if (!m_chunked)
         m_stream.setResetOnClose(false);
     else if (!isHead())
