--- a/include/tamarackglade/gateway/batch/stream_follower.hpp
+++ b/include/tamarackglade/gateway/batch/stream_follower.hpp
@@ -43,6 +43,9 @@
     /// @return false if the store gave no answer to a read that began after the call
     bool catchUp(time_point since);
 
+    /// @brief The same, but returns false after the limit at the latest.
+    bool catchUp(time_point since, duration limit);
+
     /// @return the position of the next record
     [[nodiscard]] stream_position position() const { return m_position; }
     /// @return whether the partition has been read to its end at least once
--- a/include/tamarackglade/gateway/process/config_watch.hpp
+++ b/include/tamarackglade/gateway/process/config_watch.hpp
@@ -27,8 +27,9 @@
     void start() { m_follower.start(); }
     /// @brief Reads the stream now, unless a read sent at since or later has confirmed the
     /// configuration.
-    /// @return false if the store gave no answer, or its newest configuration can't be read
-    bool refresh(time_point since);
+    /// @param limit how long the caller waits at most
+    /// @return false if the store gave no answer in time, or its newest configuration can't be read
+    bool refresh(time_point since, duration limit);
     [[nodiscard]] const active_config &activeConfig() const { return m_activeConfig; }
     /// @return when the configuration in force was put in force
     [[nodiscard]] time_point changedAt() const { return m_changedAt; }
--- a/src/gateway/batch/stream_follower.cpp
+++ b/src/gateway/batch/stream_follower.cpp
@@ -3,9 +3,11 @@
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <boost/fiber/fiber.hpp>
+#include <boost/fiber/future.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace tamarack {
@@ -53,6 +55,14 @@
     return true;
 }
 
+bool stream_follower::catchUp(time_point since, duration limit)
+{
+    const auto done = std::make_shared<boost::fibers::promise<bool>>();
+    auto future = done->get_future();
+    boost::fibers::fiber([this, done, since] { done->set_value(catchUp(since)); }).detach();
+    return future.wait_for(limit) == boost::fibers::future_status::ready && future.get();
+}
+
 void stream_follower::followLoop()
 {
     auto retryPause = InitialRetryPause;
--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -31,9 +31,9 @@
 {
 }
 
-bool config_watch::refresh(time_point since)
+bool config_watch::refresh(time_point since, duration limit)
 {
-    return m_follower.catchUp(since) && !m_activeConfig.newestIsUnreadable();
+    return m_follower.catchUp(since, limit) && !m_activeConfig.newestIsUnreadable();
 }
 
 void config_watch::onSnapshot(const std::vector<keyed_record> &records, time_point sentAt)
--- a/src/gateway/relay/request_router.cpp
+++ b/src/gateway/relay/request_router.cpp
@@ -5,12 +5,15 @@
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
+#include <algorithm>
+
 namespace tamarack {
 
 namespace {
 
 constexpr std::chrono::milliseconds UnavailableRetryAfter{500};
 constexpr std::chrono::milliseconds MinRateRetryAfter{100};
+constexpr std::chrono::seconds MaxRefreshTime{3}; // of the configuration, for one request
 // Time between the check of a key and the forwarding of its request.
 constexpr std::chrono::milliseconds KeyCheckMargin{300};
 
@@ -61,7 +64,9 @@
     // An unknown route or key may be in a configuration that was just published, so read again.
     const bool notFound = result.refused && result.refused->status != 503;
     if (notFound) {
-        if (m_context.config.refresh(arrivedAt)) {
+        const duration limit =
+            std::min<duration>(call.timeLeft.value_or(MaxRefreshTime), MaxRefreshTime);
+        if (m_context.config.refresh(arrivedAt, limit)) {
             result = checkRouteAndKey(call, callPurpose);
         } else {
             result.refused = refusal(503, "configuration_unknown", UnavailableRetryAfter);
--- a/src/gateway/upstream/upstream_watch.cpp
+++ b/src/gateway/upstream/upstream_watch.cpp
@@ -4,9 +4,7 @@
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/future.hpp>
 
-#include <memory>
 #include <utility>
 
 namespace tamarack {
@@ -87,13 +85,7 @@
 
 void upstream_watch::refresh(duration limit)
 {
-    const auto done = std::make_shared<boost::fibers::promise<void>>();
-    auto future = done->get_future();
-    boost::fibers::fiber([this, done, since = bootNow()] {
-        m_follower.catchUp(since);
-        done->set_value();
-    }).detach();
-    future.wait_for(limit);
+    m_follower.catchUp(bootNow(), limit);
 }
 
 void upstream_watch::onStart(const upstream_id &upstream, incarnation_number start)
