A request whose run was left asks on until its deadline, also of those that refused it

A held place isn't an answer yet. Such a request waits for its slot until its deadline, asks those that refused again, and only then the ones that it left; so does the search for a place of a silent run.

Also from the review, by reading: records are read anew before the upstream is looked at, so that what they say of its version and leaving holds for this attempt; a quarantine that began during the wait for a place keeps the run.

--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -40,6 +40,8 @@
     /// @return whether a slot was granted; otherwise the request has been answered or its stream
     /// aborted
     bool acquireSlot();
+    /// @brief Lets a request whose run was left use upstreams again if it has tried all.
+    void readmitUpstreams(time_point now);
     /// @brief Registers a run at the quarantines.
     /// @return why the request must not run; empty if it may
     std::string beginRun(const live_upstream &upstream);
@@ -48,9 +50,11 @@
     /// @brief Logs a failed attempt and excludes its upstream.
     /// @return whether to try again
     bool mayRetry(const attempt_result &result);
-    /// @brief Waits a moment before a stream that has begun asks further upstreams.
+    /// @brief Waits a moment before a request that was refused often asks further upstreams.
     /// @return whether it may ask them
-    bool pauseRefusedResume();
+    bool pauseAfterRefusals();
+    /// @return whether a quarantine would refuse the request in the group
+    bool isQuarantined(const group_id &group);
     void respondWithFailure(const attempt_result &result);
     void refuseUnavailable(const std::string &code);
     /// @brief Finds where the stream began that the caller takes up.
@@ -107,6 +111,7 @@
     // Place of the next run, while the present one is silent. A run is left for a held place only.
     std::optional<slot_reservation> m_successor;
     bool m_silenceReported = false; // of the present run
+    std::set<upstream_id> m_left; // upstreams whose runs were left, and might have answered
     attempt_handle m_handle;
     stream_progress m_progress;
     std::optional<stream_origin> m_origin; // set by the first event of the stream
--- a/src/gateway/relay/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -117,8 +117,10 @@
         m_successor.reset();
         return true;
     }
-    // A stream that goes on waits on, as the caller would lose what it has of it.
-    time_point latest = m_origin ? m_deadline : now + MaxRepeatWait;
+    readmitUpstreams(now);
+    // A stream that goes on waits on, as the caller would lose what it has of it, and so does a
+    // request whose run was left.
+    time_point latest = m_origin || !m_left.empty() ? m_deadline : now + MaxRepeatWait;
     if (!m_origin && m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
         latest = m_arrivedAt + m_route.latencyObjective - m_context.options.firstEventReserve;
     latest = std::min(latest, m_deadline);
@@ -149,6 +151,17 @@
     return false;
 }
 
+// Of the upstreams that were tried, those that refused are asked again first. A stream that goes on
+// may use all of its version again in any case.
+void call_relay::readmitUpstreams(time_point now)
+{
+    if (m_origin || m_left.empty() || m_context.allocator.hasOthers(m_placement, now))
+        return;
+    m_placement.excluded = m_left;
+    if (!m_context.allocator.hasOthers(m_placement, now))
+        m_placement.excluded.clear();
+}
+
 // The head is sent with the first events, so that another upstream can still answer if this one
 // fails before its first event.
 bool call_relay::onHead(const http_response &head, const response_metadata &metadata)
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 constexpr unsigned MaxRefusals = 3; // a request fails if more upstreams than this refuse it
-// Between the tries of a stream that has begun after that.
-constexpr std::chrono::milliseconds RefusedResumePause{100};
+// Between the tries after that of a request that goes on until its deadline.
+constexpr std::chrono::milliseconds RefusalPause{100};
 // The upstream may have closed an idle connection without this gateway noticing. A request that
 // can't be repeated only uses one that was idle for a short time.
 constexpr std::chrono::milliseconds MaxIdleTimeOnce{700};
@@ -29,12 +29,15 @@
 
 attempt_result call_relay::attempt()
 {
+    if (startCheck() == start_check::Required)
+        m_context.upstreams.refresh(MaxRefreshTime);
     const live_upstream *known = m_context.directory.find(m_upstream);
     attempt_result result;
-    if (known == nullptr || !m_context.directory.takesWork(*known)) {
+    const bool mayGoOn = known != nullptr && (!m_origin || known->version == m_origin->version);
+    if (!mayGoOn || !m_context.directory.takesWork(*known)) {
         m_context.blockingQueue.release(m_upstream, work_class::Online);
         result.outcome = attempt_outcome::NotRun;
-        result.reason = "upstream removed, leaving or in an evacuated zone";
+        result.reason = "upstream removed, leaving, of another version or in an evacuated zone";
         return result;
     }
     const live_upstream upstream = *known;
@@ -63,8 +66,6 @@
     if (limits.silenceTimeout > duration::zero() && m_route.latencyObjective > duration::zero())
         limits.firstEventTimeout = firstEventTimeout();
     limits.maxIdleTime = idempotent() ? MaxIdleTimeRepeatable : MaxIdleTimeOnce;
-    if (startCheck() == start_check::Required)
-        m_context.upstreams.refresh(MaxRefreshTime);
     limits.startCheck = startCheck();
     m_runEvents = 0;
     m_silenceReported = false;
@@ -95,7 +96,20 @@
     }
     if (!m_successor)
         reserveSuccessor();
-    return m_successor && m_successor->isHeld();
+    if (!m_successor || !m_successor->isHeld())
+        return false;
+    if (isQuarantined(m_successor->group()))
+        m_successor.reset();
+    if (m_successor)
+        m_left.insert(m_upstream);
+    return m_successor.has_value();
+}
+
+bool call_relay::isQuarantined(const group_id &group)
+{
+    const time_point now = bootNow();
+    return m_context.quarantine.check(group, m_call.sharedParts, now)
+           || m_context.requestQuarantine.check(m_fingerprint, group, now);
 }
 
 void call_relay::reserveSuccessor()
@@ -113,9 +127,10 @@
     if (!m_origin)
         group = selectGroup(m_route.groups, m_call.id, m_context.allocator,
                             request.placement.excluded, now);
-    if (!m_context.allocator.hasOthers(request.placement, now)
-        || m_context.quarantine.check(group, m_call.sharedParts, now)
-        || m_context.requestQuarantine.check(m_fingerprint, group, now))
+    // Those that refused may be asked again.
+    if (!m_context.allocator.hasOthers(request.placement, now))
+        request.placement.excluded = {m_upstream};
+    if (!m_context.allocator.hasOthers(request.placement, now) || isQuarantined(group))
         return;
     m_successor.emplace(m_context.blockingQueue, request);
 }
@@ -180,16 +195,17 @@
         || result.outcome == attempt_outcome::DeadlineExceeded || timeLeft() <= duration::zero())
         return false;
     if (result.outcome == attempt_outcome::NotRun)
-        return m_refusals <= MaxRefusals || pauseRefusedResume();
+        return m_refusals <= MaxRefusals || pauseAfterRefusals();
     return idempotent() && m_runs < m_route.attempts;
 }
 
-// The caller has a part of the stream, and refusals say nothing of the next moment.
-bool call_relay::pauseRefusedResume()
+// The caller has a part of the stream, or the request had a run that was left for a place that
+// wasn't to be had. Refusals say nothing of the next moment.
+bool call_relay::pauseAfterRefusals()
 {
-    if (!m_exchange.started())
+    if (!m_exchange.started() && m_left.empty())
         return false;
-    boost::this_fiber::sleep_for(std::min<duration>(RefusedResumePause, timeLeft()));
+    boost::this_fiber::sleep_for(std::min<duration>(RefusalPause, timeLeft()));
     return timeLeft() > duration::zero();
 }
 
