--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -66,7 +66,7 @@
     bool publish(const std::string &value)
     {
         store.records.push_back(store.encodeKeyed({protocol.configKey(), value}));
-        return watch.refresh(bootNow());
+        return watch.refresh(bootNow(), 10s);
     }
 
     platform::http_protocol protocol;
@@ -93,7 +93,7 @@
         CHECK_FALSE(stream.publish("{"));
         customer_batch job;
         job.firstReadAt = bootNow();
-        CHECK_FALSE(stream.watch.refresh(bootNow()));
+        CHECK_FALSE(stream.watch.refresh(bootNow(), 10s));
         CHECK_FALSE(routeWasRemoved(job, stream.watch.activeConfig().confirmedAt()));
         CHECK(stream.publish(configOfVersion(3)));
         CHECK(routeWasRemoved(job, stream.watch.activeConfig().confirmedAt()));
@@ -123,7 +123,7 @@
         const auto &evacuations = stream.directory.evacuations();
         const auto put = [&](const std::string &key, const std::string &value) {
             stream.store.records.push_back(stream.store.encodeKeyed({key, value}));
-            return stream.watch.refresh(bootNow());
+            return stream.watch.refresh(bootNow(), 10s);
         };
         CHECK(put("evacuate/zone-b", "{}"));
         CHECK(evacuations.zones() == std::set<zone_id>{zone_id("zone-b")});
