--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -6,6 +6,8 @@
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <utility>
 
 namespace tamarack {
 
@@ -28,9 +30,11 @@
 {
 public:
     output_sink(item_progress &progress, item_run &run, run_observer &observer,
-                gateway_context &context, const live_upstream &upstream, byte_quota &texts)
+                gateway_context &context, const live_upstream &upstream, byte_quota &texts,
+                std::function<bool()> hasOtherPlace)
         : m_progress(progress), m_run(run), m_observer(observer), m_context(context),
-          m_upstream(upstream), m_version(upstream.version), m_texts(texts)
+          m_upstream(upstream), m_version(upstream.version), m_texts(texts),
+          m_hasOtherPlace(std::move(hasOtherPlace))
     {
     }
 
@@ -42,18 +46,8 @@
         m_version = software_version();
         m_context.upstreams.refreshSoon();
     }
-    // The run is the best that the item has while no other upstream could go on with it.
-    bool onSilence() override
-    {
-        placement_request others;
-        others.group = m_upstream.group;
-        others.work = work_class::Batch;
-        others.excluded.insert(m_upstream.id);
-        others.onlyOthers = true;
-        if (m_progress.origin)
-            others.version = m_progress.origin->version;
-        return m_context.allocator.pick(others, bootNow()).has_value();
-    }
+    // The run is the best that the item has while no other upstream has a place for it.
+    bool onSilence() override { return m_hasOtherPlace(); }
     bool onHead(const http_response &, const response_metadata &) override { return true; }
     bool onEvent(const stream_event &event) override
     {
@@ -101,6 +95,7 @@
     const live_upstream m_upstream; // as it was known when the run began
     software_version m_version; // empty if unknown
     byte_quota &m_texts;
+    const std::function<bool()> m_hasOtherPlace;
     bool m_isTooLong = false;
 };
 
@@ -169,7 +164,8 @@
     stream_progress events(progress.lastEvent);
     if (progress.isUnfinished)
         events.setUnfinished();
-    output_sink sink(progress, run, observer, m_context, upstream, m_textBytes);
+    output_sink sink(progress, run, observer, m_context, upstream, m_textBytes,
+                     [&] { return hasOtherPlace(work, upstream); });
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
@@ -185,6 +181,29 @@
     return result;
 }
 
+// In another group of its route the item's text is written anew.
+bool batch_runner::hasOtherPlace(const item_work &work, const live_upstream &upstream)
+{
+    const customer_batch *job = m_store.findJob(work.key.batch);
+    const auto config = m_context.config.activeConfig().current();
+    const forward_route *route =
+        job == nullptr || !config ? nullptr : config->findRouteByName(job->routeName);
+    if (route == nullptr)
+        return true;
+    placement_request request;
+    request.work = work_class::Batch;
+    request.excluded.insert(upstream.id);
+    request.onlyOthers = true;
+    const item_progress &progress = m_progress[work.key];
+    return std::any_of(route->groups.begin(), route->groups.end(), [&](const auto &each) {
+        request.group = each.group;
+        request.version.reset();
+        if (progress.origin && each.group == progress.origin->group)
+            request.version = progress.origin->version;
+        return each.weight > 0 && m_context.allocator.pick(request, bootNow()).has_value();
+    });
+}
+
 void batch_runner::discardLongText(const item_work &work, attempt_result &result)
 {
     item_progress &progress = m_progress[work.key];
