Reads and writes of a connection have timeouts of their own

scenario-entry-lost-while-side-cut failed in the run of all tests beside load, and in 1 of 2 runs alone: an entry didn't notice that a side was silent. Cause: since reads and writes shared one timer, and on connections between our processes one fiber reads while another one writes, so that a write ended the time of the read.

--- a/include/tamarackglade/runtime/tcp_stream.hpp
+++ b/include/tamarackglade/runtime/tcp_stream.hpp
@@ -68,7 +68,9 @@
     void keepFailure(const boost::system::error_code &error);
 
     boost::beast::tcp_stream m_stream;
-    operation_timeout m_operation; // of m_stream's socket; one read or write at a time
+    // Of m_stream's socket. One fiber may read while another one writes.
+    operation_timeout m_readTimeout;
+    operation_timeout m_writeTimeout;
     std::chrono::milliseconds m_timeout{0};
     // First failure of the connection. Reads fail with it once all received bytes are read; their
     // end is an orderly one only without a failure.
--- a/src/runtime/tcp_stream.cpp
+++ b/src/runtime/tcp_stream.cpp
@@ -46,7 +46,8 @@
 }
 
 tcp_stream::tcp_stream(boost::beast::tcp_stream stream)
-    : m_stream(std::move(stream)), m_operation(m_stream.socket())
+    : m_stream(std::move(stream)), m_readTimeout(m_stream.socket()),
+      m_writeTimeout(m_stream.socket())
 {
     boost::system::error_code ignored;
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -74,9 +75,9 @@
     error = {};
     if (const std::size_t size = readNow(buffer))
         return size;
-    m_operation.arm(m_timeout);
+    m_readTimeout.arm(m_timeout);
     const auto result = m_stream.socket().async_read_some(buffer, FiberToken);
-    if (m_operation.disarm() && result.error)
+    if (m_readTimeout.disarm() && result.error)
         error = boost::beast::error::timeout;
     else
         error = endOfRead(result.error);
@@ -88,9 +89,9 @@
     error = {};
     if (const std::size_t size = writeNow(buffer))
         return size;
-    m_operation.arm(m_timeout);
+    m_writeTimeout.arm(m_timeout);
     const auto result = m_stream.socket().async_write_some(buffer, FiberToken);
-    if (m_operation.disarm() && result.error) {
+    if (m_writeTimeout.disarm() && result.error) {
         error = boost::beast::error::timeout;
         return result.value;
     }
@@ -136,9 +137,9 @@
 
 void tcp_stream::waitForInput(boost::system::error_code &error)
 {
-    m_operation.arm(m_timeout);
+    m_readTimeout.arm(m_timeout);
     error = m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, FiberToken);
-    if (m_operation.disarm() && error)
+    if (m_readTimeout.disarm() && error)
         error = boost::beast::error::timeout;
 }
 
