A side bounds in sum the responses that it holds until they are whole

Callers lost every call at a side of 160 MB whose upstream sent a body without end: the side collected it without a bound and aborted (test_calls_body, test_items_body). A share of the memory now bounds bodies and the texts of items; beyond it the call fails. Whole bodies are forwarded in parts, and a partial line is searched once. After: test_calls_body, test_calls_error and all 17 tests of BatchTest pass.

--- a/include/tamarackglade/side/resumable_answer.hpp
+++ b/include/tamarackglade/side/resumable_answer.hpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -49,6 +50,8 @@
     [[nodiscard]] const std::string &failure() const { return m_failure; }
     /// @return the number of tokens received in all runs, counted as events with text
     [[nodiscard]] std::uint64_t tokenCount() const { return m_tokenCount; }
+    /// @return the bytes that the answer holds of its responses
+    [[nodiscard]] std::size_t heldBytes() const { return m_partialLine.size() + m_text.size(); }
     /// @return JSON of the answer; valid only if isComplete()
     [[nodiscard]] std::string body() const;
 
--- a/include/tamarackglade/side/side_server.hpp
+++ b/include/tamarackglade/side/side_server.hpp
@@ -1,6 +1,7 @@
 // Passes the frames of entries to the side's gate and performs the gate's actions.
 #pragma once
 
+#include <tamarackglade/buffers/byte_quota.hpp>
 #include <tamarackglade/gate/side_gate.hpp>
 #include <tamarackglade/metrics/metric_registry.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace tamarack {
 
@@ -19,6 +21,7 @@
 {
     std::string upstreamAddress; // "ip:port"
     gate_options gate;
+    std::size_t responseBytes = 0; // of all responses that are held until they are whole
 };
 
 /// @brief Runs calls on the upstream as the gate decides. Used on one thread; fibers may switch at
@@ -48,12 +51,24 @@
 private:
     class run_events;
 
+    /// @brief The answer of a resumable batch call, over all its runs.
+    struct held_answer
+    {
+        held_answer(resumable_answer empty, byte_quota &quota)
+            : answer(std::move(empty)), held(quota)
+        {
+        }
+
+        resumable_answer answer;
+        byte_quota::share held;
+    };
+
     void tickLoop();
     void perform(const gate_actions &actions);
     void open(const open_upstream &action);
     void send(const send_frame &action);
     void finishRun(const upstream_run &run);
-    std::shared_ptr<resumable_answer> findOrCreateAnswer(const schema::start_call_message &call);
+    std::shared_ptr<held_answer> findOrCreateAnswer(const schema::start_call_message &call);
     void removeEndedAnswers();
 
     io_thread &m_thread;
@@ -62,10 +77,11 @@
     side_gate m_gate;
     bool m_draining = false;
     std::map<connection_id, std::shared_ptr<wire_peer>> m_peers;
+    byte_quota m_responseBytes; // of the responses below
     std::map<upstream_run, std::shared_ptr<upstream_call>> m_running;
     // Answers of resumable batch calls, by attempt. A tick removes those that the gate no longer
     // holds.
-    std::map<std::string, std::shared_ptr<resumable_answer>> m_answers;
+    std::map<std::string, std::shared_ptr<held_answer>> m_answers;
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/side/upstream_events.hpp
+++ b/include/tamarackglade/side/upstream_events.hpp
@@ -24,7 +24,8 @@
     virtual ~upstream_events() = default;
 
     virtual void onHead(unsigned status, const std::string &contentType) = 0;
-    virtual void onData(std::string data) = 0;
+    /// @return whether the call may go on; if not, it ends with upstream_end::Broken
+    [[nodiscard]] virtual bool onData(std::string data) = 0;
     virtual void onEnd(upstream_end end, const std::string &message) = 0;
 };
 
--- a/src/side/resumable_answer.cpp
+++ b/src/side/resumable_answer.cpp
@@ -92,9 +92,10 @@
 {
     if (m_ignoresData)
         return;
+    const std::size_t searched = m_partialLine.size();
     m_partialLine += data;
     std::size_t begin = 0;
-    for (auto end = m_partialLine.find('\n'); end != std::string::npos;
+    for (auto end = m_partialLine.find('\n', searched); end != std::string::npos;
          end = m_partialLine.find('\n', begin)) {
         onLine(std::string_view(m_partialLine).substr(begin, end - begin));
         begin = end + 1;
--- a/src/side/side_process.cpp
+++ b/src/side/side_process.cpp
@@ -1,5 +1,6 @@
 // Starts a side, applies configuration changes and performs the planned stop.
 #include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/runtime/machine_limits.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 #include <tamarackglade/side/side_process.hpp>
 
@@ -11,6 +12,7 @@
 
 constexpr std::chrono::milliseconds DrainPollInterval{20};
 constexpr double Percent = 100;
+constexpr std::size_t ResponseShare = 8; // of the memory, as its divisor
 
 side_options readSideOptions(const setting_values &values, gate_mutation mutation)
 {
@@ -20,6 +22,7 @@
     options.gate.group = values.text("group");
     options.gate.kind = values.text("kind") == "service" ? schema::upstream_kind::Service
                                                          : schema::upstream_kind::Engine;
+    options.responseBytes = machineLimits().memoryBytes / ResponseShare;
     options.gate.maxStreams = static_cast<std::size_t>(values.integer("max-streams"));
     return options;
 }
--- a/src/side/side_server.cpp
+++ b/src/side/side_server.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval{5};
+constexpr std::size_t ForwardBytes = 64 * 1024; // of a whole body in one frame
 
 connection_id connectionIdOf(const std::shared_ptr<wire_peer> &peer)
 {
@@ -27,8 +28,9 @@
 public:
     /// @param answer the answer so far of a resumable batch call; null for other calls
     run_events(side_server &server, upstream_run run, bool streamed,
-               std::shared_ptr<resumable_answer> answer)
-        : m_server(server), m_run(std::move(run)), m_streamed(streamed), m_answer(std::move(answer))
+               std::shared_ptr<held_answer> answer)
+        : m_server(server), m_run(std::move(run)), m_streamed(streamed),
+          m_held(server.m_responseBytes), m_answer(std::move(answer))
     {
     }
 
@@ -38,22 +40,27 @@
         m_contentType = contentType;
         if (m_streamed)
             forwardHead();
-        if (m_answer && m_answer->onHead(status, contentType) == run_response::WholeAnswer)
+        if (m_answer && m_answer->answer.onHead(status, contentType) == run_response::WholeAnswer)
             m_answer.reset();
     }
-    void onData(std::string data) override
+    bool onData(std::string data) override
     {
-        if (m_streamed)
+        if (m_streamed) {
             forwardData(data);
-        else if (!m_answer)
+            return true;
+        }
+        if (!m_answer) {
             m_bufferedBody += data;
-        else if (m_server.m_gate.isRunning(m_run))
-            m_answer->onData(data);
+            return m_held.set(m_bufferedBody.size());
+        }
+        if (m_server.m_gate.isRunning(m_run))
+            m_answer->answer.onData(data);
+        return m_answer->held.set(m_answer->answer.heldBytes());
     }
     void onEnd(upstream_end end, const std::string &message) override
     {
         m_server.finishRun(m_run);
-        if (end == upstream_end::Complete && m_answer && !m_answer->isComplete()) {
+        if (end == upstream_end::Complete && m_answer && !m_answer->answer.isComplete()) {
             reportIncomplete();
             return;
         }
@@ -80,7 +87,7 @@
     }
     void reportIncomplete()
     {
-        const std::string &failure = m_answer->failure();
+        const std::string &failure = m_answer->answer.failure();
         const std::string reason =
             failure.empty() ? "the stream ended before it was complete" : failure;
         m_server.perform(m_server.m_gate.onUpstreamFailed(m_run, false, reason, steadyNow()));
@@ -90,15 +97,15 @@
         if (!m_answer)
             return;
         m_contentType = "application/json";
-        m_bufferedBody = m_answer->body();
+        m_bufferedBody = m_answer->answer.body();
     }
     void forwardBufferedBody()
     {
         if (m_streamed)
             return;
         forwardHead();
-        if (!m_bufferedBody.empty())
-            forwardData(m_bufferedBody);
+        for (std::size_t at = 0; at < m_bufferedBody.size(); at += ForwardBytes)
+            forwardData(m_bufferedBody.substr(at, ForwardBytes));
     }
 
     side_server &m_server;
@@ -107,13 +114,14 @@
     std::uint16_t m_status = 0;
     std::string m_contentType;
     std::string m_bufferedBody; // body of an answer that isn't streamed
-    std::shared_ptr<resumable_answer> m_answer;
+    byte_quota::share m_held; // counts m_bufferedBody
+    std::shared_ptr<held_answer> m_answer;
 };
 
 side_server::side_server(io_thread &thread, metric_registry &metrics, side_options options,
                          incarnation_number self)
     : m_thread(thread), m_metrics(metrics), m_options(std::move(options)),
-      m_gate(m_options.gate, self)
+      m_gate(m_options.gate, self), m_responseBytes(m_options.responseBytes)
 {
 }
 
@@ -192,10 +200,10 @@
     request.timeout = std::chrono::milliseconds(call.deadline_ms);
     const auto answer = findOrCreateAnswer(call);
     if (answer) {
-        if (answer->tokenCount() > 0)
+        if (answer->answer.tokenCount() > 0)
             m_metrics.add("tamarack_side_resumed_tokens_total",
-                          static_cast<double>(answer->tokenCount()));
-        request.body = answer->beginRun();
+                          static_cast<double>(answer->answer.tokenCount()));
+        request.body = answer->answer.beginRun();
     }
     auto events = std::make_shared<run_events>(*this, action.run, call.streamed, answer);
     auto running = std::make_shared<upstream_call>(m_thread, m_options.upstreamAddress,
@@ -213,7 +221,7 @@
     std::visit([&](const auto &message) { peer->second->send(frameBody(message)); }, action.frame);
 }
 
-std::shared_ptr<resumable_answer>
+std::shared_ptr<side_server::held_answer>
 side_server::findOrCreateAnswer(const schema::start_call_message &call)
 {
     const bool isBatch = call.call_class == schema::call_class::Batch;
@@ -225,7 +233,7 @@
     auto answer = resumable_answer::fromRequest(call.target, body);
     if (!answer)
         return nullptr;
-    auto stored = std::make_shared<resumable_answer>(std::move(*answer));
+    auto stored = std::make_shared<held_answer>(std::move(*answer), m_responseBytes);
     m_answers[call.attempt] = stored;
     return stored;
 }
--- a/src/side/upstream_call.cpp
+++ b/src/side/upstream_call.cpp
@@ -50,7 +50,11 @@
         }
         if (part->empty())
             break;
-        m_events->onData(std::move(*part));
+        if (!m_events->onData(std::move(*part))) {
+            m_client.close();
+            m_events->onEnd(upstream_end::Broken, "no memory for the rest of the response");
+            return;
+        }
     }
     m_events->onEnd(upstream_end::Complete, "");
 }
--- a/tests/shell-side.cpp
+++ b/tests/shell-side.cpp
@@ -41,7 +41,11 @@
     {
         hasHead = true;
     }
-    void onData(std::string data) override { text += data; }
+    bool onData(std::string data) override
+    {
+        text += data;
+        return true;
+    }
     void onEnd(upstream_end how, const std::string & /*message*/) override { end = how; }
 
     bool hasHead = false;
