A response about orders may have 1 MB

A side of 160 MB aborted on an answer to its query for orders that never ended (test_orders_body): it was read up to 64 MB, by doubling.

--- a/src/side/order_service.cpp
+++ b/src/side/order_service.cpp
@@ -20,6 +20,7 @@
 // may be sent meanwhile.
 constexpr std::chrono::hours OrderTimeout{1};
 constexpr std::size_t MaxReadRecords = 500;
+constexpr std::size_t MaxOrderBytes = 1024 * 1024; // of a response about orders
 constexpr duration InitialLoadInterval = std::chrono::seconds(10); // until a manifest sets it
 
 } // namespace
@@ -82,7 +83,7 @@
     http_client_request request;
     request.target = "/orders";
     m_upstream.setTimeout(StateTimeout);
-    const auto report = readUpstreamState(m_upstream.fetch(request));
+    const auto report = readUpstreamState(m_upstream.fetch(request, MaxOrderBytes));
     if (report.ok())
         m_dispatcher.onUpstreamState(*report, requestedAt, steadyNow());
     else
@@ -120,7 +121,7 @@
              "not sent: the upstream's state has to be queried again first"},
             steadyNow());
     m_metrics.add("tamarack_side_orders_given_total");
-    const order_answer answer = readOrderAnswer(m_upstream.fetch(request));
+    const order_answer answer = readOrderAnswer(m_upstream.fetch(request, MaxOrderBytes));
     log_event(log_level::Info, "order given")
         .with("order", order.id)
         .with("fence", order.fence.value())
