Answers of the platform that are being read are bounded in sum

A side of 160 MB aborted when the platform's answers never ended (test_platform_body): each call could hold 64 MB. Not weighed: on a small VM a proper read over that share fails now.

--- a/include/tamarackglade/platform/platform_client.hpp
+++ b/include/tamarackglade/platform/platform_client.hpp
@@ -1,6 +1,7 @@
 // The platform's service as this process reaches it: log, VM list, weight store.
 #pragma once
 
+#include <tamarackglade/buffers/byte_quota.hpp>
 #include <tamarackglade/http/http_client.hpp>
 #include <tamarackglade/platform/log_read.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
@@ -21,6 +22,7 @@
 class platform_client
 {
 public:
+    /// @brief Bounds what all answers that are being read hold by a share of the memory.
     platform_client(io_thread &thread, std::vector<std::string> addresses);
 
     /// @brief Appends one payload to a stream.
@@ -42,6 +44,7 @@
 
     io_thread &m_thread;
     std::vector<std::string> m_addresses;
+    byte_quota m_answerBytes; // of all answers that are being read
     std::size_t m_current = 0; // index of the address in use; moves on after a failure
     std::vector<std::unique_ptr<http_client>> m_idle;
 };
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -1,5 +1,6 @@
 // The platform's HTTP protocol.
 #include <tamarackglade/platform/platform_client.hpp>
+#include <tamarackglade/runtime/machine_limits.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
 
 #include <absl/strings/match.h>
@@ -14,6 +15,7 @@
 
 constexpr std::chrono::milliseconds CallTimeout{3'000};
 constexpr std::size_t MaxIdleClients = 16;
+constexpr std::size_t AnswerShare = 16; // of the memory, as its divisor
 constexpr std::size_t EntryHeaderBytes = 12; // 64-bit offset, 32-bit length
 
 std::uint64_t headerNumber(const http_response &response, absl::string_view name)
@@ -46,7 +48,8 @@
 } // namespace
 
 platform_client::platform_client(io_thread &thread, std::vector<std::string> addresses)
-    : m_thread(thread), m_addresses(std::move(addresses))
+    : m_thread(thread), m_addresses(std::move(addresses)),
+      m_answerBytes(machineLimits().memoryBytes / AnswerShare)
 {
 }
 
@@ -129,9 +132,10 @@
 absl::StatusOr<http_response> platform_client::call(const http_client_request &request,
                                                     std::chrono::milliseconds timeout)
 {
+    byte_quota::share held(m_answerBytes);
     auto client = takeClient();
     client->setTimeout(timeout);
-    auto response = client->fetch(request);
+    auto response = client->fetch(request, http_client::MaxFetchBytes, &held);
     if (response.ok()) {
         returnClient(std::move(client));
         return response;
