A stream waits while its connection to the entry has much to write

Streams without end filled the queue of a side's connection (32 MB, several copies): the side aborted (test_streams_error), or the connection was closed with all its calls (test_streams_events: 19 of 31 calls arrived). Now an upstream isn't read while 1 MB is queued.

--- a/include/tamarackglade/gate/side_gate.hpp
+++ b/include/tamarackglade/gate/side_gate.hpp
@@ -93,6 +93,8 @@
 
     /// @return whether the run is in progress: neither ended, cancelled nor parked
     [[nodiscard]] bool isRunning(const upstream_run &run) const;
+    /// @return where the frames of a run go; nullopt if it isn't running
+    [[nodiscard]] std::optional<connection_id> connectionOf(const upstream_run &run) const;
 
     [[nodiscard]] std::size_t onlineRunning() const { return m_onlineRunning; }
     [[nodiscard]] std::size_t batchRunning() const { return m_batchRunning; }
--- a/include/tamarackglade/side/side_server.hpp
+++ b/include/tamarackglade/side/side_server.hpp
@@ -67,6 +67,8 @@
     void perform(const gate_actions &actions);
     void open(const open_upstream &action);
     void send(const send_frame &action);
+    /// @brief Waits until the connection of a run has written most of its frames.
+    void waitForRoom(const upstream_run &run);
     void finishRun(const upstream_run &run);
     std::shared_ptr<held_answer> findOrCreateAnswer(const schema::start_call_message &call);
     void removeEndedAnswers();
--- a/include/tamarackglade/wire/detail/wire_connection.hpp
+++ b/include/tamarackglade/wire/detail/wire_connection.hpp
@@ -28,6 +28,7 @@
     [[nodiscard]] const peer_identity &identity() const override { return m_peer; }
     [[nodiscard]] std::uint64_t connectionId() const override { return m_connectionId; }
     void send(const schema::frame_bodyUnion &body) override;
+    [[nodiscard]] std::size_t queuedBytes() override;
     void close() override;
 
 private:
--- a/include/tamarackglade/wire/wire_peer.hpp
+++ b/include/tamarackglade/wire/wire_peer.hpp
@@ -3,6 +3,7 @@
 
 #include <tamarackglade/wire/peer_identity.hpp>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace tamarack {
@@ -22,6 +23,8 @@
     [[nodiscard]] virtual std::uint64_t connectionId() const = 0;
     /// @brief Queues a frame. Lost if the connection ends first; frames arrive in order.
     virtual void send(const schema::frame_bodyUnion &body) = 0;
+    /// @return the bytes of the frames that are queued
+    [[nodiscard]] virtual std::size_t queuedBytes() = 0;
     /// @brief Ends the connection.
     virtual void close() = 0;
 };
--- a/src/gate/side_gate_scheduling.cpp
+++ b/src/gate/side_gate_scheduling.cpp
@@ -129,6 +129,13 @@
            && found->second.runNumber == run.number;
 }
 
+std::optional<connection_id> side_gate::connectionOf(const upstream_run &run) const
+{
+    if (!isRunning(run))
+        return std::nullopt;
+    return m_calls.at(run.attempt.value()).connection;
+}
+
 gated_call *side_gate::runningCall(const upstream_run &run)
 {
     return isRunning(run) ? &m_calls.at(run.attempt.value()) : nullptr;
--- a/src/side/side_server.cpp
+++ b/src/side/side_server.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval{5};
+constexpr std::chrono::milliseconds QueueCheckInterval{1};
+constexpr std::size_t MaxQueuedBytes = 1024 * 1024; // of frames, before streams wait
 constexpr std::size_t ForwardBytes = 64 * 1024; // of a whole body in one frame
 
 connection_id connectionIdOf(const std::shared_ptr<wire_peer> &peer)
@@ -47,6 +49,7 @@
     {
         if (m_streamed) {
             forwardData(data);
+            m_server.waitForRoom(m_run);
             return true;
         }
         if (!m_answer) {
@@ -154,6 +157,17 @@
     perform(m_gate.onDisconnected(connectionIdOf(peer), steadyNow()));
 }
 
+void side_server::waitForRoom(const upstream_run &run)
+{
+    for (;;) {
+        const auto connection = m_gate.connectionOf(run);
+        const auto peer = connection ? m_peers.find(*connection) : m_peers.end();
+        if (peer == m_peers.end() || peer->second->queuedBytes() < MaxQueuedBytes)
+            return;
+        boost::this_fiber::sleep_for(QueueCheckInterval);
+    }
+}
+
 void side_server::drain()
 {
     if (std::exchange(m_draining, true))
--- a/src/wire/wire_connection.cpp
+++ b/src/wire/wire_connection.cpp
@@ -70,6 +70,12 @@
         m_changed.notify_one();
 }
 
+std::size_t wire_connection::queuedBytes()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_pending.size();
+}
+
 void wire_connection::close()
 {
     {
