An entry keeps 64 KB of an error's body and joins 256 KB of a stream at most

An error's body of a streamed call had no bound at the entry, nor had the parts that one write joins.

--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds CheckInterval{250};
 constexpr std::string_view StreamEnd = "data: [DONE]";
 constexpr std::size_t MaxTailBytes = 64;
+constexpr std::size_t MaxWriteBytes = 256 * 1024; // of parts that are written together
+constexpr std::size_t MaxErrorBytes = 64 * 1024; // of an error's body, for its message
 constexpr unsigned ServerErrorStatus = 500;
 
 api_error withdrawnKeyError()
@@ -164,6 +166,8 @@
     appendAvailableData(bytes, next);
     if (!m_streaming) {
         m_body += bytes;
+        if (m_head.status >= 400 && m_body.size() > MaxErrorBytes)
+            m_body.resize(MaxErrorBytes);
     } else {
         m_tail = (m_tail + bytes);
         if (m_tail.size() > MaxTailBytes)
@@ -177,7 +181,10 @@
 
 void answer_relay::appendAvailableData(std::string &bytes, std::optional<answer_event> &next)
 {
-    while (auto event = m_channel->tryPop()) {
+    while (bytes.size() < MaxWriteBytes) {
+        auto event = m_channel->tryPop();
+        if (!event)
+            return;
         if (const auto *more = std::get_if<answer_data>(&*event)) {
             bytes += more->bytes;
         } else if (std::holds_alternative<answer_end>(*event)) {
