--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::chrono::milliseconds CallTimeout{3'000};
 constexpr std::size_t MaxIdleClients = 16;
-constexpr std::size_t AnswerShare = 16; // of the memory, as its divisor
+constexpr std::size_t AnswerShare = 8; // of the memory, as its divisor
 constexpr std::size_t EntryHeaderBytes = 12; // 64-bit offset, 32-bit length
 
 std::uint64_t headerNumber(const http_response &response, absl::string_view name)
