An entry bounds in sum the answers that wait for their callers

Callers of an entry that others share lost their answers when the process ended: the queue between a call's answer and its caller had no bound, so 30 endless streams that nobody read ended an entry of 160 MB (test_unread_endless_streams, 2 of 2 runs).

--- a/include/tamarackglade/entry/entry_context.hpp
+++ b/include/tamarackglade/entry/entry_context.hpp
@@ -1,6 +1,7 @@
 // Services that the request handlers of an entry share.
 #pragma once
 
+#include <tamarackglade/entry/answer_budget.hpp>
 #include <tamarackglade/entry/burn_service.hpp>
 #include <tamarackglade/entry/call_dispatcher.hpp>
 #include <tamarackglade/entry/keyed_call_service.hpp>
@@ -11,6 +12,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <memory>
 
 namespace tamarack {
 
@@ -23,6 +25,7 @@
     metric_registry &metrics;
     burn_service &burn;
     keyed_call_service &keyed;
+    std::shared_ptr<answer_budget> answerBytes; // of answers that wait for their callers
     const std::atomic<bool> &processEnds; // set shortly before: requests in progress are answered
     std::chrono::milliseconds requestTimeout{120'000};
     shell_mutation mutation = shell_mutation::None;
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -64,8 +64,9 @@
 } // namespace
 
 answer_relay::answer_relay(entry_context &context, const caller_request &request)
-    : m_context(context), m_request(request), m_channel(std::make_shared<answer_channel>()),
-      m_started(clock::now()), m_deadline(m_started), m_configVersion(context.config.version())
+    : m_context(context), m_request(request),
+      m_channel(std::make_shared<answer_channel>(context.answerBytes)), m_started(clock::now()),
+      m_deadline(m_started), m_configVersion(context.config.version())
 {
 }
 
@@ -75,7 +76,8 @@
         call.contentType +=
             "; key=" + std::string(m_request.exchange.request().header("authorization"));
     if (m_context.mutation == shell_mutation::RunTwice)
-        m_context.calls.start(duplicateCall(call), std::make_shared<answer_channel>());
+        m_context.calls.start(duplicateCall(call),
+                              std::make_shared<answer_channel>(m_context.answerBytes));
     m_deadline = m_started + call.timeout;
     m_burn.streamed = call.streamed;
     m_burn.gaps = burn_counter::gapsFor(*m_request.config->inForce, m_request.from.customer,
@@ -106,6 +108,8 @@
             m_burn.result = burn_result::NotCounted;
         m_finished = true;
     }
+    if (m_channel->hasOverflowed())
+        m_context.calls.cancel(call.id);
     countRequest();
 }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,12 +1,14 @@
 // Start, configuration changes and the planned stop of an entry.
 #include <tamarackglade/entry/entry_process.hpp>
 #include <tamarackglade/logging/log_event.hpp>
+#include <tamarackglade/runtime/machine_limits.hpp>
 #include <tamarackglade/runtime/random_bytes.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 
 #include <boost/fiber/operations.hpp>
 
 #include <algorithm>
+#include <memory>
 
 namespace tamarack {
 
@@ -17,6 +19,7 @@
 constexpr std::chrono::milliseconds DrainPollInterval{20};
 // For the answers to requests that are in progress at the drain limit.
 constexpr std::chrono::milliseconds MaxAnswerTime{500};
+constexpr std::size_t AnswerShare = 8; // of the memory, as its divisor
 constexpr std::chrono::seconds TlsReloadInterval{1};
 constexpr std::chrono::seconds BurnInterval{30}; // maximum time of counts lost if the VM fails
 
@@ -53,8 +56,15 @@
       m_jobs({m_control, m_platform, m_peers, m_batchDispatcher, m_config, m_metrics, wire.self,
               mutations.jobs}),
       m_controller(m_jobs, m_config, submission_limits{}, mutations.shell),
-      m_context{m_config,       m_calls, m_limits,      m_metrics,
-                m_burn,         m_keyed, m_processEnds, settings.milliseconds("request-timeout"),
+      m_context{m_config,
+                m_calls,
+                m_limits,
+                m_metrics,
+                m_burn,
+                m_keyed,
+                std::make_shared<answer_budget>(machineLimits().memoryBytes / AnswerShare),
+                m_processEnds,
+                settings.milliseconds("request-timeout"),
                 mutations.shell},
       m_requestDispatcher(m_context, m_control, m_controller),
       m_configService(m_control, m_platform, m_peers, m_config, wire.self.vm, mutations.config),
