--- a/tests/shell-runtime.cpp
+++ b/tests/shell-runtime.cpp
@@ -133,6 +133,40 @@
     });
 }
 
+TEST_CASE("a read that waits keeps its timeout while another fiber writes")
+{
+    constexpr std::chrono::milliseconds Timeout{200};
+    constexpr int Writes = 64; // some of them go through the event loop
+    io_thread thread;
+    boost::system::error_code readError;
+    std::chrono::steady_clock::duration waited{};
+    thread.run([&] {
+        asio::ip::tcp::acceptor acceptor(thread.io(), {asio::ip::make_address("127.0.0.1"), 0});
+        const auto port = acceptor.local_endpoint().port();
+        auto stream =
+            tcp_stream::connect(thread.io(), "127.0.0.1:" + std::to_string(port), Timeout);
+        REQUIRE(stream.ok());
+        auto peer = acceptor.async_accept(FiberToken);
+        (*stream)->setTimeout(Timeout);
+        boost::fibers::fiber reader([&] {
+            const auto begunAt = std::chrono::steady_clock::now();
+            char bytes[64];
+            (*stream)->readSome(asio::buffer(bytes), readError);
+            waited = std::chrono::steady_clock::now() - begunAt;
+        });
+        boost::system::error_code error;
+        for (int i = 0; i < Writes; ++i) {
+            (*stream)->writeSome(asio::buffer("x", 1), error);
+            boost::this_fiber::yield();
+        }
+        boost::this_fiber::sleep_for(10 * Timeout);
+        peer.value.close(error); // ends a read that has no timeout
+        reader.join();
+    });
+    CHECK(readError == boost::beast::error::timeout);
+    CHECK(waited < 5 * Timeout);
+}
+
 TEST_CASE("a connection that is always ready doesn't hold up its thread")
 {
     // The peer reads faster than the small writes come; another fiber of their thread ends them.
