--- a/include/tamarackglade/gateway/batch/batch_runner.hpp
+++ b/include/tamarackglade/gateway/batch/batch_runner.hpp
@@ -77,9 +77,9 @@
     void logRunEnd(const item_work &work, const live_upstream &upstream, const item_run &run,
                    const attempt_result &result, duration time);
     attempt_result runAttempt(const item_work &work, const live_upstream &upstream, item_run &run);
-    /// @return whether another upstream has a place for an item whose run is silent
-    [[nodiscard]] bool hasOtherPlace(const item_work &work, const live_upstream &upstream);
-    /// @brief Ends a run whose text found no room; the next one begins anew, after a pause.
+    /// @return whether another upstream has a free slot for an item whose run is silent
+    [[nodiscard]] bool hasOtherSlot(const item_work &work, const live_upstream &upstream);
+    /// @brief Makes a run fail whose text exceeds the memory for texts, and discards the text.
     void discardLongText(const item_work &work, attempt_result &result);
     void pauseAfterEarlyFailure(const item_work &work, const attempt_result &result,
                                 std::size_t events);
--- a/include/tamarackglade/gateway/process/gateway_process.hpp
+++ b/include/tamarackglade/gateway/process/gateway_process.hpp
@@ -40,8 +40,9 @@
 
     absl::Status startServers();
     void tickLoop();
-    /// @brief Records how late the thread is.
-    void noteHeldUp(duration late);
+    /// @brief Records by how much a turn of the event loop was late. Input that arrived meanwhile
+    /// looks late, too.
+    void recordLoopDelay(duration delay);
     void readinessLoop();
     void reportBudget();
     /// @return why this gateway is not ready for callers; empty if it is ready
--- a/include/tamarackglade/gateway/relay/call_relay.hpp
+++ b/include/tamarackglade/gateway/relay/call_relay.hpp
@@ -40,7 +40,7 @@
     /// @return whether a slot was granted; otherwise the request has been answered or its stream
     /// aborted
     bool acquireSlot();
-    /// @brief Lets a request whose run was left use upstreams again if it has tried all.
+    /// @brief Lets a request whose run was abandoned use upstreams again if it has tried all.
     void readmitUpstreams(time_point now);
     /// @brief Registers a run at the quarantines.
     /// @return why the request must not run; empty if it may
@@ -81,7 +81,7 @@
     [[nodiscard]] bool idempotent() const;
     /// @return whether the upstream has to confirm that its record is of its present start
     [[nodiscard]] start_check startCheck() const;
-    /// @brief Asks for a place at another upstream that could run the request, or go on with it.
+    /// @brief Asks for a slot at another upstream that could run the request, or go on with it.
     void reserveSuccessor();
     /// @return the version of the present run, if a later record shows it
     [[nodiscard]] software_version versionOfRun() const;
@@ -108,10 +108,11 @@
     placement_request m_placement;
     upstream_id m_upstream; // of the current or last attempt
     std::optional<waiter_id> m_waiter; // while the request waits for a slot
-    // Place of the next run, while the present one is silent. A run is left for a held place only.
+    // Slot of the next run, while the present one is silent. A run is abandoned for its silence
+    // only if this slot is held.
     std::optional<slot_reservation> m_successor;
     bool m_silenceReported = false; // of the present run
-    std::set<upstream_id> m_left; // upstreams whose runs were left, and might have answered
+    std::set<upstream_id> m_abandoned; // upstreams whose runs were abandoned for their silence
     attempt_handle m_handle;
     stream_progress m_progress;
     std::optional<stream_origin> m_origin; // set by the first event of the stream
--- a/include/tamarackglade/gateway/relay/response_sink.hpp
+++ b/include/tamarackglade/gateway/relay/response_sink.hpp
@@ -21,7 +21,7 @@
     virtual void onUnknownStart() { }
     /// @brief Called when the response makes no progress in the time that its limits give, and
     /// again shortly afterwards while it makes none.
-    /// @return whether to leave the run; otherwise it goes on
+    /// @return whether to abandon the run; otherwise it goes on
     virtual bool onSilence() { return true; }
     /// @brief Called when the response makes progress.
     virtual void onProgress() { }
--- a/include/tamarackglade/gateway/relay/slot_reservation.hpp
+++ b/include/tamarackglade/gateway/relay/slot_reservation.hpp
@@ -1,4 +1,4 @@
-// A place for a request at another upstream while its present run goes on.
+// A slot for a request at another upstream while its present run goes on.
 #pragma once
 
 #include <tamarackglade/gateway/relay/blocking_slot_queue.hpp>
--- a/include/tamarackglade/gateway/upstream/attempt_limits.hpp
+++ b/include/tamarackglade/gateway/upstream/attempt_limits.hpp
@@ -18,7 +18,7 @@
 struct attempt_limits
 {
     time_point deadline; // of the whole request
-    // Time without progress after which the sink may leave the run; zero for never.
+    // Time without progress after which the sink may abandon the run; zero for never.
     duration silenceTimeout;
     std::optional<duration> firstEventTimeout; // the same, from sending to a stream's first event
     duration maxIdleTime; // a connection that was idle longer is not reused
--- a/include/tamarackglade/gateway/upstream/run_watch.hpp
+++ b/include/tamarackglade/gateway/upstream/run_watch.hpp
@@ -10,7 +10,8 @@
 /// @brief Watches the progress of one attempt: a head, a body part or an event that is new to the
 /// caller.
 ///
-/// Invariant: before the request's deadline a run ends for its silence only if the sink leaves it.
+/// Invariant: before the request's deadline a run ends for its silence only if the sink abandons
+/// it.
 class run_watch
 {
 public:
--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -110,8 +110,8 @@
     std::chrono::milliseconds m_timeout{30'000};
     std::chrono::milliseconds m_connectTimeout{0};
     std::optional<time_point> m_deadline;
-    // An operation was tried after the deadline. One is, as bytes that came in time may wait: the
-    // thread may have been held up since.
+    // An operation was tried after the deadline. One is, since bytes that arrived in time may be
+    // unread if the event loop was delayed.
     bool m_triedLate = false;
     bool m_aborted = false; // while a request was being sent or its connection opened
     std::function<std::optional<time_point>()> m_onDeadline;
--- a/src/gateway/batch/batch_runner_runs.cpp
+++ b/src/gateway/batch/batch_runner_runs.cpp
@@ -31,10 +31,10 @@
 public:
     output_sink(item_progress &progress, item_run &run, run_observer &observer,
                 gateway_context &context, const live_upstream &upstream, byte_quota &texts,
-                std::function<bool()> hasOtherPlace)
+                std::function<bool()> hasOtherSlot)
         : m_progress(progress), m_run(run), m_observer(observer), m_context(context),
           m_upstream(upstream), m_version(upstream.version), m_texts(texts),
-          m_hasOtherPlace(std::move(hasOtherPlace))
+          m_hasOtherSlot(std::move(hasOtherSlot))
     {
     }
 
@@ -46,8 +46,8 @@
         m_version = software_version();
         m_context.upstreams.refreshSoon();
     }
-    // The run is the best that the item has while no other upstream has a place for it.
-    bool onSilence() override { return m_hasOtherPlace(); }
+    // A silent run may still end properly, so it goes on until another upstream has a free slot.
+    bool onSilence() override { return m_hasOtherSlot(); }
     bool onHead(const http_response &, const response_metadata &) override { return true; }
     bool onEvent(const stream_event &event) override
     {
@@ -56,7 +56,7 @@
         if (!m_progress.origin)
             m_progress.origin = originOfText();
         const std::string data = eventData(event.text);
-        if (!hasRoomFor(data.size() + 1))
+        if (!reserveText(data.size() + 1))
             return false;
         if (m_progress.lastEvent)
             m_progress.text.push_back('\n');
@@ -72,7 +72,7 @@
     bool onFlush() override { return !m_run.yielding; }
 
 private:
-    bool hasRoomFor(std::size_t moreBytes)
+    bool reserveText(std::size_t moreBytes)
     {
         if (!m_progress.textShare)
             m_progress.textShare = std::make_unique<byte_quota::share>(m_texts);
@@ -95,7 +95,7 @@
     const live_upstream m_upstream; // as it was known when the run began
     software_version m_version; // empty if unknown
     byte_quota &m_texts;
-    const std::function<bool()> m_hasOtherPlace;
+    const std::function<bool()> m_hasOtherSlot;
     bool m_isTooLong = false;
 };
 
@@ -165,7 +165,7 @@
     if (progress.isUnfinished)
         events.setUnfinished();
     output_sink sink(progress, run, observer, m_context, upstream, m_textBytes,
-                     [&] { return hasOtherPlace(work, upstream); });
+                     [&] { return hasOtherSlot(work, upstream); });
     attempt_result result = m_context.caller.run(
         upstream, m_context.protocol.encodeItem(work.host, *progress.content, message),
         work.request, true, limits, events, sink, run.handle);
@@ -181,8 +181,8 @@
     return result;
 }
 
-// In another group of its route the item's text is written anew.
-bool batch_runner::hasOtherPlace(const item_work &work, const live_upstream &upstream)
+// Any group of the route counts. The text is kept in its own group only.
+bool batch_runner::hasOtherSlot(const item_work &work, const live_upstream &upstream)
 {
     const customer_batch *job = m_store.findJob(work.key.batch);
     const auto config = m_context.config.activeConfig().current();
@@ -207,7 +207,7 @@
 void batch_runner::discardLongText(const item_work &work, attempt_result &result)
 {
     item_progress &progress = m_progress[work.key];
-    startOver(work, "no room for its text");
+    startOver(work, "its text exceeds the memory for texts");
     progress.startableAt =
         bootNow() + doublingPause(FirstFailurePause, MaxFailurePause, progress.longTexts++);
     result.outcome = attempt_outcome::Broken;
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -21,7 +21,7 @@
 
 constexpr std::chrono::milliseconds TickInterval{20};
 constexpr std::chrono::milliseconds ReadinessInterval{200};
-constexpr std::chrono::milliseconds MinLoggedHoldUp{150};
+constexpr std::chrono::milliseconds MinLoggedDelay{150};
 constexpr std::chrono::milliseconds DrainPollInterval{20};
 // With an older configuration the gateway is not ready, so that the load balancer sends new callers
 // to others before this gateway has to refuse them.
@@ -170,14 +170,13 @@
     exitProcess(0);
 }
 
-// What comes from elsewhere isn't noticed while the thread is held up, and looks late then.
-void gateway_process::noteHeldUp(duration late)
+void gateway_process::recordLoopDelay(duration delay)
 {
-    m_metrics.observeSeconds("tamarack_thread_held_up_seconds", "", toSeconds(late));
-    if (late < MinLoggedHoldUp)
+    m_metrics.observeSeconds("tamarack_event_loop_delay_seconds", "", toSeconds(delay));
+    if (delay < MinLoggedDelay)
         return;
-    log_event(log_level::Warning, "thread was held up")
-        .with("held_ms", toSeconds(late) * 1000)
+    log_event(log_level::Warning, "event loop delayed")
+        .with("delay_ms", toSeconds(delay) * 1000)
         .with("requests", m_callers->activeRequests())
         .with("config_ms_ago", toSeconds(bootNow() - m_config.changedAt()) * 1000);
 }
@@ -186,7 +185,7 @@
 {
     time_point dueAt = bootNow();
     for (;;) {
-        noteHeldUp(std::max(duration::zero(), bootNow() - dueAt));
+        recordLoopDelay(std::max(duration::zero(), bootNow() - dueAt));
         m_blockingQueue.processQueue();
         m_quarantineExchange.tick(m_directory, m_peers.servingGateways(), bootNow());
         m_upstreamRates.setLoadShare(m_quarantineExchange.loadShare(bootNow()));
--- a/src/gateway/relay/call_relay.cpp
+++ b/src/gateway/relay/call_relay.cpp
@@ -118,9 +118,9 @@
         return true;
     }
     readmitUpstreams(now);
-    // A stream that goes on waits on, as the caller would lose what it has of it, and so does a
-    // request whose run was left.
-    time_point latest = m_origin || !m_left.empty() ? m_deadline : now + MaxRepeatWait;
+    // A stream that has begun, or a request whose run was abandoned, waits until its deadline, as
+    // its caller would lose what it has.
+    time_point latest = m_origin || !m_abandoned.empty() ? m_deadline : now + MaxRepeatWait;
     if (!m_origin && m_runs == 0 && m_refusals == 0 && m_route.latencyObjective > duration::zero())
         latest = m_arrivedAt + m_route.latencyObjective - m_context.options.firstEventReserve;
     latest = std::min(latest, m_deadline);
@@ -155,9 +155,9 @@
 // may use all of its version again in any case.
 void call_relay::readmitUpstreams(time_point now)
 {
-    if (m_origin || m_left.empty() || m_context.allocator.hasOthers(m_placement, now))
+    if (m_origin || m_abandoned.empty() || m_context.allocator.hasOthers(m_placement, now))
         return;
-    m_placement.excluded = m_left;
+    m_placement.excluded = m_abandoned;
     if (!m_context.allocator.hasOthers(m_placement, now))
         m_placement.excluded.clear();
 }
--- a/src/gateway/relay/call_relay_attempts.cpp
+++ b/src/gateway/relay/call_relay_attempts.cpp
@@ -86,8 +86,7 @@
     return result;
 }
 
-// A sound upstream may be silent for a moment, so its run is the best that the request has until
-// another place is held.
+// A sound upstream may be silent for a moment, so the run goes on until another slot is held.
 bool call_relay::onSilence()
 {
     if (!m_silenceReported) {
@@ -101,7 +100,7 @@
     if (isQuarantined(m_successor->group()))
         m_successor.reset();
     if (m_successor)
-        m_left.insert(m_upstream);
+        m_abandoned.insert(m_upstream);
     return m_successor.has_value();
 }
 
@@ -127,7 +126,7 @@
     if (!m_origin)
         group = selectGroup(m_route.groups, m_call.id, m_context.allocator,
                             request.placement.excluded, now);
-    // Those that refused may be asked again.
+    // Upstreams that refused may be asked again.
     if (!m_context.allocator.hasOthers(request.placement, now))
         request.placement.excluded = {m_upstream};
     if (!m_context.allocator.hasOthers(request.placement, now) || isQuarantined(group))
@@ -199,11 +198,10 @@
     return idempotent() && m_runs < m_route.attempts;
 }
 
-// The caller has a part of the stream, or the request had a run that was left for a place that
-// wasn't to be had. Refusals say nothing of the next moment.
+// Refusals are temporary, and the caller would lose a part of a stream or an abandoned run.
 bool call_relay::pauseAfterRefusals()
 {
-    if (!m_exchange.started() && m_left.empty())
+    if (!m_exchange.started() && m_abandoned.empty())
         return false;
     boost::this_fiber::sleep_for(std::min<duration>(RefusalPause, timeLeft()));
     return timeLeft() > duration::zero();
--- a/src/gateway/upstream/run_watch.cpp
+++ b/src/gateway/upstream/run_watch.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds AskAgainInterval{25}; // whether a silent run is left
+constexpr std::chrono::milliseconds AskAgainInterval{25}; // whether a silent run is abandoned
 
 } // namespace
 
--- a/tests/e2e/test_silent_upstreams.py
+++ b/tests/e2e/test_silent_upstreams.py
@@ -13,7 +13,7 @@
 EVENTS = 10
 LARGE_BODY_BYTES = 12_000_000
 UNREAD_DEADLINE_S = 1.0
-HELD_UP_S = 0.6
+SUSPENDED_S = 0.6
 ANSWER_S = 0.5  # after the deadline
 STALE_RECORDS_S = 2.1  # without a read of the engines' records, which then have to be checked
 
@@ -190,23 +190,23 @@
             self.assertEqual(len(self.engine[0].runs_of(item)), 1)
 
 
-class HeldUpTest(SilentUpstreamTestCase):
-    """A gateway whose process is held up while its engines go on."""
+class LoopDelayTest(SilentUpstreamTestCase):
+    """A gateway whose process is suspended while its engines go on."""
 
     engines = 4
 
-    def test_a_gateway_that_was_held_up_leaves_no_run(self):
+    def test_a_delayed_event_loop_abandons_no_run(self):
         for engine in self.engine:
             engine.step_s = 0.1
         answers = [self.begin() for _ in range(24)]
         wait_until(lambda: sum(len(engine.runs) for engine in self.engine) == len(answers), "runs")
         self.gateway[0].process.signal(signal.SIGSTOP)
-        time.sleep(HELD_UP_S)
+        time.sleep(SUSPENDED_S)
         self.gateway[0].process.signal(signal.SIGCONT)
         for answer in answers:
             self.check_whole(answer)
         self.assertFalse(self.gateway[0].lines_of("attempt failed"))
-        self.assertTrue(self.gateway[0].lines_of("thread was held up"))
+        self.assertTrue(self.gateway[0].lines_of("event loop delayed"))
 
 
 if __name__ == "__main__":
