Gateways log each page of results: its bytes, and those that the job's records say

No line said that results were read. 'batch results answered' has, for each page that isn't empty: the position, the number of results and of abandoned ones, the bytes of both, the bytes that the texts have by the records of the job's partition, and how many records were read. Gateways that differ in records_read, or in recorded_bytes with as many records, have folds that differ; bytes that differ from recorded_bytes where both have read as much come from the reading of the texts. Cost: a line for each page with results; empty polls log nothing.

--- a/src/gateway/batch/batch_api.cpp
+++ b/src/gateway/batch/batch_api.cpp
@@ -49,6 +49,34 @@
     return encodeBatchItem(item).size() > store_limits().maxAppendBytes;
 }
 
+// Logs how long the texts of a page are, and how long the job's records say that they are.
+void logPage(const batch_partition &partition, const customer_batch &job, std::size_t from,
+             const std::vector<std::string> &outputs)
+{
+    std::size_t abandoned = 0;
+    std::uint64_t abandonedBytes = 0;
+    std::uint64_t bytes = 0;
+    std::uint64_t recordedBytes = 0;
+    for (std::size_t i = 0; i < outputs.size(); ++i) {
+        const batch_job_item &item = job.items[job.results[from + i]];
+        const bool isAbandoned = item.state == batch_item_state::Abandoned;
+        abandoned += isAbandoned ? 1 : 0;
+        abandonedBytes += isAbandoned ? outputs[i].size() : 0;
+        bytes += outputs[i].size();
+        recordedBytes += item.output.size;
+    }
+    log_event(log_level::Info, "batch results answered")
+        .customer(job.id.customer.value())
+        .with("job", job.id.job.value())
+        .with("from", from)
+        .with("results", outputs.size())
+        .with("abandoned", abandoned)
+        .with("abandoned_bytes", abandonedBytes)
+        .with("bytes", bytes)
+        .with("recorded_bytes", recordedBytes)
+        .with("records_read", partition.fold().end().value());
+}
+
 // Returns the places of the results from a position on that fit into one response. The first result
 // is returned even if it is too large alone.
 std::vector<content_place> pageOf(const customer_batch &job, std::size_t from)
@@ -205,6 +233,8 @@
         exchange.respond(refusal(503, "results_not_read", UnavailableRetryAfter));
         return;
     }
+    if (!outputs->empty())
+        logPage(partition, *current, call.from, *outputs);
     exchange.respond(plainAnswer(
         200, m_context.protocol.encodeResults(*current, call.from, *outputs), "application/json"));
 }
