A result without text no longer reads as another item's content

What callers saw: the result of an item that was given up has an empty text at some gateways, and at others the content of another item, also of another customer (its id, path, headers and body); so a position held another result than before.

Cause: a result without text has an empty place, whose partition and position are 0 and name nothing. Since readAll() looks each place up in the cache before it looks whether it is empty, and the cache's map compared places by partition and position alone. An empty place so equalled that of the first content of partition 0, and a gateway that has it in its cache answered it. Class: a value that stands for 'nothing' is looked up among real ones, under an order that leaves out what tells them apart.

--- a/include/tamarackglade/batches/customer_batch.hpp
+++ b/include/tamarackglade/batches/customer_batch.hpp
@@ -31,7 +31,7 @@
     batch_item_state state = batch_item_state::Waiting;
     std::map<std::string, upstream_id> failedRuns; // upstreams by name of the run
     time_point lastFailedAt{}; // when this process read the record of the last failed run
-    content_place output; // valid if Done
+    content_place output; // empty unless Done
 };
 
 /// @brief A job, its items and the order of its results.
--- a/include/tamarackglade/gateway/batch/content_store.hpp
+++ b/include/tamarackglade/gateway/batch/content_store.hpp
@@ -54,7 +54,7 @@
 
     record_store &m_store;
     const std::uint32_t m_partitions;
-    cached_list m_cached; // most recently used first
+    cached_list m_cached; // most recently used first; none is empty
     std::map<content_place, cached_list::iterator> m_cachedByPlace; // of all in m_cached
     std::size_t m_cachedBytes = 0; // of all in m_cached
     std::size_t m_readers = 0; // fibers that read beside those of the calls
--- a/src/gateway/batch/content_store.cpp
+++ b/src/gateway/batch/content_store.cpp
@@ -50,7 +50,7 @@
 
 std::optional<std::string> content_store::read(const content_place &place)
 {
-    if (place.records == 0)
+    if (place.isEmpty())
         return std::string();
     if (const std::string *known = findCached(place))
         return *known;
@@ -79,9 +79,11 @@
     std::vector<std::string> contents(places.size());
     std::vector<std::size_t> missing;
     for (std::size_t i = 0; i < places.size(); ++i) {
+        if (places[i].isEmpty())
+            continue;
         if (const std::string *known = findCached(places[i]))
             contents[i] = *known;
-        else if (places[i].records > 0)
+        else
             missing.push_back(i);
     }
     bool all = true;
@@ -121,7 +123,7 @@
 
 void content_store::addToCache(const content_place &place, const std::string &bytes)
 {
-    if (place.records == 0 || m_cachedByPlace.contains(place))
+    if (place.isEmpty() || m_cachedByPlace.contains(place))
         return;
     m_cached.push_front({place, bytes});
     m_cachedByPlace.emplace(place, m_cached.begin());
