Soak: batch jobs of customers in several partitions; a result that was given up has no text

Each batch caller has a customer of its own now, the first one in partition 0. New planted fault AnyText (results without text get one), which the soak has to find.

--- a/tests/mutants/faulty_protocol.cpp
+++ b/tests/mutants/faulty_protocol.cpp
@@ -1,6 +1,8 @@
 // What each mutation changes of the messages.
 #include "faulty_protocol.hpp"
 
+#include <algorithm>
+
 namespace tamarack {
 
 absl::StatusOr<live_upstream> faulty_protocol::decodeUpstream(const std::string &id,
@@ -14,6 +16,15 @@
     return upstream;
 }
 
+std::string faulty_protocol::encodeResults(const customer_batch &job, std::size_t from,
+                                           const std::vector<std::string> &outputs) const
+{
+    std::vector<std::string> changed = outputs;
+    if (m_mutation == gateway_mutation::AnyText)
+        std::replace(changed.begin(), changed.end(), std::string(), job.items.front().id);
+    return http_protocol::encodeResults(job, from, changed);
+}
+
 std::optional<zone_id> faulty_protocol::evacuatedZone(const std::string &key) const
 {
     return m_mutation == gateway_mutation::IgnoreEvacuations ? std::nullopt
--- a/tests/mutants/faulty_protocol.hpp
+++ b/tests/mutants/faulty_protocol.hpp
@@ -14,6 +14,8 @@
 
     [[nodiscard]] absl::StatusOr<live_upstream>
     decodeUpstream(const std::string &id, const std::string &text) const override;
+    [[nodiscard]] std::string encodeResults(const customer_batch &job, std::size_t from,
+                                            const std::vector<std::string> &outputs) const override;
     [[nodiscard]] std::optional<zone_id> evacuatedZone(const std::string &key) const override;
     [[nodiscard]] http_client_request encodeCall(const forward_call &call,
                                                  const upstream_attempt &attempt) const override;
--- a/tests/mutants/gateway_mutation.cpp
+++ b/tests/mutants/gateway_mutation.cpp
@@ -14,7 +14,7 @@
         std::string_view name;
         gateway_mutation mutation;
     };
-    static constexpr std::array<row, 15> Rows{{{"", None},
+    static constexpr std::array<row, 16> Rows{{{"", None},
                                                {"ClaimNotRun", ClaimNotRun},
                                                {"AnyAnswer", AnyAnswer},
                                                {"AnyInstance", AnyInstance},
@@ -28,6 +28,7 @@
                                                {"RefuseUnknown", RefuseUnknown},
                                                {"AlwaysCurrent", AlwaysCurrent},
                                                {"IgnoreCondition", IgnoreCondition},
+                                               {"AnyText", AnyText},
                                                {"ForgetEnds", ForgetEnds}}};
     const auto found =
         std::find_if(Rows.begin(), Rows.end(), [&](const row &each) { return each.name == name; });
--- a/tests/mutants/gateway_mutation.hpp
+++ b/tests/mutants/gateway_mutation.hpp
@@ -21,6 +21,7 @@
     RefuseUnknown, // an append without an answer counts as refused
     AlwaysCurrent, // a failed read counts as one that found nothing new
     IgnoreCondition, // conditional appends go in at any position
+    AnyText, // results without text get one
     ForgetEnds // the end of a job isn't stored
 };
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -233,6 +233,8 @@
         elif result["state"] == "dead":
             failed = sum(run["status"] == 500 for _, _, run in self.runs[item])
             never = self.site.poison.get(item) == 422 and self.runs[item]
+            if result["outputText"]:
+                self.add_violation("MIXED", f"{item}: given up, with a text")
             if not never and failed < ATTEMPTS:
                 self.add_violation("MIXED", f"{item}: given up after {failed} failed runs")
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -37,7 +37,9 @@
 MAX_QUOTA_REQUESTS = (QUOTA_RATE * QUOTA_WINDOW_S + QUOTA_BURST) * 1.1 + 20
 ATTEMPTS = 3  # failed runs after which an item is given up
 
-PERMANENT_KEYS = {"north": "key-north", "south": "key-south"}
+# Of batch jobs; the jobs of the first two are in different partitions, one of them the first.
+BATCH_CUSTOMERS = ("east", "north", "hills", "shire")
+PERMANENT_KEYS = {name: f"key-{name}" for name in ("south", *BATCH_CUSTOMERS)}
 EVENTS = 8  # in each stream
 CALL_KINDS = ("stream", "once", "open", "safe")  # routes of online requests
 DEADLINE_S = 5.0  # of online requests; their routes have it as their timeout at first
@@ -273,9 +275,10 @@
                   "idleTimeoutMs": 15000, **self.limit_changes}
         return {"version": self.version, "routes": routes, "limits": limits,
                 "services": [{"name": "engines", "maxConnections": 400, "engine": {"slots": 8}}],
-                "tenants": [{"name": "north", "apiKeys": keys["north"], "ratePerS": 0},
-                            {"name": "south", "apiKeys": keys["south"], "ratePerS": QUOTA_RATE,
-                             "burst": QUOTA_BURST}]}
+                "tenants": [{"name": "south", "apiKeys": keys["south"], "ratePerS": QUOTA_RATE,
+                             "burst": QUOTA_BURST},
+                            *({"name": name, "apiKeys": keys[name], "ratePerS": 0}
+                              for name in BATCH_CUSTOMERS)]}
 
     def publish(self):
         """Publishes the current configuration under a higher version."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,7 +29,7 @@
 import faults  # noqa: E402
 from callers import BatchCaller, DeadlyCaller, StreamCaller  # noqa: E402
 from checks import Checks  # noqa: E402
-from deployment import CALL_KINDS, FINISH_S, RECOVER_S, Site  # noqa: E402
+from deployment import BATCH_CUSTOMERS, CALL_KINDS, FINISH_S, RECOVER_S, Site  # noqa: E402
 from ledger import Ledger  # noqa: E402
 
 SIZES = {  # numbers of gateways, engines, stream callers for each customer, and batch callers
@@ -48,7 +48,8 @@
 def start_callers(site, seed, size, options):
     callers = [StreamCaller(site, seed, f"{customer}-{i}", customer, options.pause)
                for customer in ("north", "south") for i in range(size["callers"])]
-    callers += [BatchCaller(site, seed, f"batch-{i}", "north") for i in range(size["batch"])]
+    callers += [BatchCaller(site, seed, f"batch-{i}", BATCH_CUSTOMERS[i])
+                for i in range(size["batch"])]
     if seed % 4 in (2, 3) and options.kind not in faults.CALM_KINDS:  # half of the seeds
         callers.append(DeadlyCaller(site, seed))
     for caller in callers:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
     "KeepCustomerHeader": ("UNASKED", "1-1"),
     "AnyInstance": ("ROUTE|RECOVER|LOST", "1-1"),
     "IgnoreLeaving": ("DRAIN", "1-1"),
+    "AnyText": ("MIXED", "1-3"),
     "ClaimNotRun": ("LOST|TWICE|REFUSED", "1-1"),
 }
 
