--- a/tests/e2e/test_evacuation.py
+++ b/tests/e2e/test_evacuation.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from batch_calls import BatchCalls
 from site_standins import complete_stream
 from support import OPTIONS, main, wait_until
 import test_gateway
@@ -10,15 +11,11 @@
 EVACUATION = "evacuate/a"
 
 
-class EvacuationTest(test_gateway.SiteTestCase):
+class EvacuationTest(BatchCalls, test_gateway.SiteTestCase):
     """Engine 0 is in zone a, as the gateways are; engine `far` is in zone b."""
 
     engines = 1
     gateways = 2
-    job = test_gateway.BatchTest.job
-    submit = test_gateway.BatchTest.submit
-    results = test_gateway.BatchTest.results
-    finished = test_gateway.BatchTest.finished
 
     def setUp(self):
         super().setUp()
--- a/tests/e2e/test_few_slots.py
+++ b/tests/e2e/test_few_slots.py
@@ -1,17 +1,14 @@
 """End-to-end test of batch items at engines with few slots, which two gateways share."""
 
+from batch_calls import BatchCalls
 from support import main
 import test_gateway
 
 
-class FewSlotsTest(test_gateway.SiteTestCase):
+class FewSlotsTest(BatchCalls, test_gateway.SiteTestCase):
     """The engines of the gateways' own zone have left; one in another zone takes the items."""
 
     gateways = 2
-    job = test_gateway.BatchTest.job
-    submit = test_gateway.BatchTest.submit
-    results = test_gateway.BatchTest.results
-    finished = test_gateway.BatchTest.finished
 
     def test_items_run_at_engines_of_few_slots_in_another_zone(self):
         for engine in self.engine:
--- a/tests/e2e/test_leaving.py
+++ b/tests/e2e/test_leaving.py
@@ -3,6 +3,7 @@
 import time
 import unittest
 
+from batch_calls import BatchCalls
 from site_standins import complete_stream
 from support import OPTIONS, main, wait_until
 import test_gateway
@@ -10,15 +11,12 @@
 LEAVING = "Server-Leaving"
 
 
-class LeavingTest(test_gateway.SiteTestCase):
+class LeavingTest(BatchCalls, test_gateway.SiteTestCase):
     """Engine 0 leaves; the store's list goes on calling it sound."""
 
     engines = 3
     gateways = 2
     mutation = ""
-    job = test_gateway.BatchTest.job
-    submit = test_gateway.BatchTest.submit
-    results = test_gateway.BatchTest.results
 
     def setUp(self):
         super().setUp()
--- a/tests/e2e/test_results_without_text.py
+++ b/tests/e2e/test_results_without_text.py
@@ -1,5 +1,6 @@
 """Results of batch items without text: what callers read of them at each gateway."""
 
+from batch_calls import BatchCalls
 from support import main, wait_until
 import test_gateway
 
@@ -7,13 +8,10 @@
 UNDOABLE = 422  # status of an engine that can never do an item
 
 
-class ResultsWithoutTextTest(test_gateway.SiteTestCase):
+class ResultsWithoutTextTest(BatchCalls, test_gateway.SiteTestCase):
     """Three gateways and customers of three of the four partitions of the batch streams."""
 
     gateways = 3
-    job = test_gateway.BatchTest.job
-    submit = test_gateway.BatchTest.submit
-    results = test_gateway.BatchTest.results
 
     def setUp(self):
         super().setUp()
--- a/tests/e2e/test_split_routes.py
+++ b/tests/e2e/test_split_routes.py
@@ -2,6 +2,7 @@
 
 import time
 
+from batch_calls import BatchCalls
 from site_standins import complete_stream, output_text
 from support import main, wait_until
 import test_gateway
@@ -51,14 +52,10 @@
             self.small.status = 500
 
 
-class SplitItemsTest(SplitFleet):
+class SplitItemsTest(BatchCalls, SplitFleet):
     """Batch items of a split route."""
 
     gateways = 2
-    job = test_gateway.BatchTest.job
-    submit = test_gateway.BatchTest.submit
-    results = test_gateway.BatchTest.results
-    wait_for_shared_items = test_gateway.BatchTest.wait_for_shared_items
 
     def listed(self, name, seconds):
         """Reads the results page by page until all are listed or the time is over."""
--- a/tests/e2e/test_unread_answers.py
+++ b/tests/e2e/test_unread_answers.py
@@ -1,18 +1,13 @@
 """End-to-end tests of answers that nobody reads, apart from the other clients outside the limits."""
 
+from batch_calls import BatchCalls
 from support import main
 import test_clients_outside_limits
-import test_gateway
 
 
-class UnreadAnswerTest(test_clients_outside_limits.OutsideLimitsTestCase):
+class UnreadAnswerTest(BatchCalls, test_clients_outside_limits.OutsideLimitsTestCase):
     """Answers that nobody reads."""
 
-    submit = test_gateway.BatchTest.submit
-    job = test_gateway.BatchTest.job
-    results = test_gateway.BatchTest.results
-    finished = test_gateway.BatchTest.finished
-
     def test_pipelined_requests(self):
         def pieces(_):
             for _ in range(2000):
--- a/tests/e2e/test_versions.py
+++ b/tests/e2e/test_versions.py
@@ -5,20 +5,18 @@
 import time
 import unittest
 
+from batch_calls import BatchCalls
 from site_standins import complete_stream, output_text
 from support import main, wait_until
 import test_gateway
 
 
-class VersionTest(test_gateway.SiteTestCase):
+class VersionTest(BatchCalls, test_gateway.SiteTestCase):
     """Engines 0 and 1 have the first version, engines 2 and 3 the second."""
 
     gateways = 3
     engines = 4
     events = 40
-    job = test_gateway.BatchTest.job
-    submit = test_gateway.BatchTest.submit
-    results = test_gateway.BatchTest.results
 
     def setUp(self):
         super().setUp()
--- a/tests/e2e/test_zones.py
+++ b/tests/e2e/test_zones.py
@@ -3,6 +3,7 @@
 import json
 import time
 
+from batch_calls import BatchCalls
 from site_standins import complete_stream
 from support import http_call, main, wait_until
 import test_gateway
@@ -38,14 +39,11 @@
         return float(values[0]) if values else 0.0
 
 
-class ZoneTest(ZoneSettings, test_gateway.SiteTestCase):
+class ZoneTest(BatchCalls, ZoneSettings, test_gateway.SiteTestCase):
     """Six gateways in three zones."""
 
     gateways = 6
     zones = 3
-    job = test_gateway.BatchTest.job
-    submit = test_gateway.BatchTest.submit
-    results = test_gateway.BatchTest.results
 
     def test_streams_are_served_in_all_zones(self):
         for gateway in range(6):
