--- a/include/tamarackglade/batches/content_place.hpp
+++ b/include/tamarackglade/batches/content_place.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/store/store_stream.hpp>
 
 #include <cstdint>
+#include <tuple>
 
 namespace tamarack {
 
@@ -20,7 +21,12 @@
 
     [[nodiscard]] bool isEmpty() const { return records == 0; }
 
-    friend auto operator<=>(const content_place &, const content_place &) = default;
+    friend bool operator==(const content_place &, const content_place &) = default;
+    friend bool operator<(const content_place &a, const content_place &b)
+    {
+        return std::tie(a.partition, a.position, a.records, a.size)
+               < std::tie(b.partition, b.position, b.records, b.size);
+    }
 };
 
 } // namespace tamarack
