--- a/include/tamarackglade/batches/result_page.hpp
+++ b/include/tamarackglade/batches/result_page.hpp
@@ -27,6 +27,7 @@
     std::uint64_t recordedBytes = 0; // of all texts by the records of the job
 };
 
+/// @brief Adds up the sizes of a page.
 /// @param texts the texts of the results from the position on, as they were read
 page_sizes sizesOfPage(const customer_batch &job, std::size_t from,
                        const std::vector<std::string> &texts);
--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -1,4 +1,5 @@
 // Tests of what the reads of the configuration's stream prove.
+#include "support/null_store.hpp"
 #include <platform/http_protocol.hpp>
 #include <tamarackglade/batches/batch_schedule.hpp>
 #include <tamarackglade/gateway/process/config_watch.hpp>
@@ -18,15 +19,9 @@
 constexpr char KeySeparator = '=';
 
 /// Answers all reads at once. Its keyed records are written KEY=VALUE.
-class memory_store final : public record_store
+class memory_store final : public test::null_store
 {
 public:
-    append_reply append(const stream_partition & /*partition*/,
-                        const std::vector<std::string> & /*records*/,
-                        std::optional<stream_position> /*expectedEnd*/) override
-    {
-        return {};
-    }
     read_reply read(const stream_partition & /*partition*/, stream_position from,
                     std::chrono::milliseconds /*wait*/) override
     {
@@ -34,11 +29,6 @@
         return {read_result::Read, stream_position(records.size()), stream_position(0),
                 std::vector<std::string>(first, records.end())};
     }
-    read_reply readRange(const stream_partition & /*partition*/, stream_position /*from*/,
-                         std::uint64_t /*bytes*/) override
-    {
-        return {};
-    }
     newest_reply newest(const stream_partition & /*partition*/) override
     {
         newest_reply reply;
--- a/tests/shell-gateway-contents.cpp
+++ b/tests/shell-gateway-contents.cpp
@@ -1,4 +1,5 @@
 // Tests of contents that are read back from the store or from the cache.
+#include "support/null_store.hpp"
 #include <tamarackglade/gateway/batch/content_store.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
@@ -18,7 +19,7 @@
 constexpr std::uint32_t Partitions = 1;
 
 /// Keeps the records of each partition of one stream; all calls succeed at once.
-class memory_store final : public record_store
+class memory_store final : public test::null_store
 {
 public:
     append_reply append(const stream_partition &partition, const std::vector<std::string> &appended,
@@ -42,16 +43,6 @@
         return {read_result::Read, stream_position(records.size()), stream_position(0),
                 std::vector<std::string>(first, records.end())};
     }
-    newest_reply newest(const stream_partition & /*partition*/) override { return {}; }
-    [[nodiscard]] std::string encodeKeyed(const keyed_record & /*record*/) const override
-    {
-        return {};
-    }
-    [[nodiscard]] std::optional<keyed_record>
-    decodeKeyed(const std::string & /*content*/) const override
-    {
-        return std::nullopt;
-    }
 
 private:
     std::map<std::uint32_t, std::vector<std::string>> m_records;
--- a/tests/shell-gateway-follower.cpp
+++ b/tests/shell-gateway-follower.cpp
@@ -1,4 +1,5 @@
 // Tests of callers that wait for one read of a partition.
+#include "support/null_store.hpp"
 #include <tamarackglade/gateway/batch/stream_follower.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
@@ -18,15 +19,9 @@
 constexpr std::chrono::milliseconds ReadTime{100};
 
 /// Answers no read, and fails each one after ReadTime.
-class silent_store final : public record_store
+class silent_store final : public test::null_store
 {
 public:
-    append_reply append(const stream_partition & /*partition*/,
-                        const std::vector<std::string> & /*records*/,
-                        std::optional<stream_position> /*expectedEnd*/) override
-    {
-        return {};
-    }
     read_reply read(const stream_partition & /*partition*/, stream_position /*from*/,
                     std::chrono::milliseconds /*wait*/) override
     {
@@ -36,21 +31,6 @@
         reply.result = read_result::Failed;
         return reply;
     }
-    read_reply readRange(const stream_partition & /*partition*/, stream_position /*from*/,
-                         std::uint64_t /*bytes*/) override
-    {
-        return {};
-    }
-    newest_reply newest(const stream_partition & /*partition*/) override { return {}; }
-    [[nodiscard]] std::string encodeKeyed(const keyed_record & /*record*/) const override
-    {
-        return {};
-    }
-    [[nodiscard]] std::optional<keyed_record>
-    decodeKeyed(const std::string & /*content*/) const override
-    {
-        return std::nullopt;
-    }
 
     unsigned reads = 0;
 };
