--- a/tests/e2e/test_keyed_call_stop.py
+++ b/tests/e2e/test_keyed_call_stop.py
@@ -8,6 +8,7 @@
 
 LOG_OUTAGE_S = 1.5  # after SIGTERM
 
+
 class StopTest(test_keyed_calls.KeyedCallTestCase):
     """A planned stop waits until the entry has stored the outcomes of its keyed calls."""
 
