--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -22,7 +22,7 @@
 
 from fleet import wait_until  # noqa: E402  pylint: disable=wrong-import-position
 from gateway import Gateway  # noqa: E402  pylint: disable=wrong-import-position
-from site_standins import Store  # noqa: E402  pylint: disable=wrong-import-position
+from site_standins import Store, StoreHandler  # noqa: E402  pylint: disable=wrong-import-position
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GATEWAY = ROOT / "target" / "bin" / "tamarack-gateway"
@@ -78,6 +78,53 @@
             self.file.flush()
 
 
+class BoundedStoreHandler(StoreHandler):
+    """Answers appends with 507 while the store holds as much as the pages allow in all."""
+
+    def append(self, partition, fields, body):
+        store = self.stand_in
+        if store.held_bytes() >= store.max_bytes:
+            store.refused_full += 1
+            self.answer(507, {"why": "full"})
+            return
+        super().append(partition, fields, body)
+
+
+class BoundedStore(Store):
+    """The project's store with the bounds on what it holds.
+
+    "The oldest records expire after `retentionS` [...], or when a partition holds more than
+    `partMb`. When 400 MB are stored in total, appends receive 507." No case lasts `retentionS`.
+    """
+
+    def __init__(self, max_bytes=400_000_000, partition_bytes=200_000_000):
+        self.max_bytes = max_bytes
+        self.partition_bytes = partition_bytes
+        self.bytes_of = {}  # partition -> bytes of the records that haven't expired
+        self.refused_full = 0
+        super().__init__()
+        self.server.RequestHandlerClass = type("Handler", (BoundedStoreHandler,),
+                                               {"stand_in": self})
+
+    def held_bytes(self):
+        return sum(self.bytes_of.values())
+
+    def append(self, partition, records, at=None):
+        with self.changed:
+            answer = super().append(partition, records, at)
+            if answer[0] is None:
+                return answer
+            held = self.bytes_of.get(partition, 0) + sum(len(record) + 4 for record in records)
+            stored, first = self.records(partition), self.first.get(partition, 0)
+            while held > self.partition_bytes and not partition[0].startswith("keyed."):
+                held -= len(stored[first]) + 4
+                stored[first] = b""
+                first += 1
+                self.first[partition] = first
+            self.bytes_of[partition] = held
+            return answer
+
+
 class QuietServer(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 128
@@ -274,7 +321,7 @@
         self.folder = pathlib.Path(case).resolve().parent
         self.record = Record(self.folder)
         self.work = pathlib.Path(tempfile.mkdtemp(prefix="tamarack-review-"))
-        self.store = Store()
+        self.store = BoundedStore()
         self.engines = []
         self.gateways = []
         self.lock = threading.Lock()
