--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -30,6 +31,7 @@
 KEY = "key-north"
 HEARTBEAT_S = 1.2
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+MAX_RUN_S = 110  # of a case, which then couldn't run
 # As deploy/gateway.ini fills them in for a machine of the small deployments.
 SETTINGS = {"key-freshness": 5000, "batch-freshness": 1000, "stop-grace": 8, "memory-limit": 300,
             "descriptor-limit": 8200}
@@ -388,12 +390,23 @@
         shutil.rmtree(self.work, ignore_errors=True)
 
 
+def stop_late(site):
+    """Ends a case that takes too long, and everything that it started."""
+    site.record.add("could-not-run", reason="takes too long")
+    site.stop()
+    os._exit(NOT_RUN)
+
+
 def play(case, run):
     """Runs a case: run(site) returns whether the rule held. Exits with 0, 1 or 2."""
     if not GATEWAY.exists():
         print(f"{GATEWAY.name} is not built")
         sys.exit(NOT_RUN)
     site = Site(case)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    watchdog = threading.Timer(MAX_RUN_S, stop_late, (site,))
+    watchdog.daemon = True
+    watchdog.start()
     verdict = NOT_RUN
     try:
         verdict = HELD if run(site) else BROKEN
