--- a/tests/support/scripted_upstream.hpp
+++ b/tests/support/scripted_upstream.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -14,7 +15,12 @@
 
 namespace tamarack::testing {
 
-enum class ending { Close, Reset };
+enum class ending {
+    Close, // resets the connection instead if bytes of the request are unread
+    Reset,
+    EndSending, // in order; the rest of the request is still read
+    Hold // the connection stays open until the peer ends it
+};
 
 /// @brief The bytes that follow a request, and how the connection ends.
 struct upstream_script
@@ -53,11 +59,23 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(1));
             boost::asio::write(socket, boost::asio::buffer(m_script.afterPause), ignored);
         }
+        if (m_script.end == ending::EndSending)
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        if (m_script.end == ending::EndSending || m_script.end == ending::Hold)
+            readToEnd(socket);
         if (m_script.end == ending::Reset)
             socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
         socket.close(ignored);
     }
 
+    static void readToEnd(boost::asio::ip::tcp::socket &socket)
+    {
+        std::array<char, 64 * 1024> unused{};
+        boost::system::error_code error;
+        while (!error)
+            socket.read_some(boost::asio::buffer(unused), error);
+    }
+
     upstream_script m_script;
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
