A response with a status that none has is no answer

What callers saw: an engine's answer with status 000 came through as the answer, on each kind of route; so did 001, 099, 101, 600 and 999. With a note that nothing had run, 600 and 999 counted as refusals, so that a request that may run once was sent again or answered 503 after it had been at an engine; batch items were given up by 000; an entry's caller got 000 or 101; a side took an order as refused.

Cause: Beast's parser takes any three digits for a status, and http_client, which reads the responses of all programs, took any that Beast takes. 101 was left out of the interim responses and so counted as a final one, although no request asks to change the protocol.

Change: http_client fails with bad_status unless the status is 100 to 599 (RFC 9110, 15) and not 101, and closes the connection. It is the one place where all readers get their responses, so nothing else changes. Two-digit and four-digit statuses, signs, blanks, letters and other protocols were refused before; their tests stay.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,8 @@
-// Requests written as text, responses parsed with Beast.
+// Requests written as text, responses parsed with Beast. What isn't a response fails here, for all
+// who read responses.
 #include <tamarackglade/http/http_client.hpp>
 #include <tamarackglade/http/request_syntax.hpp>
+#include <tamarackglade/http/response_syntax.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/tcp_stream.hpp>
 
@@ -29,8 +31,8 @@
 // Heads such as 100 and 103 announce the response of the request, but aren't it.
 bool isInterim(unsigned status)
 {
-    constexpr unsigned SwitchingProtocols = 101; // nothing follows in this protocol
-    return status >= 100 && status < 200 && status != SwitchingProtocols;
+    constexpr unsigned MinFinalStatus = 200;
+    return status < MinFinalStatus;
 }
 
 /// The read operation of a connection as Beast calls it, as often as a part of a response needs.
@@ -137,6 +139,8 @@
         if (error)
             return readFailure(error);
     }
+    if (!isResponseStatus(parser.get().result_int()))
+        return readFailure(http::error::bad_status);
     http_response head;
     head.status = parser.get().result_int();
     head.contentType = std::string(parser.get()[http::field::content_type]);
--- a/tests/e2e/test_broken_upstreams.py
+++ b/tests/e2e/test_broken_upstreams.py
@@ -20,6 +20,10 @@
           b"HTTP/1.1 422 Odd\r\nContent-Length: 6\r\n\r\nsecret",
           b"HTTP/1.1 204 No Content\r\n\r\n", HEAD + BODY)
 
+MALFORMED = [HEAD.replace(b"HTTP/1.1 200", line) + BODY for line in (
+    b"HTTP/1.1 000", b"HTTP/1.1 099", b"HTTP/1.1 101", b"HTTP/1.1 600", b"HTTP/1.1 20",
+    b"HTTP/1.1 2000", b"HTTP/2.0 200", b"ICY 200")]
+
 
 class RawUpstream(socketserver.ThreadingTCPServer):
     """Answers each call with the next of `answers`, and with a whole answer if there is none."""
@@ -109,6 +113,22 @@
             self.upstream.answers = []
 
 
+class MalformedResponseTest(RawUpstreamFleet):
+    """Bytes that are no response."""
+
+    def test_bytes_that_are_no_response_reach_no_caller(self):
+        for number, response in enumerate(MALFORMED):
+            with self.subTest(response=response):
+                calls = self.upstream.calls
+                self.upstream.answers = [(response, False)]
+                status, _, body = self.call_model(self.fleet.entries[0], f"malformed {number}")
+                self.check_failure(status, body)
+                self.assertNotIn(b"whole", body)
+                self.assertEqual(self.upstream.calls, calls + 1)
+                status, _, body = self.call_model(self.fleet.entries[0], f"behind {number}")
+                self.assertEqual((status, body), (200, BODY))
+
+
 class StoppedSideTest(RawUpstreamFleet):
     """A side that is stopped while its upstream is silent."""
 
--- /dev/null
+++ b/tests/shell-response-readers.cpp
@@ -0,0 +1,152 @@
+// Tests that no reader of responses takes bytes that are none for the answer to its request.
+#include "support/malformed_lines.hpp"
+#include "support/scripted_upstream.hpp"
+#include <tamarackglade/http/http_client.hpp>
+#include <tamarackglade/load/load_client.hpp>
+#include <tamarackglade/platform/platform_client.hpp>
+#include <tamarackglade/runtime/io_thread.hpp>
+#include <tamarackglade/runtime/steady_now.hpp>
+#include <tamarackglade/side/order_messages.hpp>
+#include <tamarackglade/side/upstream_call.hpp>
+
+#include <boost/fiber/operations.hpp>
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace tamarack;
+using tamarack::testing::ending;
+using tamarack::testing::malformedResponses;
+using tamarack::testing::scripted_upstream;
+using tamarack::testing::upstream_script;
+
+namespace {
+
+/// Runs a task of an I/O thread against an upstream that plays the script.
+template <class Task>
+void runAgainst(const upstream_script &script, const Task &task)
+{
+    const scripted_upstream upstream(script);
+    io_thread thread;
+    thread.run([&] { task(thread, upstream.address()); });
+}
+
+/// Notes the parts of a response that a side passes on.
+class noting_events final : public upstream_events
+{
+public:
+    void onHead(unsigned /*status*/, const std::string & /*contentType*/) override
+    {
+        hasHead = true;
+    }
+    bool onData(std::string data) override
+    {
+        text += data;
+        return true;
+    }
+    void onEnd(upstream_end how, const std::string & /*message*/) override { end = how; }
+
+    bool hasHead = false;
+    std::string text;
+    std::optional<upstream_end> end;
+};
+
+void waitForEnd(const noting_events &events)
+{
+    while (!events.end)
+        boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
+}
+
+/// Outcome of a request of the load tool to an upstream that plays the script.
+request_outcome loadOutcome(const upstream_script &script)
+{
+    request_outcome outcome;
+    runAgainst(script, [&](io_thread &thread, const std::string &address) {
+        load_profile profile;
+        profile.targets = {{"engine", address, 1}};
+        profile.customers.emplace_back().name = "c";
+        profile.classes.emplace_back();
+        load_client client(thread.io(), profile);
+        outcome = client.execute(planned_request{}, steadyNow());
+    });
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("http client: bytes that are no response fail as such and close the connection")
+{
+    for (const std::string &response : malformedResponses("{}")) {
+        CAPTURE(response);
+        runAgainst({response, "", ending::Hold}, [](io_thread &thread, const std::string &address) {
+            http_client client(thread.io(), address);
+            CHECK(absl::IsAborted(client.fetch({}).status()));
+            CHECK_FALSE(client.idle());
+        });
+    }
+}
+
+TEST_CASE("log client: an append with no proper answer may have been done, and a read has failed")
+{
+    for (const std::string &response : malformedResponses("{}")) {
+        CAPTURE(response);
+        runAgainst({response, "", ending::Hold}, [](io_thread &thread, const std::string &address) {
+            platform_client client(thread, {address});
+            CHECK(absl::IsUnknown(client.append("stream", "record").status()));
+        });
+        runAgainst({response, "", ending::Hold}, [](io_thread &thread, const std::string &address) {
+            platform_client client(thread, {address});
+            const auto read =
+                client.read("stream", log_offset(3), 10, std::chrono::milliseconds(0));
+            CHECK(absl::IsUnavailable(read.status()));
+        });
+        runAgainst({response, "", ending::Hold}, [](io_thread &thread, const std::string &address) {
+            platform_client client(thread, {address});
+            CHECK(absl::IsUnavailable(client.vmListText().status()));
+        });
+    }
+}
+
+TEST_CASE("side: bytes that are no response reach no entry as an answer")
+{
+    for (const std::string &response : malformedResponses("{}")) {
+        CAPTURE(response);
+        auto events = std::make_shared<noting_events>();
+        runAgainst(
+            {response, "", ending::Hold}, [&](io_thread &thread, const std::string &address) {
+                upstream_request request;
+                request.method = "POST";
+                request.target = "/x";
+                request.timeout = std::chrono::seconds(10);
+                const auto call =
+                    std::make_shared<upstream_call>(thread, address, std::move(request), events);
+                call->start();
+                waitForEnd(*events);
+            });
+        CHECK(events->end == upstream_end::Broken);
+        const bool isSoundHead = response.find("\r\n\r\n2\r\n{}") != std::string::npos;
+        CHECK(events->hasHead == isSoundHead);
+    }
+}
+
+TEST_CASE("side: what becomes of an order that got no proper answer is unknown")
+{
+    for (const std::string &response : malformedResponses("{}")) {
+        CAPTURE(response);
+        runAgainst({response, "", ending::Hold}, [](io_thread &thread, const std::string &address) {
+            http_client client(thread.io(), address);
+            CHECK(readOrderAnswer(client.fetch({})).outcome == order_outcome::Unknown);
+        });
+    }
+}
+
+TEST_CASE("load tool: bytes that are no response are neither an answer nor a refusal")
+{
+    for (const std::string &response : malformedResponses("{}")) {
+        CAPTURE(response);
+        const auto kind = loadOutcome({response, "", ending::Hold}).kind;
+        CHECK((kind == outcome_kind::Failed || kind == outcome_kind::Cut));
+    }
+}
