A response with folded lines in its head or trailers is no answer

What callers saw: an answer in whose head, or in whose trailers, a line began with a blank came through: the line was joined to the field in front of it and passed on with it, and a line with a field of its own, such as ' Content-Length: 3', counted as part of another field.

Cause: Beast joins folded lines, and tells nobody. RFC 9112 (5.2) lets a gateway replace such a response with 502 or the fold with blanks; the engine behind it is in trouble, and readers differ in which field the line belongs to, so it is no answer.

Change: http_client reads and feeds its parser itself, as http_session does, in place of Beast's read_some. So it sees the lines that a step has taken: the parser takes whole lines of a head, and the last chunk together with its trailers, so that no packet border splits a fold. The reader class that adapted read_some goes.

Already sound, tests stay: blanks in front of the colon, inside and in front of names, tabs, control bytes and bytes from 0x80 in names, empty names, lines without a colon, bare CR and LF, control bytes in values and reasons, in heads, interim heads and trailers, at each packet border.

--- a/include/tamarackglade/http/http_client.hpp
+++ b/include/tamarackglade/http/http_client.hpp
@@ -25,6 +25,10 @@
 /// connection: no byte of it was sent. Aborted if the connection failed after the request may have
 /// been sent, DeadlineExceeded on a timeout.
 ///
+/// Bytes that are no response (RFC 9112; RFC 9110, 15) fail as Aborted, whatever they claim, and
+/// close the connection; so does a response that the connection's reset cuts off. All readers of
+/// responses rely on this class for both.
+///
 /// Memory is bounded whatever the server sends: heads, chunk headers and trailers that are too long
 /// fail, and bodies are handed out in parts.
 class http_client
@@ -97,6 +101,10 @@
     absl::StatusOr<http_response> readOneHead(bool isBodiless);
     /// @brief Reads until the parser has made a step or fails.
     void readStep(boost::system::error_code &error);
+    /// @brief Reads once into the buffer, and tells the parser of the connection's orderly end.
+    void readMore(boost::system::error_code &error);
+    /// @brief Parses buffered bytes, and fails if they are none of a response.
+    void parseStep(boost::system::error_code &error);
     absl::Status send(std::string_view text);
     /// @brief Runs a read or write of m_stream, again while the deadline is moved.
     template <class Operation>
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -9,10 +9,10 @@
 #include <absl/strings/str_cat.h>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <array>
@@ -35,32 +35,6 @@
     return status < MinFinalStatus;
 }
 
-/// The read operation of a connection as Beast calls it, as often as a part of a response needs.
-template <class Read>
-class response_reader
-{
-public:
-    explicit response_reader(Read read) : m_read(std::move(read)) { }
-
-    template <class MutableBuffers>
-    std::size_t read_some(const MutableBuffers &buffers, boost::system::error_code &error)
-    {
-        return m_read([&](byte_stream &stream) { return stream.read_some(buffers, error); }, error);
-    }
-    template <class MutableBuffers>
-    std::size_t read_some(const MutableBuffers &buffers)
-    {
-        boost::system::error_code error;
-        const std::size_t size = read_some(buffers, error);
-        if (error)
-            throw boost::system::system_error(error);
-        return size;
-    }
-
-private:
-    Read m_read;
-};
-
 } // namespace
 
 struct http_client::response_state
@@ -151,9 +125,48 @@
 
 void http_client::readStep(boost::system::error_code &error)
 {
-    response_reader reader(
-        [this](const auto &read, auto &readError) { return runUntilDeadline(read, readError); });
-    http::read_some(reader, m_response->buffer, *m_response->parser, error);
+    const auto &parser = *m_response->parser;
+    if (m_response->buffer.size() == 0)
+        readMore(error);
+    while (!error && !parser.is_done()) {
+        parseStep(error);
+        if (error != http::error::need_more)
+            return;
+        readMore(error);
+    }
+}
+
+void http_client::readMore(boost::system::error_code &error)
+{
+    auto &buffer = m_response->buffer;
+    auto &parser = *m_response->parser;
+    const std::size_t room = boost::beast::read_size(buffer, MaxBufferedBytes);
+    if (room == 0) {
+        error = http::error::buffer_overflow;
+        return;
+    }
+    const auto space = buffer.prepare(room);
+    buffer.commit(runUntilDeadline(
+        [&](byte_stream &stream) { return stream.readSome(space, error); }, error));
+    if (error != boost::asio::error::eof)
+        return;
+    error = http::error::end_of_stream;
+    if (parser.got_some())
+        parser.put_eof(error);
+}
+
+// A step takes whole lines of a head, and the last chunk together with its trailers.
+void http_client::parseStep(boost::system::error_code &error)
+{
+    auto &buffer = m_response->buffer;
+    auto &parser = *m_response->parser;
+    const bool isHead = !parser.is_header_done();
+    const std::size_t used = parser.put(buffer.data(), error);
+    const bool isTrailers = parser.chunked() && parser.is_done();
+    const std::string_view lines(static_cast<const char *>(buffer.data().data()), used);
+    if ((isHead || isTrailers) && hasFoldedLine(lines))
+        error = http::error::bad_value;
+    buffer.consume(used);
 }
 
 bool http_client::isDelimited() const
--- a/src/http/response_syntax.cpp
+++ b/src/http/response_syntax.cpp
@@ -1,4 +1,4 @@
-// Checks of what Beast's parser accepts although no response has it.
+// Checks of statuses and lines that Beast's parser accepts although no response has them.
 #include <tamarackglade/http/response_syntax.hpp>
 
 namespace tamarack {
@@ -16,4 +16,10 @@
     return status >= MinStatus && status <= MaxStatus && status != SwitchingProtocols;
 }
 
+bool hasFoldedLine(std::string_view section)
+{
+    return section.find("\r\n ") != std::string_view::npos
+           || section.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace tamarack
--- a/tests/e2e/test_broken_upstreams.py
+++ b/tests/e2e/test_broken_upstreams.py
@@ -23,6 +23,9 @@
 MALFORMED = [HEAD.replace(b"HTTP/1.1 200", line) + BODY for line in (
     b"HTTP/1.1 000", b"HTTP/1.1 099", b"HTTP/1.1 101", b"HTTP/1.1 600", b"HTTP/1.1 20",
     b"HTTP/1.1 2000", b"HTTP/2.0 200", b"ICY 200")]
+MALFORMED += [HEAD.replace(b"\r\n\r\n", b"\r\n" + line + b"\r\n\r\n") + BODY for line in (
+    b"X-Odd : v", b" X-Odd: v", b"X\x01Odd: v", b"X\x80Odd: v", b": v", b"X-Odd",
+    b"X-Odd: a\r\n b", b"X-Odd: a\rb", b"X-Odd: a\nb: c", b"X-Odd: a\x01z")]
 
 
 class RawUpstream(socketserver.ThreadingTCPServer):
--- a/tests/e2e/test_malformed_answers.py
+++ b/tests/e2e/test_malformed_answers.py
@@ -1,4 +1,4 @@
-"""End-to-end tests of engines whose bytes are no answer."""
+"""End-to-end tests of engines whose bytes are no answer: odd statuses and fields."""
 
 import threading
 import time
@@ -20,6 +20,12 @@
                 b"HTTP/1.1 +20 OK", b"HTTP/1.1 2 0 OK", b"HTTP/1.1 2OO OK", b"HTTP/2.0 200 OK",
                 b"HTTQ/1.1 200 OK", b"ICY 200 OK")
 
+FIELD_LINES = (b"X-Odd : v", b"X-Odd\t: v", b"X Odd: v", b" X-Odd: v", b"\tX-Odd: v",
+               b"X\x01Odd: v", b"X\x00Odd: v", b"X\x7fOdd: v", b"X\x80Odd: v", b": v", b"X-Odd",
+               b"X-Odd: a\r\n b", b"X-Odd:\r\n\tb", b"X-Odd: a\rb", b"X-Odd: a\nb: c",
+               b"X-Odd: a\x01z", b"Content-Length : 3", b"Transfer-Encoding : chunked")
+
+
 def odd(status_line=b"HTTP/1.1 200 OK", field_line=b"", body=SECRET):
     """Returns a function that makes an answer with this line from an engine's field lines."""
     def make(fields):
@@ -31,6 +37,7 @@
 # A few of each kind, where each case takes seconds.
 ODD_ANSWERS = {line: odd(line) for line in (b"HTTP/1.1 000 OK", b"HTTP/1.1 101 Switch",
                                             b"HTTP/1.1 600 Odd", b"x")}
+ODD_ANSWERS.update({line: odd(field_line=line) for line in (b"X Odd: v", b"X-Odd: a\r\n b")})
 
 
 class RawEngineTestCase(SiteTestCase):
@@ -139,7 +146,7 @@
 
 
 class MalformedAnswerTest(RawEngineTestCase):
-    """Statuses that no answer has."""
+    """Statuses and fields that no answer has."""
 
     def check_all_routes(self, name, make_answer):
         for path in RUNS:
@@ -157,6 +164,18 @@
             with self.subTest(line=line):
                 self.check_all_routes(f"n{number}", odd(line, b"Not-Executed: 1", b""))
 
+    def test_an_answer_with_an_odd_field_reaches_no_caller(self):
+        for number, line in enumerate(FIELD_LINES):
+            with self.subTest(line=line):
+                self.check_all_routes(f"f{number}", odd(field_line=line))
+
+    def test_an_odd_trailer_ends_no_answer(self):
+        for number, line in enumerate(FIELD_LINES):
+            with self.subTest(line=line):
+                self.check_all_routes(f"t{number}", lambda fields: Answer(  # noqa: B023
+                    b"HTTP/1.1 200 OK\r\n" + fields + b"Transfer-Encoding: chunked\r\n\r\n"
+                    + b"%x\r\n%s\r\n0\r\n" % (len(SECRET), SECRET) + line + b"\r\n\r\n"))
+
 
 class RepeatedRequestTest(RawEngineTestCase):
     """What another engine answers after malformed bytes."""
--- a/tests/shell-gateway-malformed.cpp
+++ b/tests/shell-gateway-malformed.cpp
@@ -13,6 +13,8 @@
 using tamarack::testing::ending;
 using tamarack::testing::Events;
 using tamarack::testing::framing;
+using tamarack::testing::looksComplete;
+using tamarack::testing::MalformedFieldLines;
 using tamarack::testing::malformedResponses;
 using tamarack::testing::MalformedStatusLines;
 using tamarack::testing::receive;
@@ -122,6 +124,98 @@
     }
 }
 
+TEST_CASE("a head with a malformed field line is no answer, wherever in the head the line is")
+{
+    io_thread thread;
+    for (const std::string &line : MalformedFieldLines) {
+        CAPTURE(line);
+        const std::string odd = line + "\r\n";
+        for (const std::string &fields :
+             {odd + Fields, "Request-Id: r1\r\n" + odd + "Response-Signature: s\r\n"}) {
+            for (const bool streamed : {true, false}) {
+                for (const ending end : {ending::Hold, ending::Close})
+                    checkRejected(receive(thread,
+                                          {responseWith("HTTP/1.1 200 OK", fields), "", end},
+                                          streamed, false));
+            }
+        }
+        const std::string last = "HTTP/1.1 200 OK\r\n" + Fields + Framing + odd + "\r\n" + Events;
+        checkRejected(receive(thread, {last, "", ending::Hold}, true, false));
+        const std::string unframed = "HTTP/1.1 200 OK\r\n" + Fields + odd + "\r\n" + Events;
+        checkRejected(receive(thread, {unframed, "", ending::Close}, false, false));
+    }
+}
+
+TEST_CASE("a malformed field line in an interim head is no answer")
+{
+    io_thread thread;
+    for (const std::string &line : MalformedFieldLines) {
+        CAPTURE(line);
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n";
+        checkRejected(receive(thread, {interim, responseWith("HTTP/1.1 200 OK")}, true, false));
+    }
+}
+
+TEST_CASE("a malformed field line is none wherever its packets end")
+{
+    io_thread thread;
+    for (const std::string &line : MalformedFieldLines) {
+        CAPTURE(line);
+        const std::string start = "HTTP/1.1 200 OK\r\n" + Fields;
+        const std::string text = start + line + "\r\n" + Framing + "\r\n" + Events;
+        for (std::size_t border = start.size() - 2; border <= start.size() + line.size() + 3;
+             ++border) {
+            CAPTURE(border);
+            checkRejected(
+                receive(thread, {text.substr(0, border), text.substr(border)}, true, false));
+        }
+    }
+}
+
+TEST_CASE("a body whose trailers have a malformed line isn't whole")
+{
+    io_thread thread;
+    const std::string chunked = responseText(framing::Chunks, Events);
+    const std::string upToTrailers = chunked.substr(0, chunked.size() - 2);
+    for (const std::string &line : MalformedFieldLines) {
+        CAPTURE(line);
+        const std::string odd = line + "\r\n";
+        for (const std::string &trailers : {odd, odd + "X-Last: v\r\n", "X-First: v\r\n" + odd}) {
+            const std::string text = upToTrailers + trailers + "\r\n";
+            const std::size_t trailersAt = upToTrailers.size();
+            for (const bool streamed : {true, false}) {
+                for (std::size_t border = trailersAt - 2; border < text.size();
+                     border += streamed ? 1 : 5) {
+                    CAPTURE(border);
+                    const upstream_script script{text.substr(0, border), text.substr(border),
+                                                 ending::Hold};
+                    const auto received = receive(thread, script, streamed, false);
+                    CHECK(received.outcome == attempt_outcome::Broken);
+                    CHECK_FALSE(received.isKept);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("sound fields and trailers are taken, whatever their values hold")
+{
+    io_thread thread;
+    const std::string odd =
+        "X-Odd: \t a\tb \xe9 \"(;,)\" : \r\nX!#$%&'*+-.^_`|~9:\r\nx-empty:\t\r\n";
+    const auto whole = receive(
+        thread, {responseWith("HTTP/1.1 200 OK", odd + Fields), "", ending::Hold}, true, false);
+    CHECK(looksComplete(whole));
+    CHECK(whole.isKept);
+    const std::string chunked = responseText(framing::Chunks, Events);
+    const auto behind =
+        receive(thread, {chunked.substr(0, chunked.size() - 2) + odd + "\r\n", "", ending::Hold},
+                true, false);
+    CHECK(looksComplete(behind));
+    CHECK(behind.text == Events);
+    CHECK(behind.isKept);
+}
+
 namespace {
 
 /// Lets the store's client make one call to a store that sends the response.
--- a/tests/support/malformed_lines.hpp
+++ b/tests/support/malformed_lines.hpp
@@ -1,6 +1,7 @@
 // Lines of responses that no response has.
 #pragma once
 
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -80,13 +81,88 @@
     "\r\n\r\n\r\nHTTP/1.1 000 OK",
 };
 
-/// Responses that are whole and sound but for one malformed line.
+/// Field lines that RFC 9112 (5) and RFC 9110 (5.1, 5.5) don't allow. A line that begins with a
+/// blank continues the line in front of it, which only the oldest form of the protocol allowed.
+inline const std::vector<std::string> MalformedFieldLines{
+    "X-Odd : v",
+    "X-Odd\t: v",
+    "X Odd: v",
+    "X\tOdd: v",
+    " X-Odd: v",
+    "\tX-Odd: v",
+    " ",
+    "\t",
+    "X\x01Odd: v",
+    "\x01X-Odd: v",
+    "X-Odd\x1f: v",
+    "X\x7fOdd: v",
+    "X\0Odd: v"s,
+    "\0: v"s,
+    "X\x0bOdd: v",
+    "X\x80Odd: v",
+    "X-Odd\xa0: v",
+    "\xffX-Odd: v",
+    "X\xc3\xa4Odd: v",
+    ": v",
+    ":",
+    " : v",
+    "X-Odd",
+    "X-Odd v",
+    "X-Odd\r\n : v",
+    "X-Odd: a\r\n b",
+    "X-Odd: a\r\n\tb",
+    "X-Odd:\r\n b",
+    "X-Odd: a\r\n ",
+    "X-Odd: a\r\n b\r\n c",
+    "X-Odd: a\rb",
+    "X-Odd: a\nb: c",
+    "X\nOdd: v",
+    "X\rOdd: v",
+    "X-Odd: a\n",
+    "X-Odd: a\r",
+    "\nX-Odd: v",
+    "\rX-Odd: v",
+    "X-Odd: a\x01z",
+    "X-Odd: a\0z"s,
+    "X-Odd: \x7f",
+    "X-Odd: \x1b[0m",
+    "X-Odd: a\x0bz",
+    "X(Odd: v",
+    "X\"Odd: v",
+    "X/Odd: v",
+    "X@Odd: v",
+    "X[Odd]: v",
+    "X{Odd}: v",
+    "X=Odd: v",
+    "X;Odd: v",
+    "X,Odd: v",
+    "X\\Odd: v",
+    "X?Odd: v",
+    "X<Odd>: v",
+    "Content-Length : 3",
+    "Content-Length\t: 3",
+    " Content-Length: 3",
+    "Content Length: 3",
+    "Transfer-Encoding : chunked",
+    "Connection : close",
+    "Not-Executed : 1",
+    "Request-Id : r2",
+};
+
+/// Responses that are whole and sound but for one malformed line, of a head or of trailers.
 inline std::vector<std::string> malformedResponses(const std::string &body)
 {
     std::vector<std::string> responses;
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
     for (const std::string &line : MalformedStatusLines)
         responses.push_back(line + "\r\n" + length + "\r\n" + body);
+    std::ostringstream chunk;
+    chunk << std::hex << body.size() << "\r\n" << body << "\r\n0\r\n";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &line : MalformedFieldLines) {
+        responses.push_back("HTTP/1.1 200 OK\r\n" + length + line + "\r\n\r\n" + body);
+        responses.push_back(chunked + chunk.str() + line + "\r\n\r\n");
+    }
     return responses;
 }
 
