A response in a transfer coding that nobody asked for is no answer

What callers would see: an engine's answer with 'Transfer-Encoding: gzip', or gzip in front of chunks, came through with the coded bytes as its body and without the field, so that nothing told the caller; with 'chunked, gzip' or 'x-chunked' the sizes of the chunks stood in the body.

Cause: Beast takes each coding but a sole 'chunked' for a body that ends with its connection, and drops 'gzip' in front of 'chunked'. The field concerns one connection and isn't forwarded.

Change: http_client fails with bad_transfer_encoding unless the body has no coding or chunks alone. Requests name no other in TE, so no server may use one (RFC 9110, 10.1.4).

--- a/include/tamarackglade/http/response_syntax.hpp
+++ b/include/tamarackglade/http/response_syntax.hpp
@@ -9,6 +9,11 @@
 /// only answers a request to change the protocol
 bool isResponseStatus(unsigned status);
 
+/// @param codings value of the field that names the body's transfer codings; empty without one
+/// @return whether the body can be read: it has no coding, or chunks alone. Requests ask for no
+/// other (RFC 9110, 10.1.4), and whoever gets the body couldn't tell that it is coded.
+bool isTransferCoding(std::string_view codings);
+
 /// @param section whole lines of a head or of trailers
 /// @return whether one of them continues the line in front of it. A gateway may reject such a
 /// response (RFC 9112, 5.2), and readers differ in which field the line belongs to.
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -115,6 +115,8 @@
     }
     if (!isResponseStatus(parser.get().result_int()))
         return readFailure(http::error::bad_status);
+    if (!isTransferCoding(parser.get()[http::field::transfer_encoding]))
+        return readFailure(http::error::bad_transfer_encoding);
     http_response head;
     head.status = parser.get().result_int();
     head.contentType = std::string(parser.get()[http::field::content_type]);
--- a/src/http/response_syntax.cpp
+++ b/src/http/response_syntax.cpp
@@ -1,6 +1,8 @@
 // Checks of statuses and lines that Beast's parser accepts although no response has them.
 #include <tamarackglade/http/response_syntax.hpp>
 
+#include <absl/strings/match.h>
+
 namespace tamarack {
 
 namespace {
@@ -16,6 +18,11 @@
     return status >= MinStatus && status <= MaxStatus && status != SwitchingProtocols;
 }
 
+bool isTransferCoding(std::string_view codings)
+{
+    return codings.empty() || absl::EqualsIgnoreCase({codings.data(), codings.size()}, "chunked");
+}
+
 bool hasFoldedLine(std::string_view section)
 {
     return section.find("\r\n ") != std::string_view::npos
--- a/tests/shell-gateway-malformed.cpp
+++ b/tests/shell-gateway-malformed.cpp
@@ -198,6 +198,25 @@
     }
 }
 
+TEST_CASE("a body in a transfer coding that the request didn't ask for is no answer's body")
+{
+    io_thread thread;
+    const std::string chunked = responseText(framing::Chunks, Events);
+    const std::string name = "Transfer-Encoding: ";
+    const std::size_t codingAt = chunked.find(name) + name.size();
+    for (const std::string coding : {"gzip", "identity", "x-chunked", "gzip, chunked",
+                                     "chunked, gzip", "chunked, chunked", "\"chunked\""}) {
+        CAPTURE(coding);
+        std::string text = chunked;
+        text.replace(codingAt, std::string("chunked").size(), coding);
+        for (const bool streamed : {true, false})
+            checkRejected(receive(thread, {text, "", ending::Close}, streamed, false));
+        std::string twoFields = chunked;
+        twoFields.insert(codingAt, coding + "\r\n" + name);
+        checkRejected(receive(thread, {twoFields, "", ending::Close}, false, false));
+    }
+}
+
 TEST_CASE("sound fields and trailers are taken, whatever their values hold")
 {
     io_thread thread;
