tamarack-load counts an error response that breaks off as cut

What its users saw: a 400, 429 or 503 whose connection was reset or closed within the body counted as refused, with its status as the reason, and a 500 as failed, as if the whole response had come.

Cause: the loop over an error's body took a failed read for the end of the body.

Change: error bodies are read as whole answers are, and a read that fails makes the outcome Cut, for any status.

--- a/include/tamarackglade/load/load_client.hpp
+++ b/include/tamarackglade/load/load_client.hpp
@@ -38,9 +38,13 @@
     std::unique_ptr<http_client> acquireConnection(std::uint32_t target);
     http_client_request buildRequest(const planned_request &request,
                                      const std::string &prompt) const;
+    /// @brief Reads the answer of another status than 200.
+    void readError(exchange_state &state, unsigned status);
     void readAnswer(exchange_state &state);
     void readStream(exchange_state &state);
     void readFullAnswer(exchange_state &state);
+    /// @return the whole body, or why it broke off
+    static absl::StatusOr<std::string> readBody(exchange_state &state);
     void fail(exchange_state &state, const absl::Status &status, outcome_kind kind);
 
     boost::asio::io_context &m_io;
--- a/src/load/load_client.cpp
+++ b/src/load/load_client.cpp
@@ -79,12 +79,7 @@
     if (!head.ok()) {
         fail(state, head.status(), outcome_kind::Failed);
     } else if (head->status != 200) {
-        std::string body;
-        for (auto part = connection->readSome(); part.ok() && !part->empty();
-             part = connection->readSome())
-            body += *part;
-        state.outcome.kind = isRefusal(head->status) ? outcome_kind::Refused : outcome_kind::Failed;
-        state.outcome.reason = refusalReason(head->status, body);
+        readError(state, head->status);
     } else {
         readAnswer(state);
     }
@@ -133,6 +128,15 @@
     return sent;
 }
 
+void load_client::readError(exchange_state &state, unsigned status)
+{
+    const auto body = readBody(state);
+    if (!body.ok())
+        return fail(state, body.status(), outcome_kind::Cut);
+    state.outcome.kind = isRefusal(status) ? outcome_kind::Refused : outcome_kind::Failed;
+    state.outcome.reason = refusalReason(status, *body);
+}
+
 void load_client::readAnswer(exchange_state &state)
 {
     if (state.request.streamed)
@@ -175,20 +179,27 @@
 }
 
 void load_client::readFullAnswer(exchange_state &state)
+{
+    const auto body = readBody(state);
+    if (!body.ok())
+        return fail(state, body.status(), outcome_kind::Cut);
+    const bool whole = answerText(*body) == state.expected;
+    state.outcome.kind = whole ? outcome_kind::Whole : outcome_kind::Wrong;
+    state.outcome.reason = "wrong text";
+    state.outcome.tokens = whole ? state.outcome.expectedTokens : 0;
+}
+
+absl::StatusOr<std::string> load_client::readBody(exchange_state &state)
 {
     std::string body;
     for (;;) {
         const auto part = state.connection.readSome();
         if (!part.ok())
-            return fail(state, part.status(), outcome_kind::Cut);
+            return part.status();
         if (part->empty())
-            break;
+            return body;
         body += *part;
     }
-    const bool whole = answerText(body) == state.expected;
-    state.outcome.kind = whole ? outcome_kind::Whole : outcome_kind::Wrong;
-    state.outcome.reason = "wrong text";
-    state.outcome.tokens = whole ? state.outcome.expectedTokens : 0;
 }
 
 void load_client::fail(exchange_state &state, const absl::Status &status, outcome_kind kind)
--- a/tests/shell-response-readers.cpp
+++ b/tests/shell-response-readers.cpp
@@ -1,4 +1,5 @@
-// Tests that no reader of responses takes bytes that are none for the answer to its request.
+// Tests that no reader of responses takes bytes that are none, or a response that broke off, for
+// the answer to its request.
 #include "support/malformed_lines.hpp"
 #include "support/scripted_upstream.hpp"
 #include <tamarackglade/http/http_client.hpp>
@@ -150,3 +151,21 @@
         CHECK((kind == outcome_kind::Failed || kind == outcome_kind::Cut));
     }
 }
+
+TEST_CASE("load tool: an answer or refusal that breaks off is cut, and none of its status")
+{
+    const std::string body = R"({"error":{"code":"full"}})";
+    for (const std::string status : {"200 OK", "400 Odd", "429 Full", "500 Odd", "503 Full"}) {
+        const std::string head = "HTTP/1.1 " + status + "\r\n";
+        const std::string length = head + "Content-Length: 90\r\n\r\n" + body;
+        const std::string chunks = head + "Transfer-Encoding: chunked\r\n\r\n90\r\n" + body;
+        const std::string unframed = head + "\r\n" + body;
+        for (const upstream_script &script : {upstream_script{length, "", ending::Close},
+                                              {length, "", ending::Reset},
+                                              {chunks, "", ending::Close},
+                                              {unframed, "", ending::Reset}}) {
+            CAPTURE(script.beforePause);
+            CHECK(loadOutcome(script).kind == outcome_kind::Cut);
+        }
+    }
+}
