Tests: a reset ends no answer, with the upload running or not

It doesn't happen here: a request is written whole before its response is read, so that a reset during the upload fails the attempt, and tcp_stream keeps the first failure of a connection, of a write too, so that a later end of reading isn't an orderly one (docs/incidents/2026-12-04-broken-off-answers.md). The tests stay and nothing else changes.

The upstream of e2e-test_broken_upstreams ended its sending direction in order before it reset a connection; it resets now, which is stricter.

--- a/tests/e2e/test_broken_upstreams.py
+++ b/tests/e2e/test_broken_upstreams.py
@@ -62,6 +62,7 @@
             if resets:
                 self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                            struct.pack("ii", 1, 0))
+                self.connection.close()  # before the server ends the sending direction in order
 
 
 class RawUpstreamFleet(FleetTestCase):
@@ -117,7 +118,7 @@
 
 
 class MalformedResponseTest(RawUpstreamFleet):
-    """Bytes that are no response."""
+    """Bytes that are no response, and what a reset leaves of one without a length."""
 
     def test_bytes_that_are_no_response_reach_no_caller(self):
         for number, response in enumerate(MALFORMED):
@@ -131,6 +132,17 @@
                 status, _, body = self.call_model(self.fleet.entries[0], f"behind {number}")
                 self.assertEqual((status, body), (200, BODY))
 
+    def test_a_reset_ends_no_response_without_a_length(self):
+        head = HEAD.replace(b"Content-Length: %d\r\n" % len(BODY), b"")
+        for cut in (0, 10, len(BODY)):
+            with self.subTest(cut=cut):
+                self.upstream.answers = [(head + BODY[:cut], True)]
+                status, _, body = self.call_model(self.fleet.entries[0], f"reset {cut}")
+                self.check_failure(status, body)
+        self.upstream.answers = [(head + BODY, False)]
+        status, _, body = self.call_model(self.fleet.entries[0], "in order")
+        self.assertEqual((status, body), (200, BODY))
+
 
 class StoppedSideTest(RawUpstreamFleet):
     """A side that is stopped while its upstream is silent."""
--- a/tests/e2e/test_malformed_answers.py
+++ b/tests/e2e/test_malformed_answers.py
@@ -1,5 +1,6 @@
-"""End-to-end tests of engines whose bytes are no answer: odd statuses and fields."""
+"""End-to-end tests of engines whose bytes are no answer: odd statuses and fields, and resets."""
 
+import itertools
 import threading
 import time
 
@@ -221,6 +222,36 @@
                 self.assertEqual(headers["response-signature"], "s-" + self.engine[0].id)
 
 
+class EarlyAnswerTest(RawEngineTestCase):
+    """Answers that come, and break off, while the caller's upload is being written."""
+
+    def check(self, name, head, body, end):
+        """Plays an answer that begins before its request's body is read, on all routes, for an
+        upload that stalls and for one that is sent at once. A close is a reset for the first
+        alone, as bytes of it are unread."""
+        sizes = (100, UPLOAD_BYTES) if end == "reset" else (UPLOAD_BYTES,)
+        for path, size in itertools.product(RUNS, sizes):
+            with self.subTest(path=path, size=size):
+                request, received = self.send_broken(
+                    path, f"{name}-{path[1:3]}{size}", body_size=size,
+                    make_answer=lambda fields: Answer(
+                        [b"HTTP/1.1 200 OK\r\n" + fields + head + b"\r\n" + body[:9], body[9:]],
+                        end, reads_body=False))
+                self.check_is_no_answer(received, request, path)
+
+    def test_an_early_answer_without_length_that_is_reset_is_never_whole(self):
+        for cut in (0, 12, len(SECRET)):
+            for end in ("reset", "close"):
+                with self.subTest(cut=cut, end=end):
+                    self.check(f"e{cut}{end}", b"", SECRET[:cut], end)
+
+    def test_an_early_answer_that_is_reset_within_its_length_or_chunks_is_never_whole(self):
+        chunk = b"%x\r\n%s\r\n" % (len(SECRET), SECRET)
+        self.check("length", b"Content-Length: 1000\r\n", SECRET, "reset")
+        self.check("chunks", b"Transfer-Encoding: chunked\r\n", chunk, "reset")
+        self.check("chunk", b"Transfer-Encoding: chunked\r\n", chunk[:20], "reset")
+
+
 class MalformedItemAnswerTest(BatchCalls, RawEngineTestCase):
     """Batch items whose engines send bytes that are no answer."""
 
