--- a/tests/shell-response-readers.cpp
+++ b/tests/shell-response-readers.cpp
@@ -2,23 +2,21 @@
 // the answer to its request.
 #include "support/malformed_lines.hpp"
 #include "support/scripted_upstream.hpp"
+#include "support/side_call.hpp"
 #include <tamarackglade/http/http_client.hpp>
 #include <tamarackglade/load/load_client.hpp>
 #include <tamarackglade/platform/platform_client.hpp>
 #include <tamarackglade/runtime/io_thread.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
 #include <tamarackglade/side/order_messages.hpp>
-#include <tamarackglade/side/upstream_call.hpp>
 
 #include <absl/strings/str_cat.h>
-#include <boost/fiber/operations.hpp>
 #include <doctest/doctest.h>
 
-#include <memory>
-#include <optional>
 #include <string>
 
 using namespace tamarack;
+using tamarack::testing::callUpstream;
 using tamarack::testing::ending;
 using tamarack::testing::malformedResponses;
 using tamarack::testing::scripted_upstream;
@@ -35,32 +33,6 @@
     thread.run([&] { task(thread, upstream.address()); });
 }
 
-/// Notes the parts of a response that a side passes on.
-class noting_events final : public upstream_events
-{
-public:
-    void onHead(unsigned /*status*/, const std::string & /*contentType*/) override
-    {
-        hasHead = true;
-    }
-    bool onData(std::string data) override
-    {
-        text += data;
-        return true;
-    }
-    void onEnd(upstream_end how, const std::string & /*message*/) override { end = how; }
-
-    bool hasHead = false;
-    std::string text;
-    std::optional<upstream_end> end;
-};
-
-void waitForEnd(const noting_events &events)
-{
-    while (!events.end)
-        boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
-}
-
 /// Outcome of a request of the load tool to an upstream that plays the script.
 request_outcome loadOutcome(const upstream_script &script)
 {
@@ -115,18 +87,8 @@
 {
     for (const std::string &response : malformedResponses("{}")) {
         CAPTURE(response);
-        auto events = std::make_shared<noting_events>();
-        runAgainst(
-            {response, "", ending::Hold}, [&](io_thread &thread, const std::string &address) {
-                upstream_request request;
-                request.method = "POST";
-                request.target = "/x";
-                request.timeout = std::chrono::seconds(10);
-                const auto call =
-                    std::make_shared<upstream_call>(thread, address, std::move(request), events);
-                call->start();
-                waitForEnd(*events);
-            });
+        io_thread thread;
+        const auto events = callUpstream(thread, response, ending::Hold);
         CHECK(events->end == upstream_end::Broken);
         const bool isSoundHead = response.find("\r\n\r\n2\r\n{}") != std::string::npos;
         CHECK(events->hasHead == isSoundHead);
--- a/tests/shell-side.cpp
+++ b/tests/shell-side.cpp
@@ -1,17 +1,14 @@
 // Tests of resumable answers, by which a side continues an aborted batch call.
-#include "support/scripted_upstream.hpp"
+#include "support/side_call.hpp"
 #include <tamarackglade/runtime/io_thread.hpp>
 #include <tamarackglade/side/resumable_answer.hpp>
-#include <tamarackglade/side/upstream_call.hpp>
 
-#include <boost/fiber/operations.hpp>
 #include <doctest/doctest.h>
 
-#include <memory>
-#include <optional>
-
 using namespace tamarack;
 using nlohmann::json;
+using tamarack::testing::callUpstream;
+using tamarack::testing::ending;
 
 namespace {
 
@@ -33,45 +30,6 @@
     R"(data: {"choices":[],"usage":{"prompt_tokens":4,"completion_tokens":1}})"
     "\n\ndata: [DONE]\n\n";
 
-/// Notes what a side would pass on of a response.
-class noting_events final : public upstream_events
-{
-public:
-    void onHead(unsigned /*status*/, const std::string & /*contentType*/) override
-    {
-        hasHead = true;
-    }
-    bool onData(std::string data) override
-    {
-        text += data;
-        return true;
-    }
-    void onEnd(upstream_end how, const std::string & /*message*/) override { end = how; }
-
-    bool hasHead = false;
-    std::string text;
-    std::optional<upstream_end> end;
-};
-
-std::shared_ptr<noting_events> callUpstream(io_thread &thread, const std::string &response,
-                                            testing::ending end)
-{
-    const testing::scripted_upstream upstream({response, "", end});
-    auto events = std::make_shared<noting_events>();
-    thread.run([&] {
-        upstream_request request;
-        request.method = "POST";
-        request.target = "/x";
-        request.timeout = std::chrono::seconds(10);
-        const auto call =
-            std::make_shared<upstream_call>(thread, upstream.address(), std::move(request), events);
-        call->start();
-        while (!events->end)
-            boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
-    });
-    return events;
-}
-
 } // namespace
 
 TEST_CASE("a side passes on no head of a response that ends inside its head")
@@ -80,15 +38,15 @@
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                              "Content-Length: 2\r\n\r\n";
     for (std::size_t cut = 0; cut < head.size(); ++cut) {
-        const auto end = cut % 2 == 0 ? testing::ending::Close : testing::ending::Reset;
+        const auto end = cut % 2 == 0 ? ending::Close : ending::Reset;
         const auto events = callUpstream(thread, head.substr(0, cut), end);
         CHECK_FALSE(events->hasHead);
         CHECK(events->end == upstream_end::Broken);
     }
-    CHECK(callUpstream(thread, head + "{", testing::ending::Close)->end == upstream_end::Broken);
-    CHECK(callUpstream(thread, head + "{}", testing::ending::Close)->end == upstream_end::Complete);
+    CHECK(callUpstream(thread, head + "{", ending::Close)->end == upstream_end::Broken);
+    CHECK(callUpstream(thread, head + "{}", ending::Close)->end == upstream_end::Complete);
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    const auto whole = callUpstream(thread, interim + head + "{}", testing::ending::Close);
+    const auto whole = callUpstream(thread, interim + head + "{}", ending::Close);
     CHECK(whole->end == upstream_end::Complete);
     CHECK(whole->text == "{}");
 }
