--- a/tests/shell-side.cpp
+++ b/tests/shell-side.cpp
@@ -8,7 +8,6 @@
 using namespace tamarack;
 using nlohmann::json;
 using tamarack::testing::callUpstream;
-using tamarack::testing::ending;
 
 namespace {
 
@@ -38,15 +37,15 @@
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                              "Content-Length: 2\r\n\r\n";
     for (std::size_t cut = 0; cut < head.size(); ++cut) {
-        const auto end = cut % 2 == 0 ? ending::Close : ending::Reset;
+        const auto end = cut % 2 == 0 ? testing::ending::Close : testing::ending::Reset;
         const auto events = callUpstream(thread, head.substr(0, cut), end);
         CHECK_FALSE(events->hasHead);
         CHECK(events->end == upstream_end::Broken);
     }
-    CHECK(callUpstream(thread, head + "{", ending::Close)->end == upstream_end::Broken);
-    CHECK(callUpstream(thread, head + "{}", ending::Close)->end == upstream_end::Complete);
+    CHECK(callUpstream(thread, head + "{", testing::ending::Close)->end == upstream_end::Broken);
+    CHECK(callUpstream(thread, head + "{}", testing::ending::Close)->end == upstream_end::Complete);
     const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    const auto whole = callUpstream(thread, interim + head + "{}", ending::Close);
+    const auto whole = callUpstream(thread, interim + head + "{}", testing::ending::Close);
     CHECK(whole->end == upstream_end::Complete);
     CHECK(whole->text == "{}");
 }
