An empty list of customers needs keys: none is known

Cause: forward_config::needsKeys() asked whether there are customers. The decoder made an empty list of a configuration without the list and of one whose list has lost its last entry, but only the first needs no key (PROTOCOL.md: "If the configuration contains `tenants`, a request carries a key").

Seen by reading: the check of key-freshness comes behind needsKeys().

Why this fix works: the decoder passes on whether the list is there, and needsKeys() is that alone, so an empty list finds no key. Without the list nothing changes.

Tests: e2e-test_withdrawn_keys (withdrawn, first configuration, no list, a key that comes back, jobs handed in, read and ended), unit-forward, shell-gateway-config.

--- a/include/tamarackglade/forward/forward_config.hpp
+++ b/include/tamarackglade/forward/forward_config.hpp
@@ -7,6 +7,7 @@
 #include <tamarackglade/forward/forward_route.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -20,9 +21,11 @@
 class forward_config
 {
 public:
+    /// @param customers nullopt if the configuration has no list of customers, so that callers need
+    /// no key; with an empty list they do, and no key is known
     forward_config(config_version version, std::vector<forward_route> routes,
-                   std::vector<forward_customer> customers, std::vector<forward_group> groups,
-                   caller_limits limits);
+                   std::optional<std::vector<forward_customer>> customers,
+                   std::vector<forward_group> groups, caller_limits limits);
     forward_config(const forward_config &) = delete;
     forward_config &operator=(const forward_config &) = delete;
 
@@ -40,8 +43,9 @@
     /// @return the first route with this name, or null
     [[nodiscard]] const forward_route *findRouteByName(std::string_view name) const;
 
-    /// @return whether callers need a key on routes that aren't open: if there are customers
-    [[nodiscard]] bool needsKeys() const { return !m_customers.empty(); }
+    /// @return whether callers need a key on routes that aren't open: if there is a list of
+    /// customers, an empty one too
+    [[nodiscard]] bool needsKeys() const { return m_needsKeys; }
     [[nodiscard]] config_version version() const { return m_version; }
     [[nodiscard]] std::size_t routeCount() const { return m_routes.size(); }
     [[nodiscard]] const caller_limits &limits() const { return m_limits; }
@@ -51,7 +55,8 @@
 private:
     const config_version m_version;
     const std::vector<forward_route> m_routes;
-    const std::vector<forward_customer> m_customers;
+    const bool m_needsKeys;
+    const std::vector<forward_customer> m_customers; // empty if no keys are needed
     const std::vector<forward_group> m_groups;
     const caller_limits m_limits;
     // The indexes point into the vectors above. Key of m_routeByHostAndPrefix: host, '\n', prefix.
--- /dev/null
+++ b/tests/e2e/test_withdrawn_keys.py
@@ -0,0 +1,91 @@
+"""End-to-end tests of configurations that leave customers, or all of them, without a key."""
+
+from batch_calls import BatchCalls
+from support import main, wait_until
+from test_gateway import KEY, SiteTestCase, config
+
+WITHDRAWN = (KEY, "key-south", "never-issued", "", None)
+
+
+class WithdrawnKeysTest(BatchCalls, SiteTestCase):
+    """Guards against a service that is open to everybody once no customer has a key."""
+
+    gateways = 2
+
+    def runs_of(self, request):
+        return [run for engine in self.engine for run in engine.runs_of(request)]
+
+    def check_refused(self, keys=WITHDRAWN, status=401):
+        """Checks that no request with one of these keys runs, and that open routes need none."""
+        for gateway in range(len(self.gateway)):
+            for key in keys:
+                for path in ("/stream/x", "/once/x", "/jobs/x"):
+                    found, _, _, request = self.call(path, gateway, key=key)
+                    self.assertEqual((found, self.runs_of(request)), (status, []), (path, key))
+            self.assertEqual(self.call("/open/x", gateway, key=None)[0], 200)
+
+    def check_served(self, key):
+        for gateway in range(len(self.gateway)):
+            found, _, _, request = self.call("/stream/x", gateway, key=key)
+            self.assertEqual((found, len(self.runs_of(request))), (200, 1))
+
+    def test_after_the_last_customer_no_key_is_known(self):
+        self.publish(config(2, tenants=config()["tenants"][:1]))
+        self.check_served(KEY)
+        self.publish(config(3, tenants=[]))
+        self.check_refused()
+        self.publish(config(4))
+        self.check_served(KEY)
+
+    def test_customers_without_keys(self):
+        for version, tenant in enumerate(({"apiKeys": []}, {}), 2):
+            self.publish(config(version, tenants=[dict(tenant, name="north")]))
+            self.check_refused()
+
+    def test_a_first_configuration_without_customers(self):
+        self.publish(config(2, tenants=[]))
+        for gateway in self.gateway:
+            gateway.process.kill()
+        self.gateway = [self.add_gateway("gateway-2")]
+        self.check_refused()
+        self.publish(config(3))
+        self.check_served(KEY)
+
+    def test_without_a_list_of_customers_no_key_is_needed(self):
+        value = config(2)
+        del value["tenants"]
+        self.publish(value)
+        self.check_served(None)
+        self.check_served("any")
+        self.assertEqual(self.runs_of("r1")[0]["headers"].get("Tenant"), None)
+        self.publish(config(3, tenants=[]))
+        self.check_refused()
+
+    def test_jobs_outlive_the_keys_of_their_customer(self):
+        for engine in self.engine:
+            engine.step_s = 0.1
+        self.assertEqual(self.submit("j", items=4), 202)
+        self.publish(config(2, tenants=[]))
+        for gateway in (0, 1):
+            for key in WITHDRAWN:
+                self.assertEqual(self.submit("k", gateway, key), 401)
+                self.assertEqual(self.results("j", gateway, key=key)[0], 401)
+                path = "/tamarackglade/items/j?id=j-0"
+                self.assertEqual(self.call(path, gateway, None, key, "GET")[0], 401)
+                path = "/tamarackglade/lots/j"
+                self.assertEqual(self.call(path, gateway, None, key, "DELETE")[0], 401)
+        wait_until(lambda: all(engine.active == 0 for engine in self.engine), "items have run")
+        another = [{"name": "north", "apiKeys": ["another"]}]
+        self.publish(config(3, tenants=another))
+        self.check_refused()
+        wait_until(lambda: self.results("j", key="another")[1]["next"] == 4, "j finished")
+        results = self.results("j", 1, key="another")[1]["results"]
+        self.assertEqual({result["state"] for result in results}, {"done"})
+        self.assertEqual(self.results("k", key="another")[0], 404)
+        for number in range(4):
+            for run in self.runs_of(f"j-{number}"):
+                self.assertEqual(run["headers"]["Tenant"], "north")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -104,6 +104,20 @@
     });
 }
 
+// Guards against withdrawn keys that run as the list of customers has become empty.
+TEST_CASE(
+    "a configuration with an empty list of customers needs keys, and one without a list doesn't")
+{
+    const platform::http_protocol protocol;
+    const auto decoded = [&](const std::string &customers) {
+        return *protocol.decodeConfig(R"({"version":2,"routes":[])" + customers + "}");
+    };
+    CHECK_FALSE(decoded("")->needsKeys());
+    CHECK(decoded(R"(,"tenants":[])")->needsKeys());
+    CHECK(decoded(R"(,"tenants":[{"name":"north","apiKeys":[]}])")->needsKeys());
+    CHECK(decoded(R"(,"tenants":[{"name":"north","apiKeys":["k"]}])")->findByKey("k") != nullptr);
+}
+
 // Guards against an evacuation that is in the store but has no effect.
 TEST_CASE("evacuations follow the operators' records")
 {
--- a/tests/unit-forward.cpp
+++ b/tests/unit-forward.cpp
@@ -5,7 +5,9 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace tamarack;
@@ -74,6 +76,21 @@
     CHECK(config->needsKeys());
 }
 
+// Guards against a list of customers that lost its last entry and so opens the service to
+// everybody.
+TEST_CASE("only a configuration without a list of customers needs no keys")
+{
+    using customer_list = std::vector<forward_customer>;
+    const auto configWith = [](std::optional<customer_list> customers) {
+        return forward_config(config_version(1), {routeAt("all", "a.example", "/")},
+                              std::move(customers), {}, caller_limits());
+    };
+    CHECK_FALSE(configWith(std::nullopt).needsKeys());
+    CHECK(configWith(customer_list()).needsKeys());
+    CHECK(configWith(customer_list{customerWith("north", {})}).needsKeys());
+    CHECK(configWith(customer_list()).findByKey("") == nullptr);
+}
+
 TEST_CASE("an older configuration never replaces a newer one")
 {
     active_config activeConfig;
