A configuration whose version is no whole number can't be read

What callers saw, on stand-ins: after a configuration with such a version and fewer keys ("version": null, "9", [], true, -1), keys that it had taken away ran on for good, not only for key-freshness. 9.5 was taken as 9; 1e300 as 2^53, and no later version came into force.

Cause: the version was read with a default, 0, for another type. The record counted as an older version, and a read that shows nothing newer confirms the configuration in force and its keys.

Tests: shell-gateway-config and e2e-test_withdrawn_keys (UnreadableVersionTest).

--- a/tests/e2e/test_withdrawn_keys.py
+++ b/tests/e2e/test_withdrawn_keys.py
@@ -7,8 +7,8 @@
 WITHDRAWN = (KEY, "key-south", "never-issued", "", None)
 
 
-class WithdrawnKeysTest(BatchCalls, SiteTestCase):
-    """Guards against a service that is open to everybody once no customer has a key."""
+class KeysTestCase(BatchCalls, SiteTestCase):
+    """Base of tests that send requests with keys that must not run."""
 
     gateways = 2
 
@@ -29,6 +29,10 @@
             found, _, _, request = self.call("/stream/x", gateway, key=key)
             self.assertEqual((found, len(self.runs_of(request))), (200, 1))
 
+
+class WithdrawnKeysTest(KeysTestCase):
+    """Guards against a service that is open to everybody once no customer has a key."""
+
     def test_after_the_last_customer_no_key_is_known(self):
         self.publish(config(2, tenants=config()["tenants"][:1]))
         self.check_served(KEY)
@@ -87,5 +91,31 @@
                 self.assertEqual(run["headers"]["Tenant"], "north")
 
 
+class UnreadableVersionTest(KeysTestCase):
+    """Guards against withdrawn keys that run on as the version that lacks them can't be read."""
+
+    gateways = 1
+    settings = {"key-freshness": 1500}
+
+    def check_keys_stop(self, record, version):
+        """Publishes a record that can't be read, then a sound configuration of this version."""
+        self.check_served(KEY)
+        self.store.put("keyed.op", "config", record)
+        wait_until(lambda: self.call()[0] == 503, "keys stop", 5)
+        self.check_refused((KEY, "key-south", "never-issued"), 503)
+        self.publish(config(version))
+        self.check_served(KEY)
+
+    def test_a_version_that_is_no_whole_number(self):
+        for number, version in enumerate((None, "9", [], {}, True, -1, 9.5, 1e300), 2):
+            with self.subTest(version=version):
+                self.check_keys_stop(config(version, tenants=[]), number)
+
+    def test_bytes_that_are_no_configuration(self):
+        for number, record in enumerate((b"{", b"[]", b"null", b"\xff\xfe", b'{"tenants":[]}'), 2):
+            with self.subTest(record=record):
+                self.check_keys_stop(record, number)
+
+
 if __name__ == "__main__":
     main()
--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -118,6 +118,26 @@
     CHECK(decoded(R"(,"tenants":[{"name":"north","apiKeys":["k"]}])")->findByKey("k") != nullptr);
 }
 
+// Guards against keys that stay valid as the version of the configuration that lacks them counts as
+// an older one.
+TEST_CASE("a configuration whose version is no whole number confirms nothing")
+{
+    io_thread thread;
+    thread.run([&] {
+        int next = 1;
+        for (const char *version : {"null", R"("9")", "[]", "{}", "true", "-1", "9.5", "1e300"}) {
+            CAPTURE(version);
+            watched_stream stream;
+            CHECK(stream.publish(configOfVersion(next)));
+            const auto confirmedAt = stream.watch.activeConfig().confirmedAt();
+            CHECK_FALSE(stream.publish(std::string(R"({"version":)") + version
+                                       + R"(,"routes":[],"tenants":[]})"));
+            CHECK(stream.watch.activeConfig().confirmedAt() == confirmedAt);
+            CHECK(stream.publish(configOfVersion(++next)));
+        }
+    });
+}
+
 // Guards against an evacuation that is in the store but has no effect.
 TEST_CASE("evacuations follow the operators' records")
 {
