A configuration that was removed from the store isn't confirmed any more

Cause: config_watch passed over a record without a value, and the read that brought it confirmed the configuration before it.

Why this fix works: the removal counts as a version that can't be read, so keyed requests get 503 once key-freshness is over; open routes go on. A later version ends that.

--- a/include/tamarackglade/forward/active_config.hpp
+++ b/include/tamarackglade/forward/active_config.hpp
@@ -13,8 +13,9 @@
 ///
 /// A read of the log that shows no newer version confirms the configuration. The age of the
 /// confirmation is counted from when the read was sent, by a clock that continues while the VM is
-/// suspended. A published version that can't be read may have replaced the configuration, so that
-/// nothing confirms it from then on, until a version that can be read follows.
+/// suspended. A published version that can't be read may have replaced the configuration, and one
+/// that was removed holds no more, so that nothing confirms it from then on, until a version that
+/// can be read follows.
 class active_config
 {
 public:
@@ -23,7 +24,7 @@
     /// @return whether it was activated
     bool accept(std::shared_ptr<const forward_config> config, time_point sentAt);
 
-    /// @brief Records that the newest published version can't be read.
+    /// @brief Records that the newest published version can't be read or was removed.
     void onUnreadable() { m_newestIsUnreadable = true; }
 
     /// @brief Records a read that showed no newer version; ignored without a configuration.
@@ -36,7 +37,7 @@
     [[nodiscard]] std::optional<time_point> confirmedAt() const { return m_confirmedAt; }
     /// @return whether the newest confirming read was sent less than bound ago
     [[nodiscard]] bool freshWithin(duration bound, time_point now) const;
-    /// @return whether a version that can't be read was published after the active one
+    /// @return whether the active version was removed, or one that can't be read published after it
     [[nodiscard]] bool newestIsUnreadable() const { return m_newestIsUnreadable; }
 
 private:
--- a/include/tamarackglade/gateway/process/config_watch.hpp
+++ b/include/tamarackglade/gateway/process/config_watch.hpp
@@ -11,8 +11,8 @@
 namespace tamarack {
 
 /// @brief Follows the stream in which operators publish the configuration and their other requests.
-/// A configuration that can't be read is logged; the one before it stays active, but isn't
-/// confirmed any more.
+/// A configuration that can't be read, or was removed from the store, is logged; the one before it
+/// stays active, but isn't confirmed any more.
 class config_watch final : private stream_listener
 {
 public:
@@ -29,6 +29,7 @@
     /// configuration.
     /// @param limit how long the caller waits at most
     /// @return false if the store gave no answer in time, or its newest configuration can't be read
+    /// or was removed
     bool refresh(time_point since, duration limit);
     [[nodiscard]] const active_config &activeConfig() const { return m_activeConfig; }
     /// @return when the configuration in force was put in force
@@ -38,6 +39,7 @@
     void onSnapshot(const std::vector<keyed_record> &records, time_point sentAt) override;
     void onRecord(const std::string &record, time_point sentAt) override;
     void onComplete(time_point sentAt) override { m_activeConfig.confirm(sentAt); }
+    void onRemoved();
     void applyRecord(const keyed_record &record, time_point sentAt);
 
     record_store &m_store;
--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -3,6 +3,7 @@
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace tamarack {
@@ -39,6 +40,12 @@
 void config_watch::onSnapshot(const std::vector<keyed_record> &records, time_point sentAt)
 {
     m_requests.onSnapshot(records);
+    const bool hasConfig =
+        std::any_of(records.begin(), records.end(), [this](const keyed_record &record) {
+            return record.key == m_protocol.configKey();
+        });
+    if (!hasConfig)
+        onRemoved();
     for (const keyed_record &record : records)
         applyRecord(record, sentAt);
 }
@@ -55,10 +62,23 @@
     applyRecord(*keyed, sentAt);
 }
 
+void config_watch::onRemoved()
+{
+    if (!m_activeConfig.current() || m_activeConfig.newestIsUnreadable())
+        return;
+    log_event(log_level::Error, "configuration removed")
+        .with("version", m_activeConfig.current()->version().value());
+    m_activeConfig.onUnreadable();
+}
+
 void config_watch::applyRecord(const keyed_record &record, time_point sentAt)
 {
-    if (record.key != m_protocol.configKey() || record.value.empty())
+    if (record.key != m_protocol.configKey())
+        return;
+    if (record.value.empty()) {
+        onRemoved();
         return;
+    }
     const time_point begunAt = bootNow();
     auto config = m_protocol.decodeConfig(record.value);
     if (!config.ok()) {
--- a/tests/e2e/test_withdrawn_keys.py
+++ b/tests/e2e/test_withdrawn_keys.py
@@ -116,6 +116,9 @@
             with self.subTest(record=record):
                 self.check_keys_stop(record, number)
 
+    def test_a_configuration_that_was_removed(self):
+        self.check_keys_stop(b"", 2)
+
 
 if __name__ == "__main__":
     main()
--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -25,6 +25,8 @@
     read_reply read(const stream_partition & /*partition*/, stream_position from,
                     std::chrono::milliseconds /*wait*/) override
     {
+        if (from < firstKept)
+            return {read_result::Lost, {}, firstKept, {}};
         const auto first = records.begin() + static_cast<std::ptrdiff_t>(from.value());
         return {read_result::Read, stream_position(records.size()), stream_position(0),
                 std::vector<std::string>(first, records.end())};
@@ -33,6 +35,8 @@
     {
         newest_reply reply;
         reply.read = true;
+        reply.records = snapshot;
+        reply.end = firstKept;
         return reply;
     }
     [[nodiscard]] std::string encodeKeyed(const keyed_record &record) const override
@@ -46,6 +50,16 @@
     }
 
     std::vector<std::string> records;
+    // Leaves only the newest record of each key.
+    void loseHistory(std::vector<keyed_record> newestRecords)
+    {
+        records.emplace_back();
+        firstKept = stream_position(records.size());
+        snapshot = std::move(newestRecords);
+    }
+
+    stream_position firstKept; // reads of earlier positions are answered as lost
+    std::vector<keyed_record> snapshot; // newest record of each key
 };
 
 /// Publishes configurations and lets a watch read them.
@@ -138,6 +152,35 @@
     });
 }
 
+// Guards against keys that stay valid after their configuration has been taken out of the store.
+TEST_CASE("a configuration that was removed isn't confirmed any more")
+{
+    io_thread thread;
+    thread.run([&] {
+        watched_stream stream;
+        CHECK(stream.publish(configOfVersion(1)));
+        const auto confirmedAt = stream.watch.activeConfig().confirmedAt();
+        CHECK_FALSE(stream.publish(""));
+        CHECK(stream.watch.activeConfig().confirmedAt() == confirmedAt);
+        CHECK(stream.publish(configOfVersion(2)));
+    });
+}
+
+TEST_CASE("a snapshot without the configuration doesn't confirm it")
+{
+    io_thread thread;
+    thread.run([&] {
+        watched_stream stream;
+        CHECK(stream.publish(configOfVersion(1)));
+        const auto confirmedAt = stream.watch.activeConfig().confirmedAt();
+        stream.store.loseHistory({{"evacuate/zone-a", "{}"}});
+        CHECK_FALSE(stream.watch.refresh(bootNow(), 10s));
+        CHECK(stream.watch.activeConfig().confirmedAt() == confirmedAt);
+        stream.store.loseHistory({{stream.protocol.configKey(), configOfVersion(1)}});
+        CHECK(stream.watch.refresh(bootNow(), 10s));
+    });
+}
+
 // Guards against an evacuation that is in the store but has no effect.
 TEST_CASE("evacuations follow the operators' records")
 {
