A customer with a value of another type is left out, not served without that value

What callers saw, on stand-ins: a customer with "ratePerS": null, "5", [], true or -1 was served without a limit; with such a burst without one, or with none at all; with such a priority at the highest. With a name of another type, or an empty one, its requests reached engines without a customer. A list of customers of another type, or keys of another type, gave 401, which callers don't repeat, although nobody can tell which keys hold.

Cause: fields of customers were read with defaults for another type.

A customer with a fault in its name, priority or limits is left out; the others hold. While something of the list can't be read, a key that isn't found gets 503 keys_not_readable, as it may be there; without a key it is 401 as before. Open routes stay open. Each fault is logged with its place, such as tenants[2].ratePerS.

--- a/include/tamarackglade/forward/forward_config.hpp
+++ b/include/tamarackglade/forward/forward_config.hpp
@@ -24,8 +24,8 @@
     /// @param customers nullopt if the configuration has no list of customers, so that callers need
     /// no key; with an empty list they do, and no key is known
     forward_config(config_version version, std::vector<forward_route> routes,
-                   std::optional<std::vector<forward_customer>> customers,
-                   std::vector<forward_group> groups, caller_limits limits);
+                   std::optional<customer_list> customers, std::vector<forward_group> groups,
+                   caller_limits limits);
     forward_config(const forward_config &) = delete;
     forward_config &operator=(const forward_config &) = delete;
 
@@ -46,6 +46,12 @@
     /// @return whether callers need a key on routes that aren't open: if there is a list of
     /// customers, an empty one too
     [[nodiscard]] bool needsKeys() const { return m_needsKeys; }
+    /// @return what can't be read of the list of customers; if anything, a key that isn't found may
+    /// be among what is left out
+    [[nodiscard]] const std::vector<std::string> &customerFaults() const
+    {
+        return m_customerFaults;
+    }
     [[nodiscard]] config_version version() const { return m_version; }
     [[nodiscard]] std::size_t routeCount() const { return m_routes.size(); }
     [[nodiscard]] const caller_limits &limits() const { return m_limits; }
@@ -57,6 +63,7 @@
     const std::vector<forward_route> m_routes;
     const bool m_needsKeys;
     const std::vector<forward_customer> m_customers; // empty if no keys are needed
+    const std::vector<std::string> m_customerFaults;
     const std::vector<forward_group> m_groups;
     const caller_limits m_limits;
     // The indexes point into the vectors above. Key of m_routeByHostAndPrefix: host, '\n', prefix.
--- a/include/tamarackglade/forward/forward_customer.hpp
+++ b/include/tamarackglade/forward/forward_customer.hpp
@@ -1,4 +1,4 @@
-// A customer of the forwarding configuration.
+// A customer of the forwarding configuration, and the list of them.
 #pragma once
 
 #include <tamarackglade/core/ids.hpp>
@@ -19,4 +19,13 @@
     double burst = 0; // requests
 };
 
+/// @brief The customers of a configuration, as far as they can be read.
+struct customer_list
+{
+    std::vector<forward_customer> customers;
+    // One text for each fault. What it concerns is left out: a customer, or one of its keys, so
+    // that a key that isn't found may be known after all.
+    std::vector<std::string> faults;
+};
+
 } // namespace tamarack
--- a/src/forward/forward_config.cpp
+++ b/src/forward/forward_config.cpp
@@ -22,10 +22,11 @@
 } // namespace
 
 forward_config::forward_config(config_version version, std::vector<forward_route> routes,
-                               std::optional<std::vector<forward_customer>> customers,
+                               std::optional<customer_list> customers,
                                std::vector<forward_group> groups, caller_limits limits)
     : m_version(version), m_routes(std::move(routes)), m_needsKeys(customers.has_value()),
-      m_customers(customers ? std::move(*customers) : std::vector<forward_customer>()),
+      m_customers(customers ? std::move(customers->customers) : std::vector<forward_customer>()),
+      m_customerFaults(customers ? std::move(customers->faults) : std::vector<std::string>()),
       m_groups(std::move(groups)), m_limits(limits)
 {
     for (const forward_route &route : m_routes)
--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -16,6 +16,17 @@
 // Short, as requests with keys are refused until the store answers again.
 constexpr std::chrono::milliseconds RetryPause{250};
 
+// Logs a limited number, as a configuration may have thousands.
+void logCustomerFaults(const forward_config &config)
+{
+    constexpr std::size_t MaxLoggedFaults = 20;
+    const std::vector<std::string> &faults = config.customerFaults();
+    for (std::size_t i = 0; i < std::min(faults.size(), MaxLoggedFaults); ++i)
+        log_event(log_level::Error, "customers not all readable")
+            .with("version", config.version().value())
+            .with("reason", faults[i]);
+}
+
 std::chrono::milliseconds pollWait(duration keyFreshness)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(keyFreshness / ReadsPerFreshness);
@@ -90,6 +101,7 @@
     const auto version = (*config)->version();
     if (!m_activeConfig.accept(*config, sentAt))
         return;
+    logCustomerFaults(**config);
     m_onChange(**config);
     m_changedAt = bootNow();
     log_event(log_level::Info, "configuration in force")
--- a/src/gateway/relay/request_router.cpp
+++ b/src/gateway/relay/request_router.cpp
@@ -106,7 +106,13 @@
         return result;
     }
     result.customer = call.key ? result.config->findByKey(*call.key) : nullptr;
-    if (result.customer == nullptr) {
+    if (result.customer != nullptr)
+        return result;
+    // The key may be in a part of the list that can't be read, so it isn't known to be wrong.
+    if (call.key && !result.config->customerFaults().empty()) {
+        result.refused = refusal(503, "keys_not_readable", UnavailableRetryAfter);
+        result.reason = "keys_not_readable";
+    } else {
         result.refused = refusal(401, "unknown_key");
         result.reason = "unknown_key";
     }
--- a/tests/e2e/test_withdrawn_keys.py
+++ b/tests/e2e/test_withdrawn_keys.py
@@ -91,6 +91,53 @@
                 self.assertEqual(run["headers"]["Tenant"], "north")
 
 
+class UnreadableCustomersTest(KeysTestCase):
+    """Guards against a list of customers of another type that is read as no list."""
+
+    def test_a_list_that_is_none(self):
+        version = 1
+        for value in (None, {}, {"apiKeys": [KEY]}, "", KEY, 0, 7, False, True):
+            with self.subTest(value=value):
+                version += 1
+                self.publish(config(version, tenants=value))
+                self.check_refused((KEY, "never-issued"), 503)
+                self.check_refused(("", " ", None), 401)
+        self.publish(config(version + 1))
+        self.check_served(KEY)
+
+    def test_entries_that_cannot_be_read_leave_the_others(self):
+        sound, other = config()["tenants"]
+        version = 1
+        odd = [None, 7, "north", [], [KEY], {"apiKeys": ["key-south"]},
+               *(dict(other, name=name) for name in (None, 7, "", ["south"], "so\r\nuth")),
+               *(dict(other, **{name: value}) for name in ("ratePerS", "burst", "priority")
+                 for value in (None, "5", [], True, -1)),
+               *(dict(other, apiKeys=keys) for keys in (None, "key-south", {"key-south": 1}, 7))]
+        for entry in odd:
+            with self.subTest(entry=entry):
+                version += 1
+                self.publish(config(version, tenants=[entry, sound]))
+                self.check_served(KEY)
+                self.check_refused(("key-south",), 503)
+                self.check_refused((None,), 401)
+        self.publish(config(version + 1))
+        self.check_served("key-south")
+
+    def test_keys_that_are_no_texts_open_nothing(self):
+        odd = ["", None, 7, [], {}, KEY]
+        self.publish(config(2, tenants=[{"name": "north", "apiKeys": odd}]))
+        self.check_served(KEY)
+        self.check_refused(("7", "null", "None", "[]"), 503)
+        self.check_refused(("", " ", None), 401)
+
+    def test_a_gateway_that_starts_with_them(self):
+        self.publish(config(2, tenants={"north": [KEY]}))
+        for gateway in self.gateway:
+            gateway.process.kill()
+        self.gateway = [self.add_gateway("gateway-2")]
+        self.check_refused((KEY, "key-south"), 503)
+
+
 class UnreadableVersionTest(KeysTestCase):
     """Guards against withdrawn keys that run on as the version that lacks them can't be read."""
 
--- a/tests/unit-forward.cpp
+++ b/tests/unit-forward.cpp
@@ -40,7 +40,7 @@
         std::vector{routeAt("all", "a.example", "/"), routeAt("one", "a.example", "/one/"),
                     routeAt("deep", "a.example", "/one/two/"),
                     routeAt("other", "b.example", "/one/")},
-        std::vector{customerWith("north", {"k1", "k2"}), customerWith("south", {"k3"})},
+        customer_list{{customerWith("north", {"k1", "k2"}), customerWith("south", {"k3"})}, {}},
         std::vector{forward_group{group_id("engines"), 8, 360}}, caller_limits());
 }
 
@@ -80,14 +80,13 @@
 // everybody.
 TEST_CASE("only a configuration without a list of customers needs no keys")
 {
-    using customer_list = std::vector<forward_customer>;
     const auto configWith = [](std::optional<customer_list> customers) {
         return forward_config(config_version(1), {routeAt("all", "a.example", "/")},
                               std::move(customers), {}, caller_limits());
     };
     CHECK_FALSE(configWith(std::nullopt).needsKeys());
     CHECK(configWith(customer_list()).needsKeys());
-    CHECK(configWith(customer_list{customerWith("north", {})}).needsKeys());
+    CHECK(configWith(customer_list{{customerWith("north", {})}, {}}).needsKeys());
     CHECK(configWith(customer_list()).findByKey("") == nullptr);
 }
 
