A configuration with a value of another type in a route, a group or a limit can't be read

A route's maxCount of another type was no limit of waiting tokens, a group's maxConnections no limit of connections, coldPerS no limit of a warm-up, a weight was 1 (traffic for a group that may get none), timeouts of callers were 0, so that each connection was closed at once. An entry of routes that isn't an object was a route that is gone: 404, and its jobs' items given up for good.

Cause: fields were read with defaults for another type.

--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -7,7 +7,9 @@
 #include <tamarackglade/runtime/io_thread.hpp>
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -181,6 +183,112 @@
     });
 }
 
+namespace {
+
+/// A configuration with each part that is read.
+nlohmann::json wholeConfig()
+{
+    return nlohmann::json::parse(R"({"version":2,
+        "routes":[{"name":"r","hostname":"a.example","pathPrefix":"/a/","kind":"batch",
+                   "resumable":true,"public":false,"attempts":3,"timeoutMs":5000,
+                   "targetLatencyMs":300,"priority":1,"completionTargetMs":18000,"retentionS":60,
+                   "maxCount":5000,"trafficSplit":[{"service":"s","weight":90}]},
+                  {"name":"q","hostname":"b.example","pathPrefix":"/b/","service":"s"}],
+        "services":[{"name":"s","maxConnections":360,"coldPerS":2.5,"engine":{"slots":8}}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+                  "idleTimeoutMs":15000},
+        "tenants":[]})");
+}
+
+} // namespace
+
+// Guards against limits and weights of another type that are read as none.
+TEST_CASE("a configuration with a value of another type can't be read")
+{
+    const platform::http_protocol protocol;
+    const auto decoded = [&](const nlohmann::json &config) {
+        return protocol.decodeConfig(config.dump());
+    };
+    REQUIRE(decoded(wholeConfig()).ok());
+    const std::vector<std::string> places{
+        "/routes",
+        "/routes/0",
+        "/routes/0/name",
+        "/routes/0/hostname",
+        "/routes/0/pathPrefix",
+        "/routes/0/kind",
+        "/routes/0/resumable",
+        "/routes/0/public",
+        "/routes/0/attempts",
+        "/routes/0/timeoutMs",
+        "/routes/0/targetLatencyMs",
+        "/routes/0/priority",
+        "/routes/0/completionTargetMs",
+        "/routes/0/retentionS",
+        "/routes/0/maxCount",
+        "/routes/0/trafficSplit",
+        "/routes/0/trafficSplit/0",
+        "/routes/0/trafficSplit/0/service",
+        "/routes/0/trafficSplit/0/weight",
+        "/routes/1/service",
+        "/services",
+        "/services/0",
+        "/services/0/name",
+        "/services/0/maxConnections",
+        "/services/0/coldPerS",
+        "/services/0/engine",
+        "/services/0/engine/slots",
+        "/limits",
+        "/limits/maxHeaderBytes",
+        "/limits/maxBodyBytes",
+        "/limits/headerTimeoutMs",
+        "/limits/idleTimeoutMs",
+    };
+    const std::vector<nlohmann::json> odd{
+        nullptr, "", -1, nlohmann::json::array({7}), {{"odd", 7}}};
+    for (const std::string &place : places) {
+        for (const nlohmann::json &value : odd) {
+            nlohmann::json config = wholeConfig();
+            nlohmann::json &changed = config[nlohmann::json::json_pointer(place)];
+            // An object with no known field is a proper one where nothing in it is required.
+            if (changed.is_object() && value.is_object() && !place.ends_with("/0"))
+                continue;
+            changed = value;
+            CAPTURE(place);
+            CAPTURE(value.dump());
+            CHECK_FALSE(decoded(config).ok());
+        }
+    }
+}
+
+TEST_CASE("a configuration without a list of routes, or a route without a service, can't be read")
+{
+    const platform::http_protocol protocol;
+    for (const char *place : {"/routes", "/routes/0/hostname", "/routes/0/pathPrefix",
+                              "/routes/0/trafficSplit", "/routes/1/service"}) {
+        const nlohmann::json removal{{{"op", "remove"}, {"path", place}}};
+        CAPTURE(place);
+        CHECK_FALSE(protocol.decodeConfig(wholeConfig().patch(removal).dump()).ok());
+    }
+}
+
+TEST_CASE(
+    "fields that a configuration leaves out have their defaults, and unknown ones are ignored")
+{
+    const platform::http_protocol protocol;
+    const auto decoded = protocol.decodeConfig(
+        R"({"version":2,"more":[7],"routes":[{"name":"r","hostname":"A.example","pathPrefix":"/a/",
+            "service":"s","trafficSplit":[],"more":null}],"services":[{"name":"s"}]})");
+    REQUIRE(decoded.ok());
+    const forward_route *route = (*decoded)->findRoute("a.example", "/a/x");
+    REQUIRE(route != nullptr);
+    CHECK(route->kind == route_kind::Once);
+    CHECK_FALSE(route->open);
+    CHECK(route->attempts == 1);
+    CHECK(route->groups == std::vector<weighted_group>{{group_id("s"), 1}});
+    CHECK((*decoded)->limits().idleTimeout == caller_limits().idleTimeout);
+}
+
 // Guards against an evacuation that is in the store but has no effect.
 TEST_CASE("evacuations follow the operators' records")
 {
