A batch item whose tokens or headers can't be read is refused

What callers saw, on stand-ins: a job whose items had no tokens, or tokens of another type ("6000", [6000], true, -1), was accepted on a route that allows 5,000 waiting tokens, and any number of such jobs after it; 0.5 counted as 0. Headers of another type were dropped, and the item ran without them.

Cause: tokens were read with a default of 0, headers with none. An item without headers is one without headers, as before.

--- a/tests/e2e/test_gateway_batch.py
+++ b/tests/e2e/test_gateway_batch.py
@@ -72,6 +72,24 @@
                      '{"items": [{"id": "a", "path": "/p", "body": "%%%"}]}'):
             self.assertEqual(self.call("/jobs/x", body=body)[0], 400, body)
 
+    def test_items_whose_tokens_or_headers_cannot_be_read_are_refused(self):
+        """Guards against items that count as no tokens and so pass every limit."""
+        def submit(name, **changes):
+            item = {"id": f"{name}-0", "path": "/jobs/x", "headers": {}, "body": "", "tokens": 1}
+            item.update(changes)
+            sent = {field: value for field, value in item.items() if value is not ...}
+            return self.call("/jobs/" + name, body=json.dumps({"items": [sent]}),
+                             **{"Request-Id": name})[0]
+        odd = [{"tokens": value} for value in (..., None, "6000", [6000], {}, True, -1, 0.5, 1e300)]
+        odd += [{"headers": value} for value in (None, "Model: m", [["Model", "m"]], 7)]
+        for number, changes in enumerate(odd):
+            with self.subTest(changes=changes):
+                self.assertEqual(submit(f"odd-{number}", **changes), 400)
+                self.assertEqual(self.results(f"odd-{number}")[0], 404)
+        self.assertEqual(submit("sound"), 202)
+        self.assertEqual(submit("without-headers", headers=...), 202)
+        self.assertEqual(submit("above-the-limit", tokens=6000), 429)
+
     def test_a_line_break_in_an_items_header_reaches_no_engine(self):
         smuggled = "a\r\nContent-Length: 0\r\n\r\nPOST /stream/x HTTP/1.1\r\nRequest-Id: smuggled"
         item = {"id": "j-0", "path": "/jobs/x", "headers": {"X-A": smuggled},
