tls-certificate and tls-key are needed together

An entry whose settings had a key but an empty or no tls-certificate served plain HTTP on its callers' address, without a line about it.

Cause: an empty certificate was read as "no TLS", whatever the key said. Without both, plain HTTP is served as before.

--- a/include/tamarackglade/settings/setting_option.hpp
+++ b/include/tamarackglade/settings/setting_option.hpp
@@ -28,6 +28,7 @@
     std::string_view defaultValue;
     bool required;
     std::string_view help;
+    std::string_view needs = ""; // another setting that has to have a value if this one has
 };
 
 } // namespace tamarack
--- a/include/tamarackglade/settings/setting_values.hpp
+++ b/include/tamarackglade/settings/setting_values.hpp
@@ -20,7 +20,8 @@
     /// @brief Sets a value after checking it; a fault leaves the old one.
     void set(std::string_view name, const std::string &text, const std::string &source, int line,
              std::vector<setting_fault> &faults);
-    /// @brief Adds a fault for each required setting that has no value.
+    /// @brief Adds a fault for each setting that has no value, though it is required or needed by
+    /// another one.
     void checkRequired(const std::string &source, std::vector<setting_fault> &faults) const;
 
     [[nodiscard]] const std::string &text(std::string_view name) const;
--- a/src/settings/setting_values.cpp
+++ b/src/settings/setting_values.cpp
@@ -135,6 +135,11 @@
     for (const setting_option &option : m_table.options) {
         if (option.required && text(option.name).empty())
             faults.push_back({source, 0, std::string(option.name), "", expectation(option)});
+        const bool lacksOther =
+            !option.needs.empty() && !text(option.name).empty() && text(option.needs).empty();
+        if (lacksOther)
+            faults.push_back({source, 0, std::string(option.needs), "",
+                              absl::StrCat("a value, as ", std::string(option.name), " has one")});
     }
 }
 
--- a/tests/shell-settings.cpp
+++ b/tests/shell-settings.cpp
@@ -167,6 +167,19 @@
               != std::string::npos);
 }
 
+// Guards against a listener without TLS whose operator has set up one half of it.
+TEST_CASE("settings: a certificate and its key are needed together")
+{
+    CHECK(isAccepted("tls-certificate = c.pem\ntls-key = k.pem"));
+    CHECK(isAccepted("tls-certificate =\ntls-key ="));
+    CHECK(faultOf("tls-key = k.pem")
+          == "entry.ini: tls-certificate: expected a value, as tls-key has one, found nothing");
+    CHECK(faultOf("tls-key = k.pem\ntls-certificate =")
+          == "entry.ini: tls-certificate: expected a value, as tls-key has one, found nothing");
+    CHECK(faultOf("tls-certificate = c.pem")
+          == "entry.ini: tls-key: expected a value, as tls-certificate has one, found nothing");
+}
+
 TEST_CASE("settings: every option's default passes its own check")
 {
     for (const option_table *table : {&entryOptions(), &sideOptions()}) {
