A side's kind is one of its two words

Any kind but "service", such as "Service" or "plain", made a side treat a plain service as an engine.

Cause: the setting was a text, and what wasn't one word meant the other. Why this fix works: a setting of the type Choice is one of its choices, else the settings are refused with them.

Test: shell-settings; before, each of its six wrong words was accepted.

--- a/include/tamarackglade/settings/setting_option.hpp
+++ b/include/tamarackglade/settings/setting_option.hpp
@@ -13,6 +13,7 @@
     Milliseconds,
     Seconds, // may have a fraction
     Flag, // yes or no
+    Choice, // one of the option's choices
     Address, // ip:port
     AddressList, // ip:port, separated by commas
 };
@@ -28,6 +29,7 @@
     std::string_view defaultValue;
     bool required;
     std::string_view help;
+    std::string_view choices = ""; // of Choice, separated by '|'
     std::string_view needs = ""; // another setting that has to have a value if this one has
 };
 
--- a/src/settings/option_table.cpp
+++ b/src/settings/option_table.cpp
@@ -54,6 +54,8 @@
         return "number";
     case Flag:
         return "yes/no";
+    case Choice:
+        return "choice";
     case Address:
         return "ip:port";
     case AddressList:
@@ -107,9 +109,9 @@
              "Address on which callers connect"},
             {"threads", Integer, "threads", 1, 64, "1", false, "Threads that serve callers"},
             {"tls-certificate", Text, "", AnyMinimum, AnyMaximum, "", false,
-             "PEM file of the callers' listener; empty for plain HTTP", "tls-key"},
+             "PEM file of the callers' listener; empty for plain HTTP", "", "tls-key"},
             {"tls-key", Text, "", AnyMinimum, AnyMaximum, "", false,
-             "PEM file of the certificate's private key", "tls-certificate"},
+             "PEM file of the certificate's private key", "", "tls-certificate"},
             {"header-limit", Integer, "bytes", 1'024, 1'048'576, "16384", false,
              "Largest request header"},
             {"body-limit", Integer, "bytes", 1'024, 1'073'741'824, "4194304", false,
@@ -134,8 +136,8 @@
             {"upstream", Address, "", AnyMinimum, AnyMaximum, "", true, "Address of the upstream"},
             {"group", Text, "", AnyMinimum, AnyMaximum, "", true,
              "Upstream group of the manifest that this upstream belongs to"},
-            {"kind", Text, "", AnyMinimum, AnyMaximum, "engine", false,
-             "engine for a model engine, service for a plain service"},
+            {"kind", Choice, "", AnyMinimum, AnyMaximum, "engine", false,
+             "engine for a model engine, service for a plain service", "engine|service"},
             {"max-streams", Integer, "requests", 1, 4'096, "256", false,
              "Requests that the upstream may run at once, online and batch together"},
         })};
--- a/src/settings/setting_values.cpp
+++ b/src/settings/setting_values.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_split.h>
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
 #include <cassert>
 
 namespace tamarack {
@@ -54,6 +55,13 @@
            && value <= static_cast<double>(option.maximum);
 }
 
+bool isChoice(const setting_option &option, const std::string &text)
+{
+    const std::vector<std::string> choices =
+        absl::StrSplit(absl::string_view(option.choices.data(), option.choices.size()), '|');
+    return std::find(choices.begin(), choices.end(), text) != choices.end();
+}
+
 bool isValid(const setting_option &option, const std::string &text)
 {
     switch (option.type) {
@@ -66,6 +74,8 @@
         return isSecondsInRange(option, text);
     case setting_type::Flag:
         return text == "yes" || text == "no";
+    case setting_type::Choice:
+        return isChoice(option, text);
     case setting_type::Address:
         return isAddress(text);
     case setting_type::AddressList:
@@ -88,6 +98,8 @@
                             std::string(option.unit));
     case setting_type::Flag:
         return "yes or no";
+    case setting_type::Choice:
+        return absl::StrCat("one of ", std::string(option.choices));
     case setting_type::Address:
         return "ip:port";
     case setting_type::AddressList:
--- a/tests/shell-settings.cpp
+++ b/tests/shell-settings.cpp
@@ -180,6 +180,24 @@
           == "entry.ini: tls-key: expected a value, as tls-certificate has one, found nothing");
 }
 
+// Guards against a side that treats a plain service as an engine after a typing error.
+TEST_CASE("settings: a choice is one of its words")
+{
+    const auto faultsOf = [](const std::string &kind) {
+        setting_values values(sideOptions());
+        std::vector<setting_fault> faults;
+        values.set("kind", kind, "side.ini", 7, faults);
+        return faults;
+    };
+    CHECK(faultsOf("engine").empty());
+    CHECK(faultsOf("service").empty());
+    for (const char *kind : {"", "Service", "services", "engine|service", "|", "plain"}) {
+        CAPTURE(kind);
+        REQUIRE(faultsOf(kind).size() == 1);
+        CHECK(faultsOf(kind)[0].expected == "one of engine|service");
+    }
+}
+
 TEST_CASE("settings: every option's default passes its own check")
 {
     for (const option_table *table : {&entryOptions(), &sideOptions()}) {
