tamarackctl withdraws only what can be a key's id

What an operator saw, on stand-ins: `key withdraw` with the whole key, an empty text, a customer's name or an id with a typing error printed "withdrawn", exit code 0, and the key went on working.

Cause: any text was taken as an id and stored as withdrawn. Why this fix works: an id has twelve letters and digits; anything else is refused with exit code 2, and a key's secret isn't printed. An id of that form that nobody knows is stored as before, as its issue may be under way (unit-keys: a withdrawal may precede the issue).

--- a/include/tamarackglade/keys/key_format.hpp
+++ b/include/tamarackglade/keys/key_format.hpp
@@ -17,6 +17,9 @@
 /// @return the key id of a well-formed key; none for any other text
 std::optional<key_id> parseKeyId(std::string_view presented);
 
+/// @return whether the text could be a key's id: of its length, all letters and digits
+bool isKeyId(std::string_view text);
+
 /// @brief Replaces the secret of every key in a text, complete or truncated, for logs.
 /// @return the text with `tg_<id>_[redacted]` in place of keys; complexity O(size)
 std::string redactKeys(std::string_view text);
--- a/src/ctl/config_commands.cpp
+++ b/src/ctl/config_commands.cpp
@@ -6,6 +6,7 @@
 #include <tamarackglade/ctl/exit_code.hpp>
 #include <tamarackglade/ctl/fleet_commands.hpp>
 #include <tamarackglade/keys/issued_key.hpp>
+#include <tamarackglade/keys/key_format.hpp>
 #include <tamarackglade/runtime/random_bytes.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -152,8 +153,15 @@
     return ExitDone;
 }
 
+// An id that isn't known may be one whose issue is still under way, so its withdrawal is stored
+// too.
 int withdrawKey(ctl_context &context, const std::string &id)
 {
+    if (!isKeyId(id)) {
+        context.output.error(
+            absl::StrCat("'", redactKeys(id), "' is no key id; 'key list' shows them"));
+        return ExitUsage;
+    }
     schema::key_withdrawn_message record;
     record.key_id = id;
     const auto stored = appendConfig(context.platform, makeBatch(record));
--- a/src/keys/key_format.cpp
+++ b/src/keys/key_format.cpp
@@ -44,6 +44,11 @@
     return key_id(std::string(presented.substr(KeyPrefix.size(), KeyIdLength)));
 }
 
+bool isKeyId(std::string_view text)
+{
+    return text.size() == KeyIdLength && alphanumericPrefixSize(text) == KeyIdLength;
+}
+
 std::string redactKeys(std::string_view text)
 {
     std::string result;
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -146,6 +146,15 @@
         self.assertNotIn(issued["key_id"], json.dumps(self.ctl_json("key", "list")))
         self.assertEqual(self.fleet.ctl("key", "issue", "nobody", check=False).returncode, 2)
 
+    def test_what_is_no_key_id_is_not_withdrawn(self):
+        """Guards against an operator who is told that a key is withdrawn that goes on working."""
+        issued = self.ctl_json("key", "issue", "shire")
+        for text in ("", "shire", issued["key"], issued["key_id"][:-1], issued["key_id"] + " "):
+            done = self.fleet.ctl("key", "withdraw", text, check=False)
+            self.assertEqual(done.returncode, 2, text)
+            self.assertNotIn(issued["key"], done.stdout + done.stderr)
+        self.assertIn(issued["key_id"], json.dumps(self.ctl_json("key", "list")))
+
     def test_jobs_are_listed_shown_and_cancelled(self):
         _, job = self.create(self.upload(items(3000, prefix="operator", max_tokens=64)))
         listed = self.ctl_json("jobs", "list", "shire")
--- a/tests/unit-keys.cpp
+++ b/tests/unit-keys.cpp
@@ -24,6 +24,16 @@
 
 } // namespace
 
+TEST_CASE("a key id has its length and only letters and digits")
+{
+    CHECK(isKeyId("abcXYZ012789"));
+    for (const char *text : {"", "abcXYZ01278", "abcXYZ0127899", "abcXYZ01278-", "abcXYZ01278 ",
+                             "tg_abcXYZ012", "tg_abcXYZ012789_"}) {
+        CAPTURE(text);
+        CHECK_FALSE(isKeyId(text));
+    }
+}
+
 TEST_CASE("issued keys")
 {
     const issued_key key = newKey();
