A customer whose list of models is empty may call none

An operator who took away the last name of `models =` gave the customer all models.

Cause: an empty list stood for "*", which is how the option is left out. Why this fix works: a list without a limit is nullopt, read from "*" alone, and an empty list is one of no models.

--- a/include/tamarackglade/config/customer_options.hpp
+++ b/include/tamarackglade/config/customer_options.hpp
@@ -4,6 +4,7 @@
 #include <tamarackglade/core/ids.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace tamarack {
@@ -14,7 +15,7 @@
     double ratePerSecond = 0; // requests a second over the whole fleet
     std::uint32_t burst = 0; // requests
     std::uint32_t weight = 1; // share at every queue, relative to other customers
-    std::vector<model_id> models; // empty: all
+    std::optional<std::vector<model_id>> models; // that it may call; nullopt: all
     bool batchAllowed = false;
     std::uint32_t maxOpenJobs = 0;
     region_id region; // empty: any
--- a/include/tamarackglade/config/parse_option.hpp
+++ b/include/tamarackglade/config/parse_option.hpp
@@ -8,9 +8,11 @@
 #include <tamarackglade/config/option_doc.hpp>
 #include <tamarackglade/core/strong_id.hpp>
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 #include <vector>
 
 namespace tamarack {
@@ -64,4 +66,20 @@
     return true;
 }
 
+/// A list that has no limit, nullopt, if the text is "*". An empty text is an empty list.
+template <class Value>
+bool parseOption(std::string_view text, const option_doc &doc,
+                 std::optional<std::vector<Value>> &value)
+{
+    if (text == "*") {
+        value.reset();
+        return true;
+    }
+    std::vector<Value> list;
+    if (!parseOption(text, doc, list))
+        return false;
+    value = std::move(list);
+    return true;
+}
+
 } // namespace tamarack
--- a/src/config/customer_options.cpp
+++ b/src/config/customer_options.cpp
@@ -7,7 +7,7 @@
 
 bool customer_options::mayUse(const model_id &model) const
 {
-    return models.empty() || std::find(models.begin(), models.end(), model) != models.end();
+    return !models || std::find(models->begin(), models->end(), model) != models->end();
 }
 
 } // namespace tamarack
--- a/src/config/manifest_checks.cpp
+++ b/src/config/manifest_checks.cpp
@@ -82,7 +82,7 @@
 void manifest_builder::checkCustomers()
 {
     for (const auto &[id, customer] : m_draft.customers) {
-        for (const model_id &model : customer.models) {
+        for (const model_id &model : customer.models.value_or(std::vector<model_id>())) {
             if (m_draft.model(model) == nullptr) {
                 addFault("customer " + id.value(), "models", model.value(),
                          "the names of declared models");
--- a/src/config/manifest_options.cpp
+++ b/src/config/manifest_options.cpp
@@ -185,7 +185,7 @@
       .type = List,
       .unit = "model names",
       .defaultText = "*",
-      .help = "Models that it may call; * for all."},
+      .help = "Models that it may call; * for all, none if empty."},
      setOption<&customer_options::models>},
     {{.section = "customer NAME",
       .key = "batch",
--- a/tests/unit-manifest.cpp
+++ b/tests/unit-manifest.cpp
@@ -45,6 +45,23 @@
     CHECK(result.parsed->digest != parseManifest(Fleet + "\n").parsed->digest);
 }
 
+// Guards against a customer that may call every model once its list has lost the last one.
+TEST_CASE("a customer with an empty list of models may call none")
+{
+    const auto customerWith = [](const std::string &models) {
+        const manifest_result result =
+            parseManifest(Fleet + "[group e]\nkind = engine\n[model m]\ngroup = e\nversion = 1\n"
+                          + "[customer c]\nrate-per-second = 1\nburst = 1\n" + models);
+        REQUIRE(result.ok());
+        return *result.parsed->customer(customer_id("c"));
+    };
+    CHECK(customerWith("").mayUse(model_id("m")));
+    CHECK(customerWith("models = *\n").mayUse(model_id("m")));
+    CHECK(customerWith("models = m\n").mayUse(model_id("m")));
+    CHECK_FALSE(customerWith("models =\n").mayUse(model_id("m")));
+    CHECK_FALSE(customerWith("models = ; none\n").mayUse(model_id("m")));
+}
+
 TEST_CASE("the examples")
 {
     const manifest_result permits = parseManifest(readFile("examples/permit-assistant.ini"));
