The stop of an io_thread no longer wakes it from outside

Cause: io_thread::stop() fulfilled the promise that the thread's main fiber waits for from the caller's thread. Boost.Fiber puts that fiber on the other scheduler's remote queue and then calls notify() of its algorithm. A thread that is awake takes the fiber in between, ends and destroys the scheduler, and notify() writes to freed memory.

Why this fix works: the promise is fulfilled by a handler on the thread itself, so the wake is a local one, and other threads touch the io_context alone, which is shared. The invariant stands at the class.

By reading, run() is sound: what it wakes is its caller's thread, which joins this one before it ends (tamarackctl, load, gateway, entry, side).

--- a/include/tamarackglade/runtime/io_thread.hpp
+++ b/include/tamarackglade/runtime/io_thread.hpp
@@ -11,10 +11,19 @@
 namespace tamarack {
 
 /// @brief Runs fibers and their I/O on one thread until stopped.
+///
+/// Invariant: the thread's fiber scheduler ends with the thread, so no other thread wakes the fiber
+/// that the thread ends with. Others only post to the io_context, which is shared.
 class io_thread
 {
 public:
+    /// Installs the calling thread's fiber scheduler.
+    using scheduler_installer =
+        std::function<void(const std::shared_ptr<boost::asio::io_context> &)>;
+
     io_thread();
+    /// @param installScheduler called on the new thread instead of installing an asio_scheduler
+    explicit io_thread(scheduler_installer installScheduler);
     io_thread(const io_thread &) = delete;
     io_thread &operator=(const io_thread &) = delete;
     /// Stops and joins; see stop.
@@ -37,6 +46,7 @@
 private:
     void threadMain();
 
+    const scheduler_installer m_installScheduler;
     std::shared_ptr<boost::asio::io_context> m_io;
     boost::fibers::promise<void> m_stopped;
     bool m_stopRequested = false;
--- a/src/runtime/io_thread.cpp
+++ b/src/runtime/io_thread.cpp
@@ -10,8 +10,20 @@
 
 namespace tamarack {
 
-io_thread::io_thread()
-    : m_io(std::make_shared<boost::asio::io_context>(1)), m_thread([this] { threadMain(); })
+namespace {
+
+void installAsioScheduler(const std::shared_ptr<boost::asio::io_context> &io)
+{
+    boost::fibers::use_scheduling_algorithm<asio_scheduler>(io);
+}
+
+} // namespace
+
+io_thread::io_thread() : io_thread(&installAsioScheduler) { }
+
+io_thread::io_thread(scheduler_installer installScheduler)
+    : m_installScheduler(std::move(installScheduler)),
+      m_io(std::make_shared<boost::asio::io_context>(1)), m_thread([this] { threadMain(); })
 {
 }
 
@@ -44,13 +56,14 @@
     if (m_stopRequested)
         return;
     m_stopRequested = true;
-    m_stopped.set_value();
+    // On the thread itself: a wake from here would go on using the thread's scheduler after it.
+    boost::asio::post(*m_io, [this] { m_stopped.set_value(); });
     m_thread.join();
 }
 
 void io_thread::threadMain()
 {
-    boost::fibers::use_scheduling_algorithm<asio_scheduler>(m_io);
+    m_installScheduler(m_io);
     m_stopped.get_future().get();
 }
 
--- a/tests/shell-runtime.cpp
+++ b/tests/shell-runtime.cpp
@@ -13,8 +13,11 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 using namespace tamarack;
 namespace asio = boost::asio;
@@ -43,8 +46,62 @@
     return {bytes, size};
 }
 
+/// What becomes of a scheduler and of the notifications to it.
+struct scheduler_life
+{
+    std::atomic<bool> ended = false;
+    std::atomic<bool> notifiedAfterEnd = false;
+};
+
+/// Notifications by other threads arrive late, as if the machine had stopped their threads.
+class late_scheduler : public asio_scheduler
+{
+public:
+    late_scheduler(std::shared_ptr<asio::io_context> io, std::shared_ptr<scheduler_life> life)
+        : asio_scheduler(std::move(io)), m_life(std::move(life))
+    {
+    }
+    ~late_scheduler() override { m_life->ended = true; }
+
+    void notify() noexcept override
+    {
+        const auto life = m_life; // this scheduler may be gone after the pause
+        if (std::this_thread::get_id() != m_thread)
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        if (life->ended)
+            life->notifiedAfterEnd = true;
+        else
+            asio_scheduler::notify();
+    }
+
+private:
+    const std::thread::id m_thread = std::this_thread::get_id();
+    const std::shared_ptr<scheduler_life> m_life;
+};
+
 } // namespace
 
+// Guards against a heap that is corrupted at the end of a program, by a wake of a thread that
+// ended.
+TEST_CASE("the stop of a thread touches its scheduler no more once the thread may have ended")
+{
+    const auto life = std::make_shared<scheduler_life>();
+    std::atomic<bool> begun = false;
+    io_thread thread([life](const std::shared_ptr<asio::io_context> &io) {
+        boost::fibers::use_scheduling_algorithm<late_scheduler>(io, life);
+    });
+    // The thread is busy while it is stopped, so that it needs no notification to go on.
+    thread.spawn([&begun] {
+        begun = true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    });
+    while (!begun)
+        std::this_thread::yield();
+    thread.stop();
+    CHECK(life->ended);
+    CHECK_FALSE(life->notifiedAfterEnd);
+}
+
 TEST_CASE("fibers wait for sockets without blocking their thread")
 {
     std::string received;
