Tests: a port is reserved until its script ends

Seen: e2e-test_silent_upstreams ended twice with an error, one of them traced to a UDP port that another copy had taken; e2e-test_versions failed once, a gateway wasn't ready (KNOWN-RED; there the same cause is suspected).

Cause: free_port() probed TCP only and gave the port back before its user bound it, and scripts whose process ids differ by a multiple of 210 draw the same ports. Why this fix works: a port is a locked byte of one file, held by the script until it ends, and is probed with TCP and UDP. Ports stay below the range of outgoing connections.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,6 +4,7 @@
 and is ended by it.
 """
 
+import fcntl
 import http.client
 import itertools
 import json
@@ -13,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import tempfile
 import time
 
 READY_TIMEOUT_S = 60
@@ -23,11 +25,36 @@
 FIRST_PORT = 10240
 PORT_COUNT = 21000
 PORTS_PER_PROCESS = 100
+# Each port that a running script has taken is a locked byte of this file, at the port's number.
+PORT_LOCKS = pathlib.Path(tempfile.gettempdir()) / "tamarack-ports.lock"
 _ports = itertools.count()
+_lock_files = []
+
+
+def reserve_port(port):
+    """Returns whether this process holds the port, until it ends, against other scripts."""
+    if not _lock_files:
+        _lock_files.append(open(PORT_LOCKS, "ab"))
+    try:
+        fcntl.lockf(_lock_files[0], fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
+def is_unused(port):
+    """Returns whether nothing on loopback uses the port, with TCP or UDP."""
+    with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
+        try:
+            stream.bind(("127.0.0.1", port))
+            datagram.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def free_port():
-    """Returns a free loopback port that this process has not returned before.
+    """Returns a free loopback port that no running script has got.
 
     The daemons share addresses between their threads (SO_REUSEPORT), so binding a port twice
     would succeed and split the connections between two listeners.
@@ -35,12 +62,8 @@
     while True:
         step = os.getpid() * PORTS_PER_PROCESS + next(_ports)
         port = FIRST_PORT + step % PORT_COUNT
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
+        if reserve_port(port) and is_unused(port):
+            return port
 
 
 def http_call(address, method, path, body=None, headers=None, timeout=30):
