A record of an upstream with a zone, version or warm-up of another type names none

A warm-up of another type, such as "60000" or null, counted as over, so that an engine that had just started got the load of a warm one. A version of another type counted as unknown (no stream goes on there, which was sound), a zone as none.

Cause: fields read with defaults. A field that is missing keeps its meaning.

--- a/tests/e2e/test_odd_records.py
+++ b/tests/e2e/test_odd_records.py
@@ -45,6 +45,11 @@
         "list": b"[1, 2]",
         "bytes": b"\xff\xfe\x00\x01" * 10,
         "zone-object": changed(zone={"a": 1}, state=None),
+        "zone-number": changed(zone=7),
+        "version-number": changed(version=2),
+        "version-list": changed(version=["v1"]),
+        "warm-up-text": changed(coldRemainingMs="60000"),
+        "warm-up-none": changed(coldRemainingMs=None),
     }
 
 
--- a/tests/shell-gateway-requests.cpp
+++ b/tests/shell-gateway-requests.cpp
@@ -229,3 +229,33 @@
     CHECK(percentEncoded("i-7f.3_a~") == "i-7f.3_a~");
     CHECK(percentEncoded("a&b=c d\r\n%") == "a%26b%3Dc%20d%0D%0A%25");
 }
+
+// Guards against an upstream that gets the load of a warm one as its record's warm-up is no number.
+TEST_CASE("a record of an upstream with a field of another type names no upstream to use")
+{
+    const platform::http_protocol protocol;
+    const nlohmann::json sound = {{"service", "s"},   {"address", "127.0.0.1:8080"},
+                                  {"zone", "z"},      {"version", "v1"},
+                                  {"slots", 8},       {"state", "ready"},
+                                  {"sequence", 1},    {"coldRemainingMs", 2'000},
+                                  {"models", nullptr}};
+    REQUIRE(protocol.decodeUpstream("u", sound.dump()).ok());
+    for (const char *name :
+         {"service", "address", "zone", "version", "slots", "state", "coldRemainingMs"}) {
+        for (const nlohmann::json &value :
+             {nlohmann::json(nullptr), nlohmann::json(true), nlohmann::json::array({1}),
+              nlohmann::json::object(),
+              sound[name].is_string() ? nlohmann::json(7) : nlohmann::json("7")}) {
+            nlohmann::json changed = sound;
+            changed[name] = value;
+            CAPTURE(changed.dump());
+            CHECK_FALSE(protocol.decodeUpstream("u", changed.dump()).ok());
+        }
+    }
+    for (const char *name : {"zone", "version", "coldRemainingMs"}) {
+        nlohmann::json without = sound;
+        without.erase(name);
+        CAPTURE(name);
+        CHECK(protocol.decodeUpstream("u", without.dump()).ok());
+    }
+}
