A rate of an upstream that can't be read ends no limit

An engine that had named the rate it takes, and then a malformed one, got the usual load again, from all gateways.

Cause: a rate that can't be read was read as none, and an answer that names none ends the limit. Why this fix works: such an answer says nothing about the rate; the next one that can be read, or names none, counts. What stood before stays: a malformed rate begins no limit either.

--- a/include/tamarackglade/gateway/upstream/response_metadata.hpp
+++ b/include/tamarackglade/gateway/upstream/response_metadata.hpp
@@ -22,6 +22,7 @@
     // Requests per second that the upstream accepts from all gateways together, as of this
     // response.
     std::optional<double> acceptedRate;
+    bool hasUnreadableRate = false; // a stated rate can't be read, so the response ends no limit
     std::optional<std::chrono::seconds> keepAlive; // idle timeout of the connection
     std::vector<std::pair<std::string, std::string>> headers; // headers to forward to the caller
 };
--- a/src/gateway/exchange/rate_exchange.cpp
+++ b/src/gateway/exchange/rate_exchange.cpp
@@ -22,6 +22,8 @@
 
 void rate_exchange::onResponse(const live_upstream &upstream, const response_metadata &metadata)
 {
+    if (!metadata.acceptedRate && metadata.hasUnreadableRate)
+        return;
     const time_point now = bootNow();
     applyStatement({upstream.id, upstream.incarnation, metadata.acceptedRate, now}, "response",
                    now);
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -683,6 +683,18 @@
         self.send_for(2)
         self.assertGreater(len(self.engine[0].arrived), 20)
 
+    def test_a_malformed_rate_ends_no_limit(self):
+        """Guards against an engine in need that gets the usual load for a rate that can't be read."""
+        self.limit(str(self.RATE))
+        self.learn()
+        for values in (["soon"], ["-1"], ["nan"], [""]):
+            self.limit(*values)
+            self.send_for(0.5)
+        self.assertFalse(self.gateway[0].lines_of("upstream's rate limit ended"))
+        self.limit()
+        self.send_for(1)
+        wait_until(lambda: self.gateway[0].lines_of("upstream's rate limit ended"), "end")
+
     def test_a_malformed_rate_limits_nothing_and_of_two_the_lower_counts(self):
         for values in (["soon"], ["-1"], ["nan"], [""]):
             self.limit(*values)
