--- a/tests/e2e/test_online.py
+++ b/tests/e2e/test_online.py
@@ -67,6 +67,16 @@
         status, _, _ = http_call(self.entry.http, "GET", "/v1/models")
         self.assertEqual(status, 401)
 
+    def test_an_authorization_without_a_whole_key_is_refused(self):
+        """Guards against an empty or broken key that is read as one that needs no check."""
+        key = self.headers()["Authorization"].removeprefix("Bearer ")
+        for header in ("", " ", "Bearer", "Bearer ", "Bearer  " + key, "bearer " + key, key,
+                       "Basic " + key, "Bearer " + key[:-1], "Bearer " + key + "x",
+                       "Bearer tg__", "Bearer " + key.rsplit("_", 1)[0] + "_"):
+            status, _, _ = http_call(self.entry.http, "GET", "/v1/models", None,
+                                     {"Authorization": header})
+            self.assertEqual(status, 401, header)
+
     def test_malformed_requests_get_clear_errors(self):
         good = {"model": "drafter", "messages": [{"role": "user", "content": "x"}]}
         cases = [
--- a/tests/shell-wire.cpp
+++ b/tests/shell-wire.cpp
@@ -5,14 +5,19 @@
 #include <tamarackglade/wire/detail/wire_connection.hpp>
 #include <tamarackglade/wire/frame_codec.hpp>
 #include <tamarackglade/wire/hello.hpp>
+#include <tamarackglade/wire/load_wire_settings.hpp>
 #include <tamarackglade/wire/wire_link.hpp>
 #include <tamarackglade/wire/wire_server.hpp>
 
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <condition_variable>
+#include <filesystem>
+#include <fstream>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -418,3 +423,28 @@
     test_acceptor second("s", "127.0.0.1:" + std::to_string(port));
     CHECK(second.handler.waitForConnections(1));
 }
+
+// Guards against a fleet whose processes trust everybody, as their secret is empty.
+TEST_CASE("wire settings: a fleet secret has 16 bytes or more without its blanks")
+{
+    const std::string path =
+        (std::filesystem::temp_directory_path() / ("secret-" + std::to_string(getpid()))).string();
+    const auto isTaken = [&](const std::string &content) {
+        std::ofstream(path) << content;
+        setting_values values(entryOptions());
+        std::vector<setting_fault> faults;
+        values.set("fleet-secret-file", path, "test", 0, faults);
+        return loadWireSettings(values, schema::vm_role::Entry).ok();
+    };
+    CHECK(isTaken("0123456789abcdef\n"));
+    for (const char *content : {"", "\n", "                    \n", "0123456789abcde\n",
+                                "\n\n\n\n0123456789abcde\n\n\n\n"}) {
+        CAPTURE(content);
+        CHECK_FALSE(isTaken(content));
+    }
+    std::filesystem::remove(path);
+    setting_values values(entryOptions());
+    std::vector<setting_fault> faults;
+    values.set("fleet-secret-file", path, "test", 0, faults);
+    CHECK_FALSE(loadWireSettings(values, schema::vm_role::Entry).ok());
+}
