--- a/include/tamarackglade/settings/setting_option.hpp
+++ b/include/tamarackglade/settings/setting_option.hpp
@@ -29,8 +29,8 @@
     std::string_view defaultValue;
     bool required;
     std::string_view help;
-    std::string_view choices = ""; // of Choice, separated by '|'
-    std::string_view needs = ""; // another setting that has to have a value if this one has
+    std::string_view choices{}; // of Choice, separated by '|'
+    std::string_view needs{}; // another setting that has to have a value if this one has
 };
 
 } // namespace tamarack
