The soak takes all customers' keys away and gives them back

Kind "customers": beside kills, stops, pauses, cuts and faults of the store, configurations leave out all customers in series, as an empty list, as one that can't be read, with customers without keys, names or limits, as a version or a record that can't be read, or as a removed one, and bring them back. Checked from what callers and engines saw: nothing with a key runs that was sent later than key-freshness after such a configuration and before the next; nobody is denied but while one was the newest; jobs outlive it.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+from deployment import PERMANENT_KEYS, WITHDRAWN_S
 from faulty_link import DELAY, NO_ANSWERS, NO_REQUESTS, PASS, RESET, SILENT
 
 SERIES_CHANCE = 0.5
@@ -12,6 +13,8 @@
 MAX_FAULT_S = 4.0
 SILENCE_S = (0.7, 1.5)  # of a sound engine
 
+WITHHOLDING = threading.Lock()  # one thread at a time takes the customers away
+
 
 def apply_fault(site, target, seconds, begin, end):
     """Records a fault on the target while begin() has taken effect and end() has not."""
@@ -179,6 +182,29 @@
     site.withdraw_key(key)
 
 
+def without_customers(rng):
+    """Returns what makes a configuration one in which no customer has a key."""
+    nameless = {"apiKeys": [PERMANENT_KEYS["north"]]}
+    tenants = rng.choice([[], None, {}, "", 0, [None], [[]], [nameless]])
+    fields = rng.choice([{"apiKeys": []}, {"apiKeys": None}, {"apiKeys": ""}, {"name": None},
+                         {"name": ""}, {"ratePerS": None}, {"burst": "5"}, {"priority": []}])
+    version = rng.choice([None, "9", -1, 0.5])
+    record = rng.choice([b"", b"{", b"null"])
+    return rng.choice([
+        lambda config: dict(config, tenants=tenants),
+        lambda config: dict(config, tenants=[dict(each, **fields) for each in config["tenants"]]),
+        lambda config: dict(config, tenants=[], version=version),
+        lambda config: record])
+
+
+def customers_withheld(site, rng):
+    """Takes the keys of all customers away and gives them back, each time in another way."""
+    with WITHHOLDING:
+        for _ in range(rng.randint(1, 3)):
+            site.withhold_customers(without_customers(rng), rng.uniform(0.2, 2 * WITHDRAWN_S))
+            time.sleep(rng.uniform(0, 1))
+
+
 def configurations_in_series(site, rng):
     for _ in range(rng.randint(2, 10)):
         site.publish()
@@ -211,9 +237,11 @@
                 engine_crashes, key_withdrawn, configurations_in_series, callers_send_faster,
                 callers_disconnect]
 FAULTS = [*BASIC_FAULTS, engine_falls_silent, configurations_change]
+CUSTOMER_FAULTS = [*BASIC_FAULTS, *[customers_withheld] * 4, configurations_change]
 KINDS = {  # faults that a run draws from
     "all": FAULTS,
     "basic": BASIC_FAULTS,
+    "customers": CUSTOMER_FAULTS,
     "silence": [engine_falls_silent],
     "configurations": [configurations_change],
     "silence-and-configurations": [engine_falls_silent, engine_falls_silent, configurations_change,
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -50,6 +50,16 @@
     at: float
 
 
+@dataclasses.dataclass
+class Withholding:
+    """A time in which no published configuration has a customer with a key."""
+
+    begun_at: float  # before the first such configuration was published
+    acknowledged_at: float
+    ended_at: float = float("inf")  # before the first with customers was published again
+    restored_at: float = float("inf")  # when that one was acknowledged
+
+
 class Ledger:
     """The append-only record of a run; every thread may add to it."""
 
@@ -58,6 +68,7 @@
         self.calls = []
         self.jobs = []
         self.withdrawals = []
+        self.withholdings = []
         self.drains = {}  # engine id -> time at which the store accepted its drain notice
         self.faults = []  # [target, start, end or None while the fault lasts]
         self.stops = []  # (gateway, time of SIGTERM)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -46,6 +46,11 @@
                             "0.35", "--pause", "1", "--seeds", SEEDS)
         self.assertEqual(code, 0, output)
 
+    def test_customers(self):
+        """Guards against keys that work while no configuration has them, beside other faults."""
+        code, output = soak("--kind", "customers", "--seeds", SEEDS)
+        self.assertEqual(code, 0, output)
+
     def test_mutants(self):
         for mutation, (rule, seeds) in MUTANTS.items():
             with self.subTest(mutation):
