A configuration is confirmed by a read up to the log's end alone

Cause, from the gateways' logs: one read brought versions 9, with the keys, and 10, without them and without a whole number as its version. Accepting version 9 confirmed it as of that read, although the same read held the record that follows it; the unreadable one then ended further confirmations, but not this one.

Why this fix works: accepting a configuration no longer confirms it. The follower says when a read has reached the end of the log, after all its records, and that confirms what is the newest then. A configuration put in force keeps the age of the last confirmation, which proved that an older one was the newest at that time.

--- a/include/tamarackglade/forward/active_config.hpp
+++ b/include/tamarackglade/forward/active_config.hpp
@@ -11,23 +11,24 @@
 
 /// @brief Holds the newest configuration; an older version never replaces it.
 ///
-/// A read of the log that shows no newer version confirms the configuration. The age of the
-/// confirmation is counted from when the read was sent, by a clock that continues while the VM is
-/// suspended. A published version that can't be read may have replaced the configuration, and one
-/// that was removed holds no more, so that nothing confirms it from then on, until a version that
-/// can be read follows.
+/// A read up to the end of the log confirms the configuration that is the newest then. The age of
+/// the confirmation is counted from when the read was sent, by a clock that continues while the VM
+/// is suspended. A published version that can't be read may have replaced the configuration, and
+/// one that was removed holds no more, so that nothing confirms it from then on, until a version
+/// that can be read follows.
 class active_config
 {
 public:
-    /// @brief Activates a configuration if it is newer than the current one, and confirms.
-    /// @param sentAt when the read that returned it was sent
+    /// @brief Activates a configuration if it is newer than the current one. Doesn't confirm it, as
+    /// the same read may return one that follows it.
     /// @return whether it was activated
-    bool accept(std::shared_ptr<const forward_config> config, time_point sentAt);
+    bool accept(std::shared_ptr<const forward_config> config);
 
     /// @brief Records that the newest published version can't be read or was removed.
     void onUnreadable() { m_newestIsUnreadable = true; }
 
-    /// @brief Records a read that showed no newer version; ignored without a configuration.
+    /// @brief Records a read up to the end of the log, after all that it returned was accepted;
+    /// ignored without a configuration.
     /// @param sentAt when the read was sent
     void confirm(time_point sentAt);
 
--- a/src/forward/active_config.cpp
+++ b/src/forward/active_config.cpp
@@ -6,14 +6,13 @@
 
 namespace tamarack {
 
-bool active_config::accept(std::shared_ptr<const forward_config> config, time_point sentAt)
+bool active_config::accept(std::shared_ptr<const forward_config> config)
 {
     const bool newer = !m_config || m_config->version() < config->version();
     if (!m_config || m_config->version() <= config->version())
         m_newestIsUnreadable = false;
     if (newer)
         m_config = std::move(config);
-    confirm(sentAt);
     return newer;
 }
 
--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -99,7 +99,7 @@
         return;
     }
     const auto version = (*config)->version();
-    if (!m_activeConfig.accept(*config, sentAt))
+    if (!m_activeConfig.accept(*config))
         return;
     logCustomerFaults(**config);
     m_onChange(**config);
--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -168,6 +168,27 @@
     });
 }
 
+// Guards against keys that work for key-freshness more, as their configuration is read together
+// with the one that took them away and can't be read.
+TEST_CASE("a configuration that is read with one that follows it and can't be read isn't confirmed")
+{
+    for (const std::string &next : {std::string("{"), std::string(),
+                                    std::string(R"({"version":null,"routes":[],"tenants":[]})")}) {
+        CAPTURE(next);
+        io_thread thread;
+        thread.run([&] {
+            watched_stream stream;
+            CHECK(stream.publish(configOfVersion(1)));
+            const auto confirmedAt = stream.watch.activeConfig().confirmedAt();
+            stream.store.records.push_back(
+                stream.store.encodeKeyed({stream.protocol.configKey(), configOfVersion(2)}));
+            CHECK_FALSE(stream.publish(next));
+            CHECK(stream.watch.activeConfig().current()->version() == config_version(2));
+            CHECK(stream.watch.activeConfig().confirmedAt() == confirmedAt);
+        });
+    }
+}
+
 TEST_CASE("a snapshot without the configuration doesn't confirm it")
 {
     io_thread thread;
--- a/tests/unit-forward.cpp
+++ b/tests/unit-forward.cpp
@@ -93,13 +93,12 @@
 TEST_CASE("an older configuration never replaces a newer one")
 {
     active_config activeConfig;
-    const time_point start{};
     CHECK(activeConfig.current() == nullptr);
-    CHECK(activeConfig.accept(configOf(7), start));
-    CHECK_FALSE(activeConfig.accept(configOf(5), start + 1s));
+    CHECK(activeConfig.accept(configOf(7)));
+    CHECK_FALSE(activeConfig.accept(configOf(5)));
     CHECK(activeConfig.current()->version() == config_version(7));
-    CHECK_FALSE(activeConfig.accept(configOf(7), start + 1s));
-    CHECK(activeConfig.accept(configOf(9), start + 1s));
+    CHECK_FALSE(activeConfig.accept(configOf(7)));
+    CHECK(activeConfig.accept(configOf(9)));
 }
 
 TEST_CASE("the age of a confirmation counts from when its read was sent")
@@ -108,7 +107,9 @@
     const time_point start{};
     activeConfig.confirm(start);
     CHECK_FALSE(activeConfig.confirmedAt());
-    activeConfig.accept(configOf(1), start);
+    activeConfig.accept(configOf(1));
+    CHECK_FALSE(activeConfig.confirmedAt());
+    activeConfig.confirm(start);
     CHECK(activeConfig.freshWithin(5s, start + 4'999ms));
     CHECK_FALSE(activeConfig.freshWithin(5s, start + 5s));
     activeConfig.confirm(start + 3s);
