Tests: a reset has happened before its connection is judged; a gateway that isn't ready shows its log

e2e-test_endless_bytes failed once as a gateway wasn't ready within 60 s, and its log was gone: the error now shows the exit code and the end of the log.

--- a/tests/e2e/gateway.py
+++ b/tests/e2e/gateway.py
@@ -2,7 +2,9 @@
 
 import json
 
-from fleet import Process, free_port, http_call
+from fleet import Process, free_port, http_call, wait_until
+
+MAX_LOG_CHARACTERS = 5000  # of an error
 
 
 class Gateway:
@@ -34,6 +36,14 @@
         """Returns whether the readiness check succeeds; raises if there is no answer."""
         return http_call(self.ready_address, "GET", "/tamarackglade/readiness")[0] == 200
 
+    def wait_until_ready(self):
+        """Raises TimeoutError, with the end of the log, if the gateway isn't ready in time."""
+        try:
+            wait_until(self.ready, f"{self.name} ready")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}; exit code {self.process.child.poll()}; log:\n"
+                               + self.process.log()[-MAX_LOG_CHARACTERS:]) from error
+
     def lines(self):
         """Returns the parsed log lines without a last line that is still incomplete."""
         text = self.process.log()
--- a/tests/e2e/test_clients_outside_limits.py
+++ b/tests/e2e/test_clients_outside_limits.py
@@ -107,7 +107,7 @@
         gateway = test_gateway.Gateway(name, self.store.address, self.work_dir, [str(program)],
                                        **self.settings)
         self.addCleanup(self.kill_if_running, gateway)
-        wait_until(gateway.ready, f"{name} ready")
+        gateway.wait_until_ready()
         return gateway
 
     def status_of(self, field):
--- a/tests/e2e/test_evacuation.py
+++ b/tests/e2e/test_evacuation.py
@@ -131,7 +131,7 @@
                                                [f"{OPTIONS.bin}/mutant-gateway",
                                                 "--mutation=IgnoreEvacuations"])
                 self.addCleanup(self.kill_if_running, gateway)
-                wait_until(gateway.ready, f"{name} ready")
+                gateway.wait_until_ready()
                 return gateway
 
             def wait_for_evacuations(self, count):
--- a/tests/e2e/test_gateway.py
+++ b/tests/e2e/test_gateway.py
@@ -67,7 +67,7 @@
         gateway = Gateway(name, self.store.address, self.work_dir,
                           [f"{OPTIONS.bin}/tamarack-gateway"], **settings)
         self.addCleanup(self.kill_if_running, gateway)
-        wait_until(gateway.ready, f"{name} ready")
+        gateway.wait_until_ready()
         return gateway
 
     @staticmethod
--- a/tests/e2e/test_leaving.py
+++ b/tests/e2e/test_leaving.py
@@ -30,7 +30,7 @@
                                        [f"{OPTIONS.bin}/mutant-gateway",
                                         f"--mutation={self.mutation}"])
         self.addCleanup(self.kill_if_running, gateway)
-        wait_until(gateway.ready, f"{name} ready")
+        gateway.wait_until_ready()
         return gateway
 
     def call_until_answered_by(self, engine, path="/stream/x"):
--- a/tests/e2e/test_warm_up.py
+++ b/tests/e2e/test_warm_up.py
@@ -39,7 +39,7 @@
         gateway = test_gateway.Gateway(name, self.store.address, self.work_dir,
                                        [f"{OPTIONS.bin}/{self.command[0]}", *self.command[1:]])
         self.addCleanup(self.kill_if_running, gateway)
-        wait_until(gateway.ready, f"{name} ready")
+        gateway.wait_until_ready()
         return gateway
 
     def press(self, seconds):
--- a/tests/support/received_response.hpp
+++ b/tests/support/received_response.hpp
@@ -128,6 +128,8 @@
                                                  limits, progress, sink, handle);
         received.outcome = result.outcome;
         received.text = streamed ? sink.flushed : result.response.body;
+        while (server.isAboutToClose())
+            boost::this_fiber::sleep_for(std::chrono::milliseconds(1));
         received.isKept =
             pool.acquire(upstream.address, maxIdleTime, request_id("r2")).idleFor.has_value();
     });
--- a/tests/support/scripted_upstream.hpp
+++ b/tests/support/scripted_upstream.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -45,6 +46,12 @@
     ~scripted_upstream() { m_thread.join(); }
 
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    /// @return whether the connection will be closed without waiting for the peer, and isn't yet
+    [[nodiscard]] bool isAboutToClose() const
+    {
+        const bool closes = m_script.end == ending::Close || m_script.end == ending::Reset;
+        return closes && !m_closed;
+    }
 
 private:
     void play()
@@ -66,6 +73,7 @@
         if (m_script.end == ending::Reset)
             socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
         socket.close(ignored);
+        m_closed = true;
     }
 
     static void readToEnd(boost::asio::ip::tcp::socket &socket)
@@ -80,6 +88,7 @@
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
+    std::atomic<bool> m_closed = false;
     std::thread m_thread;
 };
 
