--- a/tests/e2e/test_warm_up.py
+++ b/tests/e2e/test_warm_up.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from support import OPTIONS, main, wait_until
+from support import OPTIONS, main
 import test_gateway
 
 RATE = 4.0  # requests per second of an upstream that warms up
