Tests: ports are held without a file, and a machine that refuses it stops no script

Shown here on, in trials on copies: with a lock file in the temporary folder that belongs to another user it ends with 2 in 1 s (PermissionError); on a file system that refuses locks it never gets a port and ends with 2 after 111 s.

Cause: holds ports by locks in a file that all users of the temporary folder share. All scripts of the cases, the tests and the soak stand on it, and asked for no file before. Every OSError counted as "taken", so that the loop had no end. It also asked for UDP.

Why this works: a block of 100 ports is held by a socket bound to a name without a file, which all users of one network stack share, as they share its ports, and which ends with the script. Only "in use" counts as taken. A machine that refuses such names, or has no UDP, is served as before, with one warning. Without a free port there is an error in place of a loop without end.

Test: e2e-test_ports, now as two users, without file locks, with a lock file that can't be opened, without names and without UDP: 9 of 9 pass.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,9 +4,8 @@
 and is ended by it.
 """
 
-import fcntl
+import errno
 import http.client
-import itertools
 import json
 import os
 import pathlib
@@ -14,7 +13,8 @@
 import signal
 import socket
 import subprocess
-import tempfile
+import sys
+import threading
 import time
 
 READY_TIMEOUT_S = 60
@@ -24,32 +24,83 @@
 # Below the ephemeral range, so that outgoing connections never use these ports.
 FIRST_PORT = 10240
 PORT_COUNT = 21000
-PORTS_PER_PROCESS = 100
-# Each port that a running script has taken is a locked byte of this file, at the port's number.
-PORT_LOCKS = pathlib.Path(tempfile.gettempdir()) / "tamarack-ports.lock"
-_ports = itertools.count()
-_lock_files = []
+BLOCK_SIZE = 100  # ports that a script takes at once
+BLOCK_COUNT = PORT_COUNT // BLOCK_SIZE
+MAX_BLOCKS = 30  # of one script, which then uses its ports again
+BLOCK_NAME = "tamarack-ports"  # with a block's number, the name that holds it
 
 
-def reserve_port(port):
-    """Returns whether this process holds the port, until it ends, against other scripts."""
-    if not _lock_files:
-        _lock_files.append(open(PORT_LOCKS, "ab"))
-    try:
-        fcntl.lockf(_lock_files[0], fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
-    except OSError:
-        return False
-    return True
+def warn(text):
+    print(f"fleet.py: {text}", file=sys.stderr, flush=True)
+
+
+class PortBlocks:
+    """Blocks of ports that no other script uses while this one runs.
+
+    A block is held by a socket bound to a name without a file. Such names are shared by all users
+    of a network stack, as its ports are, and end with the script. A machine that refuses them, or
+    on which all blocks are held, is warned about once; its scripts share the blocks.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._next_block = os.getpid() % BLOCK_COUNT
+        self._blocks = []  # the numbers of the blocks taken, in order
+        self._next_port = 0  # counts the ports handed out
+        self._shared = False  # blocks aren't held any more
+
+    def next_port(self):
+        """Returns the next port of the script's blocks, which may be in use."""
+        with self._lock:
+            place = self._next_port % (MAX_BLOCKS * BLOCK_SIZE)
+            self._next_port += 1
+            if place // BLOCK_SIZE == len(self._blocks):
+                self._blocks.append(self._take_block())
+            block = self._blocks[place // BLOCK_SIZE]
+            return FIRST_PORT + block * BLOCK_SIZE + place % BLOCK_SIZE
+
+    def _take_block(self):
+        first = self._next_block
+        for step in range(BLOCK_COUNT):
+            block = (first + step) % BLOCK_COUNT
+            if self._shared or self._hold(block):
+                self._next_block = block + 1
+                return block
+        self._share("all blocks of ports are held")
+        return self._take_block()
+
+    def _hold(self, block):
+        """Returns whether the block is this script's, or may be shared."""
+        try:
+            with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as holder:
+                holder.bind(f"\0{BLOCK_NAME}-{block}")
+                holder.detach()  # stays open until the script ends
+        except OSError as error:
+            if error.errno == errno.EADDRINUSE:
+                return False
+            self._share(f"ports can't be held here ({error})")
+        return True
+
+    def _share(self, reason):
+        self._shared = True
+        warn(f"{reason}: another script may take the same ones")
+
+
+_blocks = PortBlocks()
 
 
 def is_unused(port):
     """Returns whether nothing on loopback uses the port, with TCP or UDP."""
-    with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         try:
-            stream.bind(("127.0.0.1", port))
-            datagram.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+            with socket.socket(type=kind) as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError as error:
+            if error.errno == errno.EADDRINUSE:
+                return False
+            if kind == socket.SOCK_STREAM:
+                raise
+            # Where there is no UDP at all, the daemons say so if they need it.
     return True
 
 
@@ -57,13 +108,14 @@
     """Returns a free loopback port that no running script has got.
 
     The daemons share addresses between their threads (SO_REUSEPORT), so binding a port twice
-    would succeed and split the connections between two listeners.
+    would succeed and split the connections between two listeners. Raises OSError if loopback can't
+    be used, or none of the ports is free.
     """
-    while True:
-        step = os.getpid() * PORTS_PER_PROCESS + next(_ports)
-        port = FIRST_PORT + step % PORT_COUNT
-        if reserve_port(port) and is_unused(port):
+    for _ in range(PORT_COUNT):
+        port = _blocks.next_port()
+        if is_unused(port):
             return port
+    raise OSError(errno.EADDRINUSE, "no port of this script's blocks is free")
 
 
 def http_call(address, method, path, body=None, headers=None, timeout=30):
