A carried-over build folder is used again only for the sources and machine that it was built from

Cause: Ninja compares times only, and the build command trusted whatever target/ held. A folder of another kind of machine or place fails in CMake or at its first start.

Why this works: before CMake, cmake/discard_carried_over.cmake compares the machine, the place and a hash of each source with what the folder was built from. A file that has changed but is no newer than the folder's last build, another machine or place, or a folder that doesn't say, and the folder is deleted. Changes with true times are built as before. scripts/test.sh and demo.sh do the same.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install-packages.sh
+cmake -DFOLDER=build -P cmake/discard_carried_over.cmake
 cmake --preset release >/dev/null
 cmake --build --preset release --target tamarack-entry tamarack-side tamarackctl \
     standin-platform standin-engine standin-plain
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install-packages.sh
+for folder in build build-asan; do cmake -DFOLDER="$folder" -P cmake/discard_carried_over.cmake; done
 cmake --preset release >/dev/null
 cmake --build --preset release
 scripts/lint.sh
