Programs tell from which sources they were built; a configuration's line, whether keys are needed

So "the program is an old one" and "the list of customers was taken for none" look the same from outside.

`--version` and the line `started` give a digest of the sources, which the build writes. tests/e2e/gateway.py, on which the cases stand, compares it with the tree's files once a script and warns on standard error if they differ, or if the program can't be asked; it stops nothing. `configuration in force` has `needs_keys` and the number of `customers` that can be read.

--- a/include/tamarackglade/forward/forward_config.hpp
+++ b/include/tamarackglade/forward/forward_config.hpp
@@ -53,6 +53,8 @@
         return m_customerFaults;
     }
     [[nodiscard]] config_version version() const { return m_version; }
+    /// @return the number of customers whose entries can be read
+    [[nodiscard]] std::size_t customerCount() const { return m_customers.size(); }
     [[nodiscard]] std::size_t routeCount() const { return m_routes.size(); }
     [[nodiscard]] const caller_limits &limits() const { return m_limits; }
     [[nodiscard]] const std::vector<forward_customer> &customers() const { return m_customers; }
--- a/src/gateway/process/config_watch.cpp
+++ b/src/gateway/process/config_watch.cpp
@@ -107,6 +107,8 @@
     log_event(log_level::Info, "configuration in force")
         .with("version", version.value())
         .with("routes", (*config)->routeCount())
+        .with("needs_keys", (*config)->needsKeys())
+        .with("customers", (*config)->customerCount())
         .with("read_ms", toSeconds(m_changedAt - sentAt) * 1000)
         .with("apply_ms", toSeconds(m_changedAt - begunAt) * 1000);
 }
--- a/src/gateway/process/gateway_process.cpp
+++ b/src/gateway/process/gateway_process.cpp
@@ -5,6 +5,7 @@
 #include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 #include <tamarackglade/runtime/machine_limits.hpp>
+#include <tamarackglade/runtime/source_digest.hpp>
 #include <tamarackglade/runtime/steady_now.hpp>
 #include <tamarackglade/runtime/stop_signal.hpp>
 
@@ -133,6 +134,7 @@
     if (status.ok())
         log_event(log_level::Info, "started")
             .with("vm", m_self.vm.value())
+            .with("sources", sourceDigest())
             .with("incarnation", m_self.incarnation.value())
             .with("listen", m_options.callerAddress)
             .with("store", m_options.storeAddress);
--- a/src/settings/load_settings.cpp
+++ b/src/settings/load_settings.cpp
@@ -1,5 +1,6 @@
 // inih for the file, gflags for the command line, both checked against the same table.
 #include <tamarackglade/ini/ini_document.hpp>
+#include <tamarackglade/runtime/source_digest.hpp>
 #include <tamarackglade/settings/load_settings.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -148,6 +149,7 @@
 {
     registerFlags(table);
     gflags::SetUsageMessage(std::string(table.summary));
+    gflags::SetVersionString(std::string(sourceDigest()));
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::vector<setting_fault> faults;
     if (argc > 1)
--- a/tests/e2e/gateway.py
+++ b/tests/e2e/gateway.py
@@ -1,10 +1,49 @@
 """Starts gateway processes with their settings files, for the end-to-end tests and the soak."""
 
+import functools
+import hashlib
 import json
+import pathlib
+import subprocess
+import sys
 
 from fleet import Process, free_port, http_call, wait_until
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 MAX_LOG_CHARACTERS = 5000  # of an error
+VERSION_TIMEOUT_S = 10
+# As in cmake/source_files.cmake.
+PRODUCT_FOLDERS = ("apps", "cmake", "generated", "include", "platform", "schema", "src")
+SOURCE_ENDINGS = (".cpp", ".hpp", ".h", ".fbs", ".txt", ".cmake")
+
+
+def source_digest():
+    """Returns what a program that is built from the files of this tree gives as its version."""
+    paths = ["CMakeLists.txt"]
+    for folder in PRODUCT_FOLDERS:
+        paths += [path.relative_to(ROOT).as_posix() for path in (ROOT / folder).rglob("*")
+                  if path.suffix in SOURCE_ENDINGS]
+    lines = [f"{hashlib.sha256((ROOT / path).read_bytes()).hexdigest()}  {path}\n"
+             for path in sorted(paths)]
+    return hashlib.sha256("".join(lines).encode()).hexdigest()[:16]
+
+
+@functools.lru_cache(maxsize=None)
+def warn_of_other_sources(program):
+    """Warns, once a script, if a program wasn't built from the files of this tree.
+
+    It goes on without a comparison where the program or the files can't be read.
+    """
+    try:
+        done = subprocess.run([program, "--version"], capture_output=True, text=True, check=False,
+                              timeout=VERSION_TIMEOUT_S)
+        built_from, expected = done.stdout.strip().split(" ")[-1], source_digest()
+    except (OSError, ValueError, subprocess.SubprocessError) as error:
+        print(f"{program} can't be compared with the sources: {error!r}", file=sys.stderr)
+        return
+    if built_from != expected:
+        print(f"{program} was built from other sources: {built_from!r}, here {expected!r}",
+              file=sys.stderr)
 
 
 class Gateway:
@@ -21,6 +60,7 @@
         values.update(settings)
         self.path = work_dir / f"{name}.ini"
         self.write(values)
+        warn_of_other_sources(command[0])
         self.process = Process(name, [command[0], f"--settings={self.path}", *command[1:]],
                                work_dir)
 
