Tests: a line that the gateway didn't write hides none of its own

Shown here on: where the machine's loader adds a line to the programs' output (an LD_PRELOAD that isn't there), review/9 ends with 2 (JSONDecodeError) and holds with TROUBLE=0. Not shown to be the users' machine.

Cause: Gateway.lines() takes each line of standard output and error for a JSON object of ours, and raises for any other. It also split lines at characters within texts.

Why this works: such a line is kept as a message of its own; the gateway's lines are found as before.

--- a/tests/e2e/gateway.py
+++ b/tests/e2e/gateway.py
@@ -46,6 +46,14 @@
               file=sys.stderr)
 
 
+def parsed_line(text):
+    try:
+        line = json.loads(text)
+    except ValueError:
+        line = None
+    return line if isinstance(line, dict) else {"message": text}
+
+
 class Gateway:
     """A process of tamarack-gateway, or of the program that `command` names instead."""
 
@@ -85,12 +93,14 @@
                                + self.process.log()[-MAX_LOG_CHARACTERS:]) from error
 
     def lines(self):
-        """Returns the parsed log lines without a last line that is still incomplete."""
-        text = self.process.log()
-        return [json.loads(line) for line in text[:text.rfind("\n") + 1].splitlines()]
+        """Returns the parsed log lines without a last line that is still incomplete.
+
+        A line that the gateway didn't write, as the machine's loader may, has only a message.
+        """
+        return [parsed_line(text) for text in self.process.log().split("\n")[:-1]]
 
     def lines_of(self, message):
-        return [line for line in self.lines() if line["message"] == message]
+        return [line for line in self.lines() if line.get("message") == message]
 
     def metric(self, name):
         """Returns the value of a metric without labels; None before it is set."""
