The environment's GLOG_minloglevel hides no log lines

Operators would find no line but errors, whatever `log-level` says.

Cause: glog reads its flags from the environment; initLogging() set its other outputs, but not its least level, which comes before our sink.

Why this works: the level is set there too; `log-level` alone decides.

--- a/src/logging/logging.cpp
+++ b/src/logging/logging.cpp
@@ -137,6 +137,7 @@
     FLAGS_logtostderr = false;
     FLAGS_alsologtostderr = false;
     FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+    FLAGS_minloglevel = google::GLOG_INFO; // its environment variable would hide our lines
     for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
         google::SetLogDestination(severity, "");
     static const std::string ProgramName = program;
--- a/tests/e2e/test_log_lines.py
+++ b/tests/e2e/test_log_lines.py
@@ -1,6 +1,8 @@
 """Tests of a gateway's log lines on machines that add lines, hide them or limit the log's size."""
 
+import os
 import stat
+from unittest import mock
 
 from support import OPTIONS, main
 from test_gateway import Gateway, SiteTestCase, config
@@ -30,6 +32,12 @@
                          [1, 2])
         self.assertEqual(gateway.lines_of(FOREIGN_LINES[0]), [{"message": FOREIGN_LINES[0]}])
 
+    def test_the_environment_hides_no_lines(self):
+        with mock.patch.dict(os.environ, GLOG_minloglevel="3", GLOG_logtostderr="1"):
+            self.gateway = [self.add_gateway("gateway-quiet")]
+        self.publish(config(2))
+        self.assertTrue(self.gateway[0].lines_of("started"))
+
 
 if __name__ == "__main__":
     main()
