A log that may not grow ends no program

Cause: writing beyond the size raises a signal whose default ends the process; only the signal of pipes was blocked in the writer's thread.

Why this works: the thread blocks this signal too, so the write fails, and the lines count as dropped (`tamarack_dropped_log_lines`).

--- a/src/logging/line_writer.cpp
+++ b/src/logging/line_writer.cpp
@@ -17,12 +17,14 @@
 constexpr std::chrono::milliseconds BatchTime{25};
 constexpr int PollMs = 50;
 
-// Without it, writing to a pipe whose reader has gone would end the process.
-void blockPipeSignal()
+// Without it, writing to a pipe whose reader has gone, or beyond the largest size of a file, would
+// end the process.
+void blockWriteSignals()
 {
     sigset_t set;
     sigemptyset(&set);
     sigaddset(&set, SIGPIPE);
+    sigaddset(&set, SIGXFSZ);
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
@@ -81,7 +83,7 @@
 
 void line_writer::writeLoop()
 {
-    blockPipeSignal();
+    blockWriteSignals();
     std::unique_lock lock(m_mutex);
     while (!m_stopped) {
         m_changed.wait(lock, [&] { return m_stopped || !m_waiting.empty(); });
--- a/tests/e2e/test_log_lines.py
+++ b/tests/e2e/test_log_lines.py
@@ -9,6 +9,7 @@
 
 FOREIGN_LINES = ("ERROR: ld.so: object 'x.so' cannot be preloaded: ignored.", "7", "[]", "{}",
                  '{"level":"info"}', "", "\u2028")
+LOG_BLOCKS = 2  # of 512 bytes, the largest size of a file
 
 
 class LogLinesTest(SiteTestCase):
@@ -38,6 +39,14 @@
         self.publish(config(2))
         self.assertTrue(self.gateway[0].lines_of("started"))
 
+    def test_a_log_that_may_not_grow_ends_no_gateway(self):
+        gateway = self.add_gateway_through(f"ulimit -f {LOG_BLOCKS}")
+        for _ in range(20):
+            self.assertEqual(self.call()[0], 200)
+        self.assertIsNone(gateway.process.child.poll())
+        self.assertLessEqual(gateway.process.log_path.stat().st_size, LOG_BLOCKS * 512)
+        self.assertGreater(gateway.metric("tamarack_dropped_log_lines"), 0)
+
 
 if __name__ == "__main__":
     main()
