A log that ends before what was read of it confirms no configuration

If another log answers at the store's address, one that was begun anew, every read was answered with an end below the gateway's position: records up to that position were skipped, a withdrawal of keys among them, while each read confirmed the configuration. The pages' store never does this, as it loses nothing.

Cause: stream_follower::deliver() took "nothing left to read" for "read to the end".

Why this works: an end before the position that was asked for can't be the log that was read.

--- a/include/tamarackglade/gateway/batch/stream_follower.hpp
+++ b/include/tamarackglade/gateway/batch/stream_follower.hpp
@@ -57,6 +57,7 @@
     [[nodiscard]] std::chrono::milliseconds nextWait() const;
     bool readSnapshot();
     bool readOnce(std::chrono::milliseconds wait);
+    void onOtherLog(stream_position end);
     void deliver(stream_position from, const read_reply &reply, time_point sentAt);
 
     record_store &m_store;
--- a/src/gateway/batch/stream_follower.cpp
+++ b/src/gateway/batch/stream_follower.cpp
@@ -1,5 +1,6 @@
 // Long polls, snapshots and on-demand reads of a stream partition.
 #include <tamarackglade/gateway/batch/stream_follower.hpp>
+#include <tamarackglade/logging/log_event.hpp>
 #include <tamarackglade/runtime/boot_now.hpp>
 
 #include <boost/fiber/fiber.hpp>
@@ -118,10 +119,29 @@
         }
         return true;
     }
+    if (reply.end < from) {
+        onOtherLog(reply.end);
+        return false;
+    }
     deliver(from, reply, sentAt);
     return true;
 }
 
+// A log never ends before what was read of it, so another store answers at the address. What it
+// holds isn't known yet, and its end confirms nothing.
+void stream_follower::onOtherLog(stream_position end)
+{
+    log_event(log_level::Error, "another log in place of the one that was read")
+        .with("stream", m_partition.stream.value())
+        .with("position", m_position.value())
+        .with("end", end.value());
+    if (m_options.keyed) {
+        m_needSnapshot = true;
+        m_position = end;
+    }
+    m_listener.onFailure();
+}
+
 // Skips records that a concurrent read has already delivered.
 void stream_follower::deliver(stream_position from, const read_reply &reply, time_point sentAt)
 {
--- a/tests/shell-gateway-config.cpp
+++ b/tests/shell-gateway-config.cpp
@@ -29,6 +29,8 @@
     {
         if (from < firstKept)
             return {read_result::Lost, {}, firstKept, {}};
+        if (from.value() > records.size())
+            return {read_result::Read, stream_position(records.size()), firstKept, {}};
         const auto first = records.begin() + static_cast<std::ptrdiff_t>(from.value());
         return {read_result::Read, stream_position(records.size()), stream_position(0),
                 std::vector<std::string>(first, records.end())};
@@ -356,3 +358,21 @@
     stream.requests.onRecord({"hibernate/zone-a", ""});
     CHECK_FALSE(unknown());
 }
+
+TEST_CASE("a log that ends before what was read confirms no keys, and is read from its snapshot")
+{
+    io_thread thread;
+    thread.run([&] {
+        watched_stream stream;
+        CHECK(stream.publish(configOfVersion(1)));
+        CHECK(stream.publish(configOfVersion(2)));
+        const auto confirmedAt = stream.watch.activeConfig().confirmedAt();
+        stream.store.records.clear();
+        stream.store.snapshot = {{stream.protocol.configKey(), configOfVersion(3)}};
+        CHECK_FALSE(stream.watch.refresh(bootNow(), 10s));
+        CHECK(stream.watch.activeConfig().confirmedAt() == confirmedAt);
+        CHECK(stream.watch.refresh(bootNow(), 10s));
+        CHECK(stream.watch.activeConfig().current()->version() == config_version(3));
+        CHECK(stream.watch.activeConfig().confirmedAt() > confirmedAt);
+    });
+}
