--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -19,7 +19,8 @@
 
 READY_TIMEOUT_S = 60
 STOP_TIMEOUT_S = 30
-
+# Names a folder for the processes' logs, as a test deletes its own folder when it ends.
+LOG_FOLDER_VARIABLE = "TAMARACK_LOG_FOLDER"
 
 # Below the ephemeral range, so that outgoing connections never use these ports.
 FIRST_PORT = 10240
@@ -147,13 +148,27 @@
     raise TimeoutError(f"{what} did not happen within {timeout} s")
 
 
+def log_folder(work_dir):
+    """Returns the folder for logs of processes that work in work_dir."""
+    kept = os.environ.get(LOG_FOLDER_VARIABLE)
+    if not kept:
+        return work_dir
+    folder = pathlib.Path(kept) / work_dir.name
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        warn(f"logs aren't kept: {error}")
+        return work_dir
+    return folder
+
+
 class Process:
     """A child process and its log file."""
 
     def __init__(self, name, command, work_dir):
         self.name = name
         self.command = command
-        self.log_path = work_dir / f"{name}.log"
+        self.log_path = log_folder(work_dir) / f"{name}.log"
         self.child = None
         self.start()
 
