--- a/cmake/source_files.cmake
+++ b/cmake/source_files.cmake
@@ -22,3 +22,9 @@
 
 # Folders of all programs that are installed. tests/e2e/gateway.py has the same list.
 set(TAMARACK_PRODUCT_FOLDERS apps cmake generated include platform schema src)
+
+# Sets `out` to what a build folder of `root` is built from on this machine, given its source files.
+function(tamarack_build_record out root files)
+  cmake_host_system_information(RESULT machine QUERY OS_PLATFORM)
+  set(${out} "machine ${machine}\nroot ${root}\n${files}" PARENT_SCOPE)
+endfunction()
