Tests: LoopDelayTest waits for the lines that it judges

Cause: a gateway writes its lines some 25 ms behind what it does. The streams take 1 s and the gateway is suspended for 0.6 s; if the test wakes late, they have ended at the engines meanwhile, all answers come at once, and the test looks before the line is written.

The line has to come as before. "No attempt failed" is now judged when the lines of all 24 requests are there, before at once, so it could pass without having looked.

--- a/tests/e2e/test_silent_upstreams.py
+++ b/tests/e2e/test_silent_upstreams.py
@@ -205,8 +205,10 @@
         self.gateway[0].process.signal(signal.SIGCONT)
         for answer in answers:
             self.check_whole(answer)
-        self.assertFalse(self.gateway[0].lines_of("attempt failed"))
-        self.assertTrue(self.gateway[0].lines_of("event loop delayed"))
+        gateway = self.gateway[0]  # which writes its lines behind the answers
+        wait_until(lambda: gateway.lines_of("event loop delayed"), "the line of the delay")
+        wait_until(lambda: len(gateway.lines_of("request ended")) == len(answers), "their lines")
+        self.assertFalse(gateway.lines_of("attempt failed"))
 
 
 if __name__ == "__main__":
