An entry that stops behind an outage of the log hands over what nobody else could take over

Cause: a planned stop waits until its homes of rate limits are handed over "or the log can't be reached". A home without a successor, or whose successor acknowledged no ping of the epoch, can be claimed by others only when the VM list lacks it, 60 s at least. Change: without the log a stop waits, up to drain-limit, while an entry takes work that couldn't claim by itself soon after. The rule moves from the shell into limit_partition::mustHandOver. If nobody takes work, it ends as before.

--- a/include/tamarackglade/entry/limit_service.hpp
+++ b/include/tamarackglade/entry/limit_service.hpp
@@ -53,8 +53,7 @@
 
     /// @brief Starts to hand this entry's homes over to other entries, for a planned stop.
     void handOver();
-    /// @return whether no home has to be handed over, or the log is unreachable, without which no
-    /// entry can claim one
+    /// @return whether no home has to be handed over before the process ends
     bool isReleased();
 
 private:
@@ -84,7 +83,6 @@
     std::vector<live_entry> m_entries; // the latest VM list, as read
     time_point m_entriesReadAt{};
     std::vector<vm_id> m_takingWork; // of the connected entries
-    bool m_logReachable = true;
     std::uint64_t m_lastTicket = 0;
     std::map<std::uint64_t, verdict_promise> m_waiting; // by ticket
 };
--- a/include/tamarackglade/limits/fleet_limiter.hpp
+++ b/include/tamarackglade/limits/fleet_limiter.hpp
@@ -78,7 +78,8 @@
     /// @brief Hands over every home of this entry to its successor, for a planned stop.
     void handOver(time_point now);
 
-    /// @return whether this entry still is home of partitions that another entry could take over
+    /// @return whether this entry still is home of partitions that it has to hand over before it
+    /// ends
     [[nodiscard]] bool mustHandOver() const;
 
     /// @return the actions since the last call, in order
--- a/include/tamarackglade/limits/home_lease.hpp
+++ b/include/tamarackglade/limits/home_lease.hpp
@@ -27,6 +27,8 @@
     void acknowledge(std::uint64_t sequence);
 
     [[nodiscard]] bool isHeld(time_point now) const { return m_heldUntil && now < *m_heldUntil; }
+    /// @return whether the successor acknowledged a ping of this epoch
+    [[nodiscard]] bool wasAcknowledged() const { return m_heldUntil.has_value(); }
     [[nodiscard]] bool isPingDue(time_point now) const { return now >= m_nextPingAt; }
 
     /// @return whether no ping sent within the last successorTimeout was acknowledged
--- a/include/tamarackglade/limits/limit_partition.hpp
+++ b/include/tamarackglade/limits/limit_partition.hpp
@@ -51,8 +51,10 @@
     void handOver(const entry_membership &membership, time_point now,
                   std::vector<limit_action> &out);
 
-    /// @return whether this entry is still home and another one could be
-    [[nodiscard]] bool mustHandOver(const entry_membership &membership) const;
+    /// @return whether this entry is still home and has to hand over to another one before it ends.
+    /// While the log is unreachable, it waits for it only if another entry that takes work couldn't
+    /// claim soon after its end
+    [[nodiscard]] bool mustHandOver(const entry_membership &membership, bool logReachable) const;
 
     /// @return whether this entry may admit and lend from its buckets at this time point
     [[nodiscard]] bool mayLend(time_point now) const;
--- a/src/entry/limit_service.cpp
+++ b/src/entry/limit_service.cpp
@@ -79,7 +79,6 @@
     handler.onGap = [](log_offset) {};
     handler.onReachable = [this](bool reachable) {
         const std::lock_guard lock(m_mutex);
-        m_logReachable = reachable;
         m_limiter->onLogReachable(reachable);
     };
     m_tailer = std::make_unique<log_tailer>(m_thread, m_platform, std::string(HomesStream),
@@ -174,7 +173,7 @@
 bool limit_service::isReleased()
 {
     const std::lock_guard lock(m_mutex);
-    return !m_limiter || !m_logReachable || !m_limiter->mustHandOver();
+    return !m_limiter || !m_limiter->mustHandOver();
 }
 
 void limit_service::begin(std::uint32_t partitions)
--- a/src/limits/fleet_limiter.cpp
+++ b/src/limits/fleet_limiter.cpp
@@ -251,8 +251,9 @@
 
 bool fleet_limiter::mustHandOver() const
 {
-    return std::any_of(m_partitions.begin(), m_partitions.end(),
-                       [&](const auto &partition) { return partition.mustHandOver(m_membership); });
+    return std::any_of(m_partitions.begin(), m_partitions.end(), [&](const auto &partition) {
+        return partition.mustHandOver(m_membership, m_logReachable);
+    });
 }
 
 void fleet_limiter::handOver(time_point now)
--- a/src/limits/limit_partition.cpp
+++ b/src/limits/limit_partition.cpp
@@ -202,9 +202,14 @@
     pollAsLeaving(membership, now, out);
 }
 
-bool limit_partition::mustHandOver(const entry_membership &membership) const
+bool limit_partition::mustHandOver(const entry_membership &membership, bool logReachable) const
 {
-    return m_isHome && handOverTarget(membership);
+    const auto next = m_isHome ? handOverTarget(membership) : std::nullopt;
+    if (!next || logReachable)
+        return next.has_value();
+    // A successor that never acknowledged a ping may claim only when the VM list lacks this entry.
+    const bool claimsByItself = *next == m_record->successor && m_lease.wasAcknowledged();
+    return membership.isCandidate(next->vm) && !claimsByItself;
 }
 
 void limit_partition::pollAsLeaving(const entry_membership &membership, time_point now,
--- a/tests/e2e/test_keyed_call_stop.py
+++ b/tests/e2e/test_keyed_call_stop.py
@@ -31,5 +31,23 @@
         self.assertEqual(len(self.runs(path)), 1)
 
 
+class LateEntryTest(test_keyed_calls.KeyedCallTestCase):
+    """Guards against a stop after which the other entry refuses all calls with 429 for a minute."""
+
+    entries = 1
+
+    def test_a_stop_leaves_no_home_that_nobody_can_take_over(self):
+        path = f"/records/{self.new_name()}"
+        first = self.fleet.entries[0]
+        self.fleet.fault(self.fleet.platform, log="down")
+        late = self.fleet.add_entry()  # which can't become the first one's successor yet
+        self.fleet.wait_vm_ready(late)
+        first.process.signal(signal.SIGTERM)
+        time.sleep(LOG_OUTAGE_S)
+        self.fleet.fault(self.fleet.platform, log="up")
+        self.assertEqual(first.process.child.wait(test_keyed_calls.CALL_TIMEOUT_S), 0)
+        self.assertEqual(self.send_admitted(late, None, path)[0], 200)
+
+
 if __name__ == "__main__":
     main()
--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -374,15 +374,40 @@
         REQUIRE(partition.onClaim(claimOf(1, "a", "b"), membership, Start));
         partition.handOver(membership, Start, out);
         CHECK(out.empty());
-        CHECK_FALSE(partition.mustHandOver(membership));
+        CHECK_FALSE(partition.mustHandOver(membership, true));
         REQUIRE(partition.onClaim(claimOf(2, "b", "a"), membership, Start));
-        CHECK(partition.mustHandOver(membership));
+        CHECK(partition.mustHandOver(membership, true));
         partition.poll(membership, true, Start, out);
         partition.poll(membership, true, Start + options.claimBackoff, out);
         CHECK(actionsOf<append_claim>(out).size() == 2);
         CHECK(actionsOf<send_limit_message>(out).empty());
         REQUIRE(partition.onClaim(claimOf(3, "a", ""), membership, Start + 1s));
-        CHECK_FALSE(partition.mustHandOver(membership));
+        CHECK_FALSE(partition.mustHandOver(membership, true));
+    }
+    SUBCASE("without the log, an entry that leaves waits unless its successor claims by itself")
+    {
+        REQUIRE(partition.onClaim(claimOf(1, "b", "a"), membership, Start));
+        partition.poll(membership, true, Start, out);
+        const auto pings = actionsOf<send_limit_message>(out);
+        REQUIRE(pings.size() == 1);
+        partition.handOver(membership, Start, out);
+        CHECK(partition.mustHandOver(membership, false));
+        SUBCASE("as it acknowledged a ping")
+        {
+            schema::lease_ack_message ack;
+            ack.epoch = 1;
+            ack.sequence = std::get<schema::lease_ping_message>(pings[0].body).sequence;
+            partition.onAck(vm_id("a"), ack);
+            CHECK_FALSE(partition.mustHandOver(membership, false));
+            membership.setCandidates({vm_id("c")});
+            CHECK(partition.mustHandOver(membership, false));
+        }
+        SUBCASE("or nobody takes work")
+        {
+            membership.setCandidates({});
+            CHECK_FALSE(partition.mustHandOver(membership, false));
+            CHECK(partition.mustHandOver(membership, true));
+        }
     }
     SUBCASE("after a planned stop of a settled home, the next one lends at once")
     {
@@ -673,6 +698,61 @@
     }
 }
 
+namespace {
+
+/// @brief Stops the home while the log is down, as a planned stop does, and then offers load within
+/// the rate at the other entry.
+/// @param connected whether the entries were connected when the log was up
+customer_counts stopHomeDuringOutage(bool connected, std::uint64_t seed)
+{
+    limits_fleet fleet(2, onePartition(), seed);
+    fleet.setRate(Large, {100, 100});
+    fleet.advance(15s);
+    if (!connected) {
+        fleet.cut(0, 1);
+        fleet.cut(1, 0);
+        fleet.advance(5s);
+    }
+    const std::size_t home = fleet.homeOf(Large);
+    REQUIRE(home < fleet.entries());
+    REQUIRE((fleet.successorOf(Large) < fleet.entries()) == connected);
+    fleet.setLog(false);
+    fleet.advance(1s);
+    fleet.healAll();
+    fleet.advance(1s);
+    fleet.network().listLag = 60s; // the list shows the stopped entry for that long
+    fleet.handOver(home);
+    for (const duration wait : {1'500ms, 3'500ms}) {
+        for (const auto end = fleet.now() + wait; fleet.now() < end; fleet.advance(50ms)) {
+            if (fleet.alive(home) && !fleet.limiter(home).mustHandOver())
+                fleet.kill(home);
+        }
+        fleet.setLog(true);
+    }
+    CHECK_FALSE(fleet.alive(home));
+    std::vector<double> weights(fleet.entries(), 1);
+    weights[home] = 0;
+    fleet.loadWithin(Large, 80, weights, fleet.now() + 40s);
+    fleet.advance(41s);
+    CHECK(fleet.overAdmitted() == 0);
+    return fleet.counts().at(Large);
+}
+
+} // namespace
+
+// Guards against a stop behind an outage of the log after which customers are refused for as long
+// as the VM list may still show the entry.
+TEST_CASE("an entry that stops while the log is down leaves no home that nobody can take over")
+{
+    for (const bool connected : {true, false}) {
+        for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+            const auto counts = stopHomeDuringOutage(connected, seed);
+            INFO("connected: " << connected << ", seed " << seed);
+            CHECK(counts.refused * 1000 <= counts.offered);
+        }
+    }
+}
+
 TEST_CASE("an entry that has just restarted can take over as home")
 {
     for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
