Tests: a raw upstream takes a whole crowd of connections

Cause: the stand-in listens with socketserver's default queue of 5. A connection that is refused for a full queue is tried again after 1 s and then 2 s more, beyond the call's deadline of 2 s. The check stays as it is.

--- a/tests/e2e/test_broken_upstreams.py
+++ b/tests/e2e/test_broken_upstreams.py
@@ -33,6 +33,7 @@
 
     allow_reuse_address = True
     daemon_threads = True
+    request_queue_size = 128  # more than a crowd, as what is refused is tried again 1 s later
 
     def __init__(self):
         self.answers = []  # (bytes, whether the connection is reset)
