--- a/tests/unit-limits.cpp
+++ b/tests/unit-limits.cpp
@@ -722,6 +722,7 @@
     fleet.advance(1s);
     fleet.network().listLag = 60s; // the list shows the stopped entry for that long
     fleet.handOver(home);
+    // The log comes back after the first wait. The process ends once it has nothing to hand over.
     for (const duration wait : {1'500ms, 3'500ms}) {
         for (const auto end = fleet.now() + wait; fleet.now() < end; fleet.advance(50ms)) {
             if (fleet.alive(home) && !fleet.limiter(home).mustHandOver())
